--- /dev/null
+++ b/protocol/fleet.thrift
@@ -0,0 +1,211 @@
+// Messages between the processes of one fleet. Each frame on the wire is a
+// 4-byte big-endian length followed by one Frame in the compact protocol.
+namespace cpp hickoryglade.wire
+
+struct Header {
+  1: string name
+  2: string value
+}
+
+// First frame in each direction of a link.
+struct Hello {
+  1: string node
+  2: i64 bootId
+  3: string dataCentre
+  4: i32 protocolVersion
+}
+
+// Keeps a link with streams in flight verified in both directions.
+struct Heartbeat {
+  1: i64 sequence
+  2: bool reply
+}
+
+// Facts about a request that a gate needs before it sees the body.
+struct Ticket {
+  1: string attemptId
+  2: string workspace
+  3: string serviceName
+  4: i64 gateBootId
+  5: i64 timeoutMs
+  // Time on the sender's clock since the link's hello; a receiver that sees
+  // it lag behind its own knows that the link was frozen.
+  6: i64 linkAgeMs
+  7: i64 expectedCostUs
+  8: bool isLong
+  9: bool isIdempotent
+  10: i64 fingerprint
+  11: i32 copies
+  12: bool awaitsClaim
+}
+
+struct Grant {
+  1: string endpoint
+}
+
+// The request itself; opens a stream, or claims the slot that a grant holds.
+struct Call {
+  1: Ticket ticket
+  2: string method
+  3: string target
+  4: list<Header> headers
+  5: i64 bodyBytes
+}
+
+struct Data {
+  1: binary bytes
+}
+
+// What the gate knows first hand about a service at the time of a reply.
+struct Load {
+  1: i32 freeSlots
+  2: i32 queued
+  3: i32 slots
+}
+
+struct Answer {
+  1: i32 status
+  2: list<Header> headers
+  3: i64 bodyBytes
+  4: string endpoint
+  5: Load load
+  // Time that the endpoint took.
+  6: i64 runUs
+}
+
+struct Failure {
+  1: i32 kind
+  2: i32 run
+  3: string detail
+  4: i64 retryAfterMs
+  5: Load load
+  6: string endpoint
+}
+
+struct Cancel {}
+
+// Asks what became of a request, and fences it if it has not started.
+struct Revoke {
+  1: string attemptId
+  2: i64 gateBootId
+  3: i64 timeoutMs
+}
+
+struct Revoked {
+  1: i32 state
+}
+
+enum KeyOperation { RESERVE = 0, COPY = 1, COMPLETE = 2, LOOKUP = 3, RELEASE = 4 }
+
+struct StoredAnswer {
+  1: i32 status
+  2: list<Header> headers
+  3: binary body
+}
+
+struct KeyRecord {
+  1: string key
+  2: string requestId
+  3: i64 fingerprint
+  4: i32 state
+  5: optional StoredAnswer answer
+  6: i64 lifetimeMs
+}
+
+// A question to the keeper of an idempotency key.
+struct KeyRequest {
+  1: KeyOperation operation
+  2: KeyRecord record
+  3: i64 rosterOffset
+}
+
+struct KeyReply {
+  1: i32 verdict
+  2: optional KeyRecord record
+  3: i64 rosterOffset
+}
+
+struct EndpointRecord {
+  1: string name
+  2: string workspace
+  3: string serviceName
+  4: i32 slots
+  5: i64 generation
+  6: i32 state
+}
+
+// One node as it describes itself; a higher (bootId, version) replaces a lower.
+struct MemberRecord {
+  1: string node
+  2: i64 bootId
+  3: i64 version
+  4: string fleetAddress
+  5: string adminAddress
+  6: string dataCentre
+  7: i32 state
+  8: list<EndpointRecord> endpoints
+  9: i64 settingsOffset
+  10: i64 ledgerOffset
+}
+
+struct QuarantineRecord {
+  1: i64 fingerprint
+  2: i32 crashes
+  3: i64 remainingMs
+}
+
+// What the sender believes of a member; states as in MemberState.
+struct MemberUpdate {
+  1: MemberRecord record
+  2: i32 state
+}
+
+enum GossipKind { PING = 0, ACK = 1, PING_REQUEST = 2, SYNC = 3, UPDATES = 4 }
+
+// Datagram of the membership protocol.
+struct Gossip {
+  1: GossipKind kind
+  2: string sender
+  3: string senderAddress
+  4: i64 sequence
+  // Member to probe (PING_REQUEST) or that has answered (ACK).
+  5: string target
+  6: list<MemberUpdate> updates
+  // Hashes of the sender's records by bucket (SYNC).
+  7: list<i64> buckets
+  8: list<QuarantineRecord> quarantines
+}
+
+struct SettingsEntry {
+  1: string path
+  2: string value
+  3: i64 revision
+}
+
+struct SnapshotRequest {}
+
+// The settings tree and the lease ledger as folded up to given offsets.
+struct Snapshot {
+  1: i64 settingsOffset
+  2: list<SettingsEntry> entries
+}
+
+struct Frame {
+  1: i64 stream
+  2: optional Hello hello
+  3: optional Heartbeat heartbeat
+  4: optional Ticket ticket
+  5: optional Grant grant
+  6: optional Call call
+  7: optional Data data
+  8: optional Answer answer
+  9: optional Failure failure
+  10: optional Cancel cancel
+  11: optional Revoke revoke
+  12: optional Revoked revoked
+  13: optional KeyRequest keyRequest
+  14: optional KeyReply keyReply
+  15: optional Gossip gossip
+  16: optional SnapshotRequest snapshotRequest
+  17: optional Snapshot snapshot
+}
--- /dev/null
+++ b/src/hickorygladectl/commands.cpp
@@ -0,0 +1,282 @@
+#include "hickorygladectl/commands.h"
+
+#include "hickorygladectl/adminclient.h"
+#include "libhickoryglade/settingsschema.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+#include <thread>
+
+namespace hickoryglade::ctl {
+
+namespace {
+
+using nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::chrono::milliseconds AskLimit{3'000};
+constexpr std::chrono::milliseconds PublishLimit{12'000};
+constexpr std::chrono::milliseconds PollPeriod{100};
+constexpr std::chrono::milliseconds WatchPeriod{500};
+
+int complain(const absl::Status &status) {
+  std::cerr << "hickorygladectl: " << status.message() << "\n";
+  return ExitUnreachable;
+}
+
+int misuse(const std::string &reason) {
+  std::cerr << "hickorygladectl: " << reason << "\n";
+  return ExitUsage;
+}
+
+std::string textOf(const json &value) {
+  return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+/// Reads the value that the options name; explains what is wrong with it.
+std::optional<json> loadValue(const Options &options) {
+  if (options.IsRemoval)
+    return json();
+  std::string text = options.Value;
+  if (!options.File.empty()) {
+    std::ifstream in(options.File);
+    if (!in) {
+      std::cerr << options.File << ": cannot be read\n";
+      return std::nullopt;
+    }
+    std::stringstream all;
+    all << in.rdbuf();
+    text = all.str();
+  }
+  if (text.empty()) {
+    std::cerr << "hickorygladectl: give --value, --file or --remove\n";
+    return std::nullopt;
+  }
+  json value = json::parse(text, nullptr, false, true);
+  if (value.is_discarded()) {
+    std::cerr << "hickorygladectl: the value is not valid JSON\n";
+    return std::nullopt;
+  }
+  return value;
+}
+
+void printFaults(const std::vector<SettingsFault> &faults, bool isJson) {
+  if (isJson) {
+    json all = json::array();
+    for (const SettingsFault &it : faults)
+      all.push_back({{"where", it.Where}, {"reason", it.Reason}});
+    std::cout << json{{"outcome", "invalid"}, {"faults", all}}.dump() << "\n";
+    return;
+  }
+  for (const SettingsFault &it : faults)
+    std::cerr << it.Where << ": " << it.Reason << "\n";
+}
+
+std::string makeId() {
+  std::random_device seed;
+  std::stringstream out;
+  out << std::hex << seed() << seed() << seed() << seed();
+  return out.str();
+}
+
+/// Members that are alive but have not read up to a revision.
+std::vector<std::string> lagging(const json &report, std::int64_t revision) {
+  std::vector<std::string> nodes;
+  for (const json &it : report["members"])
+    if (it["state"] != "dead" && !it["leaving"].get<bool>() &&
+        it["settings_next"].get<std::int64_t>() < revision)
+      nodes.push_back(it["node"]);
+  return nodes;
+}
+
+/// Waits until every member has a revision in force.
+std::vector<std::string> awaitMembers(const Options &options,
+                                      std::int64_t revision) {
+  auto until = Clock::now() + options.Wait;
+  std::vector<std::string> behind{options.Node};
+  while (!behind.empty()) {
+    auto reply = askNode(options.Node, "GET", "/v1/status", "", AskLimit);
+    if (reply.ok() && reply->Status == 200)
+      behind = lagging(reply->Body, revision);
+    if (behind.empty() || Clock::now() >= until)
+      break;
+    std::this_thread::sleep_for(PollPeriod);
+  }
+  return behind;
+}
+
+int reportVerdict(const Options &options, const AdminReply &reply) {
+  const json &body = reply.Body;
+  std::string outcome = body.value("outcome", "unknown");
+  if (outcome == "accepted") {
+    auto revision = body["revision"].get<std::int64_t>();
+    std::vector<std::string> behind = awaitMembers(options, revision);
+    json out = {{"outcome", outcome},
+                {"revision", revision},
+                {"id", body["id"]},
+                {"behind", behind}};
+    if (options.IsJson)
+      std::cout << out.dump() << "\n";
+    else
+      std::cout << "accepted as revision " << revision
+                << (behind.empty() ? ", in force on every member"
+                                   : ", not yet in force everywhere")
+                << "\n";
+    for (const std::string &node : behind)
+      std::cerr << "behind: " << node << "\n";
+    return behind.empty() ? ExitDone : ExitNotYetInForce;
+  }
+  if (options.IsJson)
+    std::cout << body.dump() << "\n";
+  if (outcome == "conflict") {
+    std::cerr << "conflict: another change is in force, revision "
+              << body["revision"] << "; look at it and publish again\n";
+    return ExitConflict;
+  }
+  for (const json &it : body.value("faults", json::array()))
+    std::cerr << textOf(it["where"]) << ": " << textOf(it["reason"]) << "\n";
+  if (body.contains("error"))
+    std::cerr << textOf(body["error"]) << "\n";
+  return outcome == "invalid" || reply.Status == 400 ? ExitInvalid
+                                                     : ExitUnreachable;
+}
+
+json summary(const json &report) {
+  json copy = report;
+  for (json &it : copy["quarantine"])
+    it.erase("remaining_ms");
+  return copy;
+}
+
+void printStatus(const json &report, bool isJson) {
+  if (isJson) {
+    std::cout << report.dump() << std::endl;
+    return;
+  }
+  std::cout << "settings up to offset " << report["settings_next"] << ", log "
+            << (report["log_reachable"].get<bool>() ? "reachable" : "away")
+            << "\n";
+  for (const json &member : report["members"]) {
+    std::cout << textOf(member["node"]) << "  " << textOf(member["state"])
+              << (member["leaving"].get<bool>() ? " leaving" : "") << "  "
+              << textOf(member["data_centre"]) << "  settings "
+              << member["settings_next"] << "\n";
+    for (const json &it : member["endpoints"])
+      std::cout << "    " << textOf(it["name"]) << "  "
+                << textOf(it["service"]) << "  " << it["slots"] << " slots  "
+                << textOf(it["standing"]) << "\n";
+  }
+  for (const json &it : report["quarantine"])
+    std::cout << "quarantine " << textOf(it["fingerprint"]) << "  "
+              << it["crashes"] << " crashes, " << it["remaining_ms"]
+              << " ms left\n";
+  std::cout << std::flush;
+}
+
+} // namespace
+
+int publish(const Options &options) {
+  if (options.Arguments.size() != 1)
+    return misuse("publish takes one path");
+  const std::string &path = options.Arguments[0];
+  std::optional<json> value = loadValue(options);
+  if (!value)
+    return ExitUsage;
+  std::int64_t base = options.Base.value_or(0);
+  if (!options.Base) {
+    auto present =
+        askNode(options.Node, "GET", "/v1/settings" + path, "", AskLimit);
+    if (!present.ok())
+      return complain(present.status());
+    if (present->Status != 200)
+      return reportVerdict(options, *present);
+    base = present->Body["revision"].get<std::int64_t>();
+  }
+  const char *user = std::getenv("USER");
+  json change = {{"id", options.Id.empty() ? makeId() : options.Id},
+                 {"path", path},
+                 {"base", base},
+                 {"value", *value},
+                 {"author", user ? user : ""}};
+  auto reply = askNode(options.Node, "POST", "/v1/changes", change.dump(),
+                       PublishLimit);
+  if (!reply.ok())
+    return complain(reply.status());
+  return reportVerdict(options, *reply);
+}
+
+int get(const Options &options) {
+  if (options.Arguments.empty() || options.Arguments.size() > 2)
+    return misuse("get takes a path and perhaps a key");
+  auto reply = askNode(options.Node, "GET",
+                       "/v1/settings" + options.Arguments[0], "", AskLimit);
+  if (!reply.ok())
+    return complain(reply.status());
+  if (reply->Status != 200) {
+    std::cerr << textOf(reply->Body.value("error", json("refused"))) << "\n";
+    return ExitInvalid;
+  }
+  json keys = reply->Body["effective"];
+  if (options.Arguments.size() == 2) {
+    const std::string &key = options.Arguments[1];
+    if (!keys.contains(key)) {
+      std::cerr << key << ": not set here or above\n";
+      return ExitInvalid;
+    }
+    keys = json{{key, keys[key]}};
+  }
+  if (options.IsJson) {
+    std::cout << keys.dump() << "\n";
+    return ExitDone;
+  }
+  for (const auto &[key, it] : keys.items())
+    std::cout << key << " = " << it["value"].dump() << "  (from "
+              << textOf(it["from"]) << ", revision " << it["revision"]
+              << ")\n";
+  return ExitDone;
+}
+
+int validate(const Options &options) {
+  if (options.Arguments.size() != 1)
+    return misuse("validate takes one path");
+  std::optional<json> value = loadValue(options);
+  if (!value)
+    return ExitUsage;
+  std::vector<SettingsFault> faults =
+      checkSettingsValue(options.Arguments[0], *value);
+  if (!faults.empty()) {
+    printFaults(faults, options.IsJson);
+    return ExitInvalid;
+  }
+  std::cout << (options.IsJson ? R"({"outcome":"valid"})" : "valid") << "\n";
+  return ExitDone;
+}
+
+int status(const Options &options) {
+  auto reply = askNode(options.Node, "GET", "/v1/status", "", AskLimit);
+  if (!reply.ok())
+    return complain(reply.status());
+  printStatus(reply->Body, options.IsJson);
+  return ExitDone;
+}
+
+int watch(const Options &options) {
+  json last;
+  for (int n = 0; options.Count == 0 || n < options.Count;) {
+    auto reply = askNode(options.Node, "GET", "/v1/status", "", AskLimit);
+    if (!reply.ok())
+      return complain(reply.status());
+    if (summary(reply->Body) != last) {
+      last = summary(reply->Body);
+      printStatus(reply->Body, options.IsJson);
+      ++n;
+    }
+    std::this_thread::sleep_for(WatchPeriod);
+  }
+  return ExitDone;
+}
+
+} // namespace hickoryglade::ctl
--- /dev/null
+++ b/src/hickorygladed/main.cpp
@@ -0,0 +1,127 @@
+#include "libfleet/logging.h"
+#include "libfleet/node.h"
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <getopt.h>
+#include <iostream>
+#include <sstream>
+
+/// The daemon: reads its settings, runs a node until it is told to stop.
+
+namespace {
+
+using namespace hickoryglade;
+
+constexpr int ExitUsage = 2;
+
+constexpr const char *Usage = R"(Usage: hickorygladed --settings FILE [--check]
+
+Runs one node of a hickoryglade fleet until SIGTERM or SIGINT, then finishes
+what is in flight and exits.
+
+  -s, --settings FILE  settings of this node, JSON with comments
+  -c, --check          check the settings and exit
+  -h, --help           print this help and exit
+  -V, --version        print the version and exit
+
+Exit status: 0 after a clean stop, 1 if a start failed or requests in flight
+had to be cut off, 2 if the command line or the settings are wrong.
+)";
+
+struct Options {
+  std::string SettingsFile;
+  bool IsCheck = false;
+};
+
+/// Gives an exit status if the program should end at once.
+std::optional<int> parseOptions(int argc, char **argv, Options &options) {
+  const option longOptions[] = {
+      {"settings", required_argument, nullptr, 's'},
+      {"check", no_argument, nullptr, 'c'},
+      {"help", no_argument, nullptr, 'h'},
+      {"version", no_argument, nullptr, 'V'},
+      {nullptr, 0, nullptr, 0},
+  };
+  int it = 0;
+  while ((it = getopt_long(argc, argv, "s:chV", longOptions, nullptr)) != -1) {
+    switch (it) {
+    case 's':
+      options.SettingsFile = optarg;
+      break;
+    case 'c':
+      options.IsCheck = true;
+      break;
+    case 'h':
+      std::cout << Usage;
+      return 0;
+    case 'V':
+      std::cout << "hickorygladed " << HICKORYGLADE_VERSION << "\n";
+      return 0;
+    default:
+      std::cerr << Usage;
+      return ExitUsage;
+    }
+  }
+  if (options.SettingsFile.empty() || optind != argc) {
+    std::cerr << Usage;
+    return ExitUsage;
+  }
+  return std::nullopt;
+}
+
+/// Gives nothing, after printing every fault, if the file cannot be used.
+std::optional<fleet::NodeSettings> loadSettings(const std::string &file) {
+  std::ifstream in(file);
+  if (!in) {
+    std::cerr << file << ": cannot be read\n";
+    return std::nullopt;
+  }
+  std::stringstream text;
+  text << in.rdbuf();
+  fleet::NodeSettingsResult result = fleet::parseNodeSettings(text.str());
+  for (const SettingsFault &it : result.Faults)
+    std::cerr << file << ": " << it.Where << ": " << it.Reason << "\n";
+  if (!result.Faults.empty())
+    return std::nullopt;
+  return result.Settings;
+}
+
+int waitForSignal(const sigset_t &signals) {
+  int signal = 0;
+  sigwait(&signals, &signal);
+  return signal;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  Options options;
+  if (auto status = parseOptions(argc, argv, options))
+    return *status;
+  auto settings = loadSettings(options.SettingsFile);
+  if (!settings)
+    return ExitUsage;
+  if (options.IsCheck) {
+    std::cout << options.SettingsFile << ": ok\n";
+    return 0;
+  }
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+
+  fleet::startLogging(settings->Node, settings->LogLevel);
+  fleet::Node node(*settings);
+  if (absl::Status status = node.start(); !status.ok()) {
+    std::cerr << "cannot start: " << status.message() << "\n";
+    return 1;
+  }
+  waitForSignal(signals);
+  return node.stop() ? 0 : 1;
+}
--- /dev/null
+++ b/src/libfleet/adminfront.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "libfleet/httpfront.h"
+#include "libhickoryglade/announcement.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace hickoryglade::fleet {
+
+class Control;
+class Metrics;
+
+/// What endpoints and operators ask of a node: announcements, settings,
+/// reports, metrics. Runs on the control thread.
+class AdminFront {
+public:
+  struct Events {
+    /// Gives the generation under which the endpoint runs, or nothing if the
+    /// node is leaving.
+    std::function<asio::awaitable<std::optional<std::int64_t>>(Announcement)>
+        OnAnnounce;
+    std::function<void(std::string)> OnWithdraw;
+  };
+
+  AdminFront(asio::io_context &io, Control &control, Metrics &metrics,
+             Events events);
+
+  asio::awaitable<HttpAnswer> serve(HttpRequest request);
+
+private:
+  asio::awaitable<HttpAnswer> announce(const HttpRequest &request);
+  asio::awaitable<HttpAnswer> change(const HttpRequest &request);
+  HttpAnswer withdraw(const std::string &target);
+  HttpAnswer settings(const std::string &target) const;
+
+  asio::io_context &Io;
+  Control &Owner;
+  Metrics &Counters;
+  Events Handlers;
+};
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/control.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "libfleet/fleetview.h"
+#include "libfleet/membershipservice.h"
+#include "libfleet/nodesettings.h"
+#include "libfleet/peerlinks.h"
+#include "libfleet/settingsservice.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace hickoryglade::fleet {
+
+class Metrics;
+
+/// Owns what a node knows of the fleet, on the control thread: members,
+/// settings, crashes. Hands the traffic threads a view at each change.
+class Control {
+public:
+  struct Events {
+    /// Called with each new view, on the control thread.
+    std::function<void(FleetViewPtr)> OnView;
+  };
+
+  Control(asio::io_context &io, const NodeSettings &settings,
+          std::int64_t bootId, Metrics &metrics, Events events);
+
+  absl::Status start();
+
+  void setEndpoints(std::vector<EndpointRecord> endpoints);
+  void noteCrash(std::uint64_t fingerprint, const CrashRecord &record);
+  void leave();
+
+  SettingsService &settings() { return Settings; }
+  const Membership &membership() const { return Members.state(); }
+  const FleetViewPtr &view() const { return View; }
+
+  /// What operators are told.
+  nlohmann::json report() const;
+
+  /// Answer to a peer that asks for the settings.
+  wire::Snapshot snapshot() const;
+
+private:
+  asio::awaitable<bool> fetchSnapshot();
+  std::size_t refreshRank(const std::string &what) const;
+  void describe(bool isUrgent);
+  void scheduleRebuild();
+  void rebuild();
+  void addMember(FleetView &view, const Member &member) const;
+
+  asio::io_context &Io;
+  NodeSettings Facts;
+  std::int64_t BootId;
+  Metrics &Counters;
+  Events Handlers;
+  PeerLinks Links;
+  MembershipService Members;
+  SettingsService Settings;
+  asio::steady_timer RebuildTimer;
+  bool IsRebuildDue = false;
+  bool IsLeaving = false;
+  std::vector<EndpointRecord> Endpoints;
+  Quarantine Crashes;
+  std::shared_ptr<const RouteTable> Routes;
+  std::int64_t RoutesNext = -1;
+  FleetViewPtr View = std::make_shared<const FleetView>();
+};
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/endpointclient.cpp
@@ -0,0 +1,232 @@
+#include "libfleet/endpointclient.h"
+
+#include "libfleet/address.h"
+#include "libfleet/clock.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+
+namespace hickoryglade::fleet {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr Micros ConnectLimit = std::chrono::milliseconds(500);
+constexpr Micros ListenCheckLimit = std::chrono::milliseconds(100);
+
+/// An idle connection may have been forgotten by something between its ends.
+/// Work that cannot be repeated trusts only one that worked a moment ago.
+constexpr Micros IdleLimit = std::chrono::seconds(15);
+constexpr Micros IdleLimitNonIdempotent = std::chrono::seconds(1);
+
+constexpr std::size_t MostIdle = 16;
+constexpr std::uint64_t MostAnswerBytes = 64 * 1024 * 1024;
+
+EndpointResult failed(AttemptOutcome outcome, ErrorKind kind, RunState run,
+                      std::string detail) {
+  return {outcome, std::nullopt, {kind, run, std::move(detail), Millis{0}}, Micros{0}};
+}
+
+http::request<http::string_body> toBeast(const HttpRequest &request,
+                                         const std::string &address) {
+  http::request<http::string_body> out;
+  out.method_string(request.Method);
+  out.target(request.Target);
+  out.version(11);
+  bool hasHost = false;
+  for (const HttpHeader &it : request.Headers) {
+    if (isHopByHop(it.Name))
+      continue;
+    out.insert(it.Name, it.Value);
+    hasHost = hasHost || beast::iequals(it.Name, "host");
+  }
+  if (!hasHost)
+    out.set(http::field::host, address);
+  out.body() = *request.Content;
+  bool hasBody = !request.Content->empty() || request.Method == "POST" ||
+                 request.Method == "PUT" || request.Method == "PATCH";
+  if (hasBody)
+    out.content_length(request.Content->size());
+  return out;
+}
+
+HttpAnswer fromBeast(http::response<http::string_body> &&in) {
+  HttpAnswer answer;
+  answer.Status = int(in.result_int());
+  for (const auto &field : in)
+    if (!isHopByHop(std::string_view(field.name_string().data(),
+                                     field.name_string().size())))
+      answer.Headers.push_back({std::string(field.name_string()),
+                                std::string(field.value())});
+  answer.Content = std::make_shared<const std::string>(std::move(in.body()));
+  return answer;
+}
+
+bool isShed(const HttpAnswer &answer) {
+  return answer.Status == 503 &&
+         headerValue(answer.Headers, "Endpoint-Shed") == "not-run";
+}
+
+/// An answer that ends when its connection closes cannot be told from a
+/// truncated one.
+template <typename Parser>
+bool isLengthKnown(const Parser &parser, bool isHead) {
+  int status = int(parser.get().result_int());
+  bool hasNoBody = isHead || status / 100 == 1 || status == 204 || status == 304;
+  return hasNoBody || parser.content_length() || parser.chunked();
+}
+
+} // namespace
+
+struct EndpointClient::Connection {
+  explicit Connection(const asio::any_io_executor &ex) : Stream(ex) {}
+
+  /// False if the endpoint has closed the connection or sent something that
+  /// nobody asked for.
+  bool isQuiet() {
+    error_code ec;
+    tcp::socket &socket = Stream.socket();
+    socket.non_blocking(true, ec);
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec == asio::error::would_block;
+  }
+
+  beast::tcp_stream Stream;
+  beast::flat_buffer Buffer;
+  Instant IdleSince;
+};
+
+EndpointClient::EndpointClient(asio::any_io_executor ex)
+    : Executor(std::move(ex)) {}
+
+EndpointClient::~EndpointClient() = default;
+
+EndpointClient::ConnectionPtr
+EndpointClient::takeIdle(const std::string &address, bool isIdempotent) {
+  std::list<ConnectionPtr> &idle = Idle[address];
+  Micros limit = isIdempotent ? IdleLimit : IdleLimitNonIdempotent;
+  std::erase_if(idle, [](const ConnectionPtr &it) {
+    return now() - it->IdleSince > IdleLimit || !it->isQuiet();
+  });
+  if (idle.empty() || now() - idle.back()->IdleSince > limit)
+    return nullptr;
+  ConnectionPtr connection = std::move(idle.back());
+  idle.pop_back();
+  return connection;
+}
+
+void EndpointClient::putIdle(const std::string &address,
+                             ConnectionPtr connection) {
+  connection->IdleSince = now();
+  std::list<ConnectionPtr> &idle = Idle[address];
+  idle.push_back(std::move(connection));
+  if (idle.size() > MostIdle)
+    idle.pop_front();
+}
+
+void EndpointClient::forget(const std::string &address) {
+  Idle.erase(address);
+}
+
+asio::awaitable<EndpointClient::ConnectionPtr>
+EndpointClient::connect(std::string address, Instant deadline,
+                        std::shared_ptr<ExchangeHandle> handle) {
+  std::optional<Address> parsed = parseAddress(address);
+  if (!parsed)
+    co_return nullptr;
+  auto connection = std::make_shared<Connection>(Executor);
+  handle->Cancel = [connection] { connection->Stream.close(); };
+  connection->Stream.expires_at(
+      toSteady(std::min(deadline, now() + ConnectLimit)));
+  error_code ec;
+  co_await connection->Stream.async_connect(
+      tcp::endpoint(asio::ip::make_address(parsed->Ip), parsed->Port),
+      asio::redirect_error(asio::use_awaitable, ec));
+  if (ec)
+    co_return nullptr;
+  connection->Stream.socket().set_option(tcp::no_delay(true), ec);
+  co_return connection;
+}
+
+asio::awaitable<bool> EndpointClient::isListening(std::string address) {
+  auto handle = std::make_shared<ExchangeHandle>();
+  ConnectionPtr connection =
+      co_await connect(address, now() + ListenCheckLimit, handle);
+  co_return connection != nullptr;
+}
+
+/// A connection that broke may mean that the endpoint's process is gone; it
+/// is if nothing listens at its address.
+asio::awaitable<EndpointResult>
+EndpointClient::explainLoss(std::string address, ErrorKind kind,
+                            std::string detail) {
+  forget(address);
+  bool isAlive = co_await isListening(address);
+  co_return failed(isAlive ? AttemptOutcome::Broken : AttemptOutcome::Crashed,
+                   kind, RunState::Unknown, std::move(detail));
+}
+
+asio::awaitable<EndpointResult>
+EndpointClient::exchange(std::string address, HttpRequest request,
+                         bool isIdempotent, Instant deadline,
+                         std::shared_ptr<ExchangeHandle> handle) {
+  ConnectionPtr connection = takeIdle(address, isIdempotent);
+  if (!connection)
+    connection = co_await connect(address, deadline, handle);
+  if (!connection)
+    co_return failed(AttemptOutcome::Failed, ErrorKind::EndpointFailed,
+                     RunState::NotRun, "cannot connect to the endpoint");
+  handle->Cancel = [connection] { connection->Stream.close(); };
+  if (handle->IsCancelled)
+    co_return failed(AttemptOutcome::Cancelled, ErrorKind::Cancelled,
+                     RunState::NotRun, "given up before it was sent");
+
+  auto message = toBeast(request, address);
+  bool isHead = request.Method == "HEAD";
+  connection->Stream.expires_at(toSteady(deadline));
+  error_code ec;
+  co_await http::async_write(connection->Stream, message,
+                             asio::redirect_error(asio::use_awaitable, ec));
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(MostAnswerBytes);
+  parser.skip(isHead);
+  if (!ec)
+    co_await http::async_read_header(
+        connection->Stream, connection->Buffer, parser,
+        asio::redirect_error(asio::use_awaitable, ec));
+  bool hasHead = !ec;
+  if (hasHead && !isLengthKnown(parser, isHead))
+    co_return failed(AttemptOutcome::Failed, ErrorKind::AnswerTruncated,
+                     RunState::Unknown, "the answer's length is not known");
+  if (hasHead && !parser.is_done())
+    co_await http::async_read(connection->Stream, connection->Buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, ec));
+  if (handle->IsCancelled)
+    co_return failed(AttemptOutcome::Cancelled, ErrorKind::Cancelled,
+                     RunState::Unknown, "given up");
+  if (ec == beast::error::timeout)
+    co_return failed(AttemptOutcome::TimedOut, ErrorKind::DeadlineExceeded,
+                     RunState::Unknown, "the endpoint did not answer in time");
+  if (ec)
+    co_return co_await explainLoss(address,
+                                   hasHead ? ErrorKind::AnswerTruncated
+                                           : ErrorKind::EndpointFailed,
+                                   ec.message());
+  bool isKept = parser.keep_alive() && connection->Buffer.size() == 0;
+  HttpAnswer answer = fromBeast(parser.release());
+  if (isKept)
+    putIdle(address, connection);
+  if (isShed(answer))
+    co_return failed(AttemptOutcome::Shed, ErrorKind::EndpointShed,
+                     RunState::NotRun, "the endpoint sheds load");
+  AttemptOutcome outcome = answer.Status >= 500 ? AttemptOutcome::ServerError
+                                                : AttemptOutcome::Answered;
+  co_return EndpointResult{outcome, std::move(answer), {}, Micros{0}};
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/endpointclient.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "libfleet/asio.h"
+#include "libfleet/httpmessage.h"
+#include "libhickoryglade/gate.h"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace hickoryglade::fleet {
+
+/// How an exchange with an endpoint ended.
+struct EndpointResult {
+  AttemptOutcome Outcome = AttemptOutcome::Failed;
+  /// Set for a whole answer.
+  std::optional<HttpAnswer> Answer;
+  /// Set otherwise.
+  Error Failure;
+  Micros RunTime{0};
+};
+
+/// Lets the owner of an exchange give it up.
+struct ExchangeHandle {
+  std::function<void()> Cancel;
+  bool IsCancelled = false;
+};
+
+/// Speaks HTTP/1.1 to endpoints over pooled connections, one exchange at a
+/// time on each. Used from one thread only.
+class EndpointClient {
+public:
+  explicit EndpointClient(asio::any_io_executor ex);
+  ~EndpointClient();
+
+  asio::awaitable<EndpointResult>
+  exchange(std::string address, HttpRequest request, bool isIdempotent,
+           Instant deadline, std::shared_ptr<ExchangeHandle> handle);
+
+  /// Closes idle connections to an endpoint.
+  void forget(const std::string &address);
+
+private:
+  struct Connection;
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  ConnectionPtr takeIdle(const std::string &address, bool isIdempotent);
+  void putIdle(const std::string &address, ConnectionPtr connection);
+  asio::awaitable<ConnectionPtr> connect(std::string address,
+                                         Instant deadline,
+                                         std::shared_ptr<ExchangeHandle> handle);
+  asio::awaitable<bool> isListening(std::string address);
+  asio::awaitable<EndpointResult>
+  explainLoss(std::string address, ErrorKind kind, std::string detail);
+
+  asio::any_io_executor Executor;
+  std::map<std::string, std::list<ConnectionPtr>> Idle;
+};
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/entry.cpp
@@ -0,0 +1,527 @@
+#include "libfleet/entry.h"
+
+#include "libfleet/logging.h"
+#include "libfleet/metrics.h"
+#include "libhickoryglade/hash.h"
+#include "libhickoryglade/registry.h"
+#include "libhickoryglade/startledger.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace hickoryglade::fleet {
+
+namespace {
+
+using nlohmann::json;
+
+/// A gate answers within the deadline it is given; an entry gives it this
+/// much less than the caller allows, and waits this much longer for word of
+/// what became of the request.
+constexpr Micros AnswerMargin = std::chrono::milliseconds(2);
+constexpr Micros VerdictGrace = std::chrono::milliseconds(30);
+
+/// Between tries to reach a gate that owes word of an attempt.
+constexpr Micros ResolvePause = std::chrono::milliseconds(20);
+
+/// A gate's report older than this says nothing any more.
+constexpr Micros LoadTerm = std::chrono::milliseconds(500);
+
+constexpr Millis LongestTimeout = std::chrono::hours(24);
+constexpr Millis DefaultRetryAfter = std::chrono::seconds(1);
+constexpr std::uint64_t RetrySpreadMs = 1'000;
+
+std::string loadKey(const std::string &node, const std::string &service) {
+  return node + ' ' + service;
+}
+
+std::optional<Millis> parseTimeout(const std::string &text) {
+  std::int64_t ms = 0;
+  const char *end = text.data() + text.size();
+  auto [at, ec] = std::from_chars(text.data(), end, ms);
+  if (ec != std::errc{} || at != end || ms <= 0 || Millis(ms) > LongestTimeout)
+    return std::nullopt;
+  return Millis(ms);
+}
+
+std::uint64_t fingerprintOf(const HttpRequest &request,
+                            const std::string &service) {
+  std::uint64_t hash = stableHash(request.Method);
+  hash = stableHash(service, hash);
+  hash = stableHash(request.Target, hash);
+  hash = stableHash(*request.Content, hash);
+  return hash;
+}
+
+} // namespace
+
+/// One try of a request: the gates asked, and the streams open to them.
+struct Entry::Attempt {
+  struct Target {
+    GateView Gate;
+    NodeView Node;
+    std::shared_ptr<GateClient> Client;
+    std::int64_t Stream = 0;
+    bool IsOpen = false;
+  };
+
+  const Inquiry *Request = nullptr;
+  std::string Id;
+  std::vector<Target> Targets;
+  std::shared_ptr<StreamMailbox> Box;
+  bool AwaitsGrant = false;
+
+  Instant waitUntil() const { return Request->Deadline + VerdictGrace; }
+};
+
+Entry::Entry(asio::any_io_executor ex, std::string node,
+             std::string dataCentre, std::int64_t bootId, std::size_t worker,
+             Metrics &metrics)
+    : Executor(ex), Node(std::move(node)), DataCentre(std::move(dataCentre)),
+      BootId(bootId), Worker(worker), Counters(metrics),
+      Links(ex,
+            [&] {
+              wire::Hello hello;
+              hello.node = Node;
+              hello.bootId = bootId;
+              hello.dataCentre = DataCentre;
+              hello.protocolVersion = 1;
+              return hello;
+            }()),
+      Rng(std::uint64_t(bootId) + worker) {}
+
+void Entry::applyView(FleetViewPtr view) { View = std::move(view); }
+
+std::string Entry::nextId() {
+  std::uint64_t hash = stableHash(Node, std::uint64_t(BootId));
+  hash = stableHash(std::to_string(Worker), hash);
+  return fingerprintName(hash) + "-" + std::to_string(++Requests);
+}
+
+asio::awaitable<HttpAnswer> Entry::serve(HttpRequest request,
+                                         std::shared_ptr<CallScope> scope) {
+  Instant start = now();
+  std::string id = nextId();
+  ++InFlight;
+  std::string service;
+  std::variant<Inquiry, Error> examined =
+      examine(std::move(request), std::move(scope), id);
+  EntryResult result = Error{};
+  if (auto *fault = std::get_if<Error>(&examined)) {
+    result = *fault;
+  } else {
+    Inquiry &inquiry = std::get<Inquiry>(examined);
+    service = inquiry.Way.Service;
+    result = co_await perform(inquiry);
+  }
+  HttpAnswer answer;
+  if (auto *error = std::get_if<Error>(&result))
+    answer = problem(*error, id);
+  else
+    answer = std::move(std::get<HttpAnswer>(result));
+  answer.Headers.push_back({"Request-Id", id});
+  --InFlight;
+  Counters.countAnswer(service, answer.Status,
+                       std::chrono::duration<double>(now() - start).count());
+  co_return answer;
+}
+
+std::variant<Inquiry, Error> Entry::examine(HttpRequest request,
+                                            std::shared_ptr<CallScope> scope,
+                                            std::string id) {
+  if (!View->HasSettings)
+    return makeError(ErrorKind::NoSettings, {}, DefaultRetryAfter);
+  const Route *route =
+      View->Routes->find(headerValue(request.Headers, "Host"), request.Target);
+  if (!route)
+    return makeError(ErrorKind::NoRoute);
+  const ServicePolicy &policy = route->Policy;
+  auto bytes = std::int64_t(request.Content->size());
+  if (bytes > policy.MaxBodyBytes)
+    return makeError(ErrorKind::BodyTooLarge,
+                     "limit " + std::to_string(policy.MaxBodyBytes));
+  Millis timeout = policy.Timeout;
+  if (std::string text = headerValue(request.Headers, "Request-Timeout-Ms");
+      !text.empty()) {
+    std::optional<Millis> parsed = parseTimeout(text);
+    if (!parsed)
+      return makeError(ErrorKind::BadRequest,
+                       "Request-Timeout-Ms must be a positive number of "
+                       "milliseconds of at most a day");
+    timeout = *parsed;
+  }
+  Inquiry inquiry;
+  inquiry.Id = std::move(id);
+  inquiry.Way = *route;
+  inquiry.Deadline = now() + timeout;
+  inquiry.Fingerprint = fingerprintOf(request, route->Service);
+  inquiry.Class = {route->Path, request.Method, std::uint64_t(bytes)};
+  inquiry.Cost = Costs.estimate(inquiry.Class, policy.LongAfter);
+  inquiry.IsIdempotent = policy.isIdempotent(request.Method);
+  inquiry.IdempotencyKey = headerValue(request.Headers, "Idempotency-Key");
+  inquiry.Http = std::move(request);
+  inquiry.Scope = std::move(scope);
+  if (ruleFor(View->Crashes, inquiry.Fingerprint, now()) ==
+      QuarantineRule::Refused)
+    return makeError(ErrorKind::Quarantined,
+                     fingerprintName(inquiry.Fingerprint),
+                     toMillis(remainingTerm(View->Crashes, inquiry.Fingerprint,
+                                            now())));
+  return inquiry;
+}
+
+asio::awaitable<EntryResult> Entry::perform(Inquiry &inquiry) {
+  RetryBudget &budget = Budgets[inquiry.Way.Service];
+  budget.noteFresh(inquiry.Way.Policy.RetryBudgetPercent);
+  for (int number = 1;; ++number) {
+    EntryResult result = co_await tryOnce(inquiry, number);
+    if (std::holds_alternative<HttpAnswer>(result))
+      co_return result;
+    const Error &error = std::get<Error>(result);
+    RetryAnswer answer =
+        decideRetry({error, inquiry.IsIdempotent, number,
+                     inquiry.Deadline - now(), inquiry.Cost.Expected},
+                    budget);
+    Counters.countRetry(std::string(answer.Reason));
+    logEvent(LogLevel::Info, "attempt_failed",
+             {{"request", inquiry.Id},
+              {"attempt", number},
+              {"kind", answerFor(error.Kind).Name},
+              {"run", toString(error.Run)},
+              {"detail", error.Detail},
+              {"retry", answer.Verdict == RetryVerdict::Retry},
+              {"reason", answer.Reason}});
+    if (answer.Verdict == RetryVerdict::GiveUp)
+      co_return result;
+  }
+}
+
+std::vector<Candidate> Entry::candidates(const std::string &service,
+                                         Instant now) {
+  std::vector<Candidate> all;
+  auto view = View->Services.find(service);
+  if (view == View->Services.end())
+    return all;
+  for (const GateView &gate : view->second.Gates) {
+    Candidate it;
+    it.Node = gate.Node;
+    it.DataCentre = gate.DataCentre;
+    it.Slots = gate.Slots;
+    it.State = gate.State;
+    it.IsLocal = gate.Node == Node;
+    it.IsPathUp = Links.isPathUp(gate.Node, now);
+    const GateLoadView &load = Loads[loadKey(gate.Node, service)];
+    bool isFresh = now - load.At < LoadTerm && load.At != Instant{};
+    it.FreeSlots = isFresh ? load.Load.freeSlots
+                           : std::max(gate.Slots - load.Outstanding, 0);
+    it.Queued = isFresh ? load.Load.queued : 0;
+    it.Outstanding = load.Outstanding;
+    all.push_back(std::move(it));
+  }
+  return all;
+}
+
+asio::awaitable<EntryResult> Entry::tryOnce(Inquiry &inquiry, int number) {
+  std::vector<Candidate> all = candidates(inquiry.Way.Service, now());
+  const auto *router =
+      Registry<RouterPolicy>::instance().find(inquiry.Way.Policy.Router);
+  bool isSerialized = ruleFor(View->Crashes, inquiry.Fingerprint, now()) ==
+                      QuarantineRule::Serialized;
+  RoutePlan plan = router->Plan(all,
+                                {inquiry.Cost.IsLong, inquiry.IsIdempotent,
+                                 isSerialized, inquiry.Fingerprint},
+                                Rng);
+  Attempt attempt;
+  attempt.Request = &inquiry;
+  attempt.Id = inquiry.Id + "/" + std::to_string(number);
+  attempt.AwaitsGrant = plan.AwaitsGrant;
+  attempt.Box = std::make_shared<StreamMailbox>(Executor);
+  for (std::size_t i : plan.Targets) {
+    auto node = View->Nodes.find(all[i].Node);
+    const auto &gates = View->Services.at(inquiry.Way.Service).Gates;
+    if (node != View->Nodes.end())
+      attempt.Targets.push_back({gates[i], node->second, nullptr, 0, false});
+  }
+  logRoute(inquiry, number, attempt, plan);
+  if (attempt.Targets.empty())
+    co_return makeError(ErrorKind::NoEndpoint, plan.Reason, DefaultRetryAfter);
+  if (inquiry.Scope->IsCancelled)
+    co_return makeError(ErrorKind::Cancelled);
+  inquiry.Scope->OnCancel = [box = attempt.Box] {
+    box->put({0, CancelledEvent{}});
+  };
+  EntryResult result;
+  if (attempt.AwaitsGrant)
+    result = co_await leaveTickets(attempt);
+  else
+    result = co_await sendDirect(attempt);
+  inquiry.Scope->OnCancel = nullptr;
+  for (std::size_t i = 0; i < attempt.Targets.size(); ++i)
+    withdraw(attempt, i);
+  co_return result;
+}
+
+void Entry::logRoute(const Inquiry &inquiry, int number,
+                     const Attempt &attempt, const RoutePlan &plan) const {
+  if (!isLogged(LogLevel::Info))
+    return;
+  json chosen = json::array();
+  for (const Attempt::Target &it : attempt.Targets)
+    chosen.push_back(it.Gate.Node);
+  auto view = View->Services.find(inquiry.Way.Service);
+  logEvent(LogLevel::Info, "route",
+           {{"request", inquiry.Id},
+            {"attempt", number},
+            {"service", inquiry.Way.Service},
+            {"candidates",
+             view == View->Services.end() ? 0 : view->second.Gates.size()},
+            {"choice", chosen},
+            {"reason", plan.Reason}});
+}
+
+asio::awaitable<bool> Entry::openTarget(Attempt &attempt, std::size_t target) {
+  Attempt::Target &it = attempt.Targets[target];
+  it.Client = co_await Links.connect(it.Gate.Node, it.Node,
+                                     attempt.Request->Deadline);
+  if (!it.Client)
+    co_return false;
+  it.Stream = it.Client->open(attempt.Box, target);
+  it.IsOpen = true;
+  ++Loads[loadKey(it.Gate.Node, attempt.Request->Way.Service)].Outstanding;
+  co_return true;
+}
+
+wire::Ticket Entry::makeTicket(const Attempt &attempt,
+                               std::size_t target) const {
+  const Inquiry &inquiry = *attempt.Request;
+  const Attempt::Target &it = attempt.Targets[target];
+  wire::Ticket ticket;
+  ticket.attemptId = attempt.Id;
+  ticket.workspace = inquiry.Way.Workspace;
+  ticket.serviceName = inquiry.Way.Service;
+  ticket.gateBootId = it.Node.BootId;
+  ticket.timeoutMs =
+      toMillis(inquiry.Deadline - AnswerMargin - now()).count();
+  ticket.linkAgeMs = it.Client->channel().ageMs();
+  ticket.expectedCostUs = inquiry.Cost.Expected.count();
+  ticket.isLong = inquiry.Cost.IsLong;
+  ticket.isIdempotent = inquiry.IsIdempotent;
+  ticket.fingerprint = std::int64_t(inquiry.Fingerprint);
+  ticket.copies = int(attempt.Targets.size());
+  ticket.awaitsClaim = attempt.AwaitsGrant;
+  return ticket;
+}
+
+void Entry::sendCall(Attempt &attempt, std::size_t target) {
+  const HttpRequest &http = attempt.Request->Http;
+  Attempt::Target &it = attempt.Targets[target];
+  wire::Frame frame;
+  frame.stream = it.Stream;
+  frame.call.ticket = makeTicket(attempt, target);
+  frame.call.method = http.Method;
+  frame.call.target = http.Target;
+  for (const HttpHeader &header : http.Headers) {
+    if (isHopByHop(header.Name))
+      continue;
+    wire::Header out;
+    out.name = header.Name;
+    out.value = header.Value;
+    frame.call.headers.push_back(std::move(out));
+  }
+  frame.call.bodyBytes = std::int64_t(http.Content->size());
+  frame.__isset.call = true;
+  it.Client->channel().send(std::move(frame));
+  it.Client->channel().sendBody(it.Stream, http.Content);
+}
+
+/// Ends a stream that is still open, telling the gate to stop.
+void Entry::withdraw(Attempt &attempt, std::size_t target) {
+  Attempt::Target &it = attempt.Targets[target];
+  if (!it.IsOpen)
+    return;
+  it.IsOpen = false;
+  --Loads[loadKey(it.Gate.Node, attempt.Request->Way.Service)].Outstanding;
+  it.Client->forget(it.Stream);
+  wire::Frame frame;
+  frame.stream = it.Stream;
+  frame.__set_cancel({});
+  it.Client->channel().send(std::move(frame));
+}
+
+asio::awaitable<EntryResult> Entry::sendDirect(Attempt &attempt) {
+  bool isOpen = co_await openTarget(attempt, 0);
+  if (!isOpen)
+    co_return makeError(ErrorKind::NoEndpoint, "the gate cannot be reached",
+                        DefaultRetryAfter);
+  sendCall(attempt, 0);
+  co_return co_await awaitAnswer(attempt, 0);
+}
+
+asio::awaitable<EntryResult> Entry::leaveTickets(Attempt &attempt) {
+  std::size_t open = 0;
+  for (std::size_t i = 0; i < attempt.Targets.size(); ++i) {
+    bool isOpen = co_await openTarget(attempt, i);
+    if (!isOpen)
+      continue;
+    ++open;
+    Attempt::Target &it = attempt.Targets[i];
+    wire::Frame frame;
+    frame.stream = it.Stream;
+    frame.__set_ticket(makeTicket(attempt, i));
+    it.Client->channel().send(std::move(frame));
+  }
+  Error last = makeError(ErrorKind::NoEndpoint, "no gate can be reached",
+                         DefaultRetryAfter);
+  while (open > 0) {
+    std::optional<StreamEvent> event =
+        co_await attempt.Box->next(attempt.waitUntil());
+    if (!event)
+      co_return Error{ErrorKind::DeadlineExceeded, RunState::NotRun,
+                      "no slot became free in time", DefaultRetryAfter};
+    if (std::holds_alternative<CancelledEvent>(event->Content))
+      co_return Error{ErrorKind::Cancelled, RunState::NotRun, {}, {}};
+    if (std::holds_alternative<GrantEvent>(event->Content)) {
+      for (std::size_t i = 0; i < attempt.Targets.size(); ++i)
+        if (i != event->Tag)
+          withdraw(attempt, i);
+      sendCall(attempt, event->Tag);
+      co_return co_await awaitAnswer(attempt, event->Tag);
+    }
+    if (auto *failure = std::get_if<wire::Failure>(&event->Content)) {
+      last = toError(*failure);
+      noteLoad(attempt.Targets[event->Tag].Gate.Node,
+               attempt.Request->Way.Service, failure->load);
+    }
+    withdraw(attempt, event->Tag);
+    --open;
+  }
+  co_return last;
+}
+
+asio::awaitable<EntryResult> Entry::awaitAnswer(Attempt &attempt,
+                                                std::size_t target) {
+  const std::string &service = attempt.Request->Way.Service;
+  const std::string &node = attempt.Targets[target].Gate.Node;
+  while (true) {
+    std::optional<StreamEvent> event =
+        co_await attempt.Box->next(attempt.waitUntil());
+    if (!event)
+      co_return makeError(ErrorKind::DeadlineExceeded,
+                          "no word from the gate in time", DefaultRetryAfter);
+    if (std::holds_alternative<CancelledEvent>(event->Content))
+      co_return makeError(ErrorKind::Cancelled);
+    if (event->Tag != target)
+      continue;
+    if (auto *answer = std::get_if<AnswerEvent>(&event->Content)) {
+      noteLoad(node, service, answer->Load);
+      Costs.observe(attempt.Request->Class, answer->RunTime);
+      co_return std::move(answer->Answer);
+    }
+    if (auto *failure = std::get_if<wire::Failure>(&event->Content)) {
+      noteLoad(node, service, failure->load);
+      co_return toError(*failure);
+    }
+    if (std::holds_alternative<RevokedEvent>(event->Content))
+      co_return makeError(ErrorKind::GateLost, "the gate holds no answer",
+                          DefaultRetryAfter);
+    if (std::holds_alternative<LostEvent>(event->Content))
+      co_return co_await resolve(attempt, target);
+  }
+}
+
+/// After a lost link, asks the gate over a fresh one what became of the
+/// attempt: it is fenced, or its answer follows.
+asio::awaitable<EntryResult> Entry::resolve(Attempt &attempt,
+                                            std::size_t target) {
+  Attempt::Target &it = attempt.Targets[target];
+  withdraw(attempt, target);
+  while (now() < attempt.Request->Deadline) {
+    if (attempt.Request->Scope->IsCancelled)
+      co_return makeError(ErrorKind::Cancelled);
+    bool isOpen = co_await openTarget(attempt, target);
+    if (!isOpen) {
+      asio::steady_timer pause(Executor, ResolvePause);
+      co_await pause.async_wait(asio::use_awaitable);
+      continue;
+    }
+    wire::Frame frame;
+    frame.stream = it.Stream;
+    frame.revoke.attemptId = attempt.Id;
+    frame.revoke.gateBootId = it.Node.BootId;
+    frame.revoke.timeoutMs =
+        toMillis(attempt.Request->Deadline - now()).count();
+    frame.__isset.revoke = true;
+    it.Client->channel().send(std::move(frame));
+    std::optional<StreamEvent> event =
+        co_await attempt.Box->next(attempt.waitUntil());
+    if (!event)
+      break;
+    if (auto *revoked = std::get_if<RevokedEvent>(&event->Content)) {
+      bool isFenced = revoked->State == int(StartState::Fenced);
+      co_return Error{ErrorKind::GateLost,
+                      isFenced ? RunState::NotRun : RunState::Unknown,
+                      isFenced ? "fenced before it started"
+                               : "the answer is no longer kept",
+                      DefaultRetryAfter};
+    }
+    if (auto *answer = std::get_if<AnswerEvent>(&event->Content))
+      co_return std::move(answer->Answer);
+    if (auto *failure = std::get_if<wire::Failure>(&event->Content))
+      co_return toError(*failure);
+    if (std::holds_alternative<CancelledEvent>(event->Content))
+      co_return makeError(ErrorKind::Cancelled);
+    withdraw(attempt, target);
+  }
+  co_return makeError(ErrorKind::GateLost, "the gate cannot be reached",
+                      DefaultRetryAfter);
+}
+
+void Entry::noteLoad(const std::string &node, const std::string &service,
+                     const wire::Load &load) {
+  GateLoadView &view = Loads[loadKey(node, service)];
+  view.Load = load;
+  view.At = now();
+}
+
+Error Entry::toError(const wire::Failure &failure) const {
+  RunState run = failure.run == int(RunState::NotRun) ? RunState::NotRun
+                                                      : RunState::Unknown;
+  return {errorKindFromWire(failure.kind), run, failure.detail,
+          Millis(failure.retryAfterMs)};
+}
+
+HttpAnswer Entry::problem(const Error &error, const std::string &id) {
+  const ErrorAnswer &row = answerFor(error.Kind);
+  Counters.countError(std::string(row.Name));
+  json body = {{"type", "about:blank"},
+               {"title", row.Title},
+               {"status", row.Status},
+               {"detail", error.Detail},
+               {"kind", row.Name},
+               {"run", toString(error.Run)},
+               {"request_id", id}};
+  HttpAnswer answer;
+  answer.Status = row.Status;
+  if (row.IsRetryable) {
+    Millis wait = error.RetryAfter.count() > 0
+                      ? error.RetryAfter
+                      : DefaultRetryAfter + Millis(uniform(Rng, RetrySpreadMs));
+    body["retry_after_ms"] = wait.count();
+    auto seconds = std::int64_t(std::ceil(double(wait.count()) / 1000));
+    answer.Headers.push_back({"Retry-After", std::to_string(seconds)});
+  }
+  answer.Headers.push_back({"Content-Type", "application/problem+json"});
+  answer.Content = std::make_shared<const std::string>(
+      body.dump(-1, ' ', false, json::error_handler_t::replace));
+  logEvent(LogLevel::Info, "problem",
+           {{"request", id},
+            {"kind", row.Name},
+            {"run", toString(error.Run)},
+            {"detail", error.Detail}});
+  return answer;
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/entry.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "libfleet/callscope.h"
+#include "libfleet/peerlinks.h"
+#include "libhickoryglade/costmodel.h"
+#include "libhickoryglade/retry.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace hickoryglade::fleet {
+
+class Metrics;
+
+/// A caller's request with all that has been decided about it.
+struct Inquiry {
+  std::string Id;
+  HttpRequest Http;
+  Route Way;
+  Instant Deadline;
+  std::uint64_t Fingerprint = 0;
+  CostClass Class;
+  CostEstimate Cost;
+  bool IsIdempotent = true;
+  std::string IdempotencyKey;
+  std::shared_ptr<CallScope> Scope;
+};
+
+using EntryResult = std::variant<HttpAnswer, Error>;
+
+/// Takes callers' requests on one traffic thread: finds the route, chooses a
+/// gate, tries again where that is safe, and answers.
+class Entry {
+public:
+  Entry(asio::any_io_executor ex, std::string node, std::string dataCentre,
+        std::int64_t bootId, std::size_t worker, Metrics &metrics);
+
+  PeerLinks &links() { return Links; }
+  void applyView(FleetViewPtr view);
+
+  std::size_t inFlight() const { return InFlight; }
+
+  asio::awaitable<HttpAnswer> serve(HttpRequest request,
+                                    std::shared_ptr<CallScope> scope);
+
+private:
+  /// A gate's latest report and what this entry has sent it since.
+  struct GateLoadView {
+    wire::Load Load;
+    Instant At;
+    int Outstanding = 0;
+  };
+  struct Attempt;
+
+  std::variant<Inquiry, Error> examine(HttpRequest request,
+                                       std::shared_ptr<CallScope> scope,
+                                       std::string id);
+  asio::awaitable<EntryResult> perform(Inquiry &inquiry);
+  asio::awaitable<EntryResult> tryOnce(Inquiry &inquiry, int number);
+  asio::awaitable<EntryResult> sendDirect(Attempt &attempt);
+  asio::awaitable<EntryResult> leaveTickets(Attempt &attempt);
+  asio::awaitable<EntryResult> awaitAnswer(Attempt &attempt,
+                                           std::size_t target);
+  asio::awaitable<EntryResult> resolve(Attempt &attempt, std::size_t target);
+  asio::awaitable<bool> openTarget(Attempt &attempt, std::size_t target);
+
+  std::vector<Candidate> candidates(const std::string &service, Instant now);
+  wire::Ticket makeTicket(const Attempt &attempt, std::size_t target) const;
+  void sendCall(Attempt &attempt, std::size_t target);
+  void withdraw(Attempt &attempt, std::size_t target);
+  void noteLoad(const std::string &node, const std::string &service,
+                const wire::Load &load);
+  Error toError(const wire::Failure &failure) const;
+  HttpAnswer problem(const Error &error, const std::string &id);
+  void logRoute(const Inquiry &inquiry, int number, const Attempt &attempt,
+                const RoutePlan &plan) const;
+  std::string nextId();
+
+  asio::any_io_executor Executor;
+  std::string Node;
+  std::string DataCentre;
+  std::int64_t BootId;
+  std::size_t Worker;
+  Metrics &Counters;
+  PeerLinks Links;
+  FleetViewPtr View = std::make_shared<const FleetView>();
+  std::map<std::string, GateLoadView> Loads;
+  CostModel Costs;
+  std::map<std::string, RetryBudget> Budgets;
+  Random Rng;
+  std::uint64_t Requests = 0;
+  std::size_t InFlight = 0;
+};
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/framechannel.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "libfleet/httpmessage.h"
+
+#include <cstdint>
+
+namespace hickoryglade::wire {
+class Frame;
+}
+
+namespace hickoryglade::fleet {
+
+/// Two-way passage for frames between an entry and a gate: a link to another
+/// node, or a direct call within one node.
+class FrameChannel {
+public:
+  virtual ~FrameChannel() = default;
+
+  virtual void send(wire::Frame frame) = 0;
+
+  /// Sends a body in pieces that take turns with those of other streams.
+  virtual void sendBody(std::int64_t stream, Body body) = 0;
+
+  /// Drops what has not been sent of a stream's body.
+  virtual void dropBody(std::int64_t stream) = 0;
+
+  virtual bool isOpen() const = 0;
+
+  /// Time since the channel was opened, by this side's clock.
+  virtual std::int64_t ageMs() const = 0;
+};
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/gateclient.cpp
@@ -0,0 +1,125 @@
+#include "libfleet/gateclient.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace hickoryglade::fleet {
+
+GateClient::GateClient(std::shared_ptr<FrameChannel> channel)
+    : Channel(std::move(channel)) {}
+
+std::int64_t GateClient::open(std::shared_ptr<StreamMailbox> mailbox,
+                              std::size_t tag) {
+  std::int64_t id = NextStream++;
+  Streams[id] = {std::move(mailbox), tag, std::nullopt, {}};
+  countChanged();
+  return id;
+}
+
+void GateClient::forget(std::int64_t stream) {
+  if (Streams.erase(stream) == 0)
+    return;
+  Channel->dropBody(stream);
+  countChanged();
+}
+
+bool GateClient::takeFrame(wire::Frame frame) {
+  auto it = Streams.find(frame.stream);
+  if (it == Streams.end())
+    return true;
+  Stream &stream = it->second;
+  if (frame.__isset.data)
+    return takeData(frame.stream, stream, std::move(frame.data));
+  if (frame.__isset.answer)
+    return takeHead(frame.stream, stream, std::move(frame.answer));
+  auto put = [&](auto content) {
+    stream.Box->put({stream.Tag, std::move(content)});
+  };
+  if (frame.__isset.grant) {
+    put(GrantEvent{std::move(frame.grant.endpoint)});
+    return true;
+  }
+  if (frame.__isset.failure)
+    put(std::move(frame.failure));
+  else if (frame.__isset.revoked)
+    put(RevokedEvent{frame.revoked.state});
+  else if (frame.__isset.keyReply)
+    put(std::move(frame.keyReply));
+  else if (frame.__isset.snapshot)
+    put(std::move(frame.snapshot));
+  else
+    return false;
+  forget(frame.stream);
+  return true;
+}
+
+bool GateClient::takeHead(std::int64_t id, Stream &stream, wire::Answer head) {
+  if (stream.Head || head.bodyBytes < 0)
+    return false;
+  stream.Head = std::move(head);
+  if (stream.Head->bodyBytes == 0)
+    finishAnswer(id, stream);
+  return true;
+}
+
+bool GateClient::takeData(std::int64_t id, Stream &stream, wire::Data data) {
+  if (!stream.Head)
+    return false;
+  auto expected = std::size_t(stream.Head->bodyBytes);
+  if (stream.Content.size() + data.bytes.size() > expected)
+    return false;
+  if (stream.Content.empty())
+    stream.Content = std::move(data.bytes);
+  else
+    stream.Content += data.bytes;
+  if (stream.Content.size() == expected)
+    finishAnswer(id, stream);
+  return true;
+}
+
+void GateClient::finishAnswer(std::int64_t id, Stream &stream) {
+  HttpAnswer answer{stream.Head->status, fromWire(stream.Head->headers),
+                    std::make_shared<const std::string>(
+                        std::move(stream.Content))};
+  stream.Box->put({stream.Tag,
+                   AnswerEvent{std::move(answer), stream.Head->endpoint,
+                               stream.Head->load,
+                               Micros(stream.Head->runUs)}});
+  forget(id);
+}
+
+void GateClient::lose() {
+  std::map<std::int64_t, Stream> lost = std::move(Streams);
+  Streams.clear();
+  for (auto &[id, stream] : lost)
+    stream.Box->put({stream.Tag, LostEvent{}});
+  countChanged();
+}
+
+void GateClient::countChanged() {
+  if (OnStreamCount)
+    OnStreamCount(Streams.size());
+}
+
+std::vector<HttpHeader> fromWire(const std::vector<wire::Header> &headers) {
+  std::vector<HttpHeader> all;
+  std::ranges::transform(headers, std::back_inserter(all),
+                         [](const wire::Header &it) {
+                           return HttpHeader{it.name, it.value};
+                         });
+  return all;
+}
+
+std::vector<wire::Header> toWire(const std::vector<HttpHeader> &headers) {
+  std::vector<wire::Header> all;
+  std::ranges::transform(headers, std::back_inserter(all),
+                         [](const HttpHeader &it) {
+                           wire::Header header;
+                           header.name = it.Name;
+                           header.value = it.Value;
+                           return header;
+                         });
+  return all;
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/gateclient.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "libfleet/framechannel.h"
+#include "libfleet/mailbox.h"
+
+#include "fleet_types.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <variant>
+
+namespace hickoryglade::fleet {
+
+struct GrantEvent {
+  std::string Endpoint;
+};
+
+struct AnswerEvent {
+  HttpAnswer Answer;
+  std::string Endpoint;
+  wire::Load Load;
+  /// Time that the endpoint took.
+  Micros RunTime{0};
+};
+
+struct RevokedEvent {
+  int State = 0;
+};
+
+/// The channel closed before the stream was finished.
+struct LostEvent {};
+
+/// The caller went away.
+struct CancelledEvent {};
+
+/// Something that happened to a stream.
+struct StreamEvent {
+  /// The number that the stream was opened with.
+  std::size_t Tag = 0;
+  std::variant<GrantEvent, AnswerEvent, wire::Failure, RevokedEvent,
+               wire::KeyReply, wire::Snapshot, LostEvent, CancelledEvent>
+      Content;
+};
+
+using StreamMailbox = Mailbox<StreamEvent>;
+
+/// The asking side of a channel: tells the frames of different streams apart
+/// and puts answers together. Frames of forgotten streams are dropped.
+class GateClient {
+public:
+  explicit GateClient(std::shared_ptr<FrameChannel> channel);
+
+  /// Opens a stream whose events go to the mailbox.
+  std::int64_t open(std::shared_ptr<StreamMailbox> mailbox, std::size_t tag);
+  void forget(std::int64_t stream);
+
+  FrameChannel &channel() { return *Channel; }
+  std::size_t openStreams() const { return Streams.size(); }
+
+  /// Returns false if the frame breaks the protocol.
+  bool takeFrame(wire::Frame frame);
+  void lose();
+
+  /// Called whenever the number of open streams changes.
+  std::function<void(std::size_t)> OnStreamCount;
+
+private:
+  struct Stream {
+    std::shared_ptr<StreamMailbox> Box;
+    std::size_t Tag = 0;
+    /// Set from the answer's head until its body is complete.
+    std::optional<wire::Answer> Head;
+    std::string Content;
+  };
+
+  bool takeData(std::int64_t id, Stream &stream, wire::Data data);
+  bool takeHead(std::int64_t id, Stream &stream, wire::Answer head);
+  void finishAnswer(std::int64_t id, Stream &stream);
+  void countChanged();
+
+  std::shared_ptr<FrameChannel> Channel;
+  std::map<std::int64_t, Stream> Streams;
+  std::int64_t NextStream = 1;
+};
+
+std::vector<HttpHeader> fromWire(const std::vector<wire::Header> &headers);
+std::vector<wire::Header> toWire(const std::vector<HttpHeader> &headers);
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/gateservice.cpp
@@ -0,0 +1,427 @@
+#include "libfleet/gateservice.h"
+
+#include "libfleet/gateclient.h"
+#include "libfleet/logging.h"
+#include "libfleet/metrics.h"
+
+#include <algorithm>
+
+namespace hickoryglade::fleet {
+
+namespace {
+
+constexpr Micros TickPeriod = std::chrono::milliseconds(50);
+
+/// Finished answers are kept for callers whose link broke meanwhile.
+constexpr Micros ResultTerm = std::chrono::seconds(10);
+constexpr std::size_t MostResultBytes = 8 * 1024 * 1024;
+
+/// A frame that spent longer than this in a link is late; the rest of its
+/// time allowance shrinks by the delay.
+constexpr std::int64_t UsualLagMs = 50;
+
+constexpr Micros RevokeMemory = std::chrono::seconds(60);
+
+std::size_t sizeOf(const EndpointResult &result) {
+  return result.Answer ? result.Answer->Content->size() : 0;
+}
+
+} // namespace
+
+struct GateService::Exchange {
+  Ticket Request;
+  StreamRef Origin;
+  /// Streams that asked for the result after their link broke.
+  std::vector<StreamRef> Followers;
+  HttpRequest Http;
+  std::string Content;
+  std::size_t ExpectedBytes = 0;
+  bool HasCall = false;
+  bool IsGranted = false;
+  bool IsDone = false;
+  std::string Endpoint;
+  std::shared_ptr<ExchangeHandle> Handle = std::make_shared<ExchangeHandle>();
+};
+
+GateService::GateService(asio::any_io_executor ex, std::int64_t bootId,
+                         Metrics &metrics, Events events)
+    : Executor(ex), Timer(ex), BootId(bootId), Counters(metrics),
+      Handlers(std::move(events)), Client(ex) {
+  Kernel.Rng.seed(std::uint64_t(bootId));
+}
+
+void GateService::start() { scheduleTick(); }
+
+void GateService::scheduleTick() {
+  Timer.expires_after(TickPeriod);
+  Timer.async_wait([this](const error_code &ec) {
+    if (ec)
+      return;
+    carryOut(tick(Kernel, now()));
+    while (!Results.empty() && now() - Results.front().At > ResultTerm) {
+      ResultBytes -= sizeOf(*Results.front().Result);
+      Results.pop_front();
+    }
+    scheduleTick();
+  });
+}
+
+void GateService::takeFrame(const std::shared_ptr<FrameChannel> &from,
+                            wire::Frame frame) {
+  StreamRef ref{from, frame.stream};
+  if (frame.__isset.ticket)
+    takeTicket(ref, frame.ticket);
+  else if (frame.__isset.call)
+    takeCall(ref, std::move(frame.call));
+  else if (frame.__isset.data)
+    takeData(ref, std::move(frame.data));
+  else if (frame.__isset.cancel)
+    takeCancel(ref);
+  else if (frame.__isset.revoke)
+    takeRevoke(ref, frame.revoke);
+}
+
+Ticket GateService::toTicket(const wire::Ticket &in, std::int64_t lagMs) const {
+  std::int64_t late = std::max<std::int64_t>(lagMs - UsualLagMs, 0);
+  Ticket out;
+  out.AttemptId = in.attemptId;
+  out.Workspace = in.workspace;
+  out.Service = in.serviceName;
+  out.Deadline = now() + Millis(in.timeoutMs - late);
+  out.ExpectedCost = Micros(in.expectedCostUs);
+  out.IsLong = in.isLong;
+  out.IsIdempotent = in.isIdempotent;
+  out.Fingerprint = std::uint64_t(in.fingerprint);
+  out.Copies = std::max(in.copies, 1);
+  out.AwaitsClaim = in.awaitsClaim;
+  return out;
+}
+
+void GateService::takeTicket(const StreamRef &ref, const wire::Ticket &ticket) {
+  auto channel = ref.Channel.lock();
+  if (ticket.gateBootId != BootId)
+    return sendFailure(ref, makeError(ErrorKind::WrongGeneration), "", "");
+  if (Exchanges.contains(ticket.attemptId))
+    return sendFailure(
+        ref, makeError(ErrorKind::WrongGeneration, "attempt seen twice"), "",
+        "");
+  auto exchange = std::make_shared<Exchange>();
+  exchange->Request = toTicket(ticket, channel->ageMs() - ticket.linkAgeMs);
+  exchange->Origin = ref;
+  Exchanges[ticket.attemptId] = exchange;
+  carryOut(offer(Kernel, exchange->Request, now()));
+}
+
+void GateService::takeCall(const StreamRef &ref, wire::Call call) {
+  auto channel = ref.Channel.lock();
+  if (call.ticket.gateBootId != BootId)
+    return sendFailure(ref, makeError(ErrorKind::WrongGeneration), "", "");
+  ExchangePtr &slot = Exchanges[call.ticket.attemptId];
+  if (slot && (!slot->IsGranted || slot->HasCall))
+    return sendFailure(
+        ref, makeError(ErrorKind::WrongGeneration, "attempt seen twice"), "",
+        "");
+  if (!slot) {
+    slot = std::make_shared<Exchange>();
+    slot->Request =
+        toTicket(call.ticket, channel->ageMs() - call.ticket.linkAgeMs);
+  }
+  ExchangePtr exchange = slot;
+  exchange->Origin = ref;
+  exchange->HasCall = true;
+  exchange->Http = {std::move(call.method), std::move(call.target),
+                    fromWire(call.headers), nullptr};
+  exchange->ExpectedBytes = std::size_t(std::max<std::int64_t>(call.bodyBytes, 0));
+  if (exchange->ExpectedBytes == 0)
+    bodyComplete(exchange);
+}
+
+GateService::ExchangePtr
+GateService::findByStream(const StreamRef &ref) const {
+  auto channel = ref.Channel.lock();
+  auto it = std::ranges::find_if(Exchanges, [&](const auto &entry) {
+    const StreamRef &origin = entry.second->Origin;
+    return origin.Stream == ref.Stream && origin.Channel.lock() == channel;
+  });
+  return it == Exchanges.end() ? nullptr : it->second;
+}
+
+void GateService::takeData(const StreamRef &ref, wire::Data data) {
+  ExchangePtr exchange = findByStream(ref);
+  if (!exchange || !exchange->HasCall || exchange->Http.Content)
+    return;
+  exchange->Content += data.bytes;
+  if (exchange->Content.size() >= exchange->ExpectedBytes)
+    bodyComplete(exchange);
+}
+
+void GateService::bodyComplete(const ExchangePtr &exchange) {
+  exchange->Http.Content =
+      std::make_shared<const std::string>(std::move(exchange->Content));
+  const std::string &attempt = exchange->Request.AttemptId;
+  if (exchange->IsGranted)
+    carryOut(claim(Kernel, attempt, now()));
+  else
+    carryOut(offer(Kernel, exchange->Request, now()));
+}
+
+void GateService::takeCancel(const StreamRef &ref) {
+  ExchangePtr exchange = findByStream(ref);
+  if (!exchange)
+    return;
+  carryOut(cancel(Kernel, exchange->Request.AttemptId, now()));
+  Exchanges.erase(exchange->Request.AttemptId);
+}
+
+void GateService::takeRevoke(const StreamRef &ref,
+                             const wire::Revoke &revokeFrame) {
+  auto channel = ref.Channel.lock();
+  wire::Frame frame;
+  frame.stream = ref.Stream;
+  if (revokeFrame.gateBootId != BootId)
+    return sendFailure(ref,
+                       makeError(ErrorKind::GateLost, "the node was replaced"),
+                       "", "");
+  auto done = std::ranges::find(Results, revokeFrame.attemptId,
+                                &Finished::Attempt);
+  if (done != Results.end())
+    return reply(ref, *done->Result, "", done->Endpoint);
+  GateActions actions;
+  Instant forgetAt = now() + Millis(revokeFrame.timeoutMs) + RevokeMemory;
+  StartState state =
+      revoke(Kernel, revokeFrame.attemptId, forgetAt, now(), actions);
+  auto exchange = Exchanges.find(revokeFrame.attemptId);
+  if (state == StartState::Started && exchange != Exchanges.end()) {
+    exchange->second->Followers.push_back(ref);
+  } else {
+    frame.revoked.state = int(state);
+    frame.__isset.revoked = true;
+    channel->send(std::move(frame));
+    if (state == StartState::Fenced)
+      Exchanges.erase(revokeFrame.attemptId);
+  }
+  carryOut(std::move(actions));
+}
+
+void GateService::carryOut(GateActions actions) {
+  for (GateAction &action : actions)
+    std::visit([this](const auto &it) { carryOutOne(it); }, action);
+}
+
+void GateService::carryOutOne(const StartAction &action) {
+  auto it = Exchanges.find(action.AttemptId);
+  if (it == Exchanges.end()) {
+    carryOut(complete(Kernel, action.AttemptId, AttemptOutcome::Cancelled,
+                      now()));
+    return;
+  }
+  it->second->Endpoint = action.Endpoint;
+  asio::co_spawn(Executor, run(it->second, action.Endpoint), asio::detached);
+}
+
+void GateService::carryOutOne(const GrantAction &action) {
+  auto it = Exchanges.find(action.AttemptId);
+  auto channel =
+      it == Exchanges.end() ? nullptr : it->second->Origin.Channel.lock();
+  if (!channel || !channel->isOpen()) {
+    carryOut(cancel(Kernel, action.AttemptId, now()));
+    Exchanges.erase(action.AttemptId);
+    return;
+  }
+  it->second->IsGranted = true;
+  wire::Frame frame;
+  frame.stream = it->second->Origin.Stream;
+  frame.grant.endpoint = action.Endpoint;
+  frame.__isset.grant = true;
+  channel->send(std::move(frame));
+}
+
+void GateService::carryOutOne(const RefuseAction &action) {
+  auto it = Exchanges.find(action.AttemptId);
+  if (it == Exchanges.end())
+    return;
+  ExchangePtr exchange = it->second;
+  Exchanges.erase(it);
+  sendFailure(exchange->Origin, action.Reason, exchange->Request.Service,
+              exchange->Endpoint);
+}
+
+void GateService::carryOutOne(const AbortAction &action) {
+  auto it = Exchanges.find(action.AttemptId);
+  if (it == Exchanges.end())
+    return;
+  ExchangePtr exchange = it->second;
+  exchange->Handle->IsCancelled = true;
+  if (exchange->Handle->Cancel)
+    exchange->Handle->Cancel();
+  AttemptOutcome outcome = AttemptOutcome::Failed;
+  if (action.Reason.Kind == ErrorKind::DeadlineExceeded)
+    outcome = AttemptOutcome::TimedOut;
+  if (action.Reason.Kind == ErrorKind::Cancelled)
+    outcome = AttemptOutcome::Cancelled;
+  finish(exchange, {outcome, std::nullopt, action.Reason, Micros{0}});
+}
+
+void GateService::carryOutOne(const StandingAction &action) {
+  logEvent(LogLevel::Info, "endpoint_standing",
+           {{"endpoint", action.Endpoint},
+            {"standing", toString(action.State)},
+            {"reason", action.Reason}});
+  if (action.State == Standing::Suspect) {
+    auto it = Kernel.Endpoints.find(action.Endpoint);
+    if (it != Kernel.Endpoints.end())
+      Client.forget(it->second.Facts.Address);
+  }
+  publishEndpoints();
+}
+
+void GateService::carryOutOne(const EjectionAction &action) {
+  Handlers.OnEjection(action);
+}
+
+void GateService::carryOutOne(const CrashAction &action) {
+  const CrashRecord &record = Kernel.Crashes.Records[action.Fingerprint];
+  logEvent(LogLevel::Warn, "endpoint_crash",
+           {{"service", action.Service},
+            {"fingerprint", fingerprintName(action.Fingerprint)},
+            {"crashes", record.Crashes}});
+  Handlers.OnCrash(action.Fingerprint, record);
+}
+
+asio::awaitable<void> GateService::run(ExchangePtr exchange,
+                                       std::string endpoint) {
+  auto it = Kernel.Endpoints.find(endpoint);
+  if (it == Kernel.Endpoints.end() || exchange->IsDone)
+    co_return;
+  HttpRequest request = exchange->Http;
+  std::string attempt = exchange->Request.AttemptId;
+  request.Headers.push_back(
+      {"Request-Id", attempt.substr(0, attempt.rfind('/'))});
+  auto left = toMillis(exchange->Request.Deadline - now()).count();
+  request.Headers.push_back({"Request-Deadline-Ms", std::to_string(left)});
+  Instant start = now();
+  EndpointResult result = co_await Client.exchange(
+      it->second.Facts.Address, std::move(request),
+      exchange->Request.IsIdempotent, exchange->Request.Deadline,
+      exchange->Handle);
+  result.RunTime = now() - start;
+  finish(exchange, std::move(result));
+}
+
+void GateService::finish(const ExchangePtr &exchange, EndpointResult result) {
+  if (exchange->IsDone)
+    return;
+  exchange->IsDone = true;
+  const std::string &attempt = exchange->Request.AttemptId;
+  GateActions actions = complete(Kernel, attempt, result.Outcome, now());
+  Exchanges.erase(attempt);
+  auto kept = std::make_shared<const EndpointResult>(std::move(result));
+  reply(exchange->Origin, *kept, exchange->Request.Service,
+        exchange->Endpoint);
+  for (const StreamRef &follower : exchange->Followers)
+    reply(follower, *kept, exchange->Request.Service, exchange->Endpoint);
+  keepFinished(exchange, std::move(kept));
+  carryOut(std::move(actions));
+}
+
+void GateService::keepFinished(const ExchangePtr &exchange,
+                               std::shared_ptr<const EndpointResult> result) {
+  ResultBytes += sizeOf(*result);
+  Results.push_back({exchange->Request.AttemptId, std::move(result),
+                     exchange->Endpoint, now()});
+  while (ResultBytes > MostResultBytes) {
+    ResultBytes -= sizeOf(*Results.front().Result);
+    Results.pop_front();
+  }
+}
+
+void GateService::reply(const StreamRef &ref, const EndpointResult &result,
+                        const std::string &service,
+                        const std::string &endpoint) {
+  if (!result.Answer)
+    return sendFailure(ref, result.Failure, service, endpoint);
+  auto channel = ref.Channel.lock();
+  if (!channel || !channel->isOpen())
+    return;
+  wire::Frame frame;
+  frame.stream = ref.Stream;
+  frame.answer.status = result.Answer->Status;
+  frame.answer.headers = toWire(result.Answer->Headers);
+  frame.answer.bodyBytes = std::int64_t(result.Answer->Content->size());
+  frame.answer.endpoint = endpoint;
+  frame.answer.load = wireLoad(service);
+  frame.answer.runUs = result.RunTime.count();
+  frame.__isset.answer = true;
+  channel->send(std::move(frame));
+  channel->sendBody(ref.Stream, result.Answer->Content);
+}
+
+void GateService::sendFailure(const StreamRef &ref, const Error &reason,
+                              const std::string &service,
+                              const std::string &endpoint) {
+  auto channel = ref.Channel.lock();
+  if (!channel || !channel->isOpen())
+    return;
+  wire::Frame frame;
+  frame.stream = ref.Stream;
+  frame.failure.kind = int(reason.Kind);
+  frame.failure.run = int(reason.Run);
+  frame.failure.detail = reason.Detail;
+  frame.failure.retryAfterMs = reason.RetryAfter.count();
+  frame.failure.load = wireLoad(service);
+  frame.failure.endpoint = endpoint;
+  frame.__isset.failure = true;
+  channel->send(std::move(frame));
+}
+
+wire::Load GateService::wireLoad(const std::string &service) const {
+  GateLoad load = loadOf(Kernel, service, now());
+  wire::Load out;
+  out.freeSlots = load.FreeSlots;
+  out.queued = load.Queued;
+  out.slots = load.Slots;
+  return out;
+}
+
+std::int64_t GateService::announceEndpoint(const Announcement &facts) {
+  auto before = Kernel.Endpoints.find(facts.Name);
+  bool isChanged = before == Kernel.Endpoints.end() ||
+                   before->second.Facts != facts;
+  carryOut(announce(Kernel, facts, now()));
+  if (isChanged)
+    publishEndpoints();
+  return Kernel.Endpoints.at(facts.Name).Generation;
+}
+
+void GateService::withdrawEndpoint(const std::string &name) {
+  carryOut(withdraw(Kernel, name, now()));
+}
+
+void GateService::applyEjection(const std::string &endpoint,
+                                std::optional<Instant> until) {
+  carryOut(setEjection(Kernel, endpoint, until, now()));
+}
+
+void GateService::applyView(const FleetViewPtr &view) {
+  for (const auto &[name, service] : view->Services) {
+    Kernel.Services[name].Policy = service.Policy;
+    Kernel.Services[name].Shares = service.Shares;
+  }
+  for (const auto &[fingerprint, record] : view->Crashes.Records)
+    mergeCrash(Kernel.Crashes, fingerprint, record);
+  Kernel.Crashes.Released = view->Crashes.Released;
+}
+
+void GateService::drainNow() { carryOut(drain(Kernel, now())); }
+
+void GateService::publishEndpoints() {
+  std::vector<EndpointRecord> records;
+  for (const auto &[name, it] : Kernel.Endpoints) {
+    bool isSilent = now() - it.LastHeard > std::chrono::seconds(2);
+    records.push_back({name, it.Facts.Service, it.Facts.Slots, it.Generation,
+                       isSilent ? Standing::Draining : it.State});
+  }
+  Handlers.OnEndpoints(std::move(records));
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/gateservice.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "libfleet/endpointclient.h"
+#include "libfleet/fleetview.h"
+#include "libfleet/framechannel.h"
+#include "libhickoryglade/gate.h"
+#include "libhickoryglade/memberrecord.h"
+
+#include "fleet_types.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace hickoryglade::fleet {
+
+class Metrics;
+
+/// Carries out what the kernel's gate decides: receives calls over channels,
+/// runs them at endpoints, answers. Lives on the first traffic thread.
+class GateService {
+public:
+  /// News for the control thread, called on the gate's thread.
+  struct Events {
+    std::function<void(std::vector<EndpointRecord>)> OnEndpoints;
+    std::function<void(EjectionAction)> OnEjection;
+    std::function<void(std::uint64_t, CrashRecord)> OnCrash;
+  };
+
+  GateService(asio::any_io_executor ex, std::int64_t bootId, Metrics &metrics,
+              Events events);
+
+  void start();
+
+  /// Takes a frame of the calling side. Frames that are not for the gate
+  /// are left alone.
+  void takeFrame(const std::shared_ptr<FrameChannel> &from, wire::Frame frame);
+
+  /// Returns the generation under which the endpoint now runs.
+  std::int64_t announceEndpoint(const Announcement &facts);
+  void withdrawEndpoint(const std::string &name);
+  void applyEjection(const std::string &endpoint,
+                     std::optional<Instant> until);
+  void applyView(const FleetViewPtr &view);
+  void drainNow();
+  bool idle() const { return isIdle(Kernel) && Exchanges.empty(); }
+
+private:
+  struct Exchange;
+  using ExchangePtr = std::shared_ptr<Exchange>;
+  /// A channel with one of its streams.
+  struct StreamRef {
+    std::weak_ptr<FrameChannel> Channel;
+    std::int64_t Stream = 0;
+  };
+  struct Finished {
+    std::string Attempt;
+    std::shared_ptr<const EndpointResult> Result;
+    std::string Endpoint;
+    Instant At;
+  };
+
+  void takeTicket(const StreamRef &ref, const wire::Ticket &ticket);
+  void takeCall(const StreamRef &ref, wire::Call call);
+  void takeData(const StreamRef &ref, wire::Data data);
+  void takeCancel(const StreamRef &ref);
+  void takeRevoke(const StreamRef &ref, const wire::Revoke &revoke);
+  void bodyComplete(const ExchangePtr &exchange);
+  Ticket toTicket(const wire::Ticket &in, std::int64_t lagMs) const;
+  ExchangePtr findByStream(const StreamRef &ref) const;
+
+  void carryOut(GateActions actions);
+  void carryOutOne(const StartAction &action);
+  void carryOutOne(const GrantAction &action);
+  void carryOutOne(const RefuseAction &action);
+  void carryOutOne(const AbortAction &action);
+  void carryOutOne(const StandingAction &action);
+  void carryOutOne(const EjectionAction &action);
+  void carryOutOne(const CrashAction &action);
+
+  asio::awaitable<void> run(ExchangePtr exchange, std::string endpoint);
+  void finish(const ExchangePtr &exchange, EndpointResult result);
+  void reply(const StreamRef &ref, const EndpointResult &result,
+             const std::string &service, const std::string &endpoint);
+  void sendFailure(const StreamRef &ref, const Error &reason,
+                   const std::string &service, const std::string &endpoint);
+  void keepFinished(const ExchangePtr &exchange,
+                    std::shared_ptr<const EndpointResult> result);
+  wire::Load wireLoad(const std::string &service) const;
+  void scheduleTick();
+  void publishEndpoints();
+
+  asio::any_io_executor Executor;
+  asio::steady_timer Timer;
+  std::int64_t BootId;
+  Metrics &Counters;
+  Events Handlers;
+  EndpointClient Client;
+  Gate Kernel;
+  std::map<std::string, ExchangePtr> Exchanges;
+  std::deque<Finished> Results;
+  std::size_t ResultBytes = 0;
+};
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/httpfront.cpp
@@ -0,0 +1,199 @@
+#include "libfleet/httpfront.h"
+
+#include "libfleet/address.h"
+#include "libfleet/clock.h"
+#include "libfleet/logging.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+
+namespace hickoryglade::fleet {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr std::uint32_t MostHeaderBytes = 32 * 1024;
+constexpr std::uint64_t MostBodyBytes = 64 * 1024 * 1024;
+constexpr auto IdleLimit = std::chrono::seconds(60);
+constexpr auto WriteLimit = std::chrono::seconds(30);
+
+/// One caller's connection.
+struct Session {
+  beast::tcp_stream Stream;
+  beast::flat_buffer Buffer;
+};
+
+HttpRequest fromBeast(http::request<http::string_body> &&in) {
+  HttpRequest request;
+  request.Method = std::string(in.method_string());
+  request.Target = std::string(in.target());
+  for (const auto &field : in)
+    request.Headers.push_back({std::string(field.name_string()),
+                               std::string(field.value())});
+  request.Content = std::make_shared<const std::string>(std::move(in.body()));
+  return request;
+}
+
+http::response<http::string_body> toBeast(const HttpAnswer &answer,
+                                          const std::string &method,
+                                          bool isKept) {
+  http::response<http::string_body> out;
+  out.version(11);
+  out.result(unsigned(answer.Status));
+  for (const HttpHeader &it : answer.Headers)
+    out.insert(it.Name, it.Value);
+  out.keep_alive(isKept);
+  bool hasNoBody = answer.Status == 204 || answer.Status == 304;
+  if (hasNoBody)
+    return out;
+  if (method == "HEAD") {
+    out.content_length(answer.Content->size());
+    return out;
+  }
+  out.body() = *answer.Content;
+  out.prepare_payload();
+  return out;
+}
+
+/// Status for bytes that the parser has refused; 0 if the caller just left.
+int faultStatus(const error_code &ec) {
+  if (ec == http::error::end_of_stream || ec == beast::error::timeout)
+    return 0;
+  if (ec == http::error::header_limit)
+    return 431;
+  if (ec == http::error::body_limit)
+    return 413;
+  if (ec.category() == http::make_error_code(http::error::bad_value).category())
+    return ec == http::error::partial_message ? 0 : 400;
+  return 0;
+}
+
+/// Watches for the caller's leaving while its request is served.
+void watch(const std::shared_ptr<Session> &session,
+           const std::shared_ptr<CallScope> &scope,
+           const std::shared_ptr<bool> &isServed) {
+  session->Stream.socket().async_wait(
+      tcp::socket::wait_read,
+      [session, scope, isServed](const error_code &ec) {
+        if (ec || *isServed)
+          return;
+        error_code peekFault;
+        char byte = 0;
+        session->Stream.socket().non_blocking(true, peekFault);
+        session->Stream.socket().receive(asio::buffer(&byte, 1),
+                                         tcp::socket::message_peek, peekFault);
+        if (peekFault && peekFault != asio::error::would_block)
+          scope->cancel();
+      });
+}
+
+asio::awaitable<void> writeAnswer(std::shared_ptr<Session> session,
+                                  const HttpAnswer &answer,
+                                  std::string method, bool isKept,
+                                  error_code &ec) {
+  auto message = toBeast(answer, method, isKept);
+  http::response_serializer<http::string_body> serializer(message);
+  serializer.split(method == "HEAD");
+  session->Stream.expires_after(WriteLimit);
+  if (method == "HEAD")
+    co_await http::async_write_header(
+        session->Stream, serializer,
+        asio::redirect_error(asio::use_awaitable, ec));
+  else
+    co_await http::async_write(session->Stream, serializer,
+                               asio::redirect_error(asio::use_awaitable, ec));
+}
+
+asio::awaitable<void> serve(std::shared_ptr<Session> session,
+                            HttpHandler handler, HttpFaultHandler onFault,
+                            std::shared_ptr<std::atomic<bool>> isStopping) {
+  error_code ec;
+  session->Stream.socket().set_option(tcp::no_delay(true), ec);
+  while (true) {
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(MostHeaderBytes);
+    parser.body_limit(MostBodyBytes);
+    session->Stream.expires_after(IdleLimit);
+    co_await http::async_read(session->Stream, session->Buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) {
+      if (int status = faultStatus(ec))
+        co_await writeAnswer(session, onFault(status), "GET", false, ec);
+      break;
+    }
+    bool isKept = parser.keep_alive() && !*isStopping;
+    HttpRequest request = fromBeast(parser.release());
+    std::string method = request.Method;
+    auto scope = std::make_shared<CallScope>();
+    auto isServed = std::make_shared<bool>(false);
+    session->Stream.expires_never();
+    watch(session, scope, isServed);
+    HttpAnswer answer = co_await handler(std::move(request), scope);
+    *isServed = true;
+    if (scope->IsCancelled)
+      break;
+    session->Stream.socket().cancel(ec);
+    isKept = isKept && !*isStopping;
+    co_await writeAnswer(session, answer, method, isKept, ec);
+    if (ec || !isKept)
+      break;
+  }
+  session->Stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+  session->Stream.close();
+}
+
+} // namespace
+
+HttpFront::HttpFront(asio::any_io_executor ex, std::string address,
+                     std::vector<Lane> lanes, HttpFaultHandler onFault)
+    : Executor(ex), Address(std::move(address)), Acceptor(ex),
+      Lanes(std::move(lanes)), OnFault(std::move(onFault)),
+      IsStopping(std::make_shared<std::atomic<bool>>(false)) {}
+
+absl::Status HttpFront::start() {
+  std::optional<fleet::Address> parsed = parseAddress(Address);
+  if (!parsed)
+    return absl::InvalidArgumentError("not an address: " + Address);
+  tcp::endpoint at(asio::ip::make_address(parsed->Ip), parsed->Port);
+  error_code ec;
+  Acceptor.open(at.protocol(), ec);
+  if (!ec)
+    Acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec)
+    Acceptor.bind(at, ec);
+  if (!ec)
+    Acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec)
+    return absl::UnavailableError("cannot listen on " + Address + ": " +
+                                  ec.message());
+  accept();
+  return absl::OkStatus();
+}
+
+void HttpFront::stop() {
+  *IsStopping = true;
+  error_code ec;
+  Acceptor.close(ec);
+}
+
+void HttpFront::accept() {
+  Lane &lane = Lanes[NextLane++ % Lanes.size()];
+  Acceptor.async_accept(
+      lane.Executor, [this, &lane](const error_code &ec, tcp::socket socket) {
+        if (ec == asio::error::operation_aborted || *IsStopping)
+          return;
+        if (!ec) {
+          auto session = std::make_shared<Session>(
+              Session{beast::tcp_stream(std::move(socket)), {}});
+          asio::co_spawn(lane.Executor,
+                         serve(session, lane.Handler, OnFault, IsStopping),
+                         asio::detached);
+        }
+        accept();
+      });
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/httpmessage.cpp
@@ -0,0 +1,36 @@
+#include "libfleet/httpmessage.h"
+
+#include <boost/beast/core/string.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace hickoryglade::fleet {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> HopByHop = {
+    "connection", "keep-alive",        "proxy-connection",
+    "te",         "transfer-encoding", "upgrade",
+    "trailer",    "proxy-authorization", "content-length"};
+
+bool isEqual(std::string_view a, std::string_view b) {
+  return boost::beast::iequals(boost::beast::string_view(a.data(), a.size()),
+                               boost::beast::string_view(b.data(), b.size()));
+}
+
+} // namespace
+
+std::string headerValue(const std::vector<HttpHeader> &headers,
+                        std::string_view name) {
+  auto it = std::ranges::find_if(
+      headers, [&](const HttpHeader &h) { return isEqual(h.Name, name); });
+  return it == headers.end() ? std::string() : it->Value;
+}
+
+bool isHopByHop(std::string_view name) {
+  return std::ranges::any_of(
+      HopByHop, [&](std::string_view it) { return isEqual(it, name); });
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/httpmessage.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hickoryglade::fleet {
+
+struct HttpHeader {
+  std::string Name;
+  std::string Value;
+
+  bool operator==(const HttpHeader &) const = default;
+};
+
+/// Bodies are shared, not copied, on their way through the node.
+using Body = std::shared_ptr<const std::string>;
+
+struct HttpRequest {
+  std::string Method;
+  std::string Target;
+  std::vector<HttpHeader> Headers;
+  Body Content = std::make_shared<const std::string>();
+};
+
+struct HttpAnswer {
+  int Status = 200;
+  std::vector<HttpHeader> Headers;
+  Body Content = std::make_shared<const std::string>();
+};
+
+/// First header of a name, in any case; empty if there is none.
+std::string headerValue(const std::vector<HttpHeader> &headers,
+                        std::string_view name);
+
+/// True for headers that concern one connection only (RFC 9110, 7.6.1).
+bool isHopByHop(std::string_view name);
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/link.cpp
@@ -0,0 +1,193 @@
+#include "libfleet/link.h"
+
+#include "libfleet/clock.h"
+#include "libfleet/framecodec.h"
+#include "libfleet/logging.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+
+namespace hickoryglade::fleet {
+
+namespace {
+
+constexpr Micros BeatPeriod = std::chrono::milliseconds(200);
+
+/// Silence after which a busy link is given up: three lost beats.
+constexpr Micros SilenceLimit = std::chrono::milliseconds(700);
+
+constexpr std::size_t ChunkBytes = 64 * 1024;
+constexpr std::size_t MostGatherBytes = 256 * 1024;
+
+/// A peer that does not read is cut off before it fills the memory.
+constexpr std::size_t MostQueuedFrames = 100'000;
+
+} // namespace
+
+Link::Link(tcp::socket socket, wire::Hello own, Events events)
+    : Socket(std::move(socket)), Timer(Socket.get_executor()),
+      Own(std::move(own)), Handlers(std::move(events)), OpenedAt(now()),
+      LastHeard(OpenedAt) {}
+
+void Link::start() {
+  error_code ec;
+  Socket.set_option(tcp::no_delay(true), ec);
+  wire::Frame hello;
+  hello.__set_hello(Own);
+  send(std::move(hello));
+  readPrefix();
+  beat();
+}
+
+void Link::close(std::string_view reason) {
+  if (!Open)
+    return;
+  Open = false;
+  error_code ec;
+  Socket.close(ec);
+  Timer.cancel();
+  logEvent(LogLevel::Debug, "link_closed",
+           {{"peer", Peer ? Peer->node : ""}, {"reason", reason}});
+  if (Handlers.OnClose)
+    Handlers.OnClose(shared_from_this());
+}
+
+std::int64_t Link::ageMs() const { return toMillis(now() - OpenedAt).count(); }
+
+void Link::setBusy(bool isBusy) {
+  if (isBusy && !Busy)
+    BusySince = now();
+  Busy = isBusy;
+}
+
+void Link::send(wire::Frame frame) {
+  if (!Open)
+    return;
+  if (Urgent.size() >= MostQueuedFrames)
+    return close("the peer does not read");
+  Urgent.push_back(encodeFrame(frame));
+  if (!IsWriting)
+    writeNext();
+}
+
+void Link::sendBody(std::int64_t stream, Body body) {
+  if (!Open || body->empty())
+    return;
+  Bodies.push_back({stream, std::move(body), 0});
+  if (!IsWriting)
+    writeNext();
+}
+
+void Link::dropBody(std::int64_t stream) {
+  std::erase_if(Bodies, [&](const Outgoing &it) { return it.Stream == stream; });
+}
+
+/// Urgent frames first, then one piece of the body whose turn it is.
+bool Link::gather() {
+  Writing.clear();
+  while (!Urgent.empty() && Writing.size() < MostGatherBytes) {
+    Writing += Urgent.front();
+    Urgent.pop_front();
+  }
+  if (Writing.size() >= MostGatherBytes || Bodies.empty())
+    return !Writing.empty();
+  Outgoing it = std::move(Bodies.front());
+  Bodies.pop_front();
+  std::size_t n = std::min(ChunkBytes, it.Content->size() - it.Sent);
+  wire::Frame frame;
+  frame.stream = it.Stream;
+  frame.data.bytes = it.Content->substr(it.Sent, n);
+  frame.__isset.data = true;
+  Writing += encodeFrame(frame);
+  it.Sent += n;
+  if (it.Sent < it.Content->size())
+    Bodies.push_back(std::move(it));
+  return true;
+}
+
+void Link::writeNext() {
+  if (!Open || !gather()) {
+    IsWriting = false;
+    return;
+  }
+  IsWriting = true;
+  asio::async_write(
+      Socket, asio::buffer(Writing),
+      [self = shared_from_this()](const error_code &ec, std::size_t) {
+        if (ec)
+          return self->close("write failed");
+        self->writeNext();
+      });
+}
+
+void Link::readPrefix() {
+  asio::async_read(
+      Socket, asio::buffer(Prefix),
+      [self = shared_from_this()](const error_code &ec, std::size_t) {
+        if (ec)
+          return self->close("read failed");
+        std::size_t length = prefixedLength(
+            std::string_view(self->Prefix.data(), self->Prefix.size()));
+        if (length == 0 || length > MostFrameBytes)
+          return self->close("frame length out of range");
+        self->readContent(length);
+      });
+}
+
+void Link::readContent(std::size_t length) {
+  Content.resize(length);
+  asio::async_read(
+      Socket, asio::buffer(Content),
+      [self = shared_from_this()](const error_code &ec, std::size_t) {
+        if (ec)
+          return self->close("read failed");
+        std::optional<wire::Frame> frame = decodeFrame(self->Content);
+        if (!frame)
+          return self->close("malformed frame");
+        self->takeFrame(std::move(*frame));
+        if (self->Open)
+          self->readPrefix();
+      });
+}
+
+void Link::takeFrame(wire::Frame frame) {
+  LastHeard = now();
+  if (frame.__isset.hello) {
+    Peer = frame.hello;
+  } else if (!Peer) {
+    return close("no hello");
+  }
+  if (frame.__isset.heartbeat) {
+    if (frame.heartbeat.reply)
+      return;
+    wire::Frame reply;
+    reply.heartbeat = frame.heartbeat;
+    reply.heartbeat.reply = true;
+    reply.__isset.heartbeat = true;
+    return send(std::move(reply));
+  }
+  Handlers.OnFrame(shared_from_this(), std::move(frame));
+}
+
+void Link::beat() {
+  Timer.expires_at(toSteady(now() + BeatPeriod));
+  Timer.async_wait([self = shared_from_this()](const error_code &ec) {
+    if (ec || !self->Open)
+      return;
+    Instant since = std::max(self->LastHeard, self->BusySince);
+    if (self->Busy && now() - since > SilenceLimit)
+      return self->close("silent");
+    if (self->Busy) {
+      wire::Frame frame;
+      frame.heartbeat.sequence = ++self->Beats;
+      frame.heartbeat.reply = false;
+      frame.__isset.heartbeat = true;
+      self->send(std::move(frame));
+    }
+    self->beat();
+  });
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/link.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "libfleet/asio.h"
+#include "libfleet/framechannel.h"
+#include "libhickoryglade/instant.h"
+
+#include "fleet_types.h"
+
+#include <array>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace hickoryglade::fleet {
+
+/// A TCP connection that carries frames between two nodes. While it has
+/// streams in flight it exchanges heartbeats; one that falls silent in either
+/// direction closes itself. Used from one thread only.
+class Link : public FrameChannel, public std::enable_shared_from_this<Link> {
+public:
+  struct Events {
+    std::function<void(const std::shared_ptr<Link> &, wire::Frame)> OnFrame;
+    std::function<void(const std::shared_ptr<Link> &)> OnClose;
+  };
+
+  Link(tcp::socket socket, wire::Hello own, Events events);
+
+  /// Sends the hello and begins to read.
+  void start();
+  void close(std::string_view reason);
+
+  void send(wire::Frame frame) override;
+  void sendBody(std::int64_t stream, Body body) override;
+  void dropBody(std::int64_t stream) override;
+  bool isOpen() const override { return Open; }
+  std::int64_t ageMs() const override;
+
+  /// Expects heartbeats to be answered while set.
+  void setBusy(bool isBusy);
+
+  /// The peer's hello, once it has come.
+  const std::optional<wire::Hello> &peer() const { return Peer; }
+
+private:
+  struct Outgoing {
+    std::int64_t Stream = 0;
+    Body Content;
+    std::size_t Sent = 0;
+  };
+
+  void readPrefix();
+  void readContent(std::size_t length);
+  void takeFrame(wire::Frame frame);
+  void writeNext();
+  bool gather();
+  void beat();
+
+  tcp::socket Socket;
+  asio::steady_timer Timer;
+  wire::Hello Own;
+  Events Handlers;
+  std::optional<wire::Hello> Peer;
+  std::array<char, 4> Prefix{};
+  std::string Content;
+  std::deque<std::string> Urgent;
+  std::deque<Outgoing> Bodies;
+  std::string Writing;
+  bool IsWriting = false;
+  bool Open = true;
+  bool Busy = false;
+  Instant OpenedAt;
+  Instant LastHeard;
+  Instant BusySince;
+  std::int64_t Beats = 0;
+};
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/linkserver.cpp
@@ -0,0 +1,65 @@
+#include "libfleet/linkserver.h"
+
+#include "libfleet/address.h"
+
+namespace hickoryglade::fleet {
+
+LinkServer::LinkServer(asio::any_io_executor ex, std::string address,
+                       wire::Hello own, FrameHandler handler)
+    : Executor(ex), Address(std::move(address)), Own(std::move(own)),
+      Handler(std::move(handler)), Acceptor(ex) {}
+
+absl::Status LinkServer::start() {
+  std::optional<fleet::Address> parsed = parseAddress(Address);
+  if (!parsed)
+    return absl::InvalidArgumentError("not an address: " + Address);
+  tcp::endpoint at(asio::ip::make_address(parsed->Ip), parsed->Port);
+  error_code ec;
+  Acceptor.open(at.protocol(), ec);
+  if (!ec)
+    Acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  if (!ec)
+    Acceptor.bind(at, ec);
+  if (!ec)
+    Acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  if (ec)
+    return absl::UnavailableError("cannot listen on " + Address + ": " +
+                                  ec.message());
+  accept();
+  return absl::OkStatus();
+}
+
+void LinkServer::stop() {
+  error_code ec;
+  Acceptor.close(ec);
+  std::set<std::shared_ptr<Link>> open = std::move(Links);
+  Links.clear();
+  for (const auto &link : open)
+    link->close("the node stops");
+}
+
+void LinkServer::accept() {
+  Acceptor.async_accept(
+      Executor, [this](const error_code &ec, tcp::socket socket) {
+        if (ec == asio::error::operation_aborted)
+          return;
+        if (!ec) {
+          Link::Events events;
+          events.OnFrame = [this](const std::shared_ptr<Link> &link,
+                                  wire::Frame frame) {
+            if (!frame.__isset.hello)
+              Handler(link, std::move(frame));
+          };
+          events.OnClose = [this](const std::shared_ptr<Link> &link) {
+            Links.erase(link);
+          };
+          auto link =
+              std::make_shared<Link>(std::move(socket), Own, std::move(events));
+          Links.insert(link);
+          link->start();
+        }
+        accept();
+      });
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/linkserver.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "libfleet/link.h"
+
+#include <absl/status/status.h>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace hickoryglade::fleet {
+
+/// Accepts links from other nodes on the gate's thread.
+class LinkServer {
+public:
+  using FrameHandler =
+      std::function<void(const std::shared_ptr<FrameChannel> &, wire::Frame)>;
+
+  LinkServer(asio::any_io_executor ex, std::string address, wire::Hello own,
+             FrameHandler handler);
+
+  absl::Status start();
+  void stop();
+
+private:
+  void accept();
+
+  asio::any_io_executor Executor;
+  std::string Address;
+  wire::Hello Own;
+  FrameHandler Handler;
+  tcp::acceptor Acceptor;
+  std::set<std::shared_ptr<Link>> Links;
+};
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/localchannel.cpp
@@ -0,0 +1,28 @@
+#include "libfleet/localchannel.h"
+
+namespace hickoryglade::fleet {
+
+LocalChannel::LocalChannel(asio::any_io_executor to, Receiver receiver)
+    : To(std::move(to)), Receive(std::move(receiver)), OpenedAt(now()) {}
+
+void LocalChannel::send(wire::Frame frame) {
+  asio::post(To, [receive = Receive, it = std::move(frame)]() mutable {
+    receive(std::move(it));
+  });
+}
+
+void LocalChannel::sendBody(std::int64_t stream, Body body) {
+  if (body->empty())
+    return;
+  wire::Frame frame;
+  frame.stream = stream;
+  frame.data.bytes = *body;
+  frame.__isset.data = true;
+  send(std::move(frame));
+}
+
+std::int64_t LocalChannel::ageMs() const {
+  return toMillis(now() - OpenedAt).count();
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/localchannel.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "libfleet/asio.h"
+#include "libfleet/clock.h"
+#include "libfleet/framechannel.h"
+
+#include "fleet_types.h"
+
+#include <functional>
+#include <memory>
+
+namespace hickoryglade::fleet {
+
+/// One direction of a passage between an entry and the gate of its own node:
+/// frames are handed over without being encoded.
+class LocalChannel : public FrameChannel {
+public:
+  using Receiver = std::function<void(wire::Frame)>;
+
+  LocalChannel(asio::any_io_executor to, Receiver receiver);
+
+  void send(wire::Frame frame) override;
+  void sendBody(std::int64_t stream, Body body) override;
+  void dropBody(std::int64_t) override {}
+  bool isOpen() const override { return true; }
+  std::int64_t ageMs() const override;
+
+private:
+  asio::any_io_executor To;
+  Receiver Receive;
+  Instant OpenedAt;
+};
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/logclient.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "libfleet/asio.h"
+#include "libhickoryglade/instant.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hickoryglade::fleet {
+
+struct LogRecord {
+  std::int64_t Offset = 0;
+  std::string Data;
+};
+
+enum class LogStatus {
+  Done,
+  /// The log did not answer, or not in the agreed form; an append may have
+  /// taken effect all the same.
+  Unreachable,
+  /// Asked to come back later.
+  Overloaded,
+  /// The records asked for are no longer kept.
+  Expired,
+  /// The log refused the call.
+  Refused,
+};
+
+struct AppendResult {
+  LogStatus Status = LogStatus::Unreachable;
+  std::int64_t Offset = 0;
+  Millis RetryAfter{0};
+};
+
+struct ReadResult {
+  LogStatus Status = LogStatus::Unreachable;
+  std::int64_t First = 0;
+  std::int64_t Next = 0;
+  std::vector<LogRecord> Records;
+  Millis RetryAfter{0};
+};
+
+/// Speaks the log service's HTTP interface, one call at a time per instance.
+class LogClient {
+public:
+  LogClient(asio::any_io_executor ex, std::string address, std::string stream);
+  ~LogClient();
+
+  asio::awaitable<AppendResult> append(std::string data);
+
+  /// Waits up to a given time for records at or after an offset.
+  asio::awaitable<ReadResult> read(std::int64_t from, Millis wait);
+
+private:
+  struct Connection;
+  struct Reply {
+    int Status = 0;
+    std::string Body;
+    Millis RetryAfter{0};
+  };
+
+  asio::awaitable<std::optional<Reply>> call(std::string method,
+                                             std::string target,
+                                             std::string body, Millis limit);
+
+  asio::any_io_executor Executor;
+  std::string Address;
+  std::string Stream;
+  std::unique_ptr<Connection> Current;
+};
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/mailbox.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "libfleet/asio.h"
+#include "libfleet/clock.h"
+
+#include <deque>
+#include <optional>
+
+namespace hickoryglade::fleet {
+
+/// Events for one waiting coroutine. Used from one thread only.
+template <typename Event> class Mailbox {
+public:
+  explicit Mailbox(const asio::any_io_executor &ex) : Timer(ex) {}
+
+  void put(Event event) {
+    Events.push_back(std::move(event));
+    Timer.cancel();
+  }
+
+  /// Waits for the next event; gives nothing once the time is over.
+  asio::awaitable<std::optional<Event>> next(Instant until) {
+    while (Events.empty() && now() < until) {
+      error_code ec;
+      Timer.expires_at(toSteady(until));
+      co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+    }
+    if (Events.empty())
+      co_return std::nullopt;
+    Event event = std::move(Events.front());
+    Events.pop_front();
+    co_return event;
+  }
+
+private:
+  asio::steady_timer Timer;
+  std::deque<Event> Events;
+};
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/membershipservice.cpp
@@ -0,0 +1,139 @@
+#include "libfleet/membershipservice.h"
+
+#include "libfleet/address.h"
+#include "libfleet/clock.h"
+#include "libfleet/framecodec.h"
+#include "libfleet/logging.h"
+#include "libfleet/wireconvert.h"
+
+namespace hickoryglade::fleet {
+
+namespace {
+
+constexpr Micros TickPeriod = std::chrono::milliseconds(50);
+
+/// Members told at once of a change; the others hear of it by gossip.
+constexpr std::size_t UrgentFanOut = 32;
+
+std::optional<udp::endpoint> toEndpoint(const std::string &address) {
+  std::optional<Address> parsed = parseAddress(address);
+  if (!parsed)
+    return std::nullopt;
+  return udp::endpoint(asio::ip::make_address(parsed->Ip), parsed->Port);
+}
+
+} // namespace
+
+MembershipService::MembershipService(asio::io_context &io,
+                                     std::string listenAddress,
+                                     Membership initial, Events events)
+    : Socket(io), Timer(io), ListenAddress(std::move(listenAddress)),
+      Kernel(std::move(initial)), Handlers(std::move(events)) {}
+
+absl::Status MembershipService::start() {
+  std::optional<udp::endpoint> at = toEndpoint(ListenAddress);
+  if (!at)
+    return absl::InvalidArgumentError("not an address: " + ListenAddress);
+  error_code ec;
+  Socket.open(at->protocol(), ec);
+  if (!ec)
+    Socket.bind(*at, ec);
+  if (ec)
+    return absl::UnavailableError("cannot listen on " + ListenAddress +
+                                  " (UDP): " + ec.message());
+  Socket.non_blocking(true, ec);
+  receiveNext();
+  scheduleTick();
+  return absl::OkStatus();
+}
+
+void MembershipService::describe(const MemberRecord &record, bool isUrgent) {
+  describeSelf(Kernel, record);
+  if (isUrgent)
+    send(spreadNow(Kernel, UrgentFanOut));
+  reportChange();
+}
+
+void MembershipService::spreadCrash(std::uint64_t fingerprint,
+                                    const CrashRecord &record) {
+  mergeCrash(Known, fingerprint, record);
+  wire::Gossip gossip;
+  gossip.kind = wire::GossipKind::UPDATES;
+  gossip.sender = Kernel.Self;
+  gossip.senderAddress = Kernel.Members.at(Kernel.Self).Record.FleetAddress;
+  wire::QuarantineRecord it;
+  it.fingerprint = std::int64_t(fingerprint);
+  it.crashes = record.Crashes;
+  it.remainingMs = toMillis(record.Expiry - now()).count();
+  gossip.quarantines.push_back(it);
+  std::string bytes = encodeGossip(gossip);
+  for (const Member *peer : peers(Kernel))
+    sendBytes(peer->Record.FleetAddress, bytes);
+}
+
+void MembershipService::receiveNext() {
+  Socket.async_receive_from(asio::buffer(Buffer), Sender,
+                            [this](const error_code &ec, std::size_t n) {
+                              if (ec == asio::error::operation_aborted)
+                                return;
+                              if (!ec)
+                                take(n);
+                              receiveNext();
+                            });
+}
+
+void MembershipService::take(std::size_t n) {
+  auto gossip = decodeGossip(std::string_view(Buffer.data(), n));
+  auto message = gossip ? fromWire(*gossip) : std::nullopt;
+  if (!message) {
+    logEvent(LogLevel::Warn, "gossip_malformed", {{"bytes", n}});
+    return;
+  }
+  send(receive(Kernel, *message, now()));
+  takeCrashes(*gossip);
+  reportChange();
+}
+
+void MembershipService::takeCrashes(const wire::Gossip &gossip) {
+  expireCrashes(Known, now());
+  for (const wire::QuarantineRecord &it : gossip.quarantines) {
+    CrashRecord record{it.crashes, now() + Millis(it.remainingMs)};
+    auto fingerprint = std::uint64_t(it.fingerprint);
+    if (mergeCrash(Known, fingerprint, record))
+      Handlers.OnCrash(fingerprint, record);
+  }
+}
+
+void MembershipService::send(const std::vector<OutgoingGossip> &messages) {
+  for (const OutgoingGossip &it : messages)
+    sendBytes(it.Address, encodeGossip(toWire(it.Message)));
+}
+
+void MembershipService::sendBytes(const std::string &address,
+                                  const std::string &bytes) {
+  std::optional<udp::endpoint> to = toEndpoint(address);
+  if (!to)
+    return;
+  error_code ec;
+  Socket.send_to(asio::buffer(bytes), *to, 0, ec);
+}
+
+void MembershipService::scheduleTick() {
+  Timer.expires_after(TickPeriod);
+  Timer.async_wait([this](const error_code &ec) {
+    if (ec)
+      return;
+    send(tick(Kernel, now()));
+    reportChange();
+    scheduleTick();
+  });
+}
+
+void MembershipService::reportChange() {
+  if (Kernel.Revision == ReportedRevision)
+    return;
+  ReportedRevision = Kernel.Revision;
+  Handlers.OnChange();
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/membershipservice.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "libfleet/asio.h"
+#include "libhickoryglade/membership.h"
+#include "libhickoryglade/quarantine.h"
+
+#include <absl/status/status.h>
+
+#include <array>
+#include <functional>
+#include <string>
+
+namespace hickoryglade::wire {
+class Gossip;
+}
+
+namespace hickoryglade::fleet {
+
+/// Runs the membership protocol over UDP on the control thread.
+class MembershipService {
+public:
+  struct Events {
+    /// A belief about some member has changed.
+    std::function<void()> OnChange;
+    std::function<void(std::uint64_t, CrashRecord)> OnCrash;
+  };
+
+  MembershipService(asio::io_context &io, std::string listenAddress,
+                    Membership initial, Events events);
+
+  absl::Status start();
+
+  const Membership &state() const { return Kernel; }
+
+  /// Changes the own record and tells others at once.
+  void describe(const MemberRecord &record, bool isUrgent);
+
+  /// Tells all members of a crash record.
+  void spreadCrash(std::uint64_t fingerprint, const CrashRecord &record);
+
+private:
+  void receiveNext();
+  void take(std::size_t n);
+  void takeCrashes(const wire::Gossip &gossip);
+  void send(const std::vector<OutgoingGossip> &messages);
+  void sendBytes(const std::string &address, const std::string &bytes);
+  void scheduleTick();
+  void reportChange();
+
+  udp::socket Socket;
+  asio::steady_timer Timer;
+  std::string ListenAddress;
+  Membership Kernel;
+  Events Handlers;
+  Quarantine Known;
+  std::int64_t ReportedRevision = -1;
+  udp::endpoint Sender;
+  std::array<char, 65'536> Buffer{};
+};
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/node.cpp
@@ -0,0 +1,286 @@
+#include "libfleet/node.h"
+
+#include "libfleet/adminfront.h"
+#include "libfleet/clock.h"
+#include "libfleet/control.h"
+#include "libfleet/entry.h"
+#include "libfleet/gateservice.h"
+#include "libfleet/httpfront.h"
+#include "libfleet/linkserver.h"
+#include "libfleet/localchannel.h"
+#include "libfleet/logging.h"
+#include "libfleet/metrics.h"
+
+#include <nlohmann/json.hpp>
+
+#include <future>
+#include <thread>
+
+namespace hickoryglade::fleet {
+
+namespace {
+
+/// After the fleet has been told of a stop, work that was already on its way
+/// still arrives for this long.
+constexpr Millis LingerTerm = std::chrono::seconds(1);
+constexpr Millis StopPoll = std::chrono::milliseconds(20);
+
+wire::Hello makeHello(const NodeSettings &settings, std::int64_t bootId) {
+  wire::Hello hello;
+  hello.node = settings.Node;
+  hello.bootId = bootId;
+  hello.dataCentre = settings.DataCentre;
+  hello.protocolVersion = 1;
+  return hello;
+}
+
+HttpAnswer faultAnswer(int status) {
+  ErrorKind kind = status == 431   ? ErrorKind::HeadersTooLarge
+                   : status == 413 ? ErrorKind::BodyTooLarge
+                                   : ErrorKind::BadRequest;
+  const ErrorAnswer &row = answerFor(kind);
+  HttpAnswer answer;
+  answer.Status = row.Status;
+  answer.Headers.push_back({"Content-Type", "application/problem+json"});
+  answer.Content = std::make_shared<const std::string>(
+      nlohmann::json{{"type", "about:blank"},
+                     {"title", row.Title},
+                     {"status", row.Status},
+                     {"kind", row.Name},
+                     {"run", toString(row.DefaultRun)}}
+          .dump());
+  return answer;
+}
+
+/// A thread that runs one executor.
+struct Loop {
+  asio::io_context Io{1};
+  asio::executor_work_guard<asio::io_context::executor_type> Work =
+      asio::make_work_guard(Io);
+  std::thread Runner;
+
+  void start() {
+    Runner = std::thread([this] { Io.run(); });
+  }
+  void stop() {
+    Io.stop();
+    if (Runner.joinable())
+      Runner.join();
+  }
+  /// Runs a function on this thread and waits for what it returns.
+  template <typename Function> auto call(Function function) {
+    std::promise<decltype(function())> promise;
+    asio::post(Io, [&] { promise.set_value(function()); });
+    return promise.get_future().get();
+  }
+};
+
+} // namespace
+
+struct Node::Parts {
+  explicit Parts(NodeSettings settings);
+
+  absl::Status start();
+  bool stop();
+  void applyView(const FleetViewPtr &view);
+  void connectLocal(Entry &entry, Loop &loop);
+  void takeFrame(const std::shared_ptr<FrameChannel> &from, wire::Frame frame);
+  asio::awaitable<std::optional<std::int64_t>> announce(Announcement facts);
+  bool isQuiet();
+
+  NodeSettings Facts;
+  std::int64_t BootId = wallMicros();
+  Metrics Counters;
+  Loop ControlLoop;
+  std::vector<std::unique_ptr<Loop>> Traffic;
+  std::unique_ptr<Control> Brain;
+  std::unique_ptr<GateService> Gate;
+  std::vector<std::unique_ptr<Entry>> Entries;
+  std::unique_ptr<LinkServer> Server;
+  std::unique_ptr<HttpFront> Callers;
+  std::unique_ptr<AdminFront> Admin;
+  std::unique_ptr<HttpFront> AdminHttp;
+  bool IsLeaving = false;
+};
+
+Node::Parts::Parts(NodeSettings settings) : Facts(std::move(settings)) {
+  for (int i = 0; i < Facts.TrafficThreads; ++i)
+    Traffic.push_back(std::make_unique<Loop>());
+  asio::io_context &control = ControlLoop.Io;
+  asio::any_io_executor gateThread = Traffic[0]->Io.get_executor();
+
+  Brain = std::make_unique<Control>(
+      control, Facts, BootId, Counters,
+      Control::Events{[this](FleetViewPtr view) { applyView(view); }});
+
+  GateService::Events gateEvents;
+  gateEvents.OnEndpoints = [this](std::vector<EndpointRecord> endpoints) {
+    asio::post(ControlLoop.Io, [this, it = std::move(endpoints)]() mutable {
+      Brain->setEndpoints(std::move(it));
+    });
+  };
+  gateEvents.OnEjection = [](const EjectionAction &) {};
+  gateEvents.OnCrash = [this](std::uint64_t fingerprint, CrashRecord record) {
+    asio::post(ControlLoop.Io,
+               [this, fingerprint, record] {
+                 Brain->noteCrash(fingerprint, record);
+               });
+  };
+  Gate = std::make_unique<GateService>(gateThread, BootId, Counters,
+                                       std::move(gateEvents));
+
+  std::vector<HttpFront::Lane> lanes;
+  for (std::size_t i = 0; i < Traffic.size(); ++i) {
+    Entries.push_back(std::make_unique<Entry>(
+        Traffic[i]->Io.get_executor(), Facts.Node, Facts.DataCentre, BootId, i,
+        Counters));
+    connectLocal(*Entries.back(), *Traffic[i]);
+    lanes.push_back({Traffic[i]->Io.get_executor(),
+                     [entry = Entries.back().get()](
+                         HttpRequest request, std::shared_ptr<CallScope> scope) {
+                       return entry->serve(std::move(request),
+                                           std::move(scope));
+                     }});
+  }
+  Server = std::make_unique<LinkServer>(
+      gateThread, Facts.FleetAddress, makeHello(Facts, BootId),
+      [this](const std::shared_ptr<FrameChannel> &from, wire::Frame frame) {
+        takeFrame(from, std::move(frame));
+      });
+  Callers = std::make_unique<HttpFront>(gateThread, Facts.HttpAddress,
+                                        std::move(lanes), faultAnswer);
+  AdminFront::Events adminEvents;
+  adminEvents.OnAnnounce = [this](Announcement facts) {
+    return announce(std::move(facts));
+  };
+  adminEvents.OnWithdraw = [this](std::string name) {
+    asio::post(Traffic[0]->Io,
+               [this, name] { Gate->withdrawEndpoint(name); });
+  };
+  Admin = std::make_unique<AdminFront>(control, *Brain, Counters,
+                                       std::move(adminEvents));
+  std::vector<HttpFront::Lane> adminLanes{
+      {control.get_executor(),
+       [this](HttpRequest request, std::shared_ptr<CallScope>) {
+         return Admin->serve(std::move(request));
+       }}};
+  AdminHttp = std::make_unique<HttpFront>(control.get_executor(),
+                                          Facts.AdminAddress,
+                                          std::move(adminLanes), faultAnswer);
+}
+
+/// An entry reaches the gate of its own node by a direct call.
+void Node::Parts::connectLocal(Entry &entry, Loop &loop) {
+  auto holder = std::make_shared<std::shared_ptr<GateClient>>();
+  auto toEntry = std::make_shared<LocalChannel>(
+      loop.Io.get_executor(), [holder](wire::Frame frame) {
+        (*holder)->takeFrame(std::move(frame));
+      });
+  auto toGate = std::make_shared<LocalChannel>(
+      Traffic[0]->Io.get_executor(), [this, toEntry](wire::Frame frame) {
+        takeFrame(toEntry, std::move(frame));
+      });
+  *holder = std::make_shared<GateClient>(toGate);
+  entry.links().setLocal(Facts.Node, *holder);
+}
+
+void Node::Parts::takeFrame(const std::shared_ptr<FrameChannel> &from,
+                            wire::Frame frame) {
+  if (!frame.__isset.snapshotRequest) {
+    Gate->takeFrame(from, std::move(frame));
+    return;
+  }
+  asio::post(ControlLoop.Io, [this, from, stream = frame.stream] {
+    wire::Frame reply;
+    reply.stream = stream;
+    reply.__set_snapshot(Brain->snapshot());
+    asio::post(Traffic[0]->Io, [from, it = std::move(reply)]() mutable {
+      from->send(std::move(it));
+    });
+  });
+}
+
+asio::awaitable<std::optional<std::int64_t>>
+Node::Parts::announce(Announcement facts) {
+  if (IsLeaving)
+    co_return std::nullopt;
+  auto task = [](GateService *gate,
+                 Announcement it) -> asio::awaitable<std::int64_t> {
+    co_return gate->announceEndpoint(it);
+  };
+  co_return co_await asio::co_spawn(Traffic[0]->Io,
+                                    task(Gate.get(), std::move(facts)),
+                                    asio::use_awaitable);
+}
+
+void Node::Parts::applyView(const FleetViewPtr &view) {
+  asio::post(Traffic[0]->Io, [this, view] { Gate->applyView(view); });
+  for (std::size_t i = 0; i < Entries.size(); ++i)
+    asio::post(Traffic[i]->Io, [this, i, view] { Entries[i]->applyView(view); });
+}
+
+absl::Status Node::Parts::start() {
+  absl::Status status = Server->start();
+  if (status.ok())
+    status = Callers->start();
+  if (status.ok())
+    status = AdminHttp->start();
+  if (status.ok())
+    status = Brain->start();
+  if (!status.ok())
+    return status;
+  Gate->start();
+  for (auto &loop : Traffic)
+    loop->start();
+  ControlLoop.start();
+  logEvent(LogLevel::Info, "started",
+           {{"boot_id", BootId},
+            {"http", Facts.HttpAddress},
+            {"fleet", Facts.FleetAddress},
+            {"admin", Facts.AdminAddress}});
+  return absl::OkStatus();
+}
+
+bool Node::Parts::isQuiet() {
+  bool isGateQuiet = Traffic[0]->call([this] { return Gate->idle(); });
+  std::size_t inFlight = 0;
+  for (std::size_t i = 0; i < Entries.size(); ++i)
+    inFlight += Traffic[i]->call([this, i] { return Entries[i]->inFlight(); });
+  return isGateQuiet && inFlight == 0;
+}
+
+bool Node::Parts::stop() {
+  Instant begin = now();
+  logEvent(LogLevel::Info, "stopping", nlohmann::json::object());
+  ControlLoop.call([this] {
+    IsLeaving = true;
+    Brain->leave();
+    return true;
+  });
+  Traffic[0]->call([this] {
+    Callers->stop();
+    Gate->drainNow();
+    return true;
+  });
+  bool isClean = false;
+  while (!isClean && now() - begin < LingerTerm + Facts.DrainLimit) {
+    std::this_thread::sleep_for(StopPoll);
+    isClean = now() - begin >= LingerTerm && isQuiet();
+  }
+  for (auto &loop : Traffic)
+    loop->stop();
+  ControlLoop.stop();
+  logEvent(LogLevel::Info, "stopped", {{"clean", isClean}});
+  return isClean;
+}
+
+Node::Node(NodeSettings settings)
+    : All(std::make_unique<Parts>(std::move(settings))) {}
+
+Node::~Node() = default;
+
+absl::Status Node::start() { return All->start(); }
+
+bool Node::stop() { return All->stop(); }
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/node.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "libfleet/nodesettings.h"
+
+#include <absl/status/status.h>
+
+#include <memory>
+
+namespace hickoryglade::fleet {
+
+/// One node of the fleet: its threads and what runs on them.
+class Node {
+public:
+  explicit Node(NodeSettings settings);
+  ~Node();
+  Node(const Node &) = delete;
+  Node &operator=(const Node &) = delete;
+
+  /// Starts all threads; on failure none runs.
+  absl::Status start();
+
+  /// Leaves the fleet: takes nothing new, finishes what is in flight within
+  /// the configured limit. Returns false if something had to be cut off.
+  bool stop();
+
+private:
+  struct Parts;
+  std::unique_ptr<Parts> All;
+};
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/nodesettings.cpp
@@ -0,0 +1,172 @@
+#include "libfleet/nodesettings.h"
+
+#include "libfleet/address.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace hickoryglade::fleet {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int MostTrafficThreads = 64;
+constexpr int LeastRetentionMs = 1'000;
+constexpr int MostRetentionMs = 2'000'000'000;
+constexpr int MostDrainMs = 3'600'000;
+constexpr std::array<std::string_view, 4> LogLevels = {"debug", "info", "warn",
+                                                       "error"};
+
+/// Reads the keys of one object and notes what is wrong with them.
+class ObjectReader {
+public:
+  ObjectReader(const json &object, std::string path,
+               std::vector<SettingsFault> &faults)
+      : Object(object), Path(std::move(path)), Faults(faults) {}
+
+  void readString(const char *key, std::string &out, bool isRequired) {
+    const json *value = take(key, isRequired);
+    if (!value)
+      return;
+    if (!value->is_string() || value->get<std::string>().empty())
+      return fault(key, "must be a text, not " + value->dump());
+    out = value->get<std::string>();
+  }
+
+  void readAddress(const char *key, std::string &out, bool isRequired) {
+    std::size_t before = Faults.size();
+    readString(key, out, isRequired);
+    if (Faults.size() == before && !out.empty() && !parseAddress(out))
+      fault(key, "must be IP:PORT, not \"" + out + "\"");
+  }
+
+  void readInteger(const char *key, int &out, int lowest, int highest) {
+    const json *value = take(key, false);
+    if (!value)
+      return;
+    if (!value->is_number_integer() || value->get<std::int64_t>() < lowest ||
+        value->get<std::int64_t>() > highest)
+      return fault(key, "must be an integer from " + std::to_string(lowest) +
+                            " to " + std::to_string(highest) + ", not " +
+                            value->dump());
+    out = value->get<int>();
+  }
+
+  void readAddresses(const char *key, std::vector<std::string> &out) {
+    const json *value = take(key, false);
+    if (!value)
+      return;
+    if (!value->is_array())
+      return fault(key, "must be a list of IP:PORT");
+    for (const json &it : *value) {
+      if (it.is_string() && parseAddress(it.get<std::string>()))
+        out.push_back(it.get<std::string>());
+      else
+        fault(key, "must be a list of IP:PORT; " + it.dump() + " is not one");
+    }
+  }
+
+  const json *take(const char *key, bool isRequired) {
+    Known.emplace_back(key);
+    auto it = Object.find(key);
+    if (it != Object.end())
+      return &*it;
+    if (isRequired)
+      fault(key, "is missing");
+    return nullptr;
+  }
+
+  void reportUnknown() {
+    for (const auto &[key, value] : Object.items())
+      if (std::ranges::find(Known, key) == Known.end())
+        fault(key, "unknown key");
+  }
+
+  void fault(const std::string &key, std::string reason) {
+    Faults.push_back({Path + key, std::move(reason)});
+  }
+
+private:
+  const json &Object;
+  std::string Path;
+  std::vector<SettingsFault> &Faults;
+  std::vector<std::string> Known;
+};
+
+void readListen(const json &object, NodeSettings &settings,
+                std::vector<SettingsFault> &faults) {
+  ObjectReader reader(object, "listen.", faults);
+  reader.readAddress("http", settings.HttpAddress, true);
+  reader.readAddress("fleet", settings.FleetAddress, true);
+  reader.readAddress("admin", settings.AdminAddress, true);
+  reader.reportUnknown();
+}
+
+void readLog(const json &object, NodeSettings &settings,
+             std::vector<SettingsFault> &faults) {
+  ObjectReader reader(object, "log.", faults);
+  reader.readAddress("address", settings.LogAddress, true);
+  reader.readString("prefix", settings.StreamPrefix, false);
+  int retentionMs = int(settings.LogRetention.count());
+  reader.readInteger("retention_ms", retentionMs, LeastRetentionMs,
+                     MostRetentionMs);
+  settings.LogRetention = Millis(retentionMs);
+  reader.reportUnknown();
+}
+
+void readRoot(const json &root, NodeSettings &settings,
+              std::vector<SettingsFault> &faults) {
+  ObjectReader reader(root, "", faults);
+  reader.readString("node", settings.Node, true);
+  reader.readString("data_centre", settings.DataCentre, true);
+  reader.readAddress("advertise", settings.AdvertisedAddress, false);
+  reader.readAddresses("seeds", settings.Seeds);
+  reader.readInteger("traffic_threads", settings.TrafficThreads, 1,
+                     MostTrafficThreads);
+  int drainMs = int(settings.DrainLimit.count());
+  reader.readInteger("drain_limit_ms", drainMs, 0, MostDrainMs);
+  settings.DrainLimit = Millis(drainMs);
+  reader.readString("log_level", settings.LogLevel, false);
+  if (std::ranges::find(LogLevels, settings.LogLevel) == LogLevels.end())
+    reader.fault("log_level", "must be debug, info, warn or error");
+  const json *listen = reader.take("listen", true);
+  const json *log = reader.take("log", true);
+  reader.reportUnknown();
+  if (listen && listen->is_object())
+    readListen(*listen, settings, faults);
+  else if (listen)
+    reader.fault("listen", "must be an object");
+  if (log && log->is_object())
+    readLog(*log, settings, faults);
+  else if (log)
+    reader.fault("log", "must be an object");
+}
+
+} // namespace
+
+NodeSettingsResult parseNodeSettings(const std::string &text) {
+  NodeSettingsResult result;
+  json root;
+  try {
+    root = json::parse(text, nullptr, true, true);
+  } catch (const json::parse_error &fault) {
+    std::size_t upTo = std::min<std::size_t>(fault.byte, text.size());
+    auto line = 1 + std::count(text.begin(), text.begin() + long(upTo), '\n');
+    result.Faults.push_back(
+        {"line " + std::to_string(line), "is not valid JSON with comments"});
+    return result;
+  }
+  if (!root.is_object()) {
+    result.Faults.push_back({"line 1", "must be an object"});
+    return result;
+  }
+  readRoot(root, result.Settings, result.Faults);
+  if (result.Settings.AdvertisedAddress.empty())
+    result.Settings.AdvertisedAddress = result.Settings.FleetAddress;
+  return result;
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/peerlinks.cpp
@@ -0,0 +1,141 @@
+#include "libfleet/peerlinks.h"
+
+#include "libfleet/address.h"
+#include "libfleet/logging.h"
+
+#include <algorithm>
+
+namespace hickoryglade::fleet {
+
+namespace {
+
+/// Longest time for a connection and the hellos over it.
+constexpr Micros ConnectLimit = std::chrono::milliseconds(500);
+constexpr Micros PollPeriod = std::chrono::milliseconds(2);
+
+/// A lost path is left alone this long, doubling with further losses.
+constexpr Micros FirstDown = std::chrono::milliseconds(250);
+constexpr int MostDoublings = 3;
+
+} // namespace
+
+PeerLinks::PeerLinks(asio::any_io_executor ex, wire::Hello own)
+    : Executor(std::move(ex)), Own(std::move(own)) {}
+
+void PeerLinks::setLocal(std::string node,
+                         std::shared_ptr<GateClient> client) {
+  LocalNode = std::move(node);
+  Local = std::move(client);
+}
+
+asio::awaitable<std::shared_ptr<GateClient>>
+PeerLinks::connect(std::string node, const NodeView &view, Instant until) {
+  if (node == LocalNode)
+    co_return Local;
+  until = std::min(until, now() + ConnectLimit);
+  std::string address = view.FleetAddress;
+  while (true) {
+    Peer &peer = Peers[node];
+    bool isMoved = peer.Connection && peer.Address != address;
+    if (isMoved)
+      peer.Connection->close("the node has moved");
+    if (peer.Client && peer.Connection && peer.Connection->isOpen() &&
+        peer.Connection->peer())
+      co_return peer.Client;
+    if (now() >= until)
+      co_return nullptr;
+    bool isResting = now() < peer.DownUntil;
+    if (isResting && peer.DownUntil >= until)
+      co_return nullptr;
+    if (!isResting && !peer.IsConnecting && !peer.Connection) {
+      peer.IsConnecting = true;
+      asio::co_spawn(Executor, open(node, address), asio::detached);
+    }
+    asio::steady_timer pause(Executor, PollPeriod);
+    error_code ec;
+    co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+  }
+}
+
+asio::awaitable<void> PeerLinks::open(std::string node, std::string address) {
+  std::optional<Address> parsed = parseAddress(address);
+  auto socket = std::make_shared<tcp::socket>(Executor);
+  auto timer = std::make_shared<asio::steady_timer>(Executor, ConnectLimit);
+  timer->async_wait([socket](const error_code &ec) {
+    error_code ignored;
+    if (!ec)
+      socket->close(ignored);
+  });
+  error_code ec = asio::error::invalid_argument;
+  if (parsed)
+    co_await socket->async_connect(
+        tcp::endpoint(asio::ip::make_address(parsed->Ip), parsed->Port),
+        asio::redirect_error(asio::use_awaitable, ec));
+  timer->cancel();
+  Peer &peer = Peers[node];
+  peer.IsConnecting = false;
+  if (ec || !socket->is_open()) {
+    noteDown(node);
+    co_return;
+  }
+  auto slot = std::make_shared<GateClient *>(nullptr);
+  peer.Connection = std::make_shared<Link>(std::move(*socket), Own,
+                                           eventsFor(node, slot));
+  peer.Client = std::make_shared<GateClient>(peer.Connection);
+  *slot = peer.Client.get();
+  peer.Client->OnStreamCount = [link = peer.Connection.get()](std::size_t n) {
+    link->setBusy(n > 0);
+  };
+  peer.Address = address;
+  peer.Connection->setBusy(true);
+  peer.Connection->start();
+}
+
+Link::Events
+PeerLinks::eventsFor(const std::string &node,
+                     const std::shared_ptr<GateClient *> &slot) {
+  Link::Events events;
+  events.OnFrame = [this, node, slot](const std::shared_ptr<Link> &link,
+                                      wire::Frame frame) {
+    if (frame.__isset.hello) {
+      Peers[node].Losses = 0;
+      link->setBusy(*slot && (*slot)->openStreams() > 0);
+      return;
+    }
+    if (*slot && !(*slot)->takeFrame(std::move(frame)))
+      link->close("unexpected frame");
+  };
+  events.OnClose = [this, node, slot](const std::shared_ptr<Link> &) {
+    Peer &peer = Peers[node];
+    std::shared_ptr<GateClient> client = std::move(peer.Client);
+    peer.Client = nullptr;
+    peer.Connection = nullptr;
+    *slot = nullptr;
+    noteDown(node);
+    if (client)
+      client->lose();
+  };
+  return events;
+}
+
+void PeerLinks::noteDown(const std::string &node) {
+  Peer &peer = Peers[node];
+  Micros pause = FirstDown * (1 << std::min(peer.Losses, MostDoublings));
+  ++peer.Losses;
+  peer.DownUntil = now() + pause;
+}
+
+bool PeerLinks::isPathUp(const std::string &node, Instant now) const {
+  auto it = Peers.find(node);
+  if (it == Peers.end() || it->second.Connection)
+    return true;
+  return now >= it->second.DownUntil;
+}
+
+void PeerLinks::closeAll() {
+  for (auto &[node, peer] : Peers)
+    if (auto link = peer.Connection)
+      link->close("the node stops");
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/settingsservice.cpp
@@ -0,0 +1,175 @@
+#include "libfleet/settingsservice.h"
+
+#include "libfleet/clock.h"
+#include "libfleet/logging.h"
+#include "libfleet/metrics.h"
+
+namespace hickoryglade::fleet {
+
+namespace {
+
+constexpr Millis PollWait = std::chrono::seconds(5);
+constexpr Millis FirstBackoff = std::chrono::milliseconds(200);
+constexpr Millis MostBackoff = std::chrono::seconds(2);
+constexpr Millis VerdictPoll = std::chrono::milliseconds(10);
+constexpr Millis RefreshPeriod = std::chrono::milliseconds(500);
+
+/// Each place in the refresh order waits this much longer before it writes.
+constexpr Millis RefreshStep = std::chrono::milliseconds(500);
+
+/// Records in the oldest quarter of what the log keeps are written anew, and
+/// those that have stood for half the time that it keeps them.
+constexpr std::int64_t RefreshedPart = 4;
+constexpr std::int64_t RefreshedAge = 2;
+
+} // namespace
+
+SettingsService::SettingsService(asio::io_context &io, std::string logAddress,
+                                 std::string stream, Millis retention,
+                                 Metrics &metrics, Events events)
+    : Io(io), LogAddress(logAddress), Stream(stream), Retention(retention),
+      Reader(io.get_executor(), logAddress, stream), Counters(metrics),
+      Handlers(std::move(events)) {}
+
+void SettingsService::start() {
+  asio::co_spawn(Io, follow(), asio::detached);
+  asio::co_spawn(Io, refresh(), asio::detached);
+}
+
+asio::awaitable<void> SettingsService::pause(Millis wait) {
+  asio::steady_timer timer(Io, wait);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<void> SettingsService::follow() {
+  Millis backoff = FirstBackoff;
+  Loaded = co_await Handlers.FetchSnapshot();
+  while (true) {
+    Millis wait = Loaded ? PollWait : Millis(0);
+    ReadResult result = co_await Reader.read(Folded.Next, wait);
+    IsReachable = result.Status == LogStatus::Done ||
+                  result.Status == LogStatus::Expired;
+    if (result.Status == LogStatus::Done) {
+      backoff = FirstBackoff;
+      FirstKept = result.First;
+      bool isFirst = !Loaded;
+      Loaded = true;
+      fold(result.Records);
+      if (isFirst)
+        Handlers.OnChange();
+      continue;
+    }
+    if (result.Status == LogStatus::Expired) {
+      co_await takeExpired(result.First);
+      continue;
+    }
+    Counters.countLogFailure("read");
+    logEvent(LogLevel::Warn, "log_unreachable", {{"stream", Stream}});
+    bool hasPeerState = co_await Handlers.FetchSnapshot();
+    Loaded = Loaded || hasPeerState;
+    co_await pause(result.Status == LogStatus::Overloaded ? result.RetryAfter
+                                                          : backoff);
+    backoff = std::min(backoff * 2, MostBackoff);
+  }
+}
+
+/// Records have expired before this node read them: peers may know them.
+asio::awaitable<void> SettingsService::takeExpired(std::int64_t first) {
+  FirstKept = first;
+  bool hasPeerState = co_await Handlers.FetchSnapshot();
+  if (hasPeerState && Folded.Next >= first)
+    co_return;
+  logEvent(LogLevel::Warn, "log_expired",
+           {{"stream", Stream}, {"first", first}, {"next", Folded.Next}});
+  skipTo(Folded, first);
+}
+
+void SettingsService::fold(const std::vector<LogRecord> &records) {
+  for (const LogRecord &record : records) {
+    FoldResult result = foldRecord(Folded, record.Offset, record.Data);
+    if (!result.Rejected.empty()) {
+      Counters.countSettings("rejected");
+      logEvent(LogLevel::Warn, "settings_rejected",
+               {{"offset", record.Offset}, {"reason", result.Rejected}});
+    }
+    if (result.Verdict) {
+      Counters.countSettings(std::string(toString(result.Verdict->Outcome)));
+      logEvent(LogLevel::Info, "settings_verdict",
+               {{"change", result.Verdict->Id},
+                {"path", result.Verdict->Path},
+                {"outcome", toString(result.Verdict->Outcome)},
+                {"revision", result.Verdict->Revision}});
+    }
+  }
+  if (records.empty())
+    return;
+  Counters.setSettingsNext(double(Folded.Next));
+  Handlers.OnChange();
+}
+
+void SettingsService::merge(const SettingsTree &tree, std::int64_t next) {
+  bool isChanged = mergeSnapshot(Folded, tree, next);
+  bool isFirst = !Loaded;
+  Loaded = true;
+  if (isChanged || isFirst)
+    Handlers.OnChange();
+}
+
+asio::awaitable<std::optional<ChangeVerdict>>
+SettingsService::publish(SettingsChange change, Millis limit) {
+  Instant until = now() + limit;
+  LogClient writer(Io.get_executor(), LogAddress, Stream);
+  change.AtMs = wallMicros() / 1'000;
+  std::string data = encodeChange(change);
+  Millis backoff = FirstBackoff;
+  while (now() < until) {
+    AppendResult result = co_await writer.append(data);
+    if (result.Status == LogStatus::Done)
+      break;
+    Counters.countLogFailure("append");
+    if (Folded.Verdicts.contains(change.Id))
+      break;
+    co_await pause(std::min(backoff, toMillis(until - now())));
+    backoff = std::min(backoff * 2, MostBackoff);
+  }
+  while (now() < until) {
+    auto it = Folded.Verdicts.find(change.Id);
+    if (it != Folded.Verdicts.end())
+      co_return it->second;
+    co_await pause(VerdictPoll);
+  }
+  co_return std::nullopt;
+}
+
+RecordPlace SettingsService::oldestSafe() const {
+  RecordPlace place;
+  if (FirstKept > 0)
+    place.Offset = FirstKept + (Folded.Next - FirstKept) / RefreshedPart;
+  place.AtMs = wallMicros() / 1'000 - Retention.count() / RefreshedAge;
+  return place;
+}
+
+asio::awaitable<void> SettingsService::refresh() {
+  LogClient writer(Io.get_executor(), LogAddress, Stream);
+  while (true) {
+    co_await pause(RefreshPeriod);
+    if (!IsReachable)
+      continue;
+    auto due = dueRefresh(Folded, oldestSafe());
+    if (!due)
+      continue;
+    std::string what = due->Path + ' ' + std::to_string(due->Revision);
+    co_await pause(RefreshStep * int(Handlers.RefreshRank(what)));
+    auto still = dueRefresh(Folded, oldestSafe());
+    if (!still || still->Path != due->Path)
+      continue;
+    still->AtMs = wallMicros() / 1'000;
+    AppendResult result = co_await writer.append(encodeRefresh(*still));
+    logEvent(LogLevel::Info, "settings_refresh",
+             {{"path", still->Path},
+              {"revision", still->Revision},
+              {"appended", result.Status == LogStatus::Done}});
+  }
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/settingsservice.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "libfleet/asio.h"
+#include "libfleet/logclient.h"
+#include "libhickoryglade/settingslog.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace hickoryglade::fleet {
+
+class Metrics;
+
+/// Follows the settings stream on the control thread, appends changes, and
+/// writes values anew before the log forgets them.
+class SettingsService {
+public:
+  struct Events {
+    std::function<void()> OnChange;
+    /// Asks some peer for its state.
+    std::function<asio::awaitable<bool>()> FetchSnapshot;
+    /// This node's place among all in writing a given record anew.
+    std::function<std::size_t(const std::string &what)> RefreshRank;
+  };
+
+  SettingsService(asio::io_context &io, std::string logAddress,
+                  std::string stream, Millis retention, Metrics &metrics,
+                  Events events);
+
+  void start();
+  const SettingsState &state() const { return Folded; }
+
+  /// True once a state has come from the log or from a peer.
+  bool isLoaded() const { return Loaded; }
+  bool isLogReachable() const { return IsReachable; }
+
+  /// Takes over what a peer knows.
+  void merge(const SettingsTree &tree, std::int64_t next);
+
+  /// Appends a change and waits for its verdict; gives nothing if the log
+  /// cannot be reached in time.
+  asio::awaitable<std::optional<ChangeVerdict>> publish(SettingsChange change,
+                                                        Millis limit);
+
+private:
+  asio::awaitable<void> follow();
+  asio::awaitable<void> refresh();
+  RecordPlace oldestSafe() const;
+  asio::awaitable<void> pause(Millis wait);
+  void fold(const std::vector<LogRecord> &records);
+  asio::awaitable<void> takeExpired(std::int64_t first);
+
+  asio::io_context &Io;
+  std::string LogAddress;
+  std::string Stream;
+  Millis Retention;
+  LogClient Reader;
+  Metrics &Counters;
+  Events Handlers;
+  SettingsState Folded;
+  std::int64_t FirstKept = 0;
+  bool Loaded = false;
+  bool IsReachable = false;
+};
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/wireconvert.cpp
@@ -0,0 +1,141 @@
+#include "libfleet/wireconvert.h"
+
+#include <algorithm>
+
+namespace hickoryglade::fleet {
+
+namespace {
+
+template <typename Enum> std::optional<Enum> toEnum(int value, Enum last) {
+  if (value < 0 || value > int(last))
+    return std::nullopt;
+  return static_cast<Enum>(value);
+}
+
+wire::EndpointRecord toWire(const EndpointRecord &it) {
+  wire::EndpointRecord out;
+  std::size_t slash = it.Service.find('/');
+  out.name = it.Name;
+  out.workspace = it.Service.substr(0, slash);
+  out.serviceName = it.Service.substr(std::min(slash + 1, it.Service.size()));
+  out.slots = it.Slots;
+  out.generation = it.Generation;
+  out.state = int(it.State);
+  return out;
+}
+
+std::optional<EndpointRecord> fromWire(const wire::EndpointRecord &it) {
+  auto state = toEnum(it.state, Standing::Draining);
+  if (!state)
+    return std::nullopt;
+  return EndpointRecord{it.name, it.workspace + "/" + it.serviceName, it.slots,
+                        it.generation, *state};
+}
+
+wire::MemberUpdate toWire(const MemberUpdate &it) {
+  wire::MemberUpdate out;
+  const MemberRecord &record = it.Record;
+  out.record.node = record.Node;
+  out.record.bootId = record.BootId;
+  out.record.version = record.Version;
+  out.record.fleetAddress = record.FleetAddress;
+  out.record.adminAddress = record.AdminAddress;
+  out.record.dataCentre = record.DataCentre;
+  out.record.state = record.IsLeaving ? 1 : 0;
+  out.record.settingsOffset = record.SettingsNext;
+  out.record.ledgerOffset = record.LedgerNext;
+  for (const EndpointRecord &endpoint : record.Endpoints)
+    out.record.endpoints.push_back(toWire(endpoint));
+  out.state = int(it.State);
+  return out;
+}
+
+std::optional<MemberUpdate> fromWire(const wire::MemberUpdate &it) {
+  auto state = toEnum(it.state, MemberState::Dead);
+  if (!state)
+    return std::nullopt;
+  MemberUpdate out;
+  out.State = *state;
+  out.Record.Node = it.record.node;
+  out.Record.BootId = it.record.bootId;
+  out.Record.Version = it.record.version;
+  out.Record.FleetAddress = it.record.fleetAddress;
+  out.Record.AdminAddress = it.record.adminAddress;
+  out.Record.DataCentre = it.record.dataCentre;
+  out.Record.IsLeaving = it.record.state != 0;
+  out.Record.SettingsNext = it.record.settingsOffset;
+  out.Record.LedgerNext = it.record.ledgerOffset;
+  for (const wire::EndpointRecord &endpoint : it.record.endpoints) {
+    auto record = fromWire(endpoint);
+    if (!record)
+      return std::nullopt;
+    out.Record.Endpoints.push_back(std::move(*record));
+  }
+  return out;
+}
+
+} // namespace
+
+wire::Gossip toWire(const GossipMessage &message) {
+  wire::Gossip out;
+  out.kind = static_cast<wire::GossipKind::type>(message.Kind);
+  out.sender = message.Sender;
+  out.senderAddress = message.SenderAddress;
+  out.sequence = message.Sequence;
+  out.target = message.Target;
+  for (const MemberUpdate &it : message.Updates)
+    out.updates.push_back(toWire(it));
+  if (message.Kind == GossipKind::Sync)
+    out.buckets.assign(message.Buckets.begin(), message.Buckets.end());
+  return out;
+}
+
+std::optional<GossipMessage> fromWire(const wire::Gossip &gossip) {
+  auto kind = toEnum(int(gossip.kind), GossipKind::Updates);
+  if (!kind)
+    return std::nullopt;
+  GossipMessage out;
+  out.Kind = *kind;
+  out.Sender = gossip.sender;
+  out.SenderAddress = gossip.senderAddress;
+  out.Sequence = gossip.sequence;
+  out.Target = gossip.target;
+  for (const wire::MemberUpdate &it : gossip.updates) {
+    auto update = fromWire(it);
+    if (!update)
+      return std::nullopt;
+    out.Updates.push_back(std::move(*update));
+  }
+  if (*kind == GossipKind::Sync && gossip.buckets.size() != SyncBuckets)
+    return std::nullopt;
+  std::ranges::copy(gossip.buckets, out.Buckets.begin());
+  return out;
+}
+
+wire::Snapshot toWire(const SettingsState &state) {
+  wire::Snapshot out;
+  out.settingsOffset = state.Next;
+  for (const auto &[path, node] : state.Tree.Nodes) {
+    wire::SettingsEntry entry;
+    entry.path = path;
+    entry.value = node.Value.dump();
+    entry.revision = node.Revision;
+    out.entries.push_back(std::move(entry));
+  }
+  return out;
+}
+
+SettingsTree fromWire(const wire::Snapshot &snapshot) {
+  SettingsTree tree;
+  for (const wire::SettingsEntry &entry : snapshot.entries) {
+    auto value = nlohmann::json::parse(entry.value, nullptr, false);
+    if (value.is_discarded() || !settingsPathFault(entry.path).empty())
+      continue;
+    if (!value.is_null() && !checkSettingsValue(entry.path, value).empty())
+      continue;
+    tree.Nodes[entry.path] = {std::move(value), entry.revision};
+  }
+  return tree;
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/wireconvert.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "libhickoryglade/membership.h"
+#include "libhickoryglade/quarantine.h"
+#include "libhickoryglade/settingslog.h"
+
+#include "fleet_types.h"
+
+#include <optional>
+
+namespace hickoryglade::fleet {
+
+wire::Gossip toWire(const GossipMessage &message);
+/// Gives nothing if a value is out of range.
+std::optional<GossipMessage> fromWire(const wire::Gossip &gossip);
+
+wire::Snapshot toWire(const SettingsState &state);
+/// Tree of a snapshot; values that do not parse are left out.
+SettingsTree fromWire(const wire::Snapshot &snapshot);
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libhickoryglade/costmodel.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "libhickoryglade/instant.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+namespace hickoryglade {
+
+/// Class of requests that are expected to take a similar time.
+struct CostClass {
+  /// Settings path of the route.
+  std::string Route;
+  std::string Method;
+  std::uint64_t BodyBytes = 0;
+};
+
+struct CostEstimate {
+  /// Zero as long as nothing is known.
+  Micros Expected{0};
+  bool IsLong = false;
+
+  bool operator==(const CostEstimate &) const = default;
+};
+
+/// Run times that an entry has seen, by route, method and size class, over
+/// all gates. Bounded: the least recently used class goes first.
+class CostModel {
+public:
+  explicit CostModel(std::size_t mostClasses = 10'000);
+
+  CostEstimate estimate(const CostClass &cls, Micros longAfter) const;
+  void observe(const CostClass &cls, Micros runTime);
+
+  std::size_t size() const { return Classes.size(); }
+
+private:
+  struct Average {
+    double Micros = 0;
+    std::uint64_t LastUse = 0;
+  };
+
+  void evict();
+
+  std::unordered_map<std::string, Average> Classes;
+  std::size_t MostClasses;
+  std::uint64_t Uses = 0;
+};
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/errorkind.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "libhickoryglade/instant.h"
+
+#include <string>
+#include <string_view>
+
+namespace hickoryglade {
+
+/// Whether the work of a request may have had an effect.
+enum class RunState { NotRun, Unknown };
+
+/// The closed list of reasons for which the fleet answers in place of an
+/// endpoint. Values are part of the protocol between nodes: append only.
+enum class ErrorKind {
+  BadRequest,
+  HeadersTooLarge,
+  BodyTooLarge,
+  NoRoute,
+  NoSettings,
+  NoEndpoint,
+  Overloaded,
+  DeadlineExceeded,
+  EndpointFailed,
+  AnswerTruncated,
+  GateLost,
+  GrantLapsed,
+  WrongGeneration,
+  Quarantined,
+  KeyReused,
+  KeyUnvouched,
+  KeyAnswerGone,
+  KeeperUnavailable,
+  ShuttingDown,
+  Cancelled,
+  EndpointShed,
+  Internal,
+};
+
+/// Row of the table from error kind to answer.
+struct ErrorAnswer {
+  ErrorKind Kind;
+  std::string_view Name;
+  int Status;
+  RunState DefaultRun;
+  bool IsRetryable;
+  std::string_view Title;
+};
+
+/// A failure on its way to the caller.
+struct Error {
+  ErrorKind Kind = ErrorKind::Internal;
+  RunState Run = RunState::Unknown;
+  std::string Detail;
+  Millis RetryAfter{0};
+
+  bool operator==(const Error &) const = default;
+};
+
+const ErrorAnswer &answerFor(ErrorKind kind);
+
+/// Maps a number received from another node; unknown numbers are Internal.
+ErrorKind errorKindFromWire(int value);
+
+/// Builds an error with the table's default run state.
+Error makeError(ErrorKind kind, std::string detail = {},
+                Millis retryAfter = Millis{0});
+
+std::string_view toString(RunState run);
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/fairqueue.cpp
@@ -0,0 +1,130 @@
+#include "libhickoryglade/fairqueue.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace hickoryglade {
+
+namespace {
+
+/// Floor of a ticket's cost, so that no workspace runs for free.
+constexpr Micros LeastCost{1'000};
+
+Micros costOf(const Ticket &ticket) {
+  return std::max(ticket.ExpectedCost, LeastCost) / std::max(ticket.Copies, 1);
+}
+
+} // namespace
+
+void FairQueue::push(Ticket ticket, int share) {
+  double level = floorService();
+  auto [it, isNew] = Lanes.try_emplace(ticket.Workspace);
+  Lane &lane = it->second;
+  if (isNew)
+    lane.Service = level;
+  lane.Share = std::max(share, 1);
+  lane.Waiting += costOf(ticket);
+  lane.Tickets.push_back(std::move(ticket));
+  ++Count;
+}
+
+std::optional<Ticket>
+FairQueue::pop(const std::function<bool(const Ticket &)> &mayRun) {
+  std::vector<std::pair<double, Lane *>> order;
+  for (auto &[workspace, lane] : Lanes)
+    order.emplace_back(lane.Service, &lane);
+  std::ranges::sort(order);
+  for (auto &[service, lane] : order) {
+    auto it = std::ranges::find_if(lane->Tickets, mayRun);
+    if (it == lane->Tickets.end())
+      continue;
+    Ticket ticket = std::move(*it);
+    lane->Tickets.erase(it);
+    lane->Waiting -= costOf(ticket);
+    lane->Service += double(costOf(ticket).count()) / lane->Share;
+    LastService = std::max(LastService, service);
+    --Count;
+    removeEmpty(ticket.Workspace);
+    return ticket;
+  }
+  return std::nullopt;
+}
+
+bool FairQueue::remove(const std::string &attempt) {
+  for (auto &[workspace, lane] : Lanes) {
+    auto it = std::ranges::find(lane.Tickets, attempt, &Ticket::AttemptId);
+    if (it == lane.Tickets.end())
+      continue;
+    lane.Waiting -= costOf(*it);
+    lane.Tickets.erase(it);
+    --Count;
+    removeEmpty(std::string(workspace));
+    return true;
+  }
+  return false;
+}
+
+std::vector<Ticket> FairQueue::takeExpired(Instant now) {
+  std::vector<Ticket> expired;
+  for (auto &[workspace, lane] : Lanes) {
+    auto tail = std::stable_partition(
+        lane.Tickets.begin(), lane.Tickets.end(),
+        [&](const Ticket &it) { return it.Deadline > now; });
+    for (auto it = tail; it != lane.Tickets.end(); ++it) {
+      lane.Waiting -= costOf(*it);
+      expired.push_back(std::move(*it));
+    }
+    lane.Tickets.erase(tail, lane.Tickets.end());
+  }
+  Count -= expired.size();
+  std::erase_if(Lanes, [](const auto &it) { return it.second.Tickets.empty(); });
+  return expired;
+}
+
+std::vector<Ticket> FairQueue::takeAll() {
+  std::vector<Ticket> all;
+  for (auto &[workspace, lane] : Lanes)
+    std::ranges::move(lane.Tickets, std::back_inserter(all));
+  Lanes.clear();
+  Count = 0;
+  return all;
+}
+
+Micros FairQueue::costAhead(const std::string &workspace, int share) const {
+  auto own = Lanes.find(workspace);
+  Micros ownCost = own == Lanes.end() ? Micros{0} : own->second.Waiting;
+  double ownLevel =
+      double(ownCost.count()) / std::max(share, 1);
+  return std::accumulate(
+      Lanes.begin(), Lanes.end(), ownCost,
+      [&](Micros sum, const auto &it) {
+        if (it.first == workspace)
+          return sum;
+        Micros competing{static_cast<Micros::rep>(
+            (ownLevel + double(LeastCost.count())) * it.second.Share)};
+        return sum + std::min(it.second.Waiting, competing);
+      });
+}
+
+bool FairQueue::hasShort() const {
+  return std::ranges::any_of(Lanes, [](const auto &it) {
+    return std::ranges::any_of(it.second.Tickets,
+                               [](const Ticket &t) { return !t.IsLong; });
+  });
+}
+
+double FairQueue::floorService() const {
+  if (Lanes.empty())
+    return LastService;
+  auto it = std::ranges::min_element(
+      Lanes, {}, [](const auto &lane) { return lane.second.Service; });
+  return std::max(LastService, it->second.Service);
+}
+
+void FairQueue::removeEmpty(const std::string &workspace) {
+  auto it = Lanes.find(workspace);
+  if (it != Lanes.end() && it->second.Tickets.empty())
+    Lanes.erase(it);
+}
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/fairqueue.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "libhickoryglade/ticket.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hickoryglade {
+
+/// Requests that wait for slots of one service, shared fairly between
+/// workspaces by start-time fair queueing over slot time.
+class FairQueue {
+public:
+  void push(Ticket ticket, int share);
+
+  /// Takes the next ticket that may run; a workspace that has received less
+  /// slot time per share goes first.
+  std::optional<Ticket> pop(const std::function<bool(const Ticket &)> &mayRun);
+
+  /// Returns false if the attempt does not wait here.
+  bool remove(const std::string &attempt);
+
+  /// Takes out the tickets whose deadline leaves no time to run.
+  std::vector<Ticket> takeExpired(Instant now);
+
+  std::vector<Ticket> takeAll();
+
+  /// Slot time of the waiting tickets that would run before a new one of
+  /// this workspace.
+  Micros costAhead(const std::string &workspace, int share) const;
+
+  std::size_t size() const { return Count; }
+  bool hasShort() const;
+
+private:
+  struct Lane {
+    std::deque<Ticket> Tickets;
+    int Share = 1;
+    /// Slot time received per share, in microseconds.
+    double Service = 0;
+    Micros Waiting{0};
+  };
+
+  /// A workspace that was idle starts level with the busy ones.
+  double floorService() const;
+  void removeEmpty(const std::string &workspace);
+
+  std::map<std::string, Lane> Lanes;
+  std::size_t Count = 0;
+  double LastService = 0;
+};
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/gate.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "libhickoryglade/fairqueue.h"
+#include "libhickoryglade/gateaction.h"
+#include "libhickoryglade/gateendpoint.h"
+#include "libhickoryglade/quarantine.h"
+#include "libhickoryglade/random.h"
+#include "libhickoryglade/startledger.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace hickoryglade {
+
+/// How an attempt at an endpoint ended.
+enum class AttemptOutcome {
+  /// A whole answer of any status below 500.
+  Answered,
+  /// A whole answer that reports a server error.
+  ServerError,
+  /// Refused by the endpoint without running it.
+  Shed,
+  /// The connection broke; whether the process is gone is not known.
+  Broken,
+  /// The connection broke and nothing listens at the address any more.
+  Crashed,
+  /// The answer was malformed, truncated or late.
+  Failed,
+  /// The deadline passed without an answer.
+  TimedOut,
+  /// The caller withdrew it.
+  Cancelled,
+};
+
+/// What a gate knows about a service at the moment of a reply.
+struct GateLoad {
+  int FreeSlots = 0;
+  int Queued = 0;
+  int Slots = 0;
+
+  bool operator==(const GateLoad &) const = default;
+};
+
+/// The queue and learned costs of one service at this gate.
+struct GateService {
+  ServicePolicy Policy;
+  FairQueue Queue;
+  /// Shares of the workspaces that use the service.
+  std::map<std::string, int> Shares;
+  /// Fingerprints of serialized requests that are running.
+  std::set<std::uint64_t> Serialized;
+};
+
+/// State of one node's gate: the only way to the endpoints announced to it.
+/// All functions below are the only ones that change it; each takes the time
+/// and returns what the caller must carry out, in order.
+struct Gate {
+  std::map<std::string, GateEndpoint> Endpoints;
+  std::map<std::string, GateService> Services;
+  StartLedger Ledger;
+  Quarantine Crashes;
+  /// Endpoint of each attempt that holds a slot.
+  std::map<std::string, std::string> Held;
+  bool IsDraining = false;
+  Random Rng{1};
+};
+
+/// Takes or renews an announcement.
+GateActions announce(Gate &gate, const Announcement &facts, Instant now);
+
+/// Forgets an endpoint that has left; what it runs may finish.
+GateActions withdraw(Gate &gate, const std::string &endpoint, Instant now);
+
+/// A request asks for a slot.
+GateActions offer(Gate &gate, const Ticket &ticket, Instant now);
+
+/// The body of a granted request has arrived.
+GateActions claim(Gate &gate, const std::string &attempt, Instant now);
+
+/// The caller no longer wants the request here.
+GateActions cancel(Gate &gate, const std::string &attempt, Instant now);
+
+/// An attempt at an endpoint has ended.
+GateActions complete(Gate &gate, const std::string &attempt,
+                     AttemptOutcome outcome, Instant now);
+
+/// Fences an attempt that has not started; returns what it found.
+StartState revoke(Gate &gate, const std::string &attempt, Instant forgetAt,
+                  Instant now, GateActions &actions);
+
+/// Grants, renews (later end) or ends (no end) an ejection lease.
+GateActions setEjection(Gate &gate, const std::string &endpoint,
+                        std::optional<Instant> until, Instant now);
+
+/// Deadlines, silent endpoints, verdicts, lapsed grants and leases.
+GateActions tick(Gate &gate, Instant now);
+
+/// Stops taking work; what runs may finish.
+GateActions drain(Gate &gate, Instant now);
+
+GateLoad loadOf(const Gate &gate, const std::string &service, Instant now);
+
+/// True if no request waits or runs.
+bool isIdle(const Gate &gate);
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/gateendpoint.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "libhickoryglade/announcement.h"
+#include "libhickoryglade/healthpolicy.h"
+#include "libhickoryglade/standing.h"
+#include "libhickoryglade/ticket.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hickoryglade {
+
+/// A request that holds a slot of an endpoint.
+struct SlotHolder {
+  Ticket Request;
+  Instant Since;
+  /// False while the slot is held for a body that has not arrived.
+  bool IsStarted = false;
+};
+
+/// A request whose connection broke while it ran.
+struct DroppedRequest {
+  std::uint64_t Fingerprint = 0;
+  Instant At;
+};
+
+/// An endpoint behind this gate and what the gate has seen of it.
+struct GateEndpoint {
+  Announcement Facts;
+  /// Counts the incarnations that this gate has seen; fences late results.
+  std::int64_t Generation = 1;
+  Instant LastHeard;
+  Standing State = Standing::Healthy;
+  std::vector<SlotHolder> Holders;
+  std::vector<DroppedRequest> Dropped;
+  Instant LastCompletion;
+  int ConsecutiveFailures = 0;
+  /// Answers since the endpoint's start.
+  int Completions = 0;
+  /// When it last passed a trial, while that still counts.
+  std::optional<Instant> RecoveredAt;
+  /// Times that the endpoint fell ill again soon after it was readmitted.
+  int Relapses = 0;
+  Instant StateSince;
+  /// End of the ejection lease by this node's clock.
+  std::optional<Instant> EjectedUntil;
+};
+
+/// A request is overdue once it has taken this many times what entries have
+/// seen such requests take anywhere.
+constexpr int OverdueFactor = 6;
+
+int freeSlots(const GateEndpoint &endpoint);
+int longHeld(const GateEndpoint &endpoint, Instant now, Micros longAfter);
+
+EndpointEvidence evidenceOf(const GateEndpoint &endpoint,
+                            const ServicePolicy &policy, Instant now);
+
+/// Time that a sick endpoint rests before a trial; doubles with relapses.
+Micros restBeforeTrial(int relapses);
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/healthpolicy.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "libhickoryglade/instant.h"
+#include "libhickoryglade/servicepolicy.h"
+
+#include <string>
+
+namespace hickoryglade {
+
+/// What a gate has seen of an endpoint, first hand.
+struct EndpointEvidence {
+  int Running = 0;
+  /// Running requests that have taken much longer than entries have seen
+  /// such requests take anywhere in the fleet.
+  int Overdue = 0;
+  /// Greatest time by which a running request has passed its expected time.
+  Micros MostOverdue{0};
+  Micros SinceCompletion{0};
+  int ConsecutiveFailures = 0;
+
+  bool operator==(const EndpointEvidence &) const = default;
+};
+
+enum class HealthVerdict { Well, Doubtful, Sick };
+
+struct HealthJudgement {
+  HealthVerdict Verdict = HealthVerdict::Well;
+  std::string Reason;
+
+  bool operator==(const HealthJudgement &) const = default;
+};
+
+/// Judges evidence. Registered under the names that settings use.
+struct HealthPolicy {
+  HealthJudgement (*Judge)(const EndpointEvidence &evidence,
+                           const ServicePolicy &policy);
+};
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/memberrecord.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "libhickoryglade/standing.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hickoryglade {
+
+/// An endpoint as its gate's node describes it to the fleet.
+struct EndpointRecord {
+  std::string Name;
+  /// Qualified service name.
+  std::string Service;
+  int Slots = 1;
+  std::int64_t Generation = 1;
+  Standing State = Standing::Healthy;
+
+  bool operator==(const EndpointRecord &) const = default;
+};
+
+/// A node as it describes itself. Only the node writes it: of two records,
+/// the higher (BootId, Version) is the newer.
+struct MemberRecord {
+  std::string Node;
+  /// Start time of the process in microseconds since the Unix epoch.
+  std::int64_t BootId = 0;
+  std::int64_t Version = 0;
+  std::string FleetAddress;
+  std::string AdminAddress;
+  std::string DataCentre;
+  /// True once the node has said that it is leaving.
+  bool IsLeaving = false;
+  std::vector<EndpointRecord> Endpoints;
+  /// Offsets up to which the node has read the settings and the leases.
+  std::int64_t SettingsNext = 0;
+  std::int64_t LedgerNext = 0;
+
+  bool operator==(const MemberRecord &) const = default;
+};
+
+/// True if a describes a later state of the node than b.
+bool isNewer(const MemberRecord &a, const MemberRecord &b);
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/membership.cpp
@@ -0,0 +1,380 @@
+#include "libhickoryglade/membership.h"
+
+#include "libhickoryglade/hash.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace hickoryglade {
+
+namespace {
+
+constexpr Micros ProbePeriod = std::chrono::milliseconds(500);
+constexpr Micros DirectTimeout = std::chrono::milliseconds(200);
+constexpr Micros ProbeTimeout = std::chrono::milliseconds(450);
+constexpr Micros SuspicionTerm = std::chrono::seconds(3);
+constexpr Micros SyncPeriod = std::chrono::seconds(5);
+
+/// Dead members are remembered this long, so that old news of them does not
+/// bring them back.
+constexpr Micros DeadMemory = std::chrono::hours(1);
+
+constexpr std::size_t IndirectProbes = 3;
+constexpr int TransmissionFactor = 3;
+
+/// Bounds a datagram; a record weighs its endpoints and itself.
+constexpr std::size_t MostWeight = 40;
+
+std::size_t weightOf(const MemberUpdate &update) {
+  return 2 + update.Record.Endpoints.size();
+}
+
+std::size_t bucketOf(const std::string &node) {
+  return stableHash(node) % SyncBuckets;
+}
+
+int mostTransmissions(const Membership &state) {
+  return TransmissionFactor * int(std::bit_width(state.Members.size() + 1));
+}
+
+const MemberRecord &self(const Membership &state) {
+  return state.Members.at(state.Self).Record;
+}
+
+/// The beliefs that have been passed on least, within a datagram's bounds.
+std::vector<MemberUpdate> freshUpdates(Membership &state) {
+  std::vector<Member *> fresh;
+  for (auto &[node, member] : state.Members)
+    if (member.Transmissions < mostTransmissions(state))
+      fresh.push_back(&member);
+  std::ranges::stable_sort(fresh, {}, &Member::Transmissions);
+  std::vector<MemberUpdate> updates;
+  std::size_t weight = 0;
+  for (Member *member : fresh) {
+    MemberUpdate update{member->Record, member->State};
+    weight += weightOf(update);
+    if (weight > MostWeight && !updates.empty())
+      break;
+    ++member->Transmissions;
+    updates.push_back(std::move(update));
+  }
+  return updates;
+}
+
+OutgoingGossip compose(Membership &state, GossipKind kind,
+                       const std::string &address, std::int64_t sequence,
+                       std::string target = {}) {
+  return {address,
+          {kind, state.Self, self(state).FleetAddress, sequence,
+           std::move(target), freshUpdates(state), {}}};
+}
+
+/// Splits beliefs over as many datagrams as they need.
+void sendAll(const Membership &state, const std::string &address,
+             const std::vector<MemberUpdate> &updates,
+             std::vector<OutgoingGossip> &out) {
+  GossipMessage message{GossipKind::Updates, state.Self,
+                        self(state).FleetAddress, 0, {}, {}, {}};
+  std::size_t weight = 0;
+  for (const MemberUpdate &update : updates) {
+    weight += weightOf(update);
+    if (weight > MostWeight && !message.Updates.empty()) {
+      out.push_back({address, message});
+      message.Updates.clear();
+      weight = weightOf(update);
+    }
+    message.Updates.push_back(update);
+  }
+  if (!message.Updates.empty())
+    out.push_back({address, message});
+}
+
+void setState(Membership &state, Member &member, MemberState next,
+              Instant now) {
+  member.State = next;
+  member.StateSince = now;
+  member.Transmissions = 0;
+  ++state.Revision;
+}
+
+/// News that this node is suspect or dead is refuted by a newer version.
+void refute(Membership &state, const MemberUpdate &update) {
+  Member &own = state.Members.at(state.Self);
+  bool isAboutThisBoot = update.Record.BootId == own.Record.BootId;
+  if (!isAboutThisBoot || update.Record.Version < own.Record.Version)
+    return;
+  if (update.State == MemberState::Alive &&
+      update.Record.Version == own.Record.Version)
+    return;
+  own.Record.Version = update.Record.Version + 1;
+  own.Transmissions = 0;
+}
+
+void merge(Membership &state, const MemberUpdate &update, Instant now) {
+  const std::string &node = update.Record.Node;
+  if (node.empty())
+    return;
+  if (node == state.Self) {
+    refute(state, update);
+    return;
+  }
+  auto [it, isNew] = state.Members.try_emplace(node);
+  Member &member = it->second;
+  bool isLater = isNew || isNewer(update.Record, member.Record);
+  bool isSame = !isLater && !isNewer(member.Record, update.Record);
+  if (!isLater && !(isSame && update.State > member.State))
+    return;
+  if (isLater)
+    member.Record = update.Record;
+  setState(state, member, update.State, now);
+}
+
+std::vector<std::string> probeTargets(const Membership &state) {
+  std::vector<std::string> targets;
+  for (const auto &[node, member] : state.Members)
+    if (node != state.Self && member.State != MemberState::Dead)
+      targets.push_back(node);
+  return targets;
+}
+
+std::optional<std::string> nextTarget(Membership &state) {
+  if (state.ProbeOrder.empty()) {
+    state.ProbeOrder = probeTargets(state);
+    std::ranges::shuffle(state.ProbeOrder, state.Rng);
+  }
+  if (state.ProbeOrder.empty())
+    return std::nullopt;
+  std::string target = state.ProbeOrder.back();
+  state.ProbeOrder.pop_back();
+  auto it = state.Members.find(target);
+  bool isGone =
+      it == state.Members.end() || it->second.State == MemberState::Dead;
+  return isGone ? nextTarget(state) : std::optional(target);
+}
+
+void startProbe(Membership &state, Instant now,
+                std::vector<OutgoingGossip> &out) {
+  state.NextProbe = now + ProbePeriod;
+  std::optional<std::string> target = nextTarget(state);
+  if (!target)
+    return;
+  std::int64_t sequence = state.NextSequence++;
+  state.Pending = {*target, sequence, now, false};
+  const Member &member = state.Members.at(*target);
+  out.push_back(compose(state, GossipKind::Ping, member.Record.FleetAddress,
+                        sequence));
+  if (member.State == MemberState::Suspect)
+    out.back().Message.Updates.push_back({member.Record, member.State});
+}
+
+void probeIndirectly(Membership &state, std::vector<OutgoingGossip> &out) {
+  state.Pending->IsIndirect = true;
+  std::vector<std::string> helpers = probeTargets(state);
+  std::erase(helpers, state.Pending->Target);
+  std::ranges::shuffle(helpers, state.Rng);
+  helpers.resize(std::min(helpers.size(), IndirectProbes));
+  for (const std::string &helper : helpers)
+    out.push_back(compose(state, GossipKind::PingRequest,
+                          state.Members.at(helper).Record.FleetAddress,
+                          state.Pending->Sequence, state.Pending->Target));
+}
+
+void followProbe(Membership &state, Instant now,
+                 std::vector<OutgoingGossip> &out) {
+  if (!state.Pending)
+    return;
+  Micros age = now - state.Pending->SentAt;
+  if (age >= DirectTimeout && !state.Pending->IsIndirect)
+    probeIndirectly(state, out);
+  if (age < ProbeTimeout)
+    return;
+  auto it = state.Members.find(state.Pending->Target);
+  if (it != state.Members.end() && it->second.State == MemberState::Alive)
+    setState(state, it->second, MemberState::Suspect, now);
+  state.Pending.reset();
+}
+
+void expireBeliefs(Membership &state, Instant now) {
+  for (auto &[node, member] : state.Members)
+    if (member.State == MemberState::Suspect &&
+        now - member.StateSince >= SuspicionTerm)
+      setState(state, member, MemberState::Dead, now);
+  std::erase_if(state.Members, [&](const auto &it) {
+    return it.second.State == MemberState::Dead &&
+           now - it.second.StateSince > DeadMemory;
+  });
+  std::erase_if(state.Relays,
+                [&](const auto &it) { return it.Expiry <= now; });
+}
+
+/// Seeds are asked too as long as they are not members, so that parts of a
+/// fleet that started apart find each other.
+std::vector<std::string> syncAddresses(const Membership &state) {
+  std::vector<std::string> all;
+  for (const Member *peer : peers(state))
+    all.push_back(peer->Record.FleetAddress);
+  for (const std::string &seed : state.Seeds)
+    if (seed != self(state).FleetAddress)
+      all.push_back(seed);
+  return all;
+}
+
+void startSync(Membership &state, Instant now,
+               std::vector<OutgoingGossip> &out) {
+  bool isAlone = state.Members.size() <= 1;
+  state.NextSync = now + (isAlone ? ProbePeriod : SyncPeriod);
+  std::vector<std::string> addresses = syncAddresses(state);
+  if (addresses.empty())
+    return;
+  OutgoingGossip sync =
+      compose(state, GossipKind::Sync,
+              addresses[uniform(state.Rng, addresses.size())], 0);
+  sync.Message.Updates = {{self(state), MemberState::Alive}};
+  sync.Message.Buckets = bucketHashes(state);
+  out.push_back(std::move(sync));
+}
+
+/// Sends the records in the buckets that differ.
+void answerSync(const Membership &state, const GossipMessage &message,
+                std::vector<OutgoingGossip> &out) {
+  BucketHashes own = bucketHashes(state);
+  std::vector<MemberUpdate> updates;
+  for (const auto &[node, member] : state.Members) {
+    std::size_t bucket = bucketOf(node);
+    if (own[bucket] != message.Buckets[bucket])
+      updates.push_back({member.Record, member.State});
+  }
+  sendAll(state, message.SenderAddress, updates, out);
+}
+
+void relayAck(Membership &state, const GossipMessage &message,
+              std::vector<OutgoingGossip> &out) {
+  auto it = std::ranges::find(state.Relays, message.Sequence,
+                              &Membership::Relay::OwnSequence);
+  if (it == state.Relays.end())
+    return;
+  out.push_back(compose(state, GossipKind::Ack, it->Address,
+                        it->TheirSequence, message.Sender));
+  state.Relays.erase(it);
+}
+
+/// A suspicion ends only by the suspect's own newer version, which the probe
+/// has asked it for.
+void takeAck(Membership &state, const GossipMessage &message) {
+  if (state.Pending && state.Pending->Sequence == message.Sequence)
+    state.Pending.reset();
+}
+
+void probeForOther(Membership &state, const GossipMessage &message,
+                   Instant now, std::vector<OutgoingGossip> &out) {
+  auto it = state.Members.find(message.Target);
+  if (it == state.Members.end())
+    return;
+  std::int64_t sequence = state.NextSequence++;
+  state.Relays.push_back(
+      {sequence, message.Sequence, message.SenderAddress, now + ProbePeriod});
+  out.push_back(compose(state, GossipKind::Ping,
+                        it->second.Record.FleetAddress, sequence));
+}
+
+} // namespace
+
+Membership makeMembership(MemberRecord self, std::vector<std::string> seeds,
+                          std::uint64_t seed, Instant now) {
+  Membership state;
+  state.Self = self.Node;
+  state.Seeds = std::move(seeds);
+  state.Rng.seed(seed);
+  state.Members[state.Self] = {std::move(self), MemberState::Alive, now, 0};
+  state.NextProbe = now;
+  state.NextSync = now;
+  return state;
+}
+
+void describeSelf(Membership &state, MemberRecord record) {
+  Member &own = state.Members.at(state.Self);
+  record.Version = own.Record.Version;
+  if (record == own.Record)
+    return;
+  ++record.Version;
+  own.Record = std::move(record);
+  own.Transmissions = 0;
+  ++state.Revision;
+}
+
+std::vector<OutgoingGossip> tick(Membership &state, Instant now) {
+  std::vector<OutgoingGossip> out;
+  followProbe(state, now, out);
+  expireBeliefs(state, now);
+  if (now >= state.NextProbe && !state.Pending)
+    startProbe(state, now, out);
+  if (now >= state.NextSync)
+    startSync(state, now, out);
+  return out;
+}
+
+std::vector<OutgoingGossip> receive(Membership &state,
+                                    const GossipMessage &message,
+                                    Instant now) {
+  std::vector<OutgoingGossip> out;
+  for (const MemberUpdate &update : message.Updates)
+    merge(state, update, now);
+  switch (message.Kind) {
+  case GossipKind::Ping:
+    out.push_back(compose(state, GossipKind::Ack, message.SenderAddress,
+                          message.Sequence, state.Self));
+    break;
+  case GossipKind::Ack:
+    relayAck(state, message, out);
+    takeAck(state, message);
+    break;
+  case GossipKind::PingRequest:
+    probeForOther(state, message, now, out);
+    break;
+  case GossipKind::Sync:
+    answerSync(state, message, out);
+    break;
+  case GossipKind::Updates:
+    break;
+  }
+  return out;
+}
+
+std::vector<OutgoingGossip> spreadNow(Membership &state, std::size_t fanOut) {
+  std::vector<const Member *> targets = peers(state);
+  std::ranges::shuffle(targets, state.Rng);
+  targets.resize(std::min(targets.size(), fanOut));
+  std::vector<OutgoingGossip> out;
+  MemberUpdate own{self(state), MemberState::Alive};
+  for (const Member *target : targets)
+    sendAll(state, target->Record.FleetAddress, {own}, out);
+  return out;
+}
+
+std::vector<const Member *> peers(const Membership &state) {
+  std::vector<const Member *> all;
+  for (const auto &[node, member] : state.Members)
+    if (node != state.Self && member.State != MemberState::Dead &&
+        !member.Record.IsLeaving)
+      all.push_back(&member);
+  return all;
+}
+
+BucketHashes bucketHashes(const Membership &state) {
+  BucketHashes hashes{};
+  for (const auto &[node, member] : state.Members) {
+    std::string stamp = node + ' ' + std::to_string(member.Record.BootId) +
+                        ' ' + std::to_string(member.Record.Version) + ' ' +
+                        std::to_string(int(member.State));
+    hashes[bucketOf(node)] ^= stableHash(stamp);
+  }
+  return hashes;
+}
+
+std::string_view toString(MemberState state) {
+  constexpr std::array<std::string_view, 3> names = {"alive", "suspect",
+                                                     "dead"};
+  return names[static_cast<std::size_t>(state)];
+}
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/retry.cpp
@@ -0,0 +1,55 @@
+#include "libhickoryglade/retry.h"
+
+#include <algorithm>
+
+namespace hickoryglade {
+
+namespace {
+
+constexpr double Percent = 100;
+
+/// Failures that another gate would repeat.
+bool isFinal(ErrorKind kind) {
+  switch (kind) {
+  case ErrorKind::DeadlineExceeded:
+  case ErrorKind::Quarantined:
+  case ErrorKind::Cancelled:
+  case ErrorKind::Overloaded:
+  case ErrorKind::KeyReused:
+  case ErrorKind::KeyUnvouched:
+  case ErrorKind::KeyAnswerGone:
+  case ErrorKind::BodyTooLarge:
+    return true;
+  default:
+    return false;
+  }
+}
+
+} // namespace
+
+void RetryBudget::noteFresh(int percent) {
+  Tokens = std::min(Most, Tokens + percent / Percent);
+}
+
+bool RetryBudget::tryTake() {
+  if (Tokens < 1)
+    return false;
+  Tokens -= 1;
+  return true;
+}
+
+RetryAnswer decideRetry(const RetryQuestion &question, RetryBudget &budget) {
+  if (isFinal(question.Failure.Kind))
+    return {RetryVerdict::GiveUp, "another attempt would fail alike"};
+  if (question.Failure.Run == RunState::Unknown && !question.IsIdempotent)
+    return {RetryVerdict::GiveUp, "may have run and is not idempotent"};
+  if (question.Attempts >= MostAttempts)
+    return {RetryVerdict::GiveUp, "attempts exhausted"};
+  if (question.TimeLeft <= question.ExpectedCost)
+    return {RetryVerdict::GiveUp, "no time left"};
+  if (!budget.tryTake())
+    return {RetryVerdict::GiveUp, "retry budget exhausted"};
+  return {RetryVerdict::Retry, "another attempt may succeed"};
+}
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/retry.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "libhickoryglade/errorkind.h"
+#include "libhickoryglade/instant.h"
+
+#include <string_view>
+
+namespace hickoryglade {
+
+/// Allows retries as a share of fresh requests, with a small reserve for
+/// quiet times.
+class RetryBudget {
+public:
+  void noteFresh(int percent);
+  bool tryTake();
+
+private:
+  static constexpr double Reserve = 10;
+  static constexpr double Most = 100;
+  double Tokens = Reserve;
+};
+
+enum class RetryVerdict { Retry, GiveUp };
+
+/// What an entry knows when an attempt has failed.
+struct RetryQuestion {
+  Error Failure;
+  bool IsIdempotent = false;
+  int Attempts = 1;
+  Micros TimeLeft{0};
+  Micros ExpectedCost{0};
+};
+
+struct RetryAnswer {
+  RetryVerdict Verdict = RetryVerdict::GiveUp;
+  std::string_view Reason;
+
+  bool operator==(const RetryAnswer &) const = default;
+};
+
+/// Attempts after which a request is given up.
+constexpr int MostAttempts = 4;
+
+/// Work that may have run moves to another endpoint only if it is
+/// idempotent; the budget holds over the whole path since only entries retry.
+RetryAnswer decideRetry(const RetryQuestion &question, RetryBudget &budget);
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/routerpolicy.cpp
@@ -0,0 +1,66 @@
+#include "libhickoryglade/routerpolicy.h"
+
+#include "libhickoryglade/hash.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace hickoryglade {
+
+namespace {
+
+/// One in this many suitable requests is offered to an endpoint on trial.
+constexpr std::uint64_t TrialOdds = 8;
+
+std::vector<std::size_t> withStanding(std::span<const Candidate> candidates,
+                                      Standing state) {
+  std::vector<std::size_t> all;
+  for (std::size_t i = 0; i < candidates.size(); ++i)
+    if (candidates[i].IsPathUp && candidates[i].State == state)
+      all.push_back(i);
+  return all;
+}
+
+bool suitsTrial(const RouteQuestion &question) {
+  return question.IsIdempotent && !question.IsLong && !question.IsSerialized;
+}
+
+} // namespace
+
+std::vector<std::size_t> eligible(std::span<const Candidate> candidates,
+                                  const RouteQuestion &question, Random &rng) {
+  if (suitsTrial(question)) {
+    auto trials = withStanding(candidates, Standing::Trial);
+    if (!trials.empty() && uniform(rng, TrialOdds) == 0)
+      return {trials[uniform(rng, trials.size())]};
+  }
+  auto healthy = withStanding(candidates, Standing::Healthy);
+  if (!healthy.empty())
+    return healthy;
+  auto rest = withStanding(candidates, Standing::Suspect);
+  std::ranges::move(withStanding(candidates, Standing::Trial),
+                    std::back_inserter(rest));
+  return rest;
+}
+
+std::size_t rendezvous(std::span<const Candidate> candidates,
+                       const std::vector<std::size_t> &among,
+                       std::uint64_t fingerprint) {
+  return *std::ranges::max_element(among, {}, [&](std::size_t i) {
+    return stableHash(candidates[i].Node, fingerprint);
+  });
+}
+
+double pressure(const Candidate &it) {
+  int busy = it.Slots - it.FreeSlots;
+  return double(std::max(busy + it.Queued, it.Outstanding)) /
+         std::max(it.Slots, 1);
+}
+
+int knownFree(const Candidate &it) {
+  if (it.Queued > 0)
+    return 0;
+  return std::min(it.FreeSlots, it.Slots - it.Outstanding);
+}
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/routerpolicy.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "libhickoryglade/instant.h"
+#include "libhickoryglade/random.h"
+#include "libhickoryglade/standing.h"
+
+#include <span>
+#include <string>
+#include <vector>
+
+namespace hickoryglade {
+
+/// One gate of a service as an entry sees it.
+struct Candidate {
+  std::string Node;
+  std::string DataCentre;
+  int Slots = 0;
+  /// As of the gate's latest reply; may be stale.
+  int FreeSlots = 0;
+  int Queued = 0;
+  /// Requests of this entry that the gate has not answered yet.
+  int Outstanding = 0;
+  Standing State = Standing::Healthy;
+  bool IsLocal = false;
+  /// False while the link to the gate is silent in either direction.
+  bool IsPathUp = true;
+
+  bool operator==(const Candidate &) const = default;
+};
+
+/// What a router needs to know of the request.
+struct RouteQuestion {
+  bool IsLong = false;
+  bool IsIdempotent = true;
+  /// True for a request that may have crashed an endpoint: all its copies
+  /// must meet at one gate.
+  bool IsSerialized = false;
+  std::uint64_t Fingerprint = 0;
+};
+
+/// Where to send a request.
+struct RoutePlan {
+  /// Indexes into the candidates, best first; empty if none can serve.
+  std::vector<std::size_t> Targets;
+  /// True to leave tickets and send the body to the first gate that grants
+  /// a slot; false to send the request itself to the first target.
+  bool AwaitsGrant = false;
+  std::string Reason;
+
+  bool operator==(const RoutePlan &) const = default;
+};
+
+/// Chooses gates. Registered under the names that settings use.
+struct RouterPolicy {
+  RoutePlan (*Plan)(std::span<const Candidate> candidates,
+                    const RouteQuestion &question, Random &rng);
+};
+
+/// Indexes of the candidates to choose from: healthy ones on working paths
+/// and now and then one on trial, else suspects, else nothing.
+std::vector<std::size_t> eligible(std::span<const Candidate> candidates,
+                                  const RouteQuestion &question, Random &rng);
+
+/// The candidate at which all copies of a serialized request meet.
+std::size_t rendezvous(std::span<const Candidate> candidates,
+                       const std::vector<std::size_t> &among,
+                       std::uint64_t fingerprint);
+
+/// Estimated work in front of a new request, per slot.
+double pressure(const Candidate &it);
+
+/// Certainly free slots as far as this entry knows.
+int knownFree(const Candidate &it);
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/routetable.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "libhickoryglade/servicepolicy.h"
+#include "libhickoryglade/settingstree.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace hickoryglade {
+
+/// Where requests of a host and path prefix go.
+struct Route {
+  std::string Path;
+  std::string Host;
+  std::string Prefix;
+  /// Workspace on whose account the requests run.
+  std::string Workspace;
+  /// Qualified service name: "workspace/service".
+  std::string Service;
+  ServicePolicy Policy;
+
+  bool operator==(const Route &) const = default;
+};
+
+/// Routes by host, longest prefix first.
+class RouteTable {
+public:
+  RouteTable() = default;
+  explicit RouteTable(const SettingsTree &tree);
+
+  /// Returns nullptr if no route matches; the host may carry a port.
+  const Route *find(std::string_view host, std::string_view target) const;
+
+  std::size_t size() const;
+
+private:
+  std::map<std::string, std::vector<Route>, std::less<>> ByHost;
+};
+
+/// "workspace/service".
+std::string qualifiedService(std::string_view workspace,
+                             std::string_view service);
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/servicepolicy.cpp
@@ -0,0 +1,12 @@
+#include "libhickoryglade/servicepolicy.h"
+
+#include <algorithm>
+
+namespace hickoryglade {
+
+bool ServicePolicy::isIdempotent(const std::string &method) const {
+  return std::ranges::find(IdempotentMethods, method) !=
+         IdempotentMethods.end();
+}
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/servicepolicy.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "libhickoryglade/instant.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace hickoryglade {
+
+/// Effective settings of one service or route after inheritance.
+struct ServicePolicy {
+  /// Endpoints that must stay in rotation whatever is ejected.
+  int Floor = 0;
+  /// Time allowed for a request whose caller names none.
+  Millis Timeout{30'000};
+  std::int64_t MaxBodyBytes = 8 * 1024 * 1024;
+  /// Requests that may wait at one gate.
+  int QueueLimit = 1'000;
+  /// Longest expected wait at which a request is still let into a queue.
+  Millis MaxWait{2'000};
+  std::string Router = "two_choices";
+  std::string Admission = "deadline";
+  std::string Health = "peer_comparison";
+  /// Share of a service's slots that long requests may hold while short ones
+  /// wait.
+  int LongSlotsPercent = 34;
+  /// Run time from which a request counts as long.
+  Millis LongAfter{400};
+  /// Silence of a running request from which its endpoint becomes suspect.
+  Millis StallAfter{1'200};
+  /// How long the answer to an idempotency key is kept.
+  Millis KeyLifetime{600'000};
+  /// Retries allowed as a share of fresh requests.
+  int RetryBudgetPercent = 20;
+  /// Weight of the workspace in the fair sharing of a service.
+  int Share = 1;
+  /// How long a request that crashed endpoints stays quarantined.
+  Millis QuarantineTerm{600'000};
+  std::vector<std::string> IdempotentMethods = {"GET",    "HEAD", "OPTIONS",
+                                                "TRACE",  "PUT",  "DELETE"};
+
+  bool operator==(const ServicePolicy &) const = default;
+
+  bool isIdempotent(const std::string &method) const;
+};
+
+} // namespace hickoryglade
