--- /dev/null
+++ b/src/libhickoryglade/settingsschema.cpp
@@ -0,0 +1,265 @@
+#include "libhickoryglade/settingsschema.h"
+
+#include "libhickoryglade/admissionpolicy.h"
+#include "libhickoryglade/healthpolicy.h"
+#include "libhickoryglade/registry.h"
+#include "libhickoryglade/routerpolicy.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <variant>
+
+namespace hickoryglade {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t MaxNameLength = 100;
+constexpr std::size_t MaxDepth = 3;
+
+struct IntegerRule {
+  std::int64_t Lowest;
+  std::int64_t Highest;
+  void (*Apply)(ServicePolicy &, std::int64_t);
+};
+
+struct PolicyNameRule {
+  std::vector<std::string> (*Names)();
+  void (*Apply)(ServicePolicy &, std::string);
+};
+
+struct MethodListRule {};
+struct HostRule {};
+struct PrefixRule {};
+struct WorkspaceRule {};
+struct QuarantineReleaseRule {};
+
+/// A key of the schema and the highest level at which it may stand.
+struct KeyRule {
+  std::string_view Key;
+  SettingsLevel From;
+  std::variant<IntegerRule, PolicyNameRule, MethodListRule, HostRule,
+               PrefixRule, WorkspaceRule, QuarantineReleaseRule>
+      Rule;
+};
+
+constexpr std::int64_t DayMs = 86'400'000;
+
+const std::vector<KeyRule> &schema() {
+  using P = ServicePolicy;
+  static const std::vector<KeyRule> it = {
+      {"floor", SettingsLevel::Fleet,
+       IntegerRule{0, 100'000,
+                   [](P &p, std::int64_t v) { p.Floor = int(v); }}},
+      {"timeout_ms", SettingsLevel::Fleet,
+       IntegerRule{1, DayMs,
+                   [](P &p, std::int64_t v) { p.Timeout = Millis(v); }}},
+      {"max_body_bytes", SettingsLevel::Fleet,
+       IntegerRule{0, 64 * 1024 * 1024,
+                   [](P &p, std::int64_t v) { p.MaxBodyBytes = v; }}},
+      {"queue_limit", SettingsLevel::Fleet,
+       IntegerRule{0, 1'000'000,
+                   [](P &p, std::int64_t v) { p.QueueLimit = int(v); }}},
+      {"max_wait_ms", SettingsLevel::Fleet,
+       IntegerRule{0, DayMs,
+                   [](P &p, std::int64_t v) { p.MaxWait = Millis(v); }}},
+      {"long_slots_percent", SettingsLevel::Fleet,
+       IntegerRule{1, 100,
+                   [](P &p, std::int64_t v) { p.LongSlotsPercent = int(v); }}},
+      {"long_after_ms", SettingsLevel::Fleet,
+       IntegerRule{1, DayMs,
+                   [](P &p, std::int64_t v) { p.LongAfter = Millis(v); }}},
+      {"stall_after_ms", SettingsLevel::Fleet,
+       IntegerRule{50, DayMs,
+                   [](P &p, std::int64_t v) { p.StallAfter = Millis(v); }}},
+      {"key_lifetime_ms", SettingsLevel::Fleet,
+       IntegerRule{1'000, DayMs,
+                   [](P &p, std::int64_t v) { p.KeyLifetime = Millis(v); }}},
+      {"retry_budget_percent", SettingsLevel::Fleet,
+       IntegerRule{
+           0, 100,
+           [](P &p, std::int64_t v) { p.RetryBudgetPercent = int(v); }}},
+      {"share", SettingsLevel::Fleet,
+       IntegerRule{1, 1'000,
+                   [](P &p, std::int64_t v) { p.Share = int(v); }}},
+      {"quarantine_ms", SettingsLevel::Fleet,
+       IntegerRule{1'000, DayMs,
+                   [](P &p, std::int64_t v) {
+                     p.QuarantineTerm = Millis(v);
+                   }}},
+      {"router", SettingsLevel::Fleet,
+       PolicyNameRule{[] { return Registry<RouterPolicy>::instance().names(); },
+                      [](P &p, std::string v) { p.Router = std::move(v); }}},
+      {"admission", SettingsLevel::Fleet,
+       PolicyNameRule{
+           [] { return Registry<AdmissionPolicy>::instance().names(); },
+           [](P &p, std::string v) { p.Admission = std::move(v); }}},
+      {"health", SettingsLevel::Fleet,
+       PolicyNameRule{[] { return Registry<HealthPolicy>::instance().names(); },
+                      [](P &p, std::string v) { p.Health = std::move(v); }}},
+      {"idempotent_methods", SettingsLevel::Fleet, MethodListRule{}},
+      {"quarantine_release", SettingsLevel::Fleet, QuarantineReleaseRule{}},
+      {"host", SettingsLevel::Route, HostRule{}},
+      {"prefix", SettingsLevel::Route, PrefixRule{}},
+      {"workspace", SettingsLevel::Route, WorkspaceRule{}},
+  };
+  return it;
+}
+
+bool isNameChar(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+}
+
+bool isName(const std::string &name) {
+  return !name.empty() && name.size() <= MaxNameLength &&
+         std::ranges::all_of(name, isNameChar);
+}
+
+std::string join(const std::vector<std::string> &names) {
+  std::string all;
+  for (const std::string &name : names)
+    all += (all.empty() ? "" : ", ") + name;
+  return all;
+}
+
+std::string fault(const IntegerRule &rule, const json &value) {
+  std::string range = "must be an integer from " +
+                      std::to_string(rule.Lowest) + " to " +
+                      std::to_string(rule.Highest);
+  if (!value.is_number_integer())
+    return range + ", not " + value.dump();
+  auto n = value.get<std::int64_t>();
+  return n < rule.Lowest || n > rule.Highest
+             ? range + ", not " + value.dump()
+             : "";
+}
+
+std::string fault(const PolicyNameRule &rule, const json &value) {
+  std::vector<std::string> names = rule.Names();
+  if (value.is_string() &&
+      std::ranges::find(names, value.get<std::string>()) != names.end())
+    return "";
+  return "must be one of " + join(names) + ", not " + value.dump();
+}
+
+bool isStringList(const json &value) {
+  return value.is_array() &&
+         std::ranges::all_of(value, [](const json &it) {
+           return it.is_string() && !it.get<std::string>().empty();
+         });
+}
+
+std::string fault(const MethodListRule &, const json &value) {
+  return isStringList(value) ? "" : "must be a list of method names";
+}
+
+std::string fault(const QuarantineReleaseRule &, const json &value) {
+  return isStringList(value) ? "" : "must be a list of fingerprints";
+}
+
+std::string fault(const HostRule &, const json &value) {
+  return value.is_string() && isName(value.get<std::string>())
+             ? ""
+             : "must be a host name";
+}
+
+std::string fault(const PrefixRule &, const json &value) {
+  return value.is_string() && value.get<std::string>().starts_with('/')
+             ? ""
+             : "must be a path that starts with '/'";
+}
+
+std::string fault(const WorkspaceRule &, const json &value) {
+  return value.is_string() && isName(value.get<std::string>())
+             ? ""
+             : "must be the name of a workspace";
+}
+
+std::string_view levelName(SettingsLevel level) {
+  constexpr std::array<std::string_view, 4> names = {"fleet", "workspace",
+                                                     "service", "route"};
+  return names[static_cast<std::size_t>(level)];
+}
+
+std::string keyFault(const std::string &key, SettingsLevel level,
+                     const json &value) {
+  auto it = std::ranges::find(schema(), key, &KeyRule::Key);
+  if (it == schema().end())
+    return "unknown key";
+  if (level < it->From)
+    return "is allowed at a " + std::string(levelName(it->From)) +
+           " only, not at a " + std::string(levelName(level));
+  return std::visit([&](const auto &rule) { return fault(rule, value); },
+                    it->Rule);
+}
+
+} // namespace
+
+std::vector<std::string> splitSettingsPath(const std::string &path) {
+  std::vector<std::string> names;
+  std::size_t start = 1;
+  while (start < path.size()) {
+    std::size_t end = std::min(path.find('/', start), path.size());
+    names.push_back(path.substr(start, end - start));
+    start = end + 1;
+  }
+  return names;
+}
+
+std::string settingsPathFault(const std::string &path) {
+  if (path == "/")
+    return "";
+  if (!path.starts_with('/') || path.ends_with('/'))
+    return "must start with '/' and not end with it";
+  std::vector<std::string> names = splitSettingsPath(path);
+  if (names.size() > MaxDepth)
+    return "must be /, /workspace, /workspace/service or "
+           "/workspace/service/route";
+  if (!std::ranges::all_of(names, isName))
+    return "names hold 1 to 100 letters, digits, '-', '_' or '.'";
+  return "";
+}
+
+SettingsLevel settingsLevel(const std::string &path) {
+  return static_cast<SettingsLevel>(splitSettingsPath(path).size());
+}
+
+std::vector<SettingsFault> checkSettingsValue(const std::string &path,
+                                              const json &value) {
+  if (std::string reason = settingsPathFault(path); !reason.empty())
+    return {{path, reason}};
+  if (!value.is_object())
+    return {{path, "must be an object"}};
+  SettingsLevel level = settingsLevel(path);
+  std::vector<SettingsFault> faults;
+  for (const auto &[key, item] : value.items()) {
+    std::string reason = keyFault(key, level, item);
+    if (!reason.empty())
+      faults.push_back({path + ": " + key, reason});
+  }
+  if (level == SettingsLevel::Route && !value.contains("host"))
+    faults.push_back({path + ": host", "is missing"});
+  return faults;
+}
+
+ServicePolicy applySettings(ServicePolicy base, const json &value) {
+  for (const KeyRule &rule : schema()) {
+    auto it = value.find(rule.Key);
+    if (it == value.end())
+      continue;
+    if (const auto *integer = std::get_if<IntegerRule>(&rule.Rule))
+      integer->Apply(base, it->get<std::int64_t>());
+    if (const auto *name = std::get_if<PolicyNameRule>(&rule.Rule))
+      name->Apply(base, it->get<std::string>());
+    if (std::holds_alternative<MethodListRule>(rule.Rule))
+      base.IdempotentMethods = it->get<std::vector<std::string>>();
+  }
+  return base;
+}
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/settingstree.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "libhickoryglade/servicepolicy.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hickoryglade {
+
+/// Own value of one tree node and the log offset that set it.
+struct SettingsNode {
+  nlohmann::json Value;
+  /// Offset of the change in force; a removed node keeps it with a null value.
+  std::int64_t Revision = 0;
+
+  bool operator==(const SettingsNode &) const = default;
+};
+
+/// The tree of published settings, as a value.
+struct SettingsTree {
+  std::map<std::string, SettingsNode> Nodes;
+
+  bool operator==(const SettingsTree &) const = default;
+};
+
+/// A key's value in force at a path and the path that it is inherited from.
+struct EffectiveValue {
+  std::string Key;
+  nlohmann::json Value;
+  std::string From;
+  std::int64_t Revision = 0;
+};
+
+/// Revision of a path; 0 if it has never been set.
+std::int64_t revisionOf(const SettingsTree &tree, const std::string &path);
+
+/// The path itself and its ancestors, root first.
+std::vector<std::string> lineage(const std::string &path);
+
+/// All keys in force at a path, with their origin.
+std::vector<EffectiveValue> effectiveValues(const SettingsTree &tree,
+                                            const std::string &path);
+
+/// Policy in force at a path.
+ServicePolicy policyAt(const SettingsTree &tree, const std::string &path);
+
+/// Fingerprints that operators have released from quarantine.
+std::vector<std::string> releasedFingerprints(const SettingsTree &tree);
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/ticket.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "libhickoryglade/instant.h"
+
+#include <cstdint>
+#include <string>
+
+namespace hickoryglade {
+
+/// A request as a gate sees it before the body: who asks for what, until
+/// when, and at what expected cost.
+struct Ticket {
+  /// Request id and attempt number: "id/1". Never used twice.
+  std::string AttemptId;
+  std::string Workspace;
+  /// Qualified service name.
+  std::string Service;
+  Instant Deadline;
+  /// Slot time that entries have seen such requests take.
+  Micros ExpectedCost{0};
+  bool IsLong = false;
+  bool IsIdempotent = false;
+  /// Hash of the request's content; equal for a resent copy.
+  std::uint64_t Fingerprint = 0;
+  /// Number of gates at which the request waits.
+  int Copies = 1;
+  /// True if a free slot is to be held for a claim instead of started.
+  bool AwaitsClaim = false;
+
+  bool operator==(const Ticket &) const = default;
+};
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/plugins/consecutivefailures/consecutivefailures.cpp
@@ -0,0 +1,25 @@
+#include "libhickoryglade/healthpolicy.h"
+#include "libhickoryglade/registry.h"
+
+/// Judges an endpoint by failures in a row alone. The baseline that the
+/// comparison with peers is measured against.
+
+namespace hickoryglade {
+
+namespace {
+
+constexpr int FailuresForSickness = 5;
+
+HealthJudgement judgeByFailures(const EndpointEvidence &evidence,
+                                const ServicePolicy &) {
+  if (evidence.ConsecutiveFailures >= FailuresForSickness)
+    return {HealthVerdict::Sick, "failed several requests in a row"};
+  return {};
+}
+
+const Registrar<HealthPolicy> Registered("consecutive_failures",
+                                         {judgeByFailures});
+
+} // namespace
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/plugins/peercomparison/peercomparison.cpp
@@ -0,0 +1,43 @@
+#include "libhickoryglade/healthpolicy.h"
+#include "libhickoryglade/registry.h"
+
+/// Judges an endpoint by its real work against what entries have seen the
+/// same class of request take at its peers.
+
+namespace hickoryglade {
+
+namespace {
+
+constexpr int FailuresForDoubt = 3;
+constexpr int FailuresForSickness = 6;
+
+bool isStalled(const EndpointEvidence &it, const ServicePolicy &policy) {
+  return it.Overdue > 0 && it.SinceCompletion > policy.StallAfter;
+}
+
+/// A lone slow request is not yet a stall: a second witness is either all
+/// running work being overdue or a silence of twice the allowed length.
+bool hasSecondWitness(const EndpointEvidence &it,
+                      const ServicePolicy &policy) {
+  bool isAllOverdue = it.Overdue == it.Running && it.Overdue > 1;
+  return isAllOverdue || it.MostOverdue > policy.StallAfter;
+}
+
+HealthJudgement judgeByPeers(const EndpointEvidence &evidence,
+                             const ServicePolicy &policy) {
+  if (evidence.ConsecutiveFailures >= FailuresForSickness)
+    return {HealthVerdict::Sick, "fails every request"};
+  if (isStalled(evidence, policy) && hasSecondWitness(evidence, policy))
+    return {HealthVerdict::Sick, "stalls while its peers complete such work"};
+  if (evidence.ConsecutiveFailures >= FailuresForDoubt)
+    return {HealthVerdict::Doubtful, "failed several requests in a row"};
+  if (isStalled(evidence, policy))
+    return {HealthVerdict::Doubtful, "completes nothing"};
+  return {};
+}
+
+const Registrar<HealthPolicy> Registered("peer_comparison", {judgeByPeers});
+
+} // namespace
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/plugins/tickets/tickets.cpp
@@ -0,0 +1,50 @@
+#include "libhickoryglade/registry.h"
+#include "libhickoryglade/routerpolicy.h"
+
+#include <algorithm>
+
+/// Late binding: sends a request straight to a gate that is known to have a
+/// free slot; else leaves tickets at several gates and sends the body to the
+/// first one that grants a slot.
+
+namespace hickoryglade {
+
+namespace {
+
+constexpr std::size_t MostTickets = 4;
+
+/// Free slots that a gate must have by this entry's last knowledge before a
+/// request is sent without asking.
+constexpr int FreeForDirectSend = 1;
+
+void shuffle(std::vector<std::size_t> &among, Random &rng) {
+  std::ranges::shuffle(among, rng);
+}
+
+RoutePlan planTickets(std::span<const Candidate> candidates,
+                      const RouteQuestion &question, Random &rng) {
+  std::vector<std::size_t> among = eligible(candidates, question, rng);
+  if (among.empty())
+    return {{}, false, "no candidate"};
+  if (question.IsSerialized)
+    return {{rendezvous(candidates, among, question.Fingerprint)},
+            false,
+            "serialized"};
+  shuffle(among, rng);
+  auto freest = std::ranges::max_element(among, {}, [&](std::size_t i) {
+    return knownFree(candidates[i]);
+  });
+  if (knownFree(candidates[*freest]) >= FreeForDirectSend)
+    return {{*freest}, false, "free slot known"};
+  std::ranges::stable_sort(among, {}, [&](std::size_t i) {
+    return pressure(candidates[i]);
+  });
+  among.resize(std::min(among.size(), MostTickets));
+  return {among, among.size() > 1, "tickets"};
+}
+
+const Registrar<RouterPolicy> Registered("tickets", {planTickets});
+
+} // namespace
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/plugins/twochoices/twochoices.cpp
@@ -0,0 +1,32 @@
+#include "libhickoryglade/registry.h"
+#include "libhickoryglade/routerpolicy.h"
+
+#include <utility>
+
+/// Sends a request to the less loaded of two gates chosen at random.
+
+namespace hickoryglade {
+
+namespace {
+
+RoutePlan planTwoChoices(std::span<const Candidate> candidates,
+                         const RouteQuestion &question, Random &rng) {
+  std::vector<std::size_t> among = eligible(candidates, question, rng);
+  if (among.empty())
+    return {{}, false, "no candidate"};
+  if (question.IsSerialized)
+    return {{rendezvous(candidates, among, question.Fingerprint)},
+            false,
+            "serialized"};
+  std::size_t first = among[uniform(rng, among.size())];
+  std::size_t second = among[uniform(rng, among.size())];
+  if (pressure(candidates[second]) < pressure(candidates[first]))
+    std::swap(first, second);
+  return {{first}, false, "less loaded of two"};
+}
+
+const Registrar<RouterPolicy> Registered("two_choices", {planTwoChoices});
+
+} // namespace
+
+} // namespace hickoryglade
--- /dev/null
+++ b/tests/standins/endpointstandin.cpp
@@ -0,0 +1,249 @@
+#include "libfleet/clock.h"
+#include "standins/standinserver.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iostream>
+#include <map>
+#include <unistd.h>
+
+/// Stand-in for an endpoint: announces itself, runs work for the time that a
+/// request asks for, and fails in the ways that POST /_control switches on.
+
+namespace hickoryglade::standins {
+
+using namespace fleet;
+using nlohmann::json;
+
+namespace {
+
+constexpr Millis Step{2};
+
+struct Behaviour {
+  /// Work never ends while set; probes are answered.
+  bool Stall = false;
+  /// Alternates between well and stalled with this period.
+  int FlapMs = 0;
+  /// The first requests take longer by this much.
+  int ColdMs = 0;
+  int ColdRequests = 0;
+  /// Reports no load whatever runs.
+  bool LieLoad = false;
+  /// Breaks off answers in the middle.
+  bool Truncate = false;
+  /// Answers only after this extra time.
+  int LateMs = 0;
+  /// Ignores connections that were open when this was set.
+  bool SilentConnections = false;
+  bool Shed = false;
+  bool Announce = true;
+  std::string State = "ready";
+};
+
+struct Identity {
+  std::string Listen;
+  std::string Announce;
+  std::string Name;
+  std::string Workspace;
+  std::string Service;
+  std::string DataCentre;
+  int Slots = 3;
+  std::string Incarnation;
+  int WorkMs = 25;
+};
+
+class Endpoint {
+public:
+  explicit Endpoint(Identity identity) : Self(std::move(identity)) {}
+
+  asio::awaitable<bool> handle(HttpRequest request,
+                               std::shared_ptr<Wire> wire) {
+    if (request.Target == "/_control")
+      co_return co_await control(request, wire);
+    if (std::ranges::find(Silent, wire) != Silent.end()) {
+      while (true)
+        co_await sleepFor(std::chrono::seconds(1));
+    }
+    noteWire(wire);
+    if (request.Target == "/healthz") {
+      co_await sleepFor(Millis(Self.WorkMs));
+      std::string bytes = answerBytes(200, "ok");
+      co_await wire->write(std::move(bytes));
+      co_return true;
+    }
+    co_return co_await work(std::move(request), std::move(wire));
+  }
+
+  asio::awaitable<void> announceForever() {
+    while (true) {
+      std::string method = "POST";
+      std::string target = "/v1/endpoints";
+      if (Now.Announce)
+        co_await callHttp(Self.Announce, method, target, announcement());
+      for (int i = 0; i < 100 && !IsAnnounceDue; ++i)
+        co_await sleepFor(Millis(10));
+      IsAnnounceDue = false;
+    }
+  }
+
+private:
+  std::string announcement() const {
+    return json{{"name", Self.Name},
+                {"workspace", Self.Workspace},
+                {"service", Self.Service},
+                {"address", Self.Listen},
+                {"slots", Self.Slots},
+                {"data_centre", Self.DataCentre},
+                {"incarnation", Self.Incarnation},
+                {"state", Now.State}}
+        .dump();
+  }
+
+  std::string counters() const {
+    return json{{"running", Running},
+                {"started", Started},
+                {"most_running", MostRunning},
+                {"overruns", Overruns},
+                {"runs", Runs}}
+        .dump();
+  }
+
+  void noteWire(const std::shared_ptr<Wire> &wire) {
+    if (std::ranges::find(Open, wire) == Open.end())
+      Open.push_back(wire);
+  }
+
+  bool isStalled() const {
+    if (Now.FlapMs > 0) {
+      auto phase = now().time_since_epoch() / Millis(Now.FlapMs);
+      return phase % 2 == 1;
+    }
+    return Now.Stall;
+  }
+
+  static int headerInt(const HttpRequest &request, const char *name,
+                       int otherwise) {
+    std::string text = headerValue(request.Headers, name);
+    return text.empty() ? otherwise : std::atoi(text.c_str());
+  }
+
+  asio::awaitable<bool> work(HttpRequest request, std::shared_ptr<Wire> wire) {
+    if (Now.Shed || Running >= Self.Slots) {
+      Overruns += Running >= Self.Slots;
+      std::string bytes = answerBytes(503, "", "Endpoint-Shed: not-run\r\n");
+      co_await wire->write(std::move(bytes));
+      co_return true;
+    }
+    ++Running;
+    ++Started;
+    MostRunning = std::max(MostRunning, Running);
+    std::string tag = headerValue(request.Headers, "X-Run-Tag");
+    if (!tag.empty())
+      ++Runs[tag];
+    if (request.Content->find("POISON") != std::string::npos)
+      _exit(70);
+    Instant end = now() + Millis(headerInt(request, "X-Work-Ms", Self.WorkMs));
+    if (Cold < Now.ColdRequests) {
+      ++Cold;
+      end += Millis(Now.ColdMs);
+    }
+    while (now() < end || isStalled())
+      co_await sleepFor(std::clamp(toMillis(end - now()), Step, Millis(20)));
+    --Running;
+    if (Now.LateMs > 0)
+      co_await sleepFor(Millis(Now.LateMs));
+    co_return co_await answer(request, wire);
+  }
+
+  asio::awaitable<bool> answer(const HttpRequest &request,
+                               std::shared_ptr<Wire> wire) {
+    std::string body = "endpoint=" + Self.Name + "\n" + *request.Content;
+    int load = Now.LieLoad ? 0 : Running;
+    std::string bytes = answerBytes(
+        200, body,
+        "Endpoint-Load: " + std::to_string(load) + "/" +
+            std::to_string(Self.Slots) + "\r\nX-Echo-Id: " +
+            headerValue(request.Headers, "X-Client-Id") + "\r\n");
+    if (Now.Truncate) {
+      co_await wire->write(bytes.substr(0, bytes.size() - body.size() / 2 - 1));
+      co_return false;
+    }
+    co_await wire->write(std::move(bytes));
+    co_return true;
+  }
+
+  asio::awaitable<bool> control(const HttpRequest &request,
+                                std::shared_ptr<Wire> wire) {
+    json in = json::parse(*request.Content, nullptr, false);
+    if (in.is_object()) {
+      Now.Stall = in.value("stall", Now.Stall);
+      Now.FlapMs = in.value("flap_ms", Now.FlapMs);
+      Now.ColdMs = in.value("cold_ms", Now.ColdMs);
+      Now.ColdRequests = in.value("cold_requests", Now.ColdRequests);
+      Now.LieLoad = in.value("lie_load", Now.LieLoad);
+      Now.Truncate = in.value("truncate", Now.Truncate);
+      Now.LateMs = in.value("late_ms", Now.LateMs);
+      Now.Shed = in.value("shed", Now.Shed);
+      Now.Announce = in.value("announce", Now.Announce);
+      Now.State = in.value("state", Now.State);
+      IsAnnounceDue = IsAnnounceDue || in.contains("state");
+      if (in.value("silence", false))
+        Silent = Open;
+      if (in.value("leave", false)) {
+        Now.Announce = false;
+        std::string method = "DELETE";
+        std::string target = "/v1/endpoints/" + Self.Name;
+        co_await callHttp(Self.Announce, method, target, std::string());
+      }
+    }
+    std::string bytes = answerBytes(200, counters());
+    co_await wire->write(std::move(bytes));
+    co_return true;
+  }
+
+  Identity Self;
+  Behaviour Now;
+  std::vector<std::shared_ptr<Wire>> Open;
+  std::vector<std::shared_ptr<Wire>> Silent;
+  std::map<std::string, int> Runs;
+  int Running = 0;
+  int Started = 0;
+  int MostRunning = 0;
+  int Overruns = 0;
+  int Cold = 0;
+  bool IsAnnounceDue = false;
+};
+
+} // namespace
+
+} // namespace hickoryglade::standins
+
+int main(int argc, char **argv) {
+  using namespace hickoryglade;
+  auto option = [&](const std::string &name, const std::string &otherwise) {
+    return standins::optionValue(argc, argv, name, otherwise);
+  };
+  standins::Identity identity;
+  identity.Listen = option("listen", "127.0.0.1:7100");
+  identity.Announce = option("announce", "127.0.0.1:9200");
+  identity.Name = option("name", "endpoint-1");
+  identity.Workspace = option("workspace", "demo");
+  identity.Service = option("service", "hello");
+  identity.DataCentre = option("data-centre", "dc-1");
+  identity.Slots = std::stoi(option("slots", "3"));
+  identity.WorkMs = std::stoi(option("work-ms", "25"));
+  identity.Incarnation = std::to_string(fleet::wallMicros());
+  fleet::asio::io_context io{1};
+  auto endpoint = std::make_shared<standins::Endpoint>(identity);
+  standins::serveHttp(io, identity.Listen,
+                      [endpoint](fleet::HttpRequest request,
+                                 std::shared_ptr<standins::Wire> wire) {
+                        return endpoint->handle(std::move(request),
+                                                std::move(wire));
+                      });
+  fleet::asio::co_spawn(io, endpoint->announceForever(),
+                        fleet::asio::detached);
+  io.run();
+  return 0;
+}
--- /dev/null
+++ b/tests/standins/logstandin.cpp
@@ -0,0 +1,202 @@
+#include "libfleet/clock.h"
+#include "standins/standinserver.h"
+
+#include <absl/strings/escaping.h>
+#include <nlohmann/json.hpp>
+
+#include <deque>
+#include <iostream>
+#include <map>
+
+/// Stand-in for the platform's log service, with faults that POST /control
+/// switches on and off.
+
+namespace hickoryglade::standins {
+
+using namespace fleet;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t MostRecordBytes = 64 * 1024;
+constexpr Millis WaitStep{5};
+const std::string None;
+const std::string RetrySoon = "Retry-After: 1\r\n";
+
+struct Record {
+  std::int64_t Offset = 0;
+  std::string Data;
+  Instant At;
+};
+
+struct StreamData {
+  std::deque<Record> Records;
+  std::int64_t Next = 0;
+  std::int64_t First = 0;
+};
+
+struct Faults {
+  /// ok, refuse, or hang.
+  std::string Mode = "ok";
+  int SlowMs = 0;
+  /// Appends still to be made whose reply is lost.
+  int LoseReplies = 0;
+  std::size_t KeepRecords = 0;
+  int KeepMs = 0;
+  /// Appends a second above which 429 is answered; 0 for no limit.
+  int Rate = 0;
+};
+
+json toJson(const Record &it) {
+  return {{"offset", it.Offset}, {"data", absl::Base64Escape(it.Data)}};
+}
+
+class LogService {
+public:
+  asio::awaitable<bool> handle(HttpRequest request,
+                               std::shared_ptr<Wire> wire) {
+    if (request.Target == "/control")
+      co_return co_await control(request, wire);
+    if (Now.Mode == "hang") {
+      while (Now.Mode == "hang")
+        co_await sleepFor(WaitStep);
+      co_return false;
+    }
+    if (Now.Mode == "refuse")
+      co_return false;
+    if (Now.SlowMs > 0)
+      co_await sleepFor(Millis(Now.SlowMs));
+    if (!request.Target.starts_with("/v1/streams/"))
+      co_return co_await reply(wire, 404, json::object(), None);
+    std::string rest = request.Target.substr(12);
+    std::string name = rest.substr(0, rest.find('/'));
+    if (request.Method == "POST")
+      co_return co_await append(name, request, wire);
+    co_return co_await read(name, request.Target, wire);
+  }
+
+private:
+  static asio::awaitable<bool> reply(std::shared_ptr<Wire> wire, int status,
+                                     json body, std::string headers) {
+    std::string bytes = answerBytes(status, body.dump(), headers);
+    co_await wire->write(std::move(bytes));
+    co_return true;
+  }
+
+  asio::awaitable<bool> control(const HttpRequest &request,
+                                std::shared_ptr<Wire> wire) {
+    json in = json::parse(*request.Content, nullptr, false);
+    if (in.is_object()) {
+      Now.Mode = in.value("mode", Now.Mode);
+      Now.SlowMs = in.value("slow_ms", Now.SlowMs);
+      Now.LoseReplies = in.value("lose_replies", Now.LoseReplies);
+      Now.KeepRecords = in.value("keep_records", Now.KeepRecords);
+      Now.KeepMs = in.value("keep_ms", Now.KeepMs);
+      Now.Rate = in.value("rate", Now.Rate);
+    }
+    json out;
+    out["appends"] = Appends;
+    co_return co_await reply(wire, 200, std::move(out), None);
+  }
+
+  void expire(StreamData &stream) {
+    auto isOver = [&](const Record &it) {
+      bool isTooMany =
+          Now.KeepRecords > 0 && stream.Records.size() > Now.KeepRecords;
+      bool isTooOld = Now.KeepMs > 0 && now() - it.At > Millis(Now.KeepMs);
+      return isTooMany || isTooOld;
+    };
+    while (!stream.Records.empty() && isOver(stream.Records.front())) {
+      stream.First = stream.Records.front().Offset + 1;
+      stream.Records.pop_front();
+    }
+  }
+
+  bool isOverRate() {
+    auto second = now().time_since_epoch() / std::chrono::seconds(1);
+    if (second != RateSecond) {
+      RateSecond = second;
+      RateCount = 0;
+    }
+    return Now.Rate > 0 && ++RateCount > Now.Rate;
+  }
+
+  asio::awaitable<bool> append(std::string name, const HttpRequest &request,
+                               std::shared_ptr<Wire> wire) {
+    if (request.Content->size() > MostRecordBytes)
+      co_return co_await reply(wire, 413, json::object(), None);
+    if (isOverRate())
+      co_return co_await reply(wire, 429, json::object(), RetrySoon);
+    StreamData &stream = Streams[name];
+    std::int64_t offset = stream.Next++;
+    stream.Records.push_back({offset, *request.Content, now()});
+    ++Appends;
+    if (Now.LoseReplies > 0) {
+      --Now.LoseReplies;
+      co_return false;
+    }
+    json out;
+    out["offset"] = offset;
+    co_return co_await reply(wire, 201, std::move(out), None);
+  }
+
+  static std::int64_t parameter(const std::string &target,
+                                const std::string &name,
+                                std::int64_t otherwise) {
+    std::size_t at = target.find(name + "=");
+    return at == std::string::npos
+               ? otherwise
+               : std::atoll(target.c_str() + at + name.size() + 1);
+  }
+
+  asio::awaitable<bool> read(std::string name, std::string target,
+                             std::shared_ptr<Wire> wire) {
+    std::int64_t from = parameter(target, "from", 0);
+    std::int64_t limit = parameter(target, "limit", 100);
+    Instant until = now() + Millis(parameter(target, "wait_ms", 0));
+    while (Streams[name].Next <= from && now() < until && Now.Mode == "ok")
+      co_await sleepFor(WaitStep);
+    if (Now.Mode != "ok")
+      co_return false;
+    StreamData &stream = Streams[name];
+    expire(stream);
+    json out;
+    out["first"] = stream.First;
+    if (from < stream.First)
+      co_return co_await reply(wire, 410, std::move(out), None);
+    json records = json::array();
+    for (const Record &it : stream.Records)
+      if (it.Offset >= from && std::int64_t(records.size()) < limit)
+        records.push_back(toJson(it));
+    std::int64_t next = records.empty()
+                            ? std::max(from, stream.First)
+                            : records.back()["offset"].get<std::int64_t>() + 1;
+    out["next"] = next;
+    out["records"] = std::move(records);
+    co_return co_await reply(wire, 200, std::move(out), None);
+  }
+
+  std::map<std::string, StreamData> Streams;
+  Faults Now;
+  int Appends = 0;
+  std::int64_t RateSecond = 0;
+  int RateCount = 0;
+};
+
+} // namespace
+
+} // namespace hickoryglade::standins
+
+int main(int argc, char **argv) {
+  using namespace hickoryglade;
+  fleet::asio::io_context io{1};
+  auto service = std::make_shared<standins::LogService>();
+  standins::serveHttp(
+      io, standins::optionValue(argc, argv, "listen", "127.0.0.1:7000"),
+      [service](fleet::HttpRequest request,
+                std::shared_ptr<standins::Wire> wire) {
+        return service->handle(std::move(request), std::move(wire));
+      });
+  io.run();
+  return 0;
+}
--- /dev/null
+++ b/tests/standins/standinserver.cpp
@@ -0,0 +1,153 @@
+#include "standins/standinserver.h"
+
+#include "libfleet/address.h"
+#include "libfleet/clock.h"
+
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace hickoryglade::standins {
+
+using namespace fleet;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr std::uint64_t MostBodyBytes = 64 * 1024 * 1024;
+
+class SocketWire : public Wire {
+public:
+  explicit SocketWire(tcp::socket socket) : Stream(std::move(socket)) {}
+
+  asio::awaitable<void> write(std::string bytes) override {
+    error_code ec;
+    co_await asio::async_write(Stream, asio::buffer(bytes),
+                               asio::redirect_error(asio::use_awaitable, ec));
+  }
+  void close() override { Stream.close(); }
+
+  beast::tcp_stream Stream;
+  beast::flat_buffer Buffer;
+};
+
+asio::awaitable<void> serveConnection(std::shared_ptr<SocketWire> wire,
+                                      RawHandler handler) {
+  error_code ec;
+  wire->Stream.socket().set_option(tcp::no_delay(true), ec);
+  while (true) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(MostBodyBytes);
+    co_await http::async_read(wire->Stream, wire->Buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, ec));
+    if (ec)
+      break;
+    auto message = parser.release();
+    HttpRequest request;
+    request.Method = std::string(message.method_string());
+    request.Target = std::string(message.target());
+    for (const auto &field : message)
+      request.Headers.push_back({std::string(field.name_string()),
+                                 std::string(field.value())});
+    request.Content =
+        std::make_shared<const std::string>(std::move(message.body()));
+    bool isKept = co_await handler(std::move(request), wire);
+    if (!isKept)
+      break;
+  }
+  wire->close();
+}
+
+asio::awaitable<void> acceptAll(std::shared_ptr<tcp::acceptor> acceptor,
+                                RawHandler handler) {
+  while (true) {
+    error_code ec;
+    tcp::socket socket = co_await acceptor->async_accept(
+        asio::redirect_error(asio::use_awaitable, ec));
+    if (ec)
+      continue;
+    auto ex = acceptor->get_executor();
+    asio::co_spawn(
+        ex,
+        serveConnection(std::make_shared<SocketWire>(std::move(socket)),
+                        handler),
+        asio::detached);
+  }
+}
+
+tcp::endpoint toEndpoint(const std::string &address) {
+  auto parsed = parseAddress(address);
+  if (!parsed) {
+    std::cerr << "not an address: " << address << "\n";
+    std::exit(2);
+  }
+  return {asio::ip::make_address(parsed->Ip), parsed->Port};
+}
+
+} // namespace
+
+void serveHttp(asio::io_context &io, const std::string &address,
+               RawHandler handler) {
+  try {
+    auto acceptor =
+        std::make_shared<tcp::acceptor>(io, toEndpoint(address), true);
+    asio::co_spawn(io, acceptAll(acceptor, std::move(handler)),
+                   asio::detached);
+  } catch (const std::exception &fault) {
+    std::cerr << address << ": " << fault.what() << "\n";
+    std::exit(1);
+  }
+}
+
+std::string answerBytes(int status, const std::string &body,
+                        const std::string &headers) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " Reply\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" +
+         headers + "\r\n" + body;
+}
+
+asio::awaitable<CallResult> callHttp(std::string address, std::string method,
+                                     std::string target, std::string body) {
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  stream.expires_after(std::chrono::seconds(2));
+  error_code ec;
+  co_await stream.async_connect(toEndpoint(address),
+                                asio::redirect_error(asio::use_awaitable, ec));
+  http::request<http::string_body> request;
+  request.method_string(method);
+  request.target(target);
+  request.set(http::field::host, address);
+  request.body() = std::move(body);
+  request.prepare_payload();
+  if (!ec)
+    co_await http::async_write(stream, request,
+                               asio::redirect_error(asio::use_awaitable, ec));
+  beast::flat_buffer buf;
+  http::response<http::string_body> answer;
+  if (!ec)
+    co_await http::async_read(stream, buf, answer,
+                              asio::redirect_error(asio::use_awaitable, ec));
+  if (ec)
+    co_return CallResult{};
+  co_return CallResult{int(answer.result_int()), std::move(answer.body())};
+}
+
+asio::awaitable<void> sleepFor(Millis time) {
+  asio::steady_timer timer(co_await asio::this_coro::executor, time);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+std::string optionValue(int argc, char **argv, const std::string &name,
+                        const std::string &otherwise) {
+  for (int i = 1; i + 1 < argc; ++i)
+    if (argv[i] == "--" + name)
+      return argv[i + 1];
+  return otherwise;
+}
+
+} // namespace hickoryglade::standins
--- /dev/null
+++ b/tests/standins/standinserver.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "libfleet/asio.h"
+#include "libfleet/httpmessage.h"
+#include "libhickoryglade/instant.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace hickoryglade::standins {
+
+/// A connection that a stand-in may answer on with any bytes, or none.
+class Wire {
+public:
+  virtual ~Wire() = default;
+  virtual fleet::asio::awaitable<void> write(std::string bytes) = 0;
+  virtual void close() = 0;
+};
+
+/// Handles one request; returns false to close the connection.
+using RawHandler = std::function<fleet::asio::awaitable<bool>(
+    fleet::HttpRequest, std::shared_ptr<Wire>)>;
+
+/// Serves HTTP/1.1 on one address. Exits the process if it cannot listen.
+void serveHttp(fleet::asio::io_context &io, const std::string &address,
+               RawHandler handler);
+
+/// Bytes of a whole answer.
+std::string answerBytes(int status, const std::string &body,
+                        const std::string &headers = {});
+
+/// One HTTP call; status 0 if it failed.
+struct CallResult {
+  int Status = 0;
+  std::string Body;
+};
+fleet::asio::awaitable<CallResult> callHttp(std::string address,
+                                            std::string method,
+                                            std::string target,
+                                            std::string body);
+
+fleet::asio::awaitable<void> sleepFor(Millis time);
+
+/// Value of "--name VALUE" on the command line, or a default.
+std::string optionValue(int argc, char **argv, const std::string &name,
+                        const std::string &otherwise);
+
+} // namespace hickoryglade::standins
