--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -95,7 +95,7 @@
   1: i32 state
 }
 
-enum KeyOperation { RESERVE = 0, COPY = 1, COMPLETE = 2, LOOKUP = 3, RELEASE = 4 }
+enum KeyOperation { RESERVE = 0, COPY = 1, COMPLETE = 2, LOOKUP = 3, RELEASE = 4, VOUCH = 5 }
 
 struct StoredAnswer {
   1: i32 status
@@ -180,14 +180,25 @@
   1: string path
   2: string value
   3: i64 revision
+  // Where and when the newest record of the value was written.
+  4: i64 writtenOffset
+  5: i64 writtenAtMs
+}
+
+struct VerdictRecord {
+  1: string changeId
+  2: string path
+  3: i32 outcome
+  4: i64 revision
 }
 
 struct SnapshotRequest {}
 
-// The settings tree and the lease ledger as folded up to given offsets.
+// The settings tree as folded up to an offset, with the latest verdicts.
 struct Snapshot {
   1: i64 settingsOffset
   2: list<SettingsEntry> entries
+  3: list<VerdictRecord> verdicts
 }
 
 struct Frame {
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -18,16 +18,18 @@
   KeyOperation::COPY,
   KeyOperation::COMPLETE,
   KeyOperation::LOOKUP,
-  KeyOperation::RELEASE
+  KeyOperation::RELEASE,
+  KeyOperation::VOUCH
 };
 const char* _kKeyOperationNames[] = {
   "RESERVE",
   "COPY",
   "COMPLETE",
   "LOOKUP",
-  "RELEASE"
+  "RELEASE",
+  "VOUCH"
 };
-const std::map<int, const char*> _KeyOperation_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kKeyOperationValues, _kKeyOperationNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _KeyOperation_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(6, _kKeyOperationValues, _kKeyOperationNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const KeyOperation::type& val) {
   std::map<int, const char*>::const_iterator it = _KeyOperation_VALUES_TO_NAMES.find(val);
@@ -3627,6 +3629,14 @@
 void SettingsEntry::__set_revision(const int64_t val) {
   this->revision = val;
 }
+
+void SettingsEntry::__set_writtenOffset(const int64_t val) {
+  this->writtenOffset = val;
+}
+
+void SettingsEntry::__set_writtenAtMs(const int64_t val) {
+  this->writtenAtMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const SettingsEntry& obj)
 {
   obj.printTo(out);
@@ -3679,6 +3689,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->writtenOffset);
+          this->__isset.writtenOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->writtenAtMs);
+          this->__isset.writtenAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3708,6 +3734,14 @@
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("writtenOffset", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->writtenOffset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("writtenAtMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->writtenAtMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3718,6 +3752,8 @@
   swap(a.path, b.path);
   swap(a.value, b.value);
   swap(a.revision, b.revision);
+  swap(a.writtenOffset, b.writtenOffset);
+  swap(a.writtenAtMs, b.writtenAtMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -3725,12 +3761,16 @@
   path = other88.path;
   value = other88.value;
   revision = other88.revision;
+  writtenOffset = other88.writtenOffset;
+  writtenAtMs = other88.writtenAtMs;
   __isset = other88.__isset;
 }
 SettingsEntry& SettingsEntry::operator=(const SettingsEntry& other89) {
   path = other89.path;
   value = other89.value;
   revision = other89.revision;
+  writtenOffset = other89.writtenOffset;
+  writtenAtMs = other89.writtenAtMs;
   __isset = other89.__isset;
   return *this;
 }
@@ -3740,6 +3780,160 @@
   out << "path=" << to_string(path);
   out << ", " << "value=" << to_string(value);
   out << ", " << "revision=" << to_string(revision);
+  out << ", " << "writtenOffset=" << to_string(writtenOffset);
+  out << ", " << "writtenAtMs=" << to_string(writtenAtMs);
+  out << ")";
+}
+
+
+VerdictRecord::~VerdictRecord() noexcept {
+}
+
+
+void VerdictRecord::__set_changeId(const std::string& val) {
+  this->changeId = val;
+}
+
+void VerdictRecord::__set_path(const std::string& val) {
+  this->path = val;
+}
+
+void VerdictRecord::__set_outcome(const int32_t val) {
+  this->outcome = val;
+}
+
+void VerdictRecord::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+std::ostream& operator<<(std::ostream& out, const VerdictRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t VerdictRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->changeId);
+          this->__isset.changeId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->path);
+          this->__isset.path = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outcome);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t VerdictRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("VerdictRecord");
+
+  xfer += oprot->writeFieldBegin("changeId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->changeId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("path", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->path);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->outcome);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(VerdictRecord &a, VerdictRecord &b) {
+  using ::std::swap;
+  swap(a.changeId, b.changeId);
+  swap(a.path, b.path);
+  swap(a.outcome, b.outcome);
+  swap(a.revision, b.revision);
+  swap(a.__isset, b.__isset);
+}
+
+VerdictRecord::VerdictRecord(const VerdictRecord& other90) {
+  changeId = other90.changeId;
+  path = other90.path;
+  outcome = other90.outcome;
+  revision = other90.revision;
+  __isset = other90.__isset;
+}
+VerdictRecord& VerdictRecord::operator=(const VerdictRecord& other91) {
+  changeId = other91.changeId;
+  path = other91.path;
+  outcome = other91.outcome;
+  revision = other91.revision;
+  __isset = other91.__isset;
+  return *this;
+}
+void VerdictRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "VerdictRecord(";
+  out << "changeId=" << to_string(changeId);
+  out << ", " << "path=" << to_string(path);
+  out << ", " << "outcome=" << to_string(outcome);
+  out << ", " << "revision=" << to_string(revision);
   out << ")";
 }
 
@@ -3798,11 +3992,11 @@
   (void) b;
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other90) noexcept {
-  (void) other90;
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other92) noexcept {
+  (void) other92;
 }
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other91) noexcept {
-  (void) other91;
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other93) noexcept {
+  (void) other93;
   return *this;
 }
 void SnapshotRequest::printTo(std::ostream& out) const {
@@ -3823,6 +4017,10 @@
 void Snapshot::__set_entries(const std::vector<SettingsEntry> & val) {
   this->entries = val;
 }
+
+void Snapshot::__set_verdicts(const std::vector<VerdictRecord> & val) {
+  this->verdicts = val;
+}
 std::ostream& operator<<(std::ostream& out, const Snapshot& obj)
 {
   obj.printTo(out);
@@ -3863,14 +4061,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->entries.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->entries.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
             {
-              xfer += this->entries[_i96].read(iprot);
+              xfer += this->entries[_i98].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3879,6 +4077,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->verdicts.clear();
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->verdicts.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
+            {
+              xfer += this->verdicts[_i103].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.verdicts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3903,10 +4121,22 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<SettingsEntry> ::const_iterator _iter97;
-    for (_iter97 = this->entries.begin(); _iter97 != this->entries.end(); ++_iter97)
+    std::vector<SettingsEntry> ::const_iterator _iter104;
+    for (_iter104 = this->entries.begin(); _iter104 != this->entries.end(); ++_iter104)
+    {
+      xfer += (*_iter104).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
+    std::vector<VerdictRecord> ::const_iterator _iter105;
+    for (_iter105 = this->verdicts.begin(); _iter105 != this->verdicts.end(); ++_iter105)
     {
-      xfer += (*_iter97).write(oprot);
+      xfer += (*_iter105).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3921,18 +4151,21 @@
   using ::std::swap;
   swap(a.settingsOffset, b.settingsOffset);
   swap(a.entries, b.entries);
+  swap(a.verdicts, b.verdicts);
   swap(a.__isset, b.__isset);
 }
 
-Snapshot::Snapshot(const Snapshot& other98) {
-  settingsOffset = other98.settingsOffset;
-  entries = other98.entries;
-  __isset = other98.__isset;
+Snapshot::Snapshot(const Snapshot& other106) {
+  settingsOffset = other106.settingsOffset;
+  entries = other106.entries;
+  verdicts = other106.verdicts;
+  __isset = other106.__isset;
 }
-Snapshot& Snapshot::operator=(const Snapshot& other99) {
-  settingsOffset = other99.settingsOffset;
-  entries = other99.entries;
-  __isset = other99.__isset;
+Snapshot& Snapshot::operator=(const Snapshot& other107) {
+  settingsOffset = other107.settingsOffset;
+  entries = other107.entries;
+  verdicts = other107.verdicts;
+  __isset = other107.__isset;
   return *this;
 }
 void Snapshot::printTo(std::ostream& out) const {
@@ -3940,6 +4173,7 @@
   out << "Snapshot(";
   out << "settingsOffset=" << to_string(settingsOffset);
   out << ", " << "entries=" << to_string(entries);
+  out << ", " << "verdicts=" << to_string(verdicts);
   out << ")";
 }
 
@@ -4323,45 +4557,45 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other100) {
-  stream = other100.stream;
-  hello = other100.hello;
-  heartbeat = other100.heartbeat;
-  ticket = other100.ticket;
-  grant = other100.grant;
-  call = other100.call;
-  data = other100.data;
-  answer = other100.answer;
-  failure = other100.failure;
-  cancel = other100.cancel;
-  revoke = other100.revoke;
-  revoked = other100.revoked;
-  keyRequest = other100.keyRequest;
-  keyReply = other100.keyReply;
-  gossip = other100.gossip;
-  snapshotRequest = other100.snapshotRequest;
-  snapshot = other100.snapshot;
-  __isset = other100.__isset;
-}
-Frame& Frame::operator=(const Frame& other101) {
-  stream = other101.stream;
-  hello = other101.hello;
-  heartbeat = other101.heartbeat;
-  ticket = other101.ticket;
-  grant = other101.grant;
-  call = other101.call;
-  data = other101.data;
-  answer = other101.answer;
-  failure = other101.failure;
-  cancel = other101.cancel;
-  revoke = other101.revoke;
-  revoked = other101.revoked;
-  keyRequest = other101.keyRequest;
-  keyReply = other101.keyReply;
-  gossip = other101.gossip;
-  snapshotRequest = other101.snapshotRequest;
-  snapshot = other101.snapshot;
-  __isset = other101.__isset;
+Frame::Frame(const Frame& other108) {
+  stream = other108.stream;
+  hello = other108.hello;
+  heartbeat = other108.heartbeat;
+  ticket = other108.ticket;
+  grant = other108.grant;
+  call = other108.call;
+  data = other108.data;
+  answer = other108.answer;
+  failure = other108.failure;
+  cancel = other108.cancel;
+  revoke = other108.revoke;
+  revoked = other108.revoked;
+  keyRequest = other108.keyRequest;
+  keyReply = other108.keyReply;
+  gossip = other108.gossip;
+  snapshotRequest = other108.snapshotRequest;
+  snapshot = other108.snapshot;
+  __isset = other108.__isset;
+}
+Frame& Frame::operator=(const Frame& other109) {
+  stream = other109.stream;
+  hello = other109.hello;
+  heartbeat = other109.heartbeat;
+  ticket = other109.ticket;
+  grant = other109.grant;
+  call = other109.call;
+  data = other109.data;
+  answer = other109.answer;
+  failure = other109.failure;
+  cancel = other109.cancel;
+  revoke = other109.revoke;
+  revoked = other109.revoked;
+  keyRequest = other109.keyRequest;
+  keyReply = other109.keyReply;
+  gossip = other109.gossip;
+  snapshotRequest = other109.snapshotRequest;
+  snapshot = other109.snapshot;
+  __isset = other109.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -27,7 +27,8 @@
     COPY = 1,
     COMPLETE = 2,
     LOOKUP = 3,
-    RELEASE = 4
+    RELEASE = 4,
+    VOUCH = 5
   };
 };
 
@@ -99,6 +100,8 @@
 
 class SettingsEntry;
 
+class VerdictRecord;
+
 class SnapshotRequest;
 
 class Snapshot;
@@ -1521,10 +1524,12 @@
 std::ostream& operator<<(std::ostream& out, const Gossip& obj);
 
 typedef struct _SettingsEntry__isset {
-  _SettingsEntry__isset() : path(false), value(false), revision(false) {}
+  _SettingsEntry__isset() : path(false), value(false), revision(false), writtenOffset(false), writtenAtMs(false) {}
   bool path :1;
   bool value :1;
   bool revision :1;
+  bool writtenOffset :1;
+  bool writtenAtMs :1;
 } _SettingsEntry__isset;
 
 class SettingsEntry : public virtual ::apache::thrift::TBase {
@@ -1535,13 +1540,17 @@
   SettingsEntry() noexcept
                 : path(),
                   value(),
-                  revision(0) {
+                  revision(0),
+                  writtenOffset(0),
+                  writtenAtMs(0) {
   }
 
   virtual ~SettingsEntry() noexcept;
   std::string path;
   std::string value;
   int64_t revision;
+  int64_t writtenOffset;
+  int64_t writtenAtMs;
 
   _SettingsEntry__isset __isset;
 
@@ -1551,6 +1560,10 @@
 
   void __set_revision(const int64_t val);
 
+  void __set_writtenOffset(const int64_t val);
+
+  void __set_writtenAtMs(const int64_t val);
+
   bool operator == (const SettingsEntry & rhs) const
   {
     if (!(path == rhs.path))
@@ -1559,6 +1572,10 @@
       return false;
     if (!(revision == rhs.revision))
       return false;
+    if (!(writtenOffset == rhs.writtenOffset))
+      return false;
+    if (!(writtenAtMs == rhs.writtenAtMs))
+      return false;
     return true;
   }
   bool operator != (const SettingsEntry &rhs) const {
@@ -1577,6 +1594,70 @@
 
 std::ostream& operator<<(std::ostream& out, const SettingsEntry& obj);
 
+typedef struct _VerdictRecord__isset {
+  _VerdictRecord__isset() : changeId(false), path(false), outcome(false), revision(false) {}
+  bool changeId :1;
+  bool path :1;
+  bool outcome :1;
+  bool revision :1;
+} _VerdictRecord__isset;
+
+class VerdictRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  VerdictRecord(const VerdictRecord&);
+  VerdictRecord& operator=(const VerdictRecord&);
+  VerdictRecord() noexcept
+                : changeId(),
+                  path(),
+                  outcome(0),
+                  revision(0) {
+  }
+
+  virtual ~VerdictRecord() noexcept;
+  std::string changeId;
+  std::string path;
+  int32_t outcome;
+  int64_t revision;
+
+  _VerdictRecord__isset __isset;
+
+  void __set_changeId(const std::string& val);
+
+  void __set_path(const std::string& val);
+
+  void __set_outcome(const int32_t val);
+
+  void __set_revision(const int64_t val);
+
+  bool operator == (const VerdictRecord & rhs) const
+  {
+    if (!(changeId == rhs.changeId))
+      return false;
+    if (!(path == rhs.path))
+      return false;
+    if (!(outcome == rhs.outcome))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    return true;
+  }
+  bool operator != (const VerdictRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const VerdictRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(VerdictRecord &a, VerdictRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const VerdictRecord& obj);
+
 
 class SnapshotRequest : public virtual ::apache::thrift::TBase {
  public:
@@ -1609,9 +1690,10 @@
 std::ostream& operator<<(std::ostream& out, const SnapshotRequest& obj);
 
 typedef struct _Snapshot__isset {
-  _Snapshot__isset() : settingsOffset(false), entries(false) {}
+  _Snapshot__isset() : settingsOffset(false), entries(false), verdicts(false) {}
   bool settingsOffset :1;
   bool entries :1;
+  bool verdicts :1;
 } _Snapshot__isset;
 
 class Snapshot : public virtual ::apache::thrift::TBase {
@@ -1626,6 +1708,7 @@
   virtual ~Snapshot() noexcept;
   int64_t settingsOffset;
   std::vector<SettingsEntry>  entries;
+  std::vector<VerdictRecord>  verdicts;
 
   _Snapshot__isset __isset;
 
@@ -1633,12 +1716,16 @@
 
   void __set_entries(const std::vector<SettingsEntry> & val);
 
+  void __set_verdicts(const std::vector<VerdictRecord> & val);
+
   bool operator == (const Snapshot & rhs) const
   {
     if (!(settingsOffset == rhs.settingsOffset))
       return false;
     if (!(entries == rhs.entries))
       return false;
+    if (!(verdicts == rhs.verdicts))
+      return false;
     return true;
   }
   bool operator != (const Snapshot &rhs) const {
--- a/src/hickorygladectl/adminclient.cpp
+++ b/src/hickorygladectl/adminclient.cpp
@@ -61,9 +61,9 @@
   io.run();
   if (exchange.Fault)
     return absl::UnavailableError(address + ": " + exchange.Fault.message());
-  AdminReply reply{int(exchange.Answer.result_int()),
-                   nlohmann::json::parse(exchange.Answer.body(), nullptr,
-                                         false)};
+  AdminReply reply{
+      int(exchange.Answer.result_int()),
+      nlohmann::json::parse(exchange.Answer.body(), nullptr, false)};
   if (reply.Body.is_discarded())
     return absl::UnavailableError(address + ": the answer is not JSON");
   return reply;
--- a/src/hickorygladectl/commands.cpp
+++ b/src/hickorygladectl/commands.cpp
@@ -165,9 +165,9 @@
               << textOf(member["data_centre"]) << "  settings "
               << member["settings_next"] << "\n";
     for (const json &it : member["endpoints"])
-      std::cout << "    " << textOf(it["name"]) << "  "
-                << textOf(it["service"]) << "  " << it["slots"] << " slots  "
-                << textOf(it["standing"]) << "\n";
+      std::cout << "    " << textOf(it["name"]) << "  " << textOf(it["service"])
+                << "  " << it["slots"] << " slots  " << textOf(it["standing"])
+                << "\n";
   }
   for (const json &it : report["quarantine"])
     std::cout << "quarantine " << textOf(it["fingerprint"]) << "  "
@@ -201,8 +201,8 @@
                  {"base", base},
                  {"value", *value},
                  {"author", user ? user : ""}};
-  auto reply = askNode(options.Node, "POST", "/v1/changes", change.dump(),
-                       PublishLimit);
+  auto reply =
+      askNode(options.Node, "POST", "/v1/changes", change.dump(), PublishLimit);
   if (!reply.ok())
     return complain(reply.status());
   return reportVerdict(options, *reply);
@@ -234,8 +234,7 @@
   }
   for (const auto &[key, it] : keys.items())
     std::cout << key << " = " << it["value"].dump() << "  (from "
-              << textOf(it["from"]) << ", revision " << it["revision"]
-              << ")\n";
+              << textOf(it["from"]) << ", revision " << it["revision"] << ")\n";
   return ExitDone;
 }
 
--- a/src/libfleet/adminfront.cpp
+++ b/src/libfleet/adminfront.cpp
@@ -133,8 +133,8 @@
 HttpAnswer announcedAnswer(const std::optional<std::int64_t> &generation) {
   if (!generation)
     return fault(503, "the node is leaving");
-  return jsonAnswer(200,
-                    {{"generation", *generation}, {"heartbeat_ms", HeartbeatMs}});
+  return jsonAnswer(
+      200, {{"generation", *generation}, {"heartbeat_ms", HeartbeatMs}});
 }
 
 HttpAnswer metricsAnswer(const Metrics &metrics) {
@@ -146,8 +146,8 @@
 
 } // namespace
 
-AdminFront::AdminFront(asio::io_context &io, Control &control,
-                       Metrics &metrics, Events events)
+AdminFront::AdminFront(asio::io_context &io, Control &control, Metrics &metrics,
+                       Events events)
     : Io(io), Owner(control), Counters(metrics), Handlers(std::move(events)) {}
 
 asio::awaitable<HttpAnswer> AdminFront::serve(HttpRequest request) {
--- a/src/libfleet/asio.h
+++ b/src/libfleet/asio.h
@@ -16,8 +16,8 @@
 namespace hickoryglade::fleet {
 
 namespace asio = boost::asio;
-using boost::system::error_code;
 using asio::ip::tcp;
 using asio::ip::udp;
+using boost::system::error_code;
 
 } // namespace hickoryglade::fleet
--- a/src/libfleet/control.cpp
+++ b/src/libfleet/control.cpp
@@ -5,6 +5,7 @@
 #include "libfleet/metrics.h"
 #include "libfleet/wireconvert.h"
 #include "libhickoryglade/hash.h"
+#include "libhickoryglade/keytable.h"
 
 #include <nlohmann/json.hpp>
 
@@ -105,13 +106,91 @@
                 },
                 [this] { return fetchSnapshot(); },
                 [this](const std::string &what) { return refreshRank(what); }}),
+      Leases(io, settings.LogAddress, settings.StreamPrefix + ".leases",
+             {settings.Node, bootId}, metrics, leaseEvents()),
       RebuildTimer(io) {}
 
+LeaseService::Events Control::leaseEvents() {
+  LeaseService::Events events;
+  events.OnChange = [this] {
+    describe(false);
+    scheduleRebuild();
+    Handlers.OnEjections(Leases.ejections());
+  };
+  events.Living = [this] { return livingMembers(); };
+  events.DescribeEjection = [this](const LeaseSubject &subject) {
+    return describeEjection(subject);
+  };
+  events.AskVoucher = [this](std::string node) {
+    return askVoucher(std::move(node));
+  };
+  return events;
+}
+
+std::vector<LivingMember> Control::livingMembers() const {
+  std::vector<LivingMember> living;
+  for (const auto &[node, member] : Members.state().Members)
+    if (member.State != MemberState::Dead)
+      living.push_back(
+          {{node, member.Record.BootId}, member.Record.LedgerNext});
+  return living;
+}
+
+/// Counts only endpoints that this node believes healthy.
+LeaseRecord Control::describeEjection(const LeaseSubject &subject) const {
+  LeaseRecord record;
+  for (const Member *member : membersInService())
+    for (const EndpointRecord &it : member->Record.Endpoints)
+      if (it.Service == subject.Service && it.Name != subject.Name &&
+          it.State == Standing::Healthy)
+        record.Healthy.push_back(it.Name);
+  record.Floor = policyAt(Settings.state().Tree, "/" + subject.Service).Floor;
+  return record;
+}
+
+std::vector<const Member *> Control::membersInService() const {
+  std::vector<const Member *> all = peers(Members.state());
+  all.push_back(&Members.state().Members.at(Facts.Node));
+  return all;
+}
+
+void Control::wantEjection(const EjectionAction &action) {
+  LeaseSubject subject{LeaseKind::Ejection, action.Service, action.Endpoint};
+  Leases.wantEjection(subject, action.IsWanted);
+}
+
+asio::awaitable<bool> Control::askVoucher(std::string node) {
+  const auto &members = Members.state().Members;
+  auto member = members.find(node);
+  if (member == members.end())
+    co_return false;
+  NodeView view;
+  view.FleetAddress = member->second.Record.FleetAddress;
+  auto client =
+      co_await Links.connect(view.FleetAddress, view, now() + SnapshotLimit);
+  if (!client)
+    co_return false;
+  auto box = std::make_shared<StreamMailbox>(Io.get_executor());
+  wire::Frame frame;
+  frame.stream = client->open(box, 0);
+  std::int64_t stream = frame.stream;
+  frame.keyRequest.operation = wire::KeyOperation::VOUCH;
+  frame.keyRequest.record.requestId = Facts.Node;
+  frame.keyRequest.record.fingerprint = BootId;
+  frame.__isset.keyRequest = true;
+  client->channel().send(std::move(frame));
+  std::optional<StreamEvent> event = co_await box->next(now() + SnapshotLimit);
+  client->forget(stream);
+  auto *reply = event ? std::get_if<wire::KeyReply>(&event->Content) : nullptr;
+  co_return reply && reply->verdict == int(KeyVerdict::Granted);
+}
+
 absl::Status Control::start() {
   absl::Status status = Members.start();
   if (!status.ok())
     return status;
   Settings.start();
+  Leases.start();
   scheduleRebuild();
   return absl::OkStatus();
 }
@@ -121,6 +200,7 @@
   record.IsLeaving = IsLeaving;
   record.Endpoints = Endpoints;
   record.SettingsNext = Settings.state().Next;
+  record.LedgerNext = Leases.agent().Ledger.Next;
   Members.describe(record, isUrgent);
 }
 
@@ -164,7 +244,8 @@
   for (const std::string &address : addresses) {
     if (address == Facts.AdvertisedAddress)
       continue;
-    NodeView view{address, 0};
+    NodeView view;
+    view.FleetAddress = address;
     auto client = co_await Links.connect(address, view, now() + SnapshotLimit);
     if (!client)
       continue;
@@ -174,13 +255,14 @@
     std::int64_t stream = frame.stream;
     frame.__set_snapshotRequest({});
     client->channel().send(std::move(frame));
-    std::optional<StreamEvent> event = co_await box->next(now() + SnapshotLimit);
+    std::optional<StreamEvent> event =
+        co_await box->next(now() + SnapshotLimit);
     client->forget(stream);
     auto *content =
         event ? std::get_if<wire::Snapshot>(&event->Content) : nullptr;
     if (!content || content->settingsOffset < 0)
       continue;
-    Settings.merge(fromWire(*content), content->settingsOffset);
+    Settings.merge(fromWire(*content));
     hasAnswer = true;
   }
   co_return hasAnswer;
@@ -209,7 +291,8 @@
   const MemberRecord &record = member.Record;
   if (member.State == MemberState::Dead)
     return;
-  view.Nodes[record.Node] = {record.FleetAddress, record.BootId};
+  view.Nodes[record.Node] = {record.FleetAddress, record.BootId,
+                             record.LedgerNext};
   if (record.IsLeaving)
     return;
   for (const EndpointRecord &endpoint : record.Endpoints) {
@@ -256,6 +339,10 @@
   for (const std::string &name : releasedFingerprints(settings.Tree))
     Crashes.Released.push_back(parseFingerprint(name));
   view->Crashes = Crashes;
+  view->Keepers = keeperRoster(Leases.agent().Ledger);
+  view->KeepersOffset = Leases.agent().Ledger.Next;
+  view->HandedOn = Leases.handedOn();
+  view->KeeperUntil = Leases.keeperUntil();
   Counters.setMembers(double(view->Nodes.size()));
   View = view;
   Handlers.OnView(View);
@@ -270,7 +357,18 @@
     crashes.push_back({{"fingerprint", fingerprintName(fingerprint)},
                        {"crashes", it.Crashes},
                        {"remaining_ms", toMillis(it.Expiry - now()).count()}});
-  return {{"node", Facts.Node},
+  json keepers = json::array();
+  for (const LeaseHolder &it : keeperRoster(Leases.agent().Ledger))
+    keepers.push_back(it.Node);
+  json ejections = json::array();
+  for (const auto &[subject, lease] : Leases.agent().Ledger.Leases)
+    if (subject.Kind == LeaseKind::Ejection)
+      ejections.push_back({{"service", subject.Service},
+                           {"endpoint", subject.Name},
+                           {"holder", lease.Holder.Node}});
+  return {{"keepers", std::move(keepers)},
+          {"ejections", std::move(ejections)},
+          {"node", Facts.Node},
           {"settings_next", Settings.state().Next},
           {"settings_loaded", Settings.isLoaded()},
           {"log_reachable", Settings.isLogReachable()},
--- a/src/libfleet/control.h
+++ b/src/libfleet/control.h
@@ -1,11 +1,14 @@
 #pragma once
 
 #include "libfleet/fleetview.h"
+#include "libfleet/leaseservice.h"
 #include "libfleet/membershipservice.h"
 #include "libfleet/nodesettings.h"
 #include "libfleet/peerlinks.h"
 #include "libfleet/settingsservice.h"
 
+#include "libhickoryglade/gateaction.h"
+
 #include <nlohmann/json_fwd.hpp>
 
 #include <functional>
@@ -23,6 +26,8 @@
   struct Events {
     /// Called with each new view, on the control thread.
     std::function<void(FleetViewPtr)> OnView;
+    /// Ends of the ejection leases held, by endpoint, at each change.
+    std::function<void(std::map<std::string, Instant>)> OnEjections;
   };
 
   Control(asio::io_context &io, const NodeSettings &settings,
@@ -31,9 +36,14 @@
   absl::Status start();
 
   void setEndpoints(std::vector<EndpointRecord> endpoints);
+  void wantEjection(const EjectionAction &action);
   void noteCrash(std::uint64_t fingerprint, const CrashRecord &record);
   void leave();
 
+  /// Gives the keeper lease back once the records have been handed on.
+  asio::awaitable<bool> resign(Millis limit) { return Leases.resign(limit); }
+  bool vouch(const LeaseHolder &keeper) { return Leases.vouch(keeper); }
+
   SettingsService &settings() { return Settings; }
   const Membership &membership() const { return Members.state(); }
   const FleetViewPtr &view() const { return View; }
@@ -46,6 +56,11 @@
 
 private:
   asio::awaitable<bool> fetchSnapshot();
+  asio::awaitable<bool> askVoucher(std::string node);
+  LeaseService::Events leaseEvents();
+  std::vector<LivingMember> livingMembers() const;
+  std::vector<const Member *> membersInService() const;
+  LeaseRecord describeEjection(const LeaseSubject &subject) const;
   std::size_t refreshRank(const std::string &what) const;
   void describe(bool isUrgent);
   void scheduleRebuild();
@@ -60,6 +75,7 @@
   PeerLinks Links;
   MembershipService Members;
   SettingsService Settings;
+  LeaseService Leases;
   asio::steady_timer RebuildTimer;
   bool IsRebuildDue = false;
   bool IsLeaving = false;
--- a/src/libfleet/endpointclient.cpp
+++ b/src/libfleet/endpointclient.cpp
@@ -28,7 +28,10 @@
 
 EndpointResult failed(AttemptOutcome outcome, ErrorKind kind, RunState run,
                       std::string detail) {
-  return {outcome, std::nullopt, {kind, run, std::move(detail), Millis{0}}, Micros{0}};
+  return {outcome,
+          std::nullopt,
+          {kind, run, std::move(detail), Millis{0}},
+          Micros{0}};
 }
 
 http::request<http::string_body> toBeast(const HttpRequest &request,
@@ -60,8 +63,8 @@
   for (const auto &field : in)
     if (!isHopByHop(std::string_view(field.name_string().data(),
                                      field.name_string().size())))
-      answer.Headers.push_back({std::string(field.name_string()),
-                                std::string(field.value())});
+      answer.Headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
   answer.Content = std::make_shared<const std::string>(std::move(in.body()));
   return answer;
 }
@@ -76,7 +79,8 @@
 template <typename Parser>
 bool isLengthKnown(const Parser &parser, bool isHead) {
   int status = int(parser.get().result_int());
-  bool hasNoBody = isHead || status / 100 == 1 || status == 204 || status == 304;
+  bool hasNoBody =
+      isHead || status / 100 == 1 || status == 204 || status == 304;
   return hasNoBody || parser.content_length() || parser.chunked();
 }
 
@@ -129,9 +133,7 @@
     idle.pop_front();
 }
 
-void EndpointClient::forget(const std::string &address) {
-  Idle.erase(address);
-}
+void EndpointClient::forget(const std::string &address) { Idle.erase(address); }
 
 asio::awaitable<EndpointClient::ConnectionPtr>
 EndpointClient::connect(std::string address, Instant deadline,
--- a/src/libfleet/endpointclient.h
+++ b/src/libfleet/endpointclient.h
@@ -48,9 +48,9 @@
 
   ConnectionPtr takeIdle(const std::string &address, bool isIdempotent);
   void putIdle(const std::string &address, ConnectionPtr connection);
-  asio::awaitable<ConnectionPtr> connect(std::string address,
-                                         Instant deadline,
-                                         std::shared_ptr<ExchangeHandle> handle);
+  asio::awaitable<ConnectionPtr>
+  connect(std::string address, Instant deadline,
+          std::shared_ptr<ExchangeHandle> handle);
   asio::awaitable<bool> isListening(std::string address);
   asio::awaitable<EndpointResult>
   explainLoss(std::string address, ErrorKind kind, std::string detail);
--- a/src/libfleet/entry.cpp
+++ b/src/libfleet/entry.cpp
@@ -1,5 +1,6 @@
 #include "libfleet/entry.h"
 
+#include "libfleet/keyedcall.h"
 #include "libfleet/logging.h"
 #include "libfleet/metrics.h"
 #include "libhickoryglade/hash.h"
@@ -30,6 +31,7 @@
 /// A gate's report older than this says nothing any more.
 constexpr Micros LoadTerm = std::chrono::milliseconds(500);
 
+constexpr std::size_t MostKeyBytes = 255;
 constexpr Millis LongestTimeout = std::chrono::hours(24);
 constexpr Millis DefaultRetryAfter = std::chrono::seconds(1);
 constexpr std::uint64_t RetrySpreadMs = 1'000;
@@ -77,9 +79,8 @@
   Instant waitUntil() const { return Request->Deadline + VerdictGrace; }
 };
 
-Entry::Entry(asio::any_io_executor ex, std::string node,
-             std::string dataCentre, std::int64_t bootId, std::size_t worker,
-             Metrics &metrics)
+Entry::Entry(asio::any_io_executor ex, std::string node, std::string dataCentre,
+             std::int64_t bootId, std::size_t worker, Metrics &metrics)
     : Executor(ex), Node(std::move(node)), DataCentre(std::move(dataCentre)),
       BootId(bootId), Worker(worker), Counters(metrics),
       Links(ex,
@@ -115,7 +116,11 @@
   } else {
     Inquiry &inquiry = std::get<Inquiry>(examined);
     service = inquiry.Way.Service;
-    result = co_await perform(inquiry);
+    bool isKeyed = !inquiry.IsIdempotent && !inquiry.IdempotencyKey.empty();
+    if (isKeyed)
+      result = co_await performKeyed(inquiry);
+    else
+      result = co_await perform(inquiry);
   }
   HttpAnswer answer;
   if (auto *error = std::get_if<Error>(&result))
@@ -162,17 +167,24 @@
   inquiry.Cost = Costs.estimate(inquiry.Class, policy.LongAfter);
   inquiry.IsIdempotent = policy.isIdempotent(request.Method);
   inquiry.IdempotencyKey = headerValue(request.Headers, "Idempotency-Key");
+  if (inquiry.IdempotencyKey.size() > MostKeyBytes)
+    return makeError(ErrorKind::BadRequest, "Idempotency-Key is too long");
   inquiry.Http = std::move(request);
   inquiry.Scope = std::move(scope);
   if (ruleFor(View->Crashes, inquiry.Fingerprint, now()) ==
       QuarantineRule::Refused)
-    return makeError(ErrorKind::Quarantined,
-                     fingerprintName(inquiry.Fingerprint),
-                     toMillis(remainingTerm(View->Crashes, inquiry.Fingerprint,
-                                            now())));
+    return makeError(
+        ErrorKind::Quarantined, fingerprintName(inquiry.Fingerprint),
+        toMillis(remainingTerm(View->Crashes, inquiry.Fingerprint, now())));
   return inquiry;
 }
 
+asio::awaitable<EntryResult> Entry::performKeyed(Inquiry &inquiry) {
+  KeyedCall call(Executor, Links, View);
+  KeyedCall::Run run = [this](Inquiry &it) { return perform(it); };
+  co_return co_await call.perform(inquiry, run);
+}
+
 asio::awaitable<EntryResult> Entry::perform(Inquiry &inquiry) {
   RetryBudget &budget = Budgets[inquiry.Way.Service];
   budget.noteFresh(inquiry.Way.Policy.RetryBudgetPercent);
@@ -264,8 +276,8 @@
   co_return result;
 }
 
-void Entry::logRoute(const Inquiry &inquiry, int number,
-                     const Attempt &attempt, const RoutePlan &plan) const {
+void Entry::logRoute(const Inquiry &inquiry, int number, const Attempt &attempt,
+                     const RoutePlan &plan) const {
   if (!isLogged(LogLevel::Info))
     return;
   json chosen = json::array();
@@ -284,8 +296,8 @@
 
 asio::awaitable<bool> Entry::openTarget(Attempt &attempt, std::size_t target) {
   Attempt::Target &it = attempt.Targets[target];
-  it.Client = co_await Links.connect(it.Gate.Node, it.Node,
-                                     attempt.Request->Deadline);
+  it.Client =
+      co_await Links.connect(it.Gate.Node, it.Node, attempt.Request->Deadline);
   if (!it.Client)
     co_return false;
   it.Stream = it.Client->open(attempt.Box, target);
@@ -303,8 +315,7 @@
   ticket.workspace = inquiry.Way.Workspace;
   ticket.serviceName = inquiry.Way.Service;
   ticket.gateBootId = it.Node.BootId;
-  ticket.timeoutMs =
-      toMillis(inquiry.Deadline - AnswerMargin - now()).count();
+  ticket.timeoutMs = toMillis(inquiry.Deadline - AnswerMargin - now()).count();
   ticket.linkAgeMs = it.Client->channel().ageMs();
   ticket.expectedCostUs = inquiry.Cost.Expected.count();
   ticket.isLong = inquiry.Cost.IsLong;
@@ -496,12 +507,9 @@
 HttpAnswer Entry::problem(const Error &error, const std::string &id) {
   const ErrorAnswer &row = answerFor(error.Kind);
   Counters.countError(std::string(row.Name));
-  json body = {{"type", "about:blank"},
-               {"title", row.Title},
-               {"status", row.Status},
-               {"detail", error.Detail},
-               {"kind", row.Name},
-               {"run", toString(error.Run)},
+  json body = {{"type", "about:blank"}, {"title", row.Title},
+               {"status", row.Status},  {"detail", error.Detail},
+               {"kind", row.Name},      {"run", toString(error.Run)},
                {"request_id", id}};
   HttpAnswer answer;
   answer.Status = row.Status;
--- a/src/libfleet/entry.h
+++ b/src/libfleet/entry.h
@@ -58,6 +58,7 @@
                                        std::shared_ptr<CallScope> scope,
                                        std::string id);
   asio::awaitable<EntryResult> perform(Inquiry &inquiry);
+  asio::awaitable<EntryResult> performKeyed(Inquiry &inquiry);
   asio::awaitable<EntryResult> tryOnce(Inquiry &inquiry, int number);
   asio::awaitable<EntryResult> sendDirect(Attempt &attempt);
   asio::awaitable<EntryResult> leaveTickets(Attempt &attempt);
--- a/src/libfleet/fleetview.h
+++ b/src/libfleet/fleetview.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "libhickoryglade/leaseledger.h"
 #include "libhickoryglade/quarantine.h"
-#include "libhickoryglade/routetable.h"
 #include "libhickoryglade/routerpolicy.h"
+#include "libhickoryglade/routetable.h"
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +28,8 @@
 struct NodeView {
   std::string FleetAddress;
   std::int64_t BootId = 0;
+  /// Offset up to which the node says that it has read the ledger.
+  std::int64_t LedgerNext = 0;
 
   bool operator==(const NodeView &) const = default;
 };
@@ -45,9 +49,14 @@
   std::map<std::string, ServiceView> Services;
   std::map<std::string, NodeView> Nodes;
   Quarantine Crashes;
-  /// Nodes that keep idempotency keys, and the log offset they are as of.
-  std::vector<std::string> Keepers;
+  /// Processes that keep idempotency keys, and the ledger offset as of which
+  /// they do.
+  std::vector<LeaseHolder> Keepers;
   std::int64_t KeepersOffset = 0;
+  /// Keepers that have left after handing on their records.
+  std::vector<LeaseHolder> HandedOn;
+  /// End of this node's own keeper lease, by its clock.
+  std::optional<Instant> KeeperUntil;
 };
 
 using FleetViewPtr = std::shared_ptr<const FleetView>;
--- a/src/libfleet/framecodec.cpp
+++ b/src/libfleet/framecodec.cpp
@@ -26,10 +26,10 @@
 
 template <typename Message>
 std::optional<Message> decode(std::string_view bytes) {
-  auto *data = reinterpret_cast<std::uint8_t *>(
-      const_cast<char *>(bytes.data()));
-  auto buf = std::make_shared<TMemoryBuffer>(
-      data, std::uint32_t(bytes.size()), TMemoryBuffer::OBSERVE);
+  auto *data =
+      reinterpret_cast<std::uint8_t *>(const_cast<char *>(bytes.data()));
+  auto buf = std::make_shared<TMemoryBuffer>(data, std::uint32_t(bytes.size()),
+                                             TMemoryBuffer::OBSERVE);
   Protocol protocol(buf, MostFrameBytes, MostFrameBytes);
   try {
     Message message;
--- a/src/libfleet/gateclient.cpp
+++ b/src/libfleet/gateclient.cpp
@@ -78,13 +78,12 @@
 }
 
 void GateClient::finishAnswer(std::int64_t id, Stream &stream) {
-  HttpAnswer answer{stream.Head->status, fromWire(stream.Head->headers),
-                    std::make_shared<const std::string>(
-                        std::move(stream.Content))};
-  stream.Box->put({stream.Tag,
-                   AnswerEvent{std::move(answer), stream.Head->endpoint,
-                               stream.Head->load,
-                               Micros(stream.Head->runUs)}});
+  HttpAnswer answer{
+      stream.Head->status, fromWire(stream.Head->headers),
+      std::make_shared<const std::string>(std::move(stream.Content))};
+  stream.Box->put(
+      {stream.Tag, AnswerEvent{std::move(answer), stream.Head->endpoint,
+                               stream.Head->load, Micros(stream.Head->runUs)}});
   forget(id);
 }
 
--- a/src/libfleet/gateservice.cpp
+++ b/src/libfleet/gateservice.cpp
@@ -131,13 +131,13 @@
   exchange->HasCall = true;
   exchange->Http = {std::move(call.method), std::move(call.target),
                     fromWire(call.headers), nullptr};
-  exchange->ExpectedBytes = std::size_t(std::max<std::int64_t>(call.bodyBytes, 0));
+  exchange->ExpectedBytes =
+      std::size_t(std::max<std::int64_t>(call.bodyBytes, 0));
   if (exchange->ExpectedBytes == 0)
     bodyComplete(exchange);
 }
 
-GateService::ExchangePtr
-GateService::findByStream(const StreamRef &ref) const {
+GateService::ExchangePtr GateService::findByStream(const StreamRef &ref) const {
   auto channel = ref.Channel.lock();
   auto it = std::ranges::find_if(Exchanges, [&](const auto &entry) {
     const StreamRef &origin = entry.second->Origin;
@@ -179,11 +179,10 @@
   wire::Frame frame;
   frame.stream = ref.Stream;
   if (revokeFrame.gateBootId != BootId)
-    return sendFailure(ref,
-                       makeError(ErrorKind::GateLost, "the node was replaced"),
-                       "", "");
-  auto done = std::ranges::find(Results, revokeFrame.attemptId,
-                                &Finished::Attempt);
+    return sendFailure(
+        ref, makeError(ErrorKind::GateLost, "the node was replaced"), "", "");
+  auto done =
+      std::ranges::find(Results, revokeFrame.attemptId, &Finished::Attempt);
   if (done != Results.end())
     return reply(ref, *done->Result, "", done->Endpoint);
   GateActions actions;
@@ -211,8 +210,8 @@
 void GateService::carryOutOne(const StartAction &action) {
   auto it = Exchanges.find(action.AttemptId);
   if (it == Exchanges.end()) {
-    carryOut(complete(Kernel, action.AttemptId, AttemptOutcome::Cancelled,
-                      now()));
+    carryOut(
+        complete(Kernel, action.AttemptId, AttemptOutcome::Cancelled, now()));
     return;
   }
   it->second->Endpoint = action.Endpoint;
@@ -300,10 +299,10 @@
   auto left = toMillis(exchange->Request.Deadline - now()).count();
   request.Headers.push_back({"Request-Deadline-Ms", std::to_string(left)});
   Instant start = now();
-  EndpointResult result = co_await Client.exchange(
-      it->second.Facts.Address, std::move(request),
-      exchange->Request.IsIdempotent, exchange->Request.Deadline,
-      exchange->Handle);
+  EndpointResult result =
+      co_await Client.exchange(it->second.Facts.Address, std::move(request),
+                               exchange->Request.IsIdempotent,
+                               exchange->Request.Deadline, exchange->Handle);
   result.RunTime = now() - start;
   finish(exchange, std::move(result));
 }
@@ -316,8 +315,7 @@
   GateActions actions = complete(Kernel, attempt, result.Outcome, now());
   Exchanges.erase(attempt);
   auto kept = std::make_shared<const EndpointResult>(std::move(result));
-  reply(exchange->Origin, *kept, exchange->Request.Service,
-        exchange->Endpoint);
+  reply(exchange->Origin, *kept, exchange->Request.Service, exchange->Endpoint);
   for (const StreamRef &follower : exchange->Followers)
     reply(follower, *kept, exchange->Request.Service, exchange->Endpoint);
   keepFinished(exchange, std::move(kept));
@@ -385,8 +383,8 @@
 
 std::int64_t GateService::announceEndpoint(const Announcement &facts) {
   auto before = Kernel.Endpoints.find(facts.Name);
-  bool isChanged = before == Kernel.Endpoints.end() ||
-                   before->second.Facts != facts;
+  bool isChanged =
+      before == Kernel.Endpoints.end() || before->second.Facts != facts;
   carryOut(announce(Kernel, facts, now()));
   if (isChanged)
     publishEndpoints();
--- a/src/libfleet/gateservice.h
+++ b/src/libfleet/gateservice.h
@@ -40,8 +40,7 @@
   /// Returns the generation under which the endpoint now runs.
   std::int64_t announceEndpoint(const Announcement &facts);
   void withdrawEndpoint(const std::string &name);
-  void applyEjection(const std::string &endpoint,
-                     std::optional<Instant> until);
+  void applyEjection(const std::string &endpoint, std::optional<Instant> until);
   void applyView(const FleetViewPtr &view);
   void drainNow();
   bool idle() const { return isIdle(Kernel) && Exchanges.empty(); }
--- a/src/libfleet/httpfront.cpp
+++ b/src/libfleet/httpfront.cpp
@@ -7,7 +7,6 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-
 namespace hickoryglade::fleet {
 
 namespace beast = boost::beast;
@@ -31,15 +30,14 @@
   request.Method = std::string(in.method_string());
   request.Target = std::string(in.target());
   for (const auto &field : in)
-    request.Headers.push_back({std::string(field.name_string()),
-                               std::string(field.value())});
+    request.Headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
   request.Content = std::make_shared<const std::string>(std::move(in.body()));
   return request;
 }
 
-http::response<http::string_body> toBeast(const HttpAnswer &answer,
-                                          const std::string &method,
-                                          bool isKept) {
+http::response<http::string_body>
+toBeast(const HttpAnswer &answer, const std::string &method, bool isKept) {
   http::response<http::string_body> out;
   out.version(11);
   out.result(unsigned(answer.Status));
@@ -76,8 +74,7 @@
            const std::shared_ptr<CallScope> &scope,
            const std::shared_ptr<bool> &isServed) {
   session->Stream.socket().async_wait(
-      tcp::socket::wait_read,
-      [session, scope, isServed](const error_code &ec) {
+      tcp::socket::wait_read, [session, scope, isServed](const error_code &ec) {
         if (ec || *isServed)
           return;
         error_code peekFault;
@@ -91,9 +88,8 @@
 }
 
 asio::awaitable<void> writeAnswer(std::shared_ptr<Session> session,
-                                  const HttpAnswer &answer,
-                                  std::string method, bool isKept,
-                                  error_code &ec) {
+                                  const HttpAnswer &answer, std::string method,
+                                  bool isKept, error_code &ec) {
   auto message = toBeast(answer, method, isKept);
   http::response_serializer<http::string_body> serializer(message);
   serializer.split(method == "HEAD");
--- a/src/libfleet/httpmessage.cpp
+++ b/src/libfleet/httpmessage.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 9> HopByHop = {
-    "connection", "keep-alive",        "proxy-connection",
-    "te",         "transfer-encoding", "upgrade",
+    "connection", "keep-alive",          "proxy-connection",
+    "te",         "transfer-encoding",   "upgrade",
     "trailer",    "proxy-authorization", "content-length"};
 
 bool isEqual(std::string_view a, std::string_view b) {
--- /dev/null
+++ b/src/libfleet/keyedcall.cpp
@@ -0,0 +1,176 @@
+#include "libfleet/keyedcall.h"
+
+#include "libfleet/logging.h"
+#include "libhickoryglade/keyplacement.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace hickoryglade::fleet {
+
+namespace {
+
+/// A grant counts only if it arrives this soon after it was asked for: a
+/// keeper that was paused in between may have lost its lease meanwhile.
+constexpr Micros GrantAge = std::chrono::seconds(3);
+
+constexpr Micros AskLimit = std::chrono::milliseconds(1'500);
+constexpr Micros RecordLimit = std::chrono::seconds(1);
+constexpr Micros PollPause = std::chrono::milliseconds(30);
+
+/// A request without a grant is given up after this time.
+constexpr Micros GrantPatience = std::chrono::seconds(3);
+
+constexpr Millis RetrySoon = std::chrono::seconds(2);
+
+/// Verdicts that the keeper may change on its own before long.
+bool isPassing(KeyVerdict verdict) {
+  return verdict == KeyVerdict::NotKeeper || verdict == KeyVerdict::NoCopy;
+}
+
+KeyVerdict verdictOf(const wire::KeyReply &reply) {
+  int value = std::clamp(reply.verdict, 0, int(KeyVerdict::NoCopy));
+  return static_cast<KeyVerdict>(value);
+}
+
+HttpAnswer replay(const wire::StoredAnswer &stored) {
+  HttpAnswer answer;
+  answer.Status = stored.status;
+  answer.Headers = fromWire(stored.headers);
+  answer.Headers.push_back({"Idempotent-Replayed", "true"});
+  answer.Content = std::make_shared<const std::string>(stored.body);
+  return answer;
+}
+
+Error keyError(KeyVerdict verdict) {
+  switch (verdict) {
+  case KeyVerdict::Reused:
+    return makeError(ErrorKind::KeyReused);
+  case KeyVerdict::AnswerGone:
+    return makeError(ErrorKind::KeyAnswerGone);
+  case KeyVerdict::Unclear:
+    return makeError(ErrorKind::KeyUnvouched,
+                     "the first run ended without a clear outcome");
+  default:
+    return makeError(ErrorKind::KeyUnvouched,
+                     "the records of the key have been lost");
+  }
+}
+
+} // namespace
+
+KeyedCall::KeyedCall(asio::any_io_executor ex, PeerLinks &links,
+                     FleetViewPtr view)
+    : Executor(std::move(ex)), Links(links), View(std::move(view)) {}
+
+wire::KeyRequest
+KeyedCall::makeRequest(const Inquiry &inquiry,
+                       wire::KeyOperation::type operation) const {
+  wire::KeyRequest request;
+  request.operation = operation;
+  request.record.key = inquiry.Way.Workspace + '\n' + inquiry.Way.Service +
+                       '\n' + inquiry.IdempotencyKey;
+  request.record.requestId = inquiry.Id;
+  request.record.fingerprint = std::int64_t(inquiry.Fingerprint);
+  request.record.state = int(KeyState::Running);
+  request.record.lifetimeMs = inquiry.Way.Policy.KeyLifetime.count();
+  request.rosterOffset = View->KeepersOffset;
+  return request;
+}
+
+asio::awaitable<std::optional<wire::KeyReply>>
+KeyedCall::ask(const Inquiry &inquiry, wire::KeyRequest request,
+               Instant until) {
+  std::vector<LeaseHolder> ranked =
+      rankKeepers(View->Keepers, request.record.key);
+  if (ranked.empty())
+    co_return std::nullopt;
+  auto node = View->Nodes.find(ranked.front().Node);
+  if (node == View->Nodes.end() || node->second.BootId != ranked.front().BootId)
+    co_return std::nullopt;
+  NodeView target = node->second;
+  until = std::min(until, now() + AskLimit);
+  auto client = co_await Links.connect(ranked.front().Node, target, until);
+  if (!client)
+    co_return std::nullopt;
+  auto box = std::make_shared<StreamMailbox>(Executor);
+  inquiry.Scope->OnCancel = [box] { box->put({0, CancelledEvent{}}); };
+  wire::Frame frame;
+  frame.stream = client->open(box, 0);
+  std::int64_t stream = frame.stream;
+  frame.__set_keyRequest(request);
+  client->channel().send(std::move(frame));
+  std::optional<StreamEvent> event = co_await box->next(until);
+  inquiry.Scope->OnCancel = nullptr;
+  client->forget(stream);
+  auto *reply = event ? std::get_if<wire::KeyReply>(&event->Content) : nullptr;
+  if (!reply)
+    co_return std::nullopt;
+  co_return *reply;
+}
+
+asio::awaitable<EntryResult> KeyedCall::perform(Inquiry &inquiry, Run run) {
+  Instant patience = std::min(now() + GrantPatience, inquiry.Deadline);
+  wire::KeyRequest request = makeRequest(inquiry, wire::KeyOperation::RESERVE);
+  while (!inquiry.Scope->IsCancelled) {
+    Instant asked = now();
+    std::optional<wire::KeyReply> reply =
+        co_await ask(inquiry, request, inquiry.Deadline);
+    KeyVerdict verdict = reply ? verdictOf(*reply) : KeyVerdict::NotKeeper;
+    bool isTimely = now() - asked < GrantAge;
+    if (verdict == KeyVerdict::Granted && isTimely)
+      co_return co_await runAndRecord(inquiry, std::move(run));
+    if (verdict == KeyVerdict::Done)
+      co_return replay(reply->record.answer);
+    bool isFinal = !isPassing(verdict) && verdict != KeyVerdict::Running &&
+                   verdict != KeyVerdict::Granted;
+    if (isFinal)
+      co_return keyError(verdict);
+    if (verdict == KeyVerdict::Running && now() >= inquiry.Deadline)
+      co_return makeError(ErrorKind::DeadlineExceeded,
+                          "the first run with this key has not ended",
+                          RetrySoon);
+    if (isPassing(verdict) && now() >= patience) {
+      co_await ask(inquiry, makeRequest(inquiry, wire::KeyOperation::RELEASE),
+                   now() + RecordLimit);
+      co_return makeError(ErrorKind::KeeperUnavailable, {}, RetrySoon);
+    }
+    asio::steady_timer pause(Executor, PollPause);
+    co_await pause.async_wait(asio::use_awaitable);
+  }
+  co_return makeError(ErrorKind::Cancelled);
+}
+
+asio::awaitable<EntryResult> KeyedCall::runAndRecord(Inquiry &inquiry,
+                                                     Run run) {
+  EntryResult result = co_await run(inquiry);
+  co_await record(inquiry, result);
+  co_return result;
+}
+
+asio::awaitable<void> KeyedCall::record(const Inquiry &inquiry,
+                                        const EntryResult &result) {
+  wire::KeyRequest request = makeRequest(inquiry, wire::KeyOperation::COMPLETE);
+  if (const auto *error = std::get_if<Error>(&result)) {
+    request.record.state = int(KeyState::Unclear);
+    if (error->Run == RunState::NotRun)
+      request.operation = wire::KeyOperation::RELEASE;
+  } else {
+    const auto &answer = std::get<HttpAnswer>(result);
+    bool isKept = answer.Content->size() <= KeyTable::MostAnswerBytes;
+    request.record.state = int(isKept ? KeyState::Done : KeyState::AnswerGone);
+    if (isKept) {
+      request.record.answer.status = answer.Status;
+      request.record.answer.headers = toWire(answer.Headers);
+      request.record.answer.body = *answer.Content;
+      request.record.__isset.answer = true;
+    }
+  }
+  std::optional<wire::KeyReply> reply =
+      co_await ask(inquiry, request, now() + RecordLimit);
+  if (!reply)
+    logEvent(LogLevel::Warn, "key_not_recorded", {{"request", inquiry.Id}});
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/leaseservice.cpp
@@ -0,0 +1,230 @@
+#include "libfleet/leaseservice.h"
+
+#include "libfleet/clock.h"
+#include "libfleet/logging.h"
+#include "libfleet/metrics.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace hickoryglade::fleet {
+
+namespace {
+
+constexpr Millis PollWait = std::chrono::seconds(2);
+constexpr Millis FirstBackoff = std::chrono::milliseconds(200);
+constexpr Millis MostBackoff = std::chrono::seconds(2);
+constexpr Millis ActPeriod = std::chrono::milliseconds(200);
+
+/// Between tries to acquire the same lease.
+constexpr Micros AcquirePeriod = std::chrono::seconds(2);
+
+/// With reads failing for this long, vouchers are sought instead.
+constexpr Micros VoucherAfter = std::chrono::seconds(3);
+
+constexpr std::size_t MostHandedOn = 256;
+
+/// The ledger decides; this spares the log the requests that it would deny.
+bool leavesEnough(const LeaseRecord &record) {
+  return int(record.Healthy.size()) >= std::max(record.Floor, 1);
+}
+
+std::string_view toString(LeaseEvent::Change change) {
+  constexpr std::array<std::string_view, 6> names = {
+      "granted", "denied", "released", "evicted", "replaced", "challenged"};
+  return names[std::size_t(change)];
+}
+
+} // namespace
+
+LeaseService::LeaseService(asio::io_context &io, std::string logAddress,
+                           std::string stream, LeaseHolder self,
+                           Metrics &metrics, Events events)
+    : Io(io), Reader(io.get_executor(), logAddress, stream),
+      Writer(io.get_executor(), logAddress, stream), Counters(metrics),
+      Handlers(std::move(events)) {
+  Agent.Self = std::move(self);
+  Keeper = {LeaseKind::Keeper, "", Agent.Self.Node};
+}
+
+void LeaseService::start() {
+  asio::co_spawn(Io, follow(), asio::detached);
+  asio::co_spawn(Io, act(), asio::detached);
+}
+
+asio::awaitable<void> LeaseService::pause(Millis wait) {
+  asio::steady_timer timer(Io, wait);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+asio::awaitable<void> LeaseService::follow() {
+  Millis backoff = FirstBackoff;
+  while (true) {
+    Instant began = now();
+    Millis wait = HasRead ? PollWait : Millis(0);
+    ReadResult result = co_await Reader.read(Agent.Ledger.Next, wait);
+    if (result.Status == LogStatus::Expired) {
+      Agent.Ledger.Next = std::max(Agent.Ledger.Next, result.First);
+      continue;
+    }
+    if (result.Status != LogStatus::Done) {
+      Counters.countLogFailure("read");
+      co_await pause(backoff);
+      backoff = std::min(backoff * 2, MostBackoff);
+      continue;
+    }
+    backoff = FirstBackoff;
+    for (const LogRecord &record : result.Records)
+      for (const LeaseEvent &it :
+           takeRecord(Agent, record.Offset, record.Data, now())) {
+        logEvent(LogLevel::Info, "lease",
+                 {{"what", toString(it.What)},
+                  {"subject", it.Subject.Name},
+                  {"service", it.Subject.Service},
+                  {"holder", it.Holder.Node}});
+        bool isKeeperGone = it.Subject.Kind == LeaseKind::Keeper &&
+                            it.What == LeaseEvent::Change::Released;
+        if (isKeeperGone && HandedOn.size() < MostHandedOn)
+          HandedOn.push_back(it.Holder);
+      }
+    bool isAtTail = result.Records.empty() || HasRead;
+    HasRead = HasRead || result.Records.empty();
+    if (isAtTail)
+      noteRead(Agent, began);
+    Handlers.OnChange();
+  }
+}
+
+LeaseRecord LeaseService::ownRecord(LeaseAction action,
+                                    const LeaseSubject &subject) const {
+  LeaseRecord record;
+  record.Action = action;
+  record.Subject = subject;
+  record.Holder = Agent.Self;
+  record.Author = Agent.Self.Node;
+  return record;
+}
+
+std::vector<LeaseRecord> LeaseService::dueRecords() {
+  std::vector<LeaseRecord> due = dueRenewals(Agent, now());
+  if (!HasRead)
+    return due;
+  for (LeaseRecord &it : dueChallenges(Agent, Handlers.Living(), now()))
+    due.push_back(std::move(it));
+  bool isKeeper = isHeldBy(Agent.Ledger, Keeper, Agent.Self);
+  if (!isKeeper && !IsResigned && now() - KeeperAskedAt > AcquirePeriod) {
+    KeeperAskedAt = now();
+    due.push_back(ownRecord(LeaseAction::Acquire, Keeper));
+  }
+  for (auto &[subject, askedAt] : Wanted) {
+    bool isHeld = isHeldBy(Agent.Ledger, subject, Agent.Self);
+    if (isHeld || now() - askedAt < AcquirePeriod)
+      continue;
+    LeaseRecord record = Handlers.DescribeEjection(subject);
+    if (!leavesEnough(record))
+      continue;
+    askedAt = now();
+    record.Action = LeaseAction::Acquire;
+    record.Subject = subject;
+    record.Holder = Agent.Self;
+    record.Author = Agent.Self.Node;
+    due.push_back(std::move(record));
+  }
+  for (const LeaseSubject &subject : needlessEjections())
+    due.push_back(ownRecord(LeaseAction::Release, subject));
+  return due;
+}
+
+/// Ejections that are no longer wanted, and those that a service cannot
+/// afford since others of its endpoints have failed.
+std::vector<LeaseSubject> LeaseService::needlessEjections() {
+  std::vector<LeaseSubject> needless;
+  for (const auto &[subject, lease] : Agent.Ledger.Leases) {
+    if (subject.Kind != LeaseKind::Ejection || lease.Holder != Agent.Self)
+      continue;
+    bool isAffordable = leavesEnough(Handlers.DescribeEjection(subject));
+    if (!isAffordable)
+      Wanted.erase(subject);
+    if (!Wanted.contains(subject))
+      needless.push_back(subject);
+  }
+  return needless;
+}
+
+asio::awaitable<bool> LeaseService::append(LeaseRecord record) {
+  AppendResult result = co_await Writer.append(encodeLease(record));
+  if (result.Status != LogStatus::Done)
+    Counters.countLogFailure("append");
+  co_return result.Status == LogStatus::Done;
+}
+
+asio::awaitable<void> LeaseService::act() {
+  while (true) {
+    co_await pause(ActPeriod);
+    std::vector<LeaseRecord> due = dueRecords();
+    for (LeaseRecord &record : due) {
+      bool isTaken = co_await append(std::move(record));
+      if (!isTaken)
+        break;
+    }
+    co_await seekVoucher();
+  }
+}
+
+asio::awaitable<void> LeaseService::seekVoucher() {
+  bool isKeeper = isHeldBy(Agent.Ledger, Keeper, Agent.Self);
+  bool isFresh = Agent.ReadAt && now() - *Agent.ReadAt < VoucherAfter;
+  bool isVouched = Agent.VouchedAt && now() - *Agent.VouchedAt < VoucherAfter;
+  std::string successor = keeperSuccessor(Agent.Ledger, Agent.Self.Node);
+  if (!isKeeper || isFresh || isVouched || successor.empty())
+    co_return;
+  Instant asked = now();
+  bool isPromised = co_await Handlers.AskVoucher(successor);
+  if (!isPromised)
+    co_return;
+  noteVoucher(Agent, asked);
+  Handlers.OnChange();
+}
+
+void LeaseService::wantEjection(const LeaseSubject &subject, bool isWanted) {
+  if (isWanted)
+    Wanted.try_emplace(subject);
+  else
+    Wanted.erase(subject);
+}
+
+std::map<std::string, Instant> LeaseService::ejections() const {
+  std::map<std::string, Instant> ends;
+  for (const auto &[subject, askedAt] : Wanted)
+    if (auto end = leaseEnd(Agent, subject))
+      ends[subject.Name] = *end;
+  return ends;
+}
+
+std::optional<Instant> LeaseService::keeperUntil() const {
+  if (IsResigned)
+    return std::nullopt;
+  return leaseEnd(Agent, Keeper);
+}
+
+bool LeaseService::vouch(const LeaseHolder &keeper) {
+  return promise(Agent, keeper, now());
+}
+
+asio::awaitable<bool> LeaseService::resign(Millis limit) {
+  IsResigned = true;
+  Handlers.OnChange();
+  Instant until = now() + limit;
+  LogClient writer(Io.get_executor(), Reader.address(), Reader.stream());
+  while (isHeldBy(Agent.Ledger, Keeper, Agent.Self) && now() < until) {
+    LeaseRecord record = ownRecord(LeaseAction::Release, Keeper);
+    AppendResult result = co_await writer.append(encodeLease(record));
+    if (result.Status == LogStatus::Done)
+      co_return true;
+    co_await pause(ActPeriod);
+  }
+  co_return !isHeldBy(Agent.Ledger, Keeper, Agent.Self);
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/leaseservice.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "libfleet/asio.h"
+#include "libfleet/logclient.h"
+#include "libhickoryglade/leasepolicy.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace hickoryglade::fleet {
+
+class Metrics;
+
+/// Takes part in the lease ledger on the control thread: follows the stream,
+/// holds this node's leases, challenges those of the dead.
+class LeaseService {
+public:
+  struct Events {
+    /// The ledger, or the time until which own leases hold, has changed.
+    std::function<void()> OnChange;
+    std::function<std::vector<LivingMember>()> Living;
+    /// Healthy endpoints of a service besides the given one, and its floor.
+    std::function<LeaseRecord(const LeaseSubject &)> DescribeEjection;
+    /// Asks the successor for a promise.
+    std::function<asio::awaitable<bool>(std::string node)> AskVoucher;
+  };
+
+  LeaseService(asio::io_context &io, std::string logAddress, std::string stream,
+               LeaseHolder self, Metrics &metrics, Events events);
+
+  void start();
+
+  const LeaseAgent &agent() const { return Agent; }
+
+  /// Asks for an ejection lease, or gives it back.
+  void wantEjection(const LeaseSubject &subject, bool isWanted);
+
+  /// Ends of the ejection leases held, by endpoint.
+  std::map<std::string, Instant> ejections() const;
+
+  std::optional<Instant> keeperUntil() const;
+
+  /// Keepers that have left in order.
+  const std::vector<LeaseHolder> &handedOn() const { return HandedOn; }
+
+  /// Answers a keeper that asks this node for a promise.
+  bool vouch(const LeaseHolder &keeper);
+
+  /// Gives the keeper lease back; ends once the log has taken that, or the
+  /// limit has passed.
+  asio::awaitable<bool> resign(Millis limit);
+
+private:
+  asio::awaitable<void> follow();
+  asio::awaitable<void> act();
+  asio::awaitable<void> seekVoucher();
+  asio::awaitable<bool> append(LeaseRecord record);
+  asio::awaitable<void> pause(Millis wait);
+  std::vector<LeaseRecord> dueRecords();
+  std::vector<LeaseSubject> needlessEjections();
+  LeaseRecord ownRecord(LeaseAction action, const LeaseSubject &subject) const;
+
+  asio::io_context &Io;
+  LogClient Reader;
+  LogClient Writer;
+  Metrics &Counters;
+  Events Handlers;
+  LeaseAgent Agent;
+  LeaseSubject Keeper;
+  std::map<LeaseSubject, Instant> Wanted;
+  std::vector<LeaseHolder> HandedOn;
+  Instant KeeperAskedAt;
+  bool HasRead = false;
+  bool IsResigned = false;
+};
+
+} // namespace hickoryglade::fleet
--- a/src/libfleet/link.cpp
+++ b/src/libfleet/link.cpp
@@ -81,7 +81,8 @@
 }
 
 void Link::dropBody(std::int64_t stream) {
-  std::erase_if(Bodies, [&](const Outgoing &it) { return it.Stream == stream; });
+  std::erase_if(Bodies,
+                [&](const Outgoing &it) { return it.Stream == stream; });
 }
 
 /// Urgent frames first, then one piece of the body whose turn it is.
--- a/src/libfleet/logclient.cpp
+++ b/src/libfleet/logclient.cpp
@@ -124,9 +124,9 @@
     Current = nullptr;
     co_return std::nullopt;
   }
-  Reply reply{int(parser.get().result_int()), std::move(parser.get().body()),
-              parseRetryAfter(std::string(
-                  parser.get()[http::field::retry_after]))};
+  Reply reply{
+      int(parser.get().result_int()), std::move(parser.get().body()),
+      parseRetryAfter(std::string(parser.get()[http::field::retry_after]))};
   if (!parser.keep_alive())
     Current = nullptr;
   co_return reply;
--- a/src/libfleet/logclient.h
+++ b/src/libfleet/logclient.h
@@ -49,6 +49,9 @@
   LogClient(asio::any_io_executor ex, std::string address, std::string stream);
   ~LogClient();
 
+  const std::string &address() const { return Address; }
+  const std::string &stream() const { return Stream; }
+
   asio::awaitable<AppendResult> append(std::string data);
 
   /// Waits up to a given time for records at or after an offset.
@@ -62,9 +65,8 @@
     Millis RetryAfter{0};
   };
 
-  asio::awaitable<std::optional<Reply>> call(std::string method,
-                                             std::string target,
-                                             std::string body, Millis limit);
+  asio::awaitable<std::optional<Reply>>
+  call(std::string method, std::string target, std::string body, Millis limit);
 
   asio::any_io_executor Executor;
   std::string Address;
--- a/src/libfleet/logging.cpp
+++ b/src/libfleet/logging.cpp
@@ -26,8 +26,8 @@
 std::string membersOf(const nlohmann::json &fields) {
   if (!fields.is_object() || fields.empty())
     return "";
-  std::string text = fields.dump(
-      -1, ' ', false, nlohmann::json::error_handler_t::replace);
+  std::string text =
+      fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   return "," + text.substr(1, text.size() - 2);
 }
 
@@ -46,12 +46,9 @@
               const nlohmann::json &fields) {
   if (!isLogged(level))
     return;
-  spdlog::log(toSpdlog(level), "\"event\":\"{}\"{}", event,
-              membersOf(fields));
+  spdlog::log(toSpdlog(level), "\"event\":\"{}\"{}", event, membersOf(fields));
 }
 
-bool isLogged(LogLevel level) {
-  return spdlog::should_log(toSpdlog(level));
-}
+bool isLogged(LogLevel level) { return spdlog::should_log(toSpdlog(level)); }
 
 } // namespace hickoryglade::fleet
--- a/src/libfleet/metrics.cpp
+++ b/src/libfleet/metrics.cpp
@@ -11,8 +11,7 @@
 namespace {
 
 const prometheus::Histogram::BucketBoundaries LatencyBuckets = {
-    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1,
-    0.25,  0.5,    1,     2.5,  5,     10,   30};
+    0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30};
 
 prometheus::Family<prometheus::Counter> &
 counterFamily(prometheus::Registry &registry, const char *name,
@@ -97,9 +96,7 @@
 
 void Metrics::setMembers(double alive) { All->Members.Set(alive); }
 
-void Metrics::setSettingsNext(double offset) {
-  All->SettingsNext.Set(offset);
-}
+void Metrics::setSettingsNext(double offset) { All->SettingsNext.Set(offset); }
 
 std::string Metrics::text() const {
   return prometheus::TextSerializer().Serialize(Registry->Collect());
--- a/src/libfleet/node.cpp
+++ b/src/libfleet/node.cpp
@@ -6,6 +6,7 @@
 #include "libfleet/entry.h"
 #include "libfleet/gateservice.h"
 #include "libfleet/httpfront.h"
+#include "libfleet/keyservice.h"
 #include "libfleet/linkserver.h"
 #include "libfleet/localchannel.h"
 #include "libfleet/logging.h"
@@ -13,6 +14,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <boost/asio/use_future.hpp>
+
 #include <future>
 #include <thread>
 
@@ -23,6 +26,7 @@
 /// After the fleet has been told of a stop, work that was already on its way
 /// still arrives for this long.
 constexpr Millis LingerTerm = std::chrono::seconds(1);
+constexpr Millis HandOnLimit = std::chrono::seconds(2);
 constexpr Millis StopPoll = std::chrono::milliseconds(20);
 
 wire::Hello makeHello(const NodeSettings &settings, std::int64_t bootId) {
@@ -42,13 +46,12 @@
   HttpAnswer answer;
   answer.Status = row.Status;
   answer.Headers.push_back({"Content-Type", "application/problem+json"});
-  answer.Content = std::make_shared<const std::string>(
-      nlohmann::json{{"type", "about:blank"},
-                     {"title", row.Title},
-                     {"status", row.Status},
-                     {"kind", row.Name},
-                     {"run", toString(row.DefaultRun)}}
-          .dump());
+  answer.Content = std::make_shared<const std::string>(nlohmann::json{
+      {"type", "about:blank"},
+      {"title", row.Title},
+      {"status", row.Status},
+      {"kind", row.Name},
+      {"run", toString(row.DefaultRun)}}.dump());
   return answer;
 }
 
@@ -86,6 +89,10 @@
   void connectLocal(Entry &entry, Loop &loop);
   void takeFrame(const std::shared_ptr<FrameChannel> &from, wire::Frame frame);
   asio::awaitable<std::optional<std::int64_t>> announce(Announcement facts);
+  void vouch(const std::shared_ptr<FrameChannel> &from,
+             const wire::Frame &frame);
+  void applyEjections(std::map<std::string, Instant> ends);
+  void handOnKeys();
   bool isQuiet();
 
   NodeSettings Facts;
@@ -96,6 +103,8 @@
   std::unique_ptr<Control> Brain;
   std::unique_ptr<GateService> Gate;
   std::vector<std::unique_ptr<Entry>> Entries;
+  std::unique_ptr<KeyService> Keys;
+  std::map<std::string, Instant> Ejected;
   std::unique_ptr<LinkServer> Server;
   std::unique_ptr<HttpFront> Callers;
   std::unique_ptr<AdminFront> Admin;
@@ -111,7 +120,10 @@
 
   Brain = std::make_unique<Control>(
       control, Facts, BootId, Counters,
-      Control::Events{[this](FleetViewPtr view) { applyView(view); }});
+      Control::Events{[this](FleetViewPtr view) { applyView(view); },
+                      [this](std::map<std::string, Instant> ends) {
+                        applyEjections(std::move(ends));
+                      }});
 
   GateService::Events gateEvents;
   gateEvents.OnEndpoints = [this](std::vector<EndpointRecord> endpoints) {
@@ -119,29 +131,33 @@
       Brain->setEndpoints(std::move(it));
     });
   };
-  gateEvents.OnEjection = [](const EjectionAction &) {};
-  gateEvents.OnCrash = [this](std::uint64_t fingerprint, CrashRecord record) {
+  gateEvents.OnEjection = [this](EjectionAction action) {
     asio::post(ControlLoop.Io,
-               [this, fingerprint, record] {
-                 Brain->noteCrash(fingerprint, record);
-               });
+               [this, it = std::move(action)] { Brain->wantEjection(it); });
+  };
+  gateEvents.OnCrash = [this](std::uint64_t fingerprint, CrashRecord record) {
+    asio::post(ControlLoop.Io, [this, fingerprint, record] {
+      Brain->noteCrash(fingerprint, record);
+    });
   };
   Gate = std::make_unique<GateService>(gateThread, BootId, Counters,
                                        std::move(gateEvents));
 
   std::vector<HttpFront::Lane> lanes;
   for (std::size_t i = 0; i < Traffic.size(); ++i) {
-    Entries.push_back(std::make_unique<Entry>(
-        Traffic[i]->Io.get_executor(), Facts.Node, Facts.DataCentre, BootId, i,
-        Counters));
+    Entries.push_back(std::make_unique<Entry>(Traffic[i]->Io.get_executor(),
+                                              Facts.Node, Facts.DataCentre,
+                                              BootId, i, Counters));
     connectLocal(*Entries.back(), *Traffic[i]);
-    lanes.push_back({Traffic[i]->Io.get_executor(),
-                     [entry = Entries.back().get()](
-                         HttpRequest request, std::shared_ptr<CallScope> scope) {
-                       return entry->serve(std::move(request),
-                                           std::move(scope));
-                     }});
+    lanes.push_back(
+        {Traffic[i]->Io.get_executor(),
+         [entry = Entries.back().get()](HttpRequest request,
+                                        std::shared_ptr<CallScope> scope) {
+           return entry->serve(std::move(request), std::move(scope));
+         }});
   }
+  Keys = std::make_unique<KeyService>(
+      gateThread, LeaseHolder{Facts.Node, BootId}, Entries[0]->links());
   Server = std::make_unique<LinkServer>(
       gateThread, Facts.FleetAddress, makeHello(Facts, BootId),
       [this](const std::shared_ptr<FrameChannel> &from, wire::Frame frame) {
@@ -154,8 +170,7 @@
     return announce(std::move(facts));
   };
   adminEvents.OnWithdraw = [this](std::string name) {
-    asio::post(Traffic[0]->Io,
-               [this, name] { Gate->withdrawEndpoint(name); });
+    asio::post(Traffic[0]->Io, [this, name] { Gate->withdrawEndpoint(name); });
   };
   Admin = std::make_unique<AdminFront>(control, *Brain, Counters,
                                        std::move(adminEvents));
@@ -164,18 +179,17 @@
        [this](HttpRequest request, std::shared_ptr<CallScope>) {
          return Admin->serve(std::move(request));
        }}};
-  AdminHttp = std::make_unique<HttpFront>(control.get_executor(),
-                                          Facts.AdminAddress,
-                                          std::move(adminLanes), faultAnswer);
+  AdminHttp =
+      std::make_unique<HttpFront>(control.get_executor(), Facts.AdminAddress,
+                                  std::move(adminLanes), faultAnswer);
 }
 
 /// An entry reaches the gate of its own node by a direct call.
 void Node::Parts::connectLocal(Entry &entry, Loop &loop) {
   auto holder = std::make_shared<std::shared_ptr<GateClient>>();
   auto toEntry = std::make_shared<LocalChannel>(
-      loop.Io.get_executor(), [holder](wire::Frame frame) {
-        (*holder)->takeFrame(std::move(frame));
-      });
+      loop.Io.get_executor(),
+      [holder](wire::Frame frame) { (*holder)->takeFrame(std::move(frame)); });
   auto toGate = std::make_shared<LocalChannel>(
       Traffic[0]->Io.get_executor(), [this, toEntry](wire::Frame frame) {
         takeFrame(toEntry, std::move(frame));
@@ -186,10 +200,14 @@
 
 void Node::Parts::takeFrame(const std::shared_ptr<FrameChannel> &from,
                             wire::Frame frame) {
-  if (!frame.__isset.snapshotRequest) {
-    Gate->takeFrame(from, std::move(frame));
-    return;
-  }
+  bool isVouch = frame.__isset.keyRequest &&
+                 frame.keyRequest.operation == wire::KeyOperation::VOUCH;
+  if (isVouch)
+    return vouch(from, frame);
+  if (frame.__isset.keyRequest)
+    return Keys->takeFrame(from, frame);
+  if (!frame.__isset.snapshotRequest)
+    return Gate->takeFrame(from, std::move(frame));
   asio::post(ControlLoop.Io, [this, from, stream = frame.stream] {
     wire::Frame reply;
     reply.stream = stream;
@@ -200,6 +218,35 @@
   });
 }
 
+void Node::Parts::vouch(const std::shared_ptr<FrameChannel> &from,
+                        const wire::Frame &frame) {
+  LeaseHolder keeper{frame.keyRequest.record.requestId,
+                     frame.keyRequest.record.fingerprint};
+  asio::post(ControlLoop.Io, [this, from, keeper, stream = frame.stream] {
+    bool isPromised = Brain->vouch(keeper);
+    wire::Frame reply;
+    reply.stream = stream;
+    reply.keyReply.verdict =
+        int(isPromised ? KeyVerdict::Granted : KeyVerdict::NotKeeper);
+    reply.__isset.keyReply = true;
+    asio::post(Traffic[0]->Io, [from, it = std::move(reply)]() mutable {
+      from->send(std::move(it));
+    });
+  });
+}
+
+/// The gate hears the end of each lease, and of each that is no longer held.
+void Node::Parts::applyEjections(std::map<std::string, Instant> ends) {
+  asio::post(Traffic[0]->Io, [this, it = std::move(ends)] {
+    for (const auto &[endpoint, end] : it)
+      Gate->applyEjection(endpoint, end);
+    for (const auto &[endpoint, end] : Ejected)
+      if (!it.contains(endpoint))
+        Gate->applyEjection(endpoint, std::nullopt);
+    Ejected = it;
+  });
+}
+
 asio::awaitable<std::optional<std::int64_t>>
 Node::Parts::announce(Announcement facts) {
   if (IsLeaving)
@@ -208,15 +255,18 @@
                  Announcement it) -> asio::awaitable<std::int64_t> {
     co_return gate->announceEndpoint(it);
   };
-  co_return co_await asio::co_spawn(Traffic[0]->Io,
-                                    task(Gate.get(), std::move(facts)),
-                                    asio::use_awaitable);
+  co_return co_await asio::co_spawn(
+      Traffic[0]->Io, task(Gate.get(), std::move(facts)), asio::use_awaitable);
 }
 
 void Node::Parts::applyView(const FleetViewPtr &view) {
-  asio::post(Traffic[0]->Io, [this, view] { Gate->applyView(view); });
+  asio::post(Traffic[0]->Io, [this, view] {
+    Gate->applyView(view);
+    Keys->applyView(view);
+  });
   for (std::size_t i = 0; i < Entries.size(); ++i)
-    asio::post(Traffic[i]->Io, [this, i, view] { Entries[i]->applyView(view); });
+    asio::post(Traffic[i]->Io,
+               [this, i, view] { Entries[i]->applyView(view); });
 }
 
 absl::Status Node::Parts::start() {
@@ -230,6 +280,7 @@
   if (!status.ok())
     return status;
   Gate->start();
+  Keys->start();
   for (auto &loop : Traffic)
     loop->start();
   ControlLoop.start();
@@ -249,6 +300,21 @@
   return isGateQuiet && inFlight == 0;
 }
 
+/// Gives the kept keys to their heirs, then the keeper lease back.
+void Node::Parts::handOnKeys() {
+  auto handOn = [](KeyService *keys) -> asio::awaitable<bool> {
+    co_return co_await keys->handOn(HandOnLimit);
+  };
+  auto resign = [](Control *control) -> asio::awaitable<bool> {
+    co_return co_await control->resign(HandOnLimit);
+  };
+  bool isComplete =
+      asio::co_spawn(Traffic[0]->Io, handOn(Keys.get()), asio::use_future)
+          .get();
+  if (isComplete)
+    asio::co_spawn(ControlLoop.Io, resign(Brain.get()), asio::use_future).get();
+}
+
 bool Node::Parts::stop() {
   Instant begin = now();
   logEvent(LogLevel::Info, "stopping", nlohmann::json::object());
@@ -262,6 +328,7 @@
     Gate->drainNow();
     return true;
   });
+  handOnKeys();
   bool isClean = false;
   while (!isClean && now() - begin < LingerTerm + Facts.DrainLimit) {
     std::this_thread::sleep_for(StopPoll);
--- a/src/libfleet/peerlinks.cpp
+++ b/src/libfleet/peerlinks.cpp
@@ -22,8 +22,7 @@
 PeerLinks::PeerLinks(asio::any_io_executor ex, wire::Hello own)
     : Executor(std::move(ex)), Own(std::move(own)) {}
 
-void PeerLinks::setLocal(std::string node,
-                         std::shared_ptr<GateClient> client) {
+void PeerLinks::setLocal(std::string node, std::shared_ptr<GateClient> client) {
   LocalNode = std::move(node);
   Local = std::move(client);
 }
@@ -79,8 +78,8 @@
     co_return;
   }
   auto slot = std::make_shared<GateClient *>(nullptr);
-  peer.Connection = std::make_shared<Link>(std::move(*socket), Own,
-                                           eventsFor(node, slot));
+  peer.Connection =
+      std::make_shared<Link>(std::move(*socket), Own, eventsFor(node, slot));
   peer.Client = std::make_shared<GateClient>(peer.Connection);
   *slot = peer.Client.get();
   peer.Client->OnStreamCount = [link = peer.Connection.get()](std::size_t n) {
@@ -91,9 +90,8 @@
   peer.Connection->start();
 }
 
-Link::Events
-PeerLinks::eventsFor(const std::string &node,
-                     const std::shared_ptr<GateClient *> &slot) {
+Link::Events PeerLinks::eventsFor(const std::string &node,
+                                  const std::shared_ptr<GateClient *> &slot) {
   Link::Events events;
   events.OnFrame = [this, node, slot](const std::shared_ptr<Link> &link,
                                       wire::Frame frame) {
--- a/src/libfleet/settingsservice.cpp
+++ b/src/libfleet/settingsservice.cpp
@@ -47,8 +47,8 @@
   while (true) {
     Millis wait = Loaded ? PollWait : Millis(0);
     ReadResult result = co_await Reader.read(Folded.Next, wait);
-    IsReachable = result.Status == LogStatus::Done ||
-                  result.Status == LogStatus::Expired;
+    IsReachable =
+        result.Status == LogStatus::Done || result.Status == LogStatus::Expired;
     if (result.Status == LogStatus::Done) {
       backoff = FirstBackoff;
       FirstKept = result.First;
@@ -107,8 +107,8 @@
   Handlers.OnChange();
 }
 
-void SettingsService::merge(const SettingsTree &tree, std::int64_t next) {
-  bool isChanged = mergeSnapshot(Folded, tree, next);
+void SettingsService::merge(const SettingsState &peer) {
+  bool isChanged = mergeSnapshot(Folded, peer);
   bool isFirst = !Loaded;
   Loaded = true;
   if (isChanged || isFirst)
--- a/src/libfleet/settingsservice.h
+++ b/src/libfleet/settingsservice.h
@@ -37,7 +37,7 @@
   bool isLogReachable() const { return IsReachable; }
 
   /// Takes over what a peer knows.
-  void merge(const SettingsTree &tree, std::int64_t next);
+  void merge(const SettingsState &peer);
 
   /// Appends a change and waits for its verdict; gives nothing if the log
   /// cannot be reached in time.
--- a/src/libfleet/wireconvert.cpp
+++ b/src/libfleet/wireconvert.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::size_t MostSnapshotVerdicts = 256;
+
 template <typename Enum> std::optional<Enum> toEnum(int value, Enum last) {
   if (value < 0 || value > int(last))
     return std::nullopt;
@@ -120,22 +122,48 @@
     entry.path = path;
     entry.value = node.Value.dump();
     entry.revision = node.Revision;
+    auto place = state.LastWritten.find(path);
+    if (place != state.LastWritten.end()) {
+      entry.writtenOffset = place->second.Offset;
+      entry.writtenAtMs = place->second.AtMs;
+    }
     out.entries.push_back(std::move(entry));
   }
+  std::size_t n = std::min(state.VerdictOrder.size(), MostSnapshotVerdicts);
+  for (auto it = state.VerdictOrder.end() - long(n);
+       it != state.VerdictOrder.end(); ++it) {
+    const ChangeVerdict &verdict = state.Verdicts.at(*it);
+    wire::VerdictRecord record;
+    record.changeId = verdict.Id;
+    record.path = verdict.Path;
+    record.outcome = int(verdict.Outcome);
+    record.revision = verdict.Revision;
+    out.verdicts.push_back(std::move(record));
+  }
   return out;
 }
 
-SettingsTree fromWire(const wire::Snapshot &snapshot) {
-  SettingsTree tree;
+SettingsState fromWire(const wire::Snapshot &snapshot) {
+  SettingsState state;
+  state.Next = snapshot.settingsOffset;
   for (const wire::SettingsEntry &entry : snapshot.entries) {
     auto value = nlohmann::json::parse(entry.value, nullptr, false);
     if (value.is_discarded() || !settingsPathFault(entry.path).empty())
       continue;
     if (!value.is_null() && !checkSettingsValue(entry.path, value).empty())
       continue;
-    tree.Nodes[entry.path] = {std::move(value), entry.revision};
+    state.Tree.Nodes[entry.path] = {std::move(value), entry.revision};
+    state.LastWritten[entry.path] = {entry.writtenOffset, entry.writtenAtMs};
+  }
+  for (const wire::VerdictRecord &record : snapshot.verdicts) {
+    auto outcome = toEnum(record.outcome, ChangeOutcome::Duplicate);
+    if (!outcome || state.Verdicts.contains(record.changeId))
+      continue;
+    state.Verdicts[record.changeId] = {
+        record.changeId, record.path, *outcome, record.revision, {}};
+    state.VerdictOrder.push_back(record.changeId);
   }
-  return tree;
+  return state;
 }
 
 } // namespace hickoryglade::fleet
--- a/src/libfleet/wireconvert.h
+++ b/src/libfleet/wireconvert.h
@@ -15,7 +15,7 @@
 std::optional<GossipMessage> fromWire(const wire::Gossip &gossip);
 
 wire::Snapshot toWire(const SettingsState &state);
-/// Tree of a snapshot; values that do not parse are left out.
-SettingsTree fromWire(const wire::Snapshot &snapshot);
+/// State of a snapshot; what does not parse is left out.
+SettingsState fromWire(const wire::Snapshot &snapshot);
 
 } // namespace hickoryglade::fleet
--- a/src/libhickoryglade/costmodel.cpp
+++ b/src/libhickoryglade/costmodel.cpp
@@ -22,8 +22,7 @@
 
 CostModel::CostModel(std::size_t mostClasses) : MostClasses(mostClasses) {}
 
-CostEstimate CostModel::estimate(const CostClass &cls,
-                                 Micros longAfter) const {
+CostEstimate CostModel::estimate(const CostClass &cls, Micros longAfter) const {
   auto it = Classes.find(keyOf(cls));
   if (it == Classes.end())
     return {};
--- a/src/libhickoryglade/fairqueue.cpp
+++ b/src/libhickoryglade/fairqueue.cpp
@@ -77,7 +77,8 @@
     lane.Tickets.erase(tail, lane.Tickets.end());
   }
   Count -= expired.size();
-  std::erase_if(Lanes, [](const auto &it) { return it.second.Tickets.empty(); });
+  std::erase_if(Lanes,
+                [](const auto &it) { return it.second.Tickets.empty(); });
   return expired;
 }
 
@@ -93,11 +94,9 @@
 Micros FairQueue::costAhead(const std::string &workspace, int share) const {
   auto own = Lanes.find(workspace);
   Micros ownCost = own == Lanes.end() ? Micros{0} : own->second.Waiting;
-  double ownLevel =
-      double(ownCost.count()) / std::max(share, 1);
+  double ownLevel = double(ownCost.count()) / std::max(share, 1);
   return std::accumulate(
-      Lanes.begin(), Lanes.end(), ownCost,
-      [&](Micros sum, const auto &it) {
+      Lanes.begin(), Lanes.end(), ownCost, [&](Micros sum, const auto &it) {
         if (it.first == workspace)
           return sum;
         Micros competing{static_cast<Micros::rep>(
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -128,9 +128,9 @@
     actions.push_back(StartAction{ticket.AttemptId, endpoint.Facts.Name});
     return;
   }
-  refuse(actions, ticket.AttemptId,
-         notRun(ErrorKind::WrongGeneration, "the attempt is fenced",
-                Millis{0}));
+  refuse(
+      actions, ticket.AttemptId,
+      notRun(ErrorKind::WrongGeneration, "the attempt is fenced", Millis{0}));
 }
 
 void assign(Gate &gate, GateService &service, GateEndpoint &endpoint,
@@ -162,19 +162,18 @@
       return;
     if (ruleFor(gate.Crashes, ticket->Fingerprint, now) ==
         QuarantineRule::Refused) {
-      refuse(actions, ticket->AttemptId,
-             notRun(ErrorKind::Quarantined,
-                    fingerprintName(ticket->Fingerprint),
-                    toMillis(remainingTerm(gate.Crashes, ticket->Fingerprint,
-                                           now))));
+      refuse(
+          actions, ticket->AttemptId,
+          notRun(
+              ErrorKind::Quarantined, fingerprintName(ticket->Fingerprint),
+              toMillis(remainingTerm(gate.Crashes, ticket->Fingerprint, now))));
       continue;
     }
     assign(gate, service, *endpoint, *ticket, now, actions);
   }
 }
 
-int slotsInRotation(const Gate &gate, const std::string &service,
-                    Instant now) {
+int slotsInRotation(const Gate &gate, const std::string &service, Instant now) {
   int slots = 0;
   for (const auto &[name, it] : gate.Endpoints)
     if (it.Facts.Service == service && it.State != Standing::Draining &&
@@ -225,8 +224,8 @@
   return holder;
 }
 
-void fallIll(GateEndpoint &endpoint, const std::string &reason,
-             bool isSick, Instant now, GateActions &actions) {
+void fallIll(GateEndpoint &endpoint, const std::string &reason, bool isSick,
+             Instant now, GateActions &actions) {
   if (endpoint.State == Standing::Trial)
     ++endpoint.Relapses;
   if (endpoint.RecoveredAt && now - *endpoint.RecoveredAt < RelapseMemory)
@@ -285,7 +284,8 @@
 
 /// A sick endpoint that has rested may try one request.
 void considerTrial(GateEndpoint &endpoint, Instant now, GateActions &actions) {
-  if (endpoint.State != Standing::Suspect && endpoint.State != Standing::Ejected)
+  if (endpoint.State != Standing::Suspect &&
+      endpoint.State != Standing::Ejected)
     return;
   bool hasRested =
       now - endpoint.StateSince >= restBeforeTrial(endpoint.Relapses);
@@ -316,9 +316,9 @@
                   Millis{0}));
   }
   for (const std::string &attempt : late)
-    actions.push_back(AbortAction{
-        attempt, makeError(ErrorKind::DeadlineExceeded,
-                           "the endpoint did not answer in time")});
+    actions.push_back(
+        AbortAction{attempt, makeError(ErrorKind::DeadlineExceeded,
+                                       "the endpoint did not answer in time")});
 }
 
 void expireQueue(GateService &service, Instant now, GateActions &actions) {
@@ -369,7 +369,9 @@
   if (answer.IsAdmitted)
     return std::nullopt;
   return notRun(ErrorKind::Overloaded,
-                "expected wait " + std::to_string(toMillis(answer.ExpectedWait).count()) + " ms",
+                "expected wait " +
+                    std::to_string(toMillis(answer.ExpectedWait).count()) +
+                    " ms",
                 spreadRetry(gate, answer.ExpectedWait));
 }
 
@@ -383,8 +385,7 @@
   if (gate.Ledger.stateOf(ticket.AttemptId) != StartState::Unseen)
     return notRun(ErrorKind::WrongGeneration, "the attempt is fenced",
                   Millis{0});
-  if (ruleFor(gate.Crashes, ticket.Fingerprint, now) ==
-      QuarantineRule::Refused)
+  if (ruleFor(gate.Crashes, ticket.Fingerprint, now) == QuarantineRule::Refused)
     return notRun(
         ErrorKind::Quarantined, fingerprintName(ticket.Fingerprint),
         toMillis(remainingTerm(gate.Crashes, ticket.Fingerprint, now)));
@@ -487,8 +488,7 @@
   GateActions actions;
   auto [it, isNew] = gate.Endpoints.try_emplace(facts.Name);
   GateEndpoint &endpoint = it->second;
-  bool isRestart =
-      !isNew && endpoint.Facts.Incarnation != facts.Incarnation;
+  bool isRestart = !isNew && endpoint.Facts.Incarnation != facts.Incarnation;
   endpoint.Facts = facts;
   endpoint.LastHeard = now;
   if (isNew)
@@ -528,10 +528,9 @@
     return actions;
   }
   bool isBusy = isSerializedBusy(gate, service, ticket, now);
-  GateEndpoint *endpoint =
-      isBusy || service.Queue.size() > 0
-          ? nullptr
-          : chooseEndpoint(gate, service, ticket, now);
+  GateEndpoint *endpoint = isBusy || service.Queue.size() > 0
+                               ? nullptr
+                               : chooseEndpoint(gate, service, ticket, now);
   if (endpoint) {
     assign(gate, service, *endpoint, ticket, now, actions);
     return actions;
@@ -693,10 +692,9 @@
 }
 
 bool isIdle(const Gate &gate) {
-  return std::ranges::all_of(gate.Endpoints,
-                             [](const auto &it) {
-                               return it.second.Holders.empty();
-                             }) &&
+  return std::ranges::all_of(
+             gate.Endpoints,
+             [](const auto &it) { return it.second.Holders.empty(); }) &&
          std::ranges::all_of(gate.Services, [](const auto &it) {
            return it.second.Queue.size() == 0;
          });
--- a/src/libhickoryglade/gateaction.h
+++ b/src/libhickoryglade/gateaction.h
@@ -68,9 +68,9 @@
   bool operator==(const CrashAction &) const = default;
 };
 
-using GateAction = std::variant<StartAction, GrantAction, RefuseAction,
-                                AbortAction, StandingAction, EjectionAction,
-                                CrashAction>;
+using GateAction =
+    std::variant<StartAction, GrantAction, RefuseAction, AbortAction,
+                 StandingAction, EjectionAction, CrashAction>;
 using GateActions = std::vector<GateAction>;
 
 } // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/leasepolicy.cpp
@@ -0,0 +1,157 @@
+#include "libhickoryglade/leasepolicy.h"
+
+#include <algorithm>
+
+namespace hickoryglade {
+
+namespace {
+
+LeaseRecord makeRecord(const LeaseAgent &agent, LeaseAction action,
+                       const LeaseSubject &subject, const LeaseHolder &holder) {
+  LeaseRecord record;
+  record.Action = action;
+  record.Subject = subject;
+  record.Holder = holder;
+  record.Author = agent.Self.Node;
+  return record;
+}
+
+bool isPromised(const LeaseAgent &agent, const LeaseSubject &subject,
+                Instant now) {
+  if (subject.Kind != LeaseKind::Keeper)
+    return false;
+  auto it = agent.Promises.find(subject.Name);
+  return it != agent.Promises.end() && now < it->second;
+}
+
+std::int64_t ledgerNextOf(const std::vector<LivingMember> &living,
+                          const std::string &node) {
+  auto it = std::ranges::find(living, node, [](const LivingMember &member) {
+    return member.Holder.Node;
+  });
+  return it == living.end() ? 0 : it->LedgerNext;
+}
+
+/// A keeper that joined between another and its successor takes over the
+/// successor's part only once that one knows, for it may have promised.
+bool hasTakenOver(const LeaseAgent &agent, const std::string &keeper,
+                  const std::vector<LivingMember> &living) {
+  LeaseSubject own{LeaseKind::Keeper, "", agent.Self.Node};
+  auto it = agent.Ledger.Leases.find(own);
+  if (it == agent.Ledger.Leases.end())
+    return false;
+  LeaseLedger without = agent.Ledger;
+  without.Leases.erase(own);
+  std::string former = keeperSuccessor(without, keeper);
+  return former.empty() || ledgerNextOf(living, former) > it->second.Since;
+}
+
+/// Only a keeper's successor acts against it; against the holder of an
+/// ejection anyone may, and the first record counts.
+bool isOurTask(const LeaseAgent &agent, const LeaseSubject &subject,
+               const std::vector<LivingMember> &living) {
+  return subject.Kind != LeaseKind::Keeper ||
+         (keeperSuccessor(agent.Ledger, subject.Name) == agent.Self.Node &&
+          hasTakenOver(agent, subject.Name, living));
+}
+
+std::optional<LeaseRecord> actAgainst(const LeaseAgent &agent,
+                                      const LeaseSubject &subject,
+                                      const Lease &lease, Instant now) {
+  if (isPromised(agent, subject, now))
+    return std::nullopt;
+  if (!lease.ChallengedAt)
+    return makeRecord(agent, LeaseAction::Challenge, subject, lease.Holder);
+  auto since = agent.Challenges.find(subject);
+  if (since == agent.Challenges.end() || now - since->second < ChallengeTerm)
+    return std::nullopt;
+  LeaseRecord record =
+      makeRecord(agent, LeaseAction::Evict, subject, lease.Holder);
+  record.ChallengedAt = *lease.ChallengedAt;
+  return record;
+}
+
+} // namespace
+
+void noteRead(LeaseAgent &agent, Instant beganAt) { agent.ReadAt = beganAt; }
+
+void noteVoucher(LeaseAgent &agent, Instant askedAt) {
+  agent.VouchedAt = askedAt;
+}
+
+std::vector<LeaseEvent> takeRecord(LeaseAgent &agent, std::int64_t offset,
+                                   const std::string &data, Instant now) {
+  std::vector<LeaseEvent> events = foldLease(agent.Ledger, offset, data);
+  for (const LeaseEvent &it : events) {
+    if (it.What == LeaseEvent::Change::Challenged)
+      agent.Challenges[it.Subject] = now;
+    else
+      agent.Challenges.erase(it.Subject);
+    agent.Written.erase(it.Subject);
+    if (it.What == LeaseEvent::Change::Granted)
+      agent.RenewedAt[it.Subject] = now;
+  }
+  return events;
+}
+
+std::optional<Instant> leaseEnd(const LeaseAgent &agent,
+                                const LeaseSubject &subject) {
+  if (!isHeldBy(agent.Ledger, subject, agent.Self))
+    return std::nullopt;
+  std::optional<Instant> from = agent.ReadAt;
+  if (subject.Kind == LeaseKind::Keeper && agent.VouchedAt)
+    from = std::max(from.value_or(*agent.VouchedAt), *agent.VouchedAt);
+  if (!from)
+    return std::nullopt;
+  return *from + LeaseTerm;
+}
+
+std::vector<LeaseRecord> dueRenewals(LeaseAgent &agent, Instant now) {
+  std::vector<LeaseRecord> due;
+  for (const auto &[subject, lease] : agent.Ledger.Leases) {
+    if (lease.Holder != agent.Self)
+      continue;
+    Instant &last = agent.RenewedAt[subject];
+    if (!lease.ChallengedAt && now - last < RenewPeriod)
+      continue;
+    last = now;
+    due.push_back(makeRecord(agent, LeaseAction::Renew, subject, lease.Holder));
+  }
+  return due;
+}
+
+std::vector<LeaseRecord> dueChallenges(LeaseAgent &agent,
+                                       const std::vector<LivingMember> &living,
+                                       Instant now) {
+  std::vector<LeaseRecord> due;
+  for (const auto &[subject, lease] : agent.Ledger.Leases) {
+    bool isLiving = std::ranges::find(living, lease.Holder,
+                                      &LivingMember::Holder) != living.end();
+    auto written = agent.Written.find(subject);
+    bool isUnread =
+        written != agent.Written.end() && now - written->second < LeaseTerm;
+    if (isLiving || isUnread || !isOurTask(agent, subject, living))
+      continue;
+    if (auto record = actAgainst(agent, subject, lease, now)) {
+      agent.Written[subject] = now;
+      due.push_back(std::move(*record));
+    }
+  }
+  return due;
+}
+
+bool promise(LeaseAgent &agent, const LeaseHolder &keeper, Instant now) {
+  LeaseSubject subject{LeaseKind::Keeper, "", keeper.Node};
+  bool isSuccessor =
+      keeperSuccessor(agent.Ledger, keeper.Node) == agent.Self.Node;
+  auto written = agent.Written.find(subject);
+  bool hasActed = written != agent.Written.end() &&
+                  now - written->second < 2 * ChallengeTerm;
+  if (!isSuccessor || hasActed || !isHeldBy(agent.Ledger, subject, keeper) ||
+      agent.Ledger.Leases.at(subject).ChallengedAt)
+    return false;
+  agent.Promises[keeper.Node] = now + ChallengeTerm;
+  return true;
+}
+
+} // namespace hickoryglade
--- a/src/libhickoryglade/membership.cpp
+++ b/src/libhickoryglade/membership.cpp
@@ -65,16 +65,21 @@
                        const std::string &address, std::int64_t sequence,
                        std::string target = {}) {
   return {address,
-          {kind, state.Self, self(state).FleetAddress, sequence,
-           std::move(target), freshUpdates(state), {}}};
+          {kind,
+           state.Self,
+           self(state).FleetAddress,
+           sequence,
+           std::move(target),
+           freshUpdates(state),
+           {}}};
 }
 
 /// Splits beliefs over as many datagrams as they need.
 void sendAll(const Membership &state, const std::string &address,
              const std::vector<MemberUpdate> &updates,
              std::vector<OutgoingGossip> &out) {
-  GossipMessage message{GossipKind::Updates, state.Self,
-                        self(state).FleetAddress, 0, {}, {}, {}};
+  GossipMessage message{
+      GossipKind::Updates, state.Self, self(state).FleetAddress, 0, {}, {}, {}};
   std::size_t weight = 0;
   for (const MemberUpdate &update : updates) {
     weight += weightOf(update);
@@ -161,8 +166,8 @@
   std::int64_t sequence = state.NextSequence++;
   state.Pending = {*target, sequence, now, false};
   const Member &member = state.Members.at(*target);
-  out.push_back(compose(state, GossipKind::Ping, member.Record.FleetAddress,
-                        sequence));
+  out.push_back(
+      compose(state, GossipKind::Ping, member.Record.FleetAddress, sequence));
   if (member.State == MemberState::Suspect)
     out.back().Message.Updates.push_back({member.Record, member.State});
 }
@@ -203,8 +208,7 @@
     return it.second.State == MemberState::Dead &&
            now - it.second.StateSince > DeadMemory;
   });
-  std::erase_if(state.Relays,
-                [&](const auto &it) { return it.Expiry <= now; });
+  std::erase_if(state.Relays, [&](const auto &it) { return it.Expiry <= now; });
 }
 
 /// Seeds are asked too as long as they are not members, so that parts of a
@@ -253,8 +257,8 @@
                               &Membership::Relay::OwnSequence);
   if (it == state.Relays.end())
     return;
-  out.push_back(compose(state, GossipKind::Ack, it->Address,
-                        it->TheirSequence, message.Sender));
+  out.push_back(compose(state, GossipKind::Ack, it->Address, it->TheirSequence,
+                        message.Sender));
   state.Relays.erase(it);
 }
 
@@ -265,16 +269,16 @@
     state.Pending.reset();
 }
 
-void probeForOther(Membership &state, const GossipMessage &message,
-                   Instant now, std::vector<OutgoingGossip> &out) {
+void probeForOther(Membership &state, const GossipMessage &message, Instant now,
+                   std::vector<OutgoingGossip> &out) {
   auto it = state.Members.find(message.Target);
   if (it == state.Members.end())
     return;
   std::int64_t sequence = state.NextSequence++;
   state.Relays.push_back(
       {sequence, message.Sequence, message.SenderAddress, now + ProbePeriod});
-  out.push_back(compose(state, GossipKind::Ping,
-                        it->second.Record.FleetAddress, sequence));
+  out.push_back(compose(state, GossipKind::Ping, it->second.Record.FleetAddress,
+                        sequence));
 }
 
 } // namespace
@@ -314,8 +318,7 @@
 }
 
 std::vector<OutgoingGossip> receive(Membership &state,
-                                    const GossipMessage &message,
-                                    Instant now) {
+                                    const GossipMessage &message, Instant now) {
   std::vector<OutgoingGossip> out;
   for (const MemberUpdate &update : message.Updates)
     merge(state, update, now);
--- a/src/libhickoryglade/random.h
+++ b/src/libhickoryglade/random.h
@@ -9,8 +9,6 @@
 using Random = std::mt19937_64;
 
 /// Uniform integer in [0, n); n must be positive.
-inline std::uint64_t uniform(Random &rng, std::uint64_t n) {
-  return rng() % n;
-}
+inline std::uint64_t uniform(Random &rng, std::uint64_t n) { return rng() % n; }
 
 } // namespace hickoryglade
--- a/src/libhickoryglade/routetable.cpp
+++ b/src/libhickoryglade/routetable.cpp
@@ -57,10 +57,9 @@
 }
 
 std::size_t RouteTable::size() const {
-  return std::accumulate(ByHost.begin(), ByHost.end(), std::size_t{0},
-                         [](std::size_t n, const auto &it) {
-                           return n + it.second.size();
-                         });
+  return std::accumulate(
+      ByHost.begin(), ByHost.end(), std::size_t{0},
+      [](std::size_t n, const auto &it) { return n + it.second.size(); });
 }
 
 std::string qualifiedService(std::string_view workspace,
--- a/src/libhickoryglade/servicepolicy.h
+++ b/src/libhickoryglade/servicepolicy.h
@@ -37,8 +37,8 @@
   int Share = 1;
   /// How long a request that crashed endpoints stays quarantined.
   Millis QuarantineTerm{600'000};
-  std::vector<std::string> IdempotentMethods = {"GET",    "HEAD", "OPTIONS",
-                                                "TRACE",  "PUT",  "DELETE"};
+  std::vector<std::string> IdempotentMethods = {"GET",   "HEAD", "OPTIONS",
+                                                "TRACE", "PUT",  "DELETE"};
 
   bool operator==(const ServicePolicy &) const = default;
 
--- a/src/libhickoryglade/settingslog.cpp
+++ b/src/libhickoryglade/settingslog.cpp
@@ -22,9 +22,8 @@
 
 std::int64_t atMs(const json &record) {
   auto it = record.find("at_ms");
-  return it != record.end() && it->is_number_integer()
-             ? it->get<std::int64_t>()
-             : 0;
+  return it != record.end() && it->is_number_integer() ? it->get<std::int64_t>()
+                                                       : 0;
 }
 
 std::optional<SettingsChange> parseChange(const json &record) {
@@ -32,7 +31,9 @@
       !record.contains("base") || !record["base"].is_number_integer() ||
       !record.contains("value"))
     return std::nullopt;
-  return SettingsChange{record["id"], record["path"], record["base"],
+  return SettingsChange{record["id"],
+                        record["path"],
+                        record["base"],
                         record["value"],
                         record.contains("author") &&
                                 record["author"].is_string()
@@ -42,9 +43,9 @@
 }
 
 std::optional<SettingsRefresh> parseRefresh(const json &record) {
-  if (!record.contains("revision") ||
-      !record["revision"].is_number_integer() || !record.contains("as_of") ||
-      !record["as_of"].is_number_integer() || !record.contains("value"))
+  if (!record.contains("revision") || !record["revision"].is_number_integer() ||
+      !record.contains("as_of") || !record["as_of"].is_number_integer() ||
+      !record.contains("value"))
     return std::nullopt;
   return SettingsRefresh{record["path"], record["value"], record["revision"],
                          record["as_of"], atMs(record)};
@@ -54,8 +55,11 @@
 std::int64_t revisionAt(std::int64_t offset) { return offset + 1; }
 
 ChangeVerdict judge(const SettingsState &state, const SettingsChange &change) {
-  ChangeVerdict verdict{change.Id, change.Path, ChangeOutcome::Accepted,
-                        revisionOf(state.Tree, change.Path), {}};
+  ChangeVerdict verdict{change.Id,
+                        change.Path,
+                        ChangeOutcome::Accepted,
+                        revisionOf(state.Tree, change.Path),
+                        {}};
   if (change.Value.is_null()) {
     if (std::string reason = settingsPathFault(change.Path); !reason.empty())
       verdict.Faults = {{change.Path, reason}};
@@ -135,20 +139,17 @@
 } // namespace
 
 std::string encodeChange(const SettingsChange &change) {
-  return json{{"type", "change"},       {"id", change.Id},
-              {"path", change.Path},    {"base", change.Base},
-              {"value", change.Value},  {"author", change.Author},
+  return json{{"type", "change"},      {"id", change.Id},
+              {"path", change.Path},   {"base", change.Base},
+              {"value", change.Value}, {"author", change.Author},
               {"at_ms", change.AtMs}}
       .dump();
 }
 
 std::string encodeRefresh(const SettingsRefresh &refresh) {
-  return json{{"type", "refresh"},
-              {"path", refresh.Path},
-              {"value", refresh.Value},
-              {"revision", refresh.Revision},
-              {"as_of", refresh.AsOf},
-              {"at_ms", refresh.AtMs}}
+  return json{{"type", "refresh"},      {"path", refresh.Path},
+              {"value", refresh.Value}, {"revision", refresh.Revision},
+              {"as_of", refresh.AsOf},  {"at_ms", refresh.AtMs}}
       .dump();
 }
 
@@ -175,18 +176,23 @@
   return rejected("unknown record type");
 }
 
-bool mergeSnapshot(SettingsState &state, const SettingsTree &tree,
-                   std::int64_t next) {
+bool mergeSnapshot(SettingsState &state, const SettingsState &peer) {
   bool isChanged = false;
-  for (const auto &[path, node] : tree.Nodes) {
+  for (const auto &[path, node] : peer.Tree.Nodes) {
     if (node.Revision <= revisionOf(state.Tree, path))
       continue;
     state.Tree.Nodes[path] = node;
-    state.LastWritten[path] = {node.Revision - 1, 0};
+    auto place = peer.LastWritten.find(path);
+    state.LastWritten[path] = place == peer.LastWritten.end()
+                                  ? RecordPlace{node.Revision - 1, 0}
+                                  : place->second;
     state.Provisional.erase(path);
     isChanged = true;
   }
-  state.Next = std::max(state.Next, next);
+  for (const std::string &id : peer.VerdictOrder)
+    if (!state.Verdicts.contains(id))
+      remember(state, peer.Verdicts.at(id));
+  state.Next = std::max(state.Next, peer.Next);
   return isChanged;
 }
 
--- a/src/libhickoryglade/settingslog.h
+++ b/src/libhickoryglade/settingslog.h
@@ -97,8 +97,7 @@
                       const std::string &data);
 
 /// Takes a peer's state: per path, the higher revision wins.
-bool mergeSnapshot(SettingsState &state, const SettingsTree &tree,
-                   std::int64_t next);
+bool mergeSnapshot(SettingsState &state, const SettingsState &peer);
 
 /// Marks that records below an offset are no longer kept.
 void skipTo(SettingsState &state, std::int64_t first);
--- a/src/libhickoryglade/settingsschema.cpp
+++ b/src/libhickoryglade/settingsschema.cpp
@@ -53,8 +53,7 @@
   using P = ServicePolicy;
   static const std::vector<KeyRule> it = {
       {"floor", SettingsLevel::Fleet,
-       IntegerRule{0, 100'000,
-                   [](P &p, std::int64_t v) { p.Floor = int(v); }}},
+       IntegerRule{0, 100'000, [](P &p, std::int64_t v) { p.Floor = int(v); }}},
       {"timeout_ms", SettingsLevel::Fleet,
        IntegerRule{1, DayMs,
                    [](P &p, std::int64_t v) { p.Timeout = Millis(v); }}},
@@ -84,13 +83,10 @@
            0, 100,
            [](P &p, std::int64_t v) { p.RetryBudgetPercent = int(v); }}},
       {"share", SettingsLevel::Fleet,
-       IntegerRule{1, 1'000,
-                   [](P &p, std::int64_t v) { p.Share = int(v); }}},
+       IntegerRule{1, 1'000, [](P &p, std::int64_t v) { p.Share = int(v); }}},
       {"quarantine_ms", SettingsLevel::Fleet,
        IntegerRule{1'000, DayMs,
-                   [](P &p, std::int64_t v) {
-                     p.QuarantineTerm = Millis(v);
-                   }}},
+                   [](P &p, std::int64_t v) { p.QuarantineTerm = Millis(v); }}},
       {"router", SettingsLevel::Fleet,
        PolicyNameRule{[] { return Registry<RouterPolicy>::instance().names(); },
                       [](P &p, std::string v) { p.Router = std::move(v); }}},
@@ -128,15 +124,13 @@
 }
 
 std::string fault(const IntegerRule &rule, const json &value) {
-  std::string range = "must be an integer from " +
-                      std::to_string(rule.Lowest) + " to " +
-                      std::to_string(rule.Highest);
+  std::string range = "must be an integer from " + std::to_string(rule.Lowest) +
+                      " to " + std::to_string(rule.Highest);
   if (!value.is_number_integer())
     return range + ", not " + value.dump();
   auto n = value.get<std::int64_t>();
-  return n < rule.Lowest || n > rule.Highest
-             ? range + ", not " + value.dump()
-             : "";
+  return n < rule.Lowest || n > rule.Highest ? range + ", not " + value.dump()
+                                             : "";
 }
 
 std::string fault(const PolicyNameRule &rule, const json &value) {
@@ -148,8 +142,7 @@
 }
 
 bool isStringList(const json &value) {
-  return value.is_array() &&
-         std::ranges::all_of(value, [](const json &it) {
+  return value.is_array() && std::ranges::all_of(value, [](const json &it) {
            return it.is_string() && !it.get<std::string>().empty();
          });
 }
--- a/src/libhickoryglade/settingstree.cpp
+++ b/src/libhickoryglade/settingstree.cpp
@@ -68,8 +68,7 @@
   for (const auto &[path, node] : tree.Nodes) {
     if (node.Value.is_null() || !node.Value.contains("quarantine_release"))
       continue;
-    auto own =
-        node.Value["quarantine_release"].get<std::vector<std::string>>();
+    auto own = node.Value["quarantine_release"].get<std::vector<std::string>>();
     all.insert(all.end(), own.begin(), own.end());
   }
   std::ranges::sort(all);
--- a/src/plugins/deadlineadmission/deadlineadmission.cpp
+++ b/src/plugins/deadlineadmission/deadlineadmission.cpp
@@ -15,8 +15,8 @@
 
 AdmissionAnswer admitByDeadline(const AdmissionQuestion &question) {
   Micros wait = question.CostAhead / std::max(question.Slots, 1);
-  bool isInTime = wait * WaitMarginPercent / 100 + question.Cost <=
-                  question.TimeLeft;
+  bool isInTime =
+      wait * WaitMarginPercent / 100 + question.Cost <= question.TimeLeft;
   bool hasRoom = question.Queued < question.QueueLimit;
   return {isInTime && hasRoom && wait <= question.MaxWait, wait};
 }
--- a/src/plugins/peercomparison/peercomparison.cpp
+++ b/src/plugins/peercomparison/peercomparison.cpp
@@ -17,8 +17,7 @@
 
 /// A lone slow request is not yet a stall: a second witness is either all
 /// running work being overdue or a silence of twice the allowed length.
-bool hasSecondWitness(const EndpointEvidence &it,
-                      const ServicePolicy &policy) {
+bool hasSecondWitness(const EndpointEvidence &it, const ServicePolicy &policy) {
   bool isAllOverdue = it.Overdue == it.Running && it.Overdue > 1;
   return isAllOverdue || it.MostOverdue > policy.StallAfter;
 }
--- a/src/plugins/tickets/tickets.cpp
+++ b/src/plugins/tickets/tickets.cpp
@@ -31,14 +31,12 @@
             false,
             "serialized"};
   shuffle(among, rng);
-  auto freest = std::ranges::max_element(among, {}, [&](std::size_t i) {
-    return knownFree(candidates[i]);
-  });
+  auto freest = std::ranges::max_element(
+      among, {}, [&](std::size_t i) { return knownFree(candidates[i]); });
   if (knownFree(candidates[*freest]) >= FreeForDirectSend)
     return {{*freest}, false, "free slot known"};
-  std::ranges::stable_sort(among, {}, [&](std::size_t i) {
-    return pressure(candidates[i]);
-  });
+  std::ranges::stable_sort(
+      among, {}, [&](std::size_t i) { return pressure(candidates[i]); });
   among.resize(std::min(among.size(), MostTickets));
   return {among, among.size() > 1, "tickets"};
 }
--- a/tests/standins/endpointstandin.cpp
+++ b/tests/standins/endpointstandin.cpp
@@ -160,11 +160,11 @@
                                std::shared_ptr<Wire> wire) {
     std::string body = "endpoint=" + Self.Name + "\n" + *request.Content;
     int load = Now.LieLoad ? 0 : Running;
-    std::string bytes = answerBytes(
-        200, body,
-        "Endpoint-Load: " + std::to_string(load) + "/" +
-            std::to_string(Self.Slots) + "\r\nX-Echo-Id: " +
-            headerValue(request.Headers, "X-Client-Id") + "\r\n");
+    std::string bytes =
+        answerBytes(200, body,
+                    "Endpoint-Load: " + std::to_string(load) + "/" +
+                        std::to_string(Self.Slots) + "\r\nX-Echo-Id: " +
+                        headerValue(request.Headers, "X-Client-Id") + "\r\n");
     if (Now.Truncate) {
       co_await wire->write(bytes.substr(0, bytes.size() - body.size() / 2 - 1));
       co_return false;
@@ -242,8 +242,7 @@
                         return endpoint->handle(std::move(request),
                                                 std::move(wire));
                       });
-  fleet::asio::co_spawn(io, endpoint->announceForever(),
-                        fleet::asio::detached);
+  fleet::asio::co_spawn(io, endpoint->announceForever(), fleet::asio::detached);
   io.run();
   return 0;
 }
--- a/tests/standins/standinserver.cpp
+++ b/tests/standins/standinserver.cpp
@@ -52,8 +52,8 @@
     request.Method = std::string(message.method_string());
     request.Target = std::string(message.target());
     for (const auto &field : message)
-      request.Headers.push_back({std::string(field.name_string()),
-                                 std::string(field.value())});
+      request.Headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
     request.Content =
         std::make_shared<const std::string>(std::move(message.body()));
     bool isKept = co_await handler(std::move(request), wire);
@@ -96,8 +96,7 @@
   try {
     auto acceptor =
         std::make_shared<tcp::acceptor>(io, toEndpoint(address), true);
-    asio::co_spawn(io, acceptAll(acceptor, std::move(handler)),
-                   asio::detached);
+    asio::co_spawn(io, acceptAll(acceptor, std::move(handler)), asio::detached);
   } catch (const std::exception &fault) {
     std::cerr << address << ": " << fault.what() << "\n";
     std::exit(1);
