--- /dev/null
+++ b/tests/process/test_promises.cpp
@@ -0,0 +1,356 @@
+#include "process/testfleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <thread>
+
+using namespace hickoryglade::testing;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// n1 takes the callers; the endpoints are behind the other nodes.
+void startThree(TestFleet &fleet, bool hasRelays = false) {
+  fleet.startLog();
+  for (const char *node : {"n1", "n2", "n3"})
+    fleet.startNode(node, hasRelays);
+  fleet.startEndpoint("e2", "n2");
+  fleet.startEndpoint("e3", "n3");
+  fleet.publishDefaults();
+  fleet.awaitReady();
+}
+
+HttpQuestion keyed(const std::string &key, const std::string &tag,
+                   int workMs = 25) {
+  HttpQuestion question = taggedWork(tag, workMs);
+  question.Headers.push_back({"Idempotency-Key", key});
+  return question;
+}
+
+/// What the caller was told agrees with what was run.
+void checkHonest(TestFleet &fleet, const std::string &tag,
+                 const HttpReply &reply) {
+  int runs = fleet.runsOf(tag);
+  INFO("tag " << tag << " status " << reply.Status << " " << reply.Body);
+  CHECK(runs <= 1);
+  if (reply.problem("run") == "not_run")
+    CHECK(runs == 0);
+  if (reply.Status == 200)
+    CHECK(runs == 1);
+}
+
+void pauseFor(int ms) { std::this_thread::sleep_for(milliseconds(ms)); }
+
+} // namespace
+
+TEST_CASE("a gate killed at work leaves the outcome unknown, never not_run",
+          "[kill]") {
+  TestFleet fleet;
+  startThree(fleet);
+  std::vector<HttpReply> replies(6);
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 6; ++i)
+    callers.emplace_back([&, i] {
+      replies[i] =
+          fleet.call("n1", taggedWork("kill" + std::to_string(i), 800), 4'000);
+    });
+  fleet.await("work in progress", [&] {
+    return fleet.controlEndpoint("e2", json::object())["running"] == 3;
+  });
+  fleet.process("n2").signal(SIGKILL);
+  for (std::thread &it : callers)
+    it.join();
+  int unknown = 0;
+  for (int i = 0; i < 6; ++i) {
+    checkHonest(fleet, "kill" + std::to_string(i), replies[i]);
+    unknown += replies[i].problem("run") == "unknown";
+  }
+  CHECK(unknown == 3);
+}
+
+TEST_CASE("a gate that pauses between start and answer misleads nobody",
+          "[pause]") {
+  TestFleet fleet;
+  startThree(fleet);
+  std::vector<HttpReply> replies(6);
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 6; ++i)
+    callers.emplace_back([&, i] {
+      replies[i] =
+          fleet.call("n1", taggedWork("pause" + std::to_string(i), 300), 2'500);
+    });
+  fleet.await("work in progress", [&] {
+    return fleet.controlEndpoint("e2", json::object())["running"] == 3;
+  });
+  fleet.process("n2").signal(SIGSTOP);
+  HttpReply meanwhile = fleet.call("n1", {"GET", "/", {}, ""}, 4'000);
+  CHECK(meanwhile.Status == 200);
+  for (std::thread &it : callers)
+    it.join();
+  fleet.process("n2").signal(SIGCONT);
+  pauseFor(1'500);
+  for (int i = 0; i < 6; ++i)
+    checkHonest(fleet, "pause" + std::to_string(i), replies[i]);
+}
+
+TEST_CASE("connections that go silent cost no request", "[silent]") {
+  TestFleet fleet;
+  startThree(fleet, true);
+  for (int i = 0; i < 6; ++i)
+    REQUIRE(fleet.call("n1", {"GET", "/", {}, ""}).Status == 200);
+  fleet.controlRelay("n2", {{"silence", true}});
+  fleet.controlRelay("n3", {{"silence", true}});
+  for (int i = 0; i < 6; ++i) {
+    std::string tag = "silent" + std::to_string(i);
+    HttpReply reply = fleet.call("n1", taggedWork(tag), 4'000);
+    CHECK(reply.Status == 200);
+    checkHonest(fleet, tag, reply);
+  }
+}
+
+TEST_CASE("a link frozen in one direction leaves answers honest",
+          "[one-way]") {
+  TestFleet fleet;
+  startThree(fleet, true);
+  for (const char *direction : {"freeze_in", "freeze_out"}) {
+    std::vector<HttpReply> replies(4);
+    std::vector<std::thread> callers;
+    fleet.controlRelay("n2", {{direction, true}});
+    for (int i = 0; i < 4; ++i)
+      callers.emplace_back([&, i] {
+        std::string tag = direction + std::to_string(i);
+        replies[i] = fleet.call("n1", taggedWork(tag, 50), 3'000);
+      });
+    for (std::thread &it : callers)
+      it.join();
+    fleet.controlRelay("n2", {{direction, false}});
+    pauseFor(1'000);
+    for (int i = 0; i < 4; ++i)
+      checkHonest(fleet, direction + std::to_string(i), replies[i]);
+  }
+}
+
+TEST_CASE("a resent key meets the first run through any entry", "[keys]") {
+  TestFleet fleet;
+  startThree(fleet);
+  HttpReply first = fleet.call("n1", keyed("k1", "key1"));
+  REQUIRE(first.Status == 200);
+  for (const char *node : {"n2", "n3", "n1"}) {
+    HttpReply again = fleet.call(node, keyed("k1", "key1"));
+    CHECK(again.Status == 200);
+    CHECK(again.Body == first.Body);
+    CHECK(again.header("Idempotent-Replayed") == "true");
+  }
+  CHECK(fleet.runsOf("key1") == 1);
+
+  std::vector<HttpReply> replies(6);
+  std::vector<std::thread> callers;
+  for (int i = 0; i < 6; ++i)
+    callers.emplace_back([&, i] {
+      replies[i] = fleet.call("n" + std::to_string(1 + i % 3),
+                              keyed("k2", "key2", 300), 4'000);
+    });
+  for (std::thread &it : callers)
+    it.join();
+  for (const HttpReply &it : replies)
+    CHECK(it.Status == 200);
+  CHECK(fleet.runsOf("key2") == 1);
+
+  HttpQuestion other = keyed("k1", "key1");
+  other.Body = "something else";
+  CHECK(fleet.call("n2", other).problem("kind") == "key_reused");
+}
+
+TEST_CASE("keys survive the loss of any one keeper", "[keys]") {
+  TestFleet fleet;
+  startThree(fleet);
+  for (int i = 0; i < 8; ++i) {
+    std::string id = std::to_string(i);
+    REQUIRE(fleet.call("n1", keyed("lost" + id, "lost" + id)).Status == 200);
+  }
+  fleet.process("n2").signal(SIGKILL);
+  fleet.process("n2").wait();
+  fleet.await(
+      "the dead keeper evicted",
+      [&] { return fleet.status("n1")["keepers"].size() == 2; }, 60'000);
+  for (int i = 0; i < 8; ++i) {
+    std::string id = std::to_string(i);
+    HttpReply again = fleet.call("n3", keyed("lost" + id, "lost" + id));
+    CHECK(again.Status == 200);
+    CHECK(again.header("Idempotent-Replayed") == "true");
+    CHECK(fleet.runsOf("lost" + id) <= 1);
+  }
+}
+
+TEST_CASE("keys stay honest with the log away and a keeper paused",
+          "[keys]") {
+  TestFleet fleet;
+  startThree(fleet);
+  HttpReply first = fleet.call("n1", keyed("away", "away"));
+  REQUIRE(first.Status == 200);
+  fleet.controlLog({{"mode", "refuse"}});
+  pauseFor(12'000);
+  HttpReply again = fleet.call("n2", keyed("away", "away"));
+  CHECK(again.Status == 200);
+  CHECK(again.header("Idempotent-Replayed") == "true");
+  HttpReply fresh = fleet.call("n3", keyed("away2", "away2"));
+  CHECK(fresh.Status == 200);
+  fleet.process("n2").signal(SIGSTOP);
+  pauseFor(12'000);
+  std::vector<std::string> nodes{"n1", "n3"};
+  for (int i = 0; i < 6; ++i) {
+    std::string tag = "paused" + std::to_string(i);
+    HttpReply reply = fleet.call(nodes[std::size_t(i) % 2], keyed(tag, tag));
+    checkHonest(fleet, tag, reply);
+  }
+  fleet.process("n2").signal(SIGCONT);
+  for (int i = 0; i < 6; ++i) {
+    std::string tag = "paused" + std::to_string(i);
+    fleet.call("n2", keyed(tag, tag));
+    CHECK(fleet.runsOf(tag) <= 1);
+  }
+}
+
+TEST_CASE("a rolling restart under load loses no request", "[restart]") {
+  TestFleet fleet;
+  startThree(fleet);
+  fleet.startEndpoint("e1", "n1");
+  fleet.awaitReady();
+  std::atomic<bool> isOver{false};
+  std::atomic<int> lost{0};
+  std::atomic<int> served{0};
+  std::atomic<int> next{0};
+  std::string lastLoss;
+  std::vector<std::thread> callers;
+  for (int caller = 0; caller < 4; ++caller)
+    callers.emplace_back([&, caller] {
+      for (int i = 0; !isOver; ++i) {
+        std::string tag = "roll" + std::to_string(next++);
+        HttpReply reply;
+        for (int hop = 0; hop < 3 && reply.Status == 0; ++hop)
+          reply = fleet.call("n" + std::to_string(1 + (caller + i + hop) % 3),
+                             i % 2 ? keyed(tag, tag) : HttpQuestion{}, 8'000);
+        ++(reply.Status == 200 ? served : lost);
+        if (reply.Status != 200)
+          lastLoss = std::to_string(reply.Status) + " " + reply.Body;
+      }
+    });
+  for (const char *node : {"n1", "n2", "n3"}) {
+    fleet.process(node).signal(SIGTERM);
+    CHECK(fleet.process(node).wait() == 0);
+    fleet.startNode(node);
+    fleet.awaitReady();
+  }
+  isOver = true;
+  for (std::thread &it : callers)
+    it.join();
+  INFO("last loss: " << lastLoss);
+  CHECK(lost == 0);
+  CHECK(served > 100);
+  for (int i = 0; i < next; ++i)
+    CHECK(fleet.runsOf("roll" + std::to_string(i)) <= 1);
+}
+
+TEST_CASE("a leaving endpoint gets no new work and finishes its own",
+          "[drain]") {
+  TestFleet fleet;
+  startThree(fleet);
+  HttpReply slow;
+  std::thread caller(
+      [&] { slow = fleet.call("n1", taggedWork("slow", 2'500), 6'000); });
+  fleet.await("work in progress", [&] {
+    return fleet.controlEndpoint("e2", json::object())["running"] == 1 ||
+           fleet.controlEndpoint("e3", json::object())["running"] == 1;
+  });
+  bool isSecond = fleet.controlEndpoint("e2", json::object())["running"] == 1;
+  std::string leaving = isSecond ? "e2" : "e3";
+  fleet.controlEndpoint(leaving, {{"state", "draining"}});
+  pauseFor(2'000);
+  json before = fleet.controlEndpoint(leaving, json::object());
+  for (int i = 0; i < 30; ++i)
+    CHECK(fleet.call("n1", {"GET", "/", {}, ""}).Status == 200);
+  json after = fleet.controlEndpoint(leaving, json::object());
+  CHECK(before["started"] == after["started"]);
+  caller.join();
+  CHECK(slow.Status == 200);
+  CHECK(fleet.runsOf("slow") == 1);
+}
+
+TEST_CASE("a truncated answer never reaches a caller as a whole one",
+          "[answers]") {
+  TestFleet fleet;
+  startThree(fleet);
+  fleet.controlEndpoint("e2", {{"truncate", true}});
+  fleet.controlEndpoint("e3", {{"truncate", true}});
+  HttpReply reply = fleet.call("n1", taggedWork("cut"), 3'000);
+  CHECK(reply.Status == 502);
+  CHECK(reply.problem("run") == "unknown");
+  CHECK(fleet.runsOf("cut") == 1);
+  fleet.controlEndpoint("e3", {{"truncate", false}});
+  for (int i = 0; i < 10; ++i)
+    CHECK(fleet.call("n1", {"GET", "/", {}, ""}, 4'000).Status == 200);
+}
+
+TEST_CASE("a stalled endpoint that answers probes is left out", "[stall]") {
+  TestFleet fleet;
+  startThree(fleet);
+  for (int i = 0; i < 20; ++i)
+    REQUIRE(fleet.call("n1", {"GET", "/", {}, ""}).Status == 200);
+  fleet.controlEndpoint("e2", {{"stall", true}});
+  std::vector<std::thread> callers;
+  std::atomic<int> served{0};
+  for (int i = 0; i < 6; ++i)
+    callers.emplace_back([&] {
+      served += fleet.call("n1", {"GET", "/", {}, ""}, 8'000).Status == 200;
+    });
+  for (std::thread &it : callers)
+    it.join();
+  CHECK(served == 6);
+  fleet.await("the endpoint ejected", [&] {
+    json report = fleet.status("n1");
+    return report["ejections"].size() == 1;
+  });
+  fleet.controlEndpoint("e2", {{"stall", false}});
+  fleet.await(
+      "the endpoint readmitted",
+      [&] {
+        fleet.call("n1", {"GET", "/", {}, ""});
+        json report = fleet.status("n1");
+        for (const json &member : report["members"])
+          for (const json &it : member["endpoints"])
+            if (it["name"] == "e2")
+              return it["standing"] == "healthy";
+        return false;
+      },
+      60'000);
+}
+
+TEST_CASE("a poison request takes two endpoints at the most", "[poison]") {
+  TestFleet fleet;
+  fleet.startLog();
+  for (const char *node : {"n1", "n2", "n3"})
+    fleet.startNode(node);
+  for (const char *node : {"n1", "n2", "n3"}) {
+    fleet.startEndpoint(std::string("a") + node, node);
+    fleet.startEndpoint(std::string("b") + node, node);
+  }
+  fleet.publishDefaults();
+  fleet.awaitReady();
+  HttpReply last;
+  for (int i = 0; i < 8; ++i)
+    last = fleet.call("n" + std::to_string(1 + i % 3),
+                      {"PUT", "/", {}, "POISON"}, 3'000);
+  CHECK(last.problem("kind") == "quarantined");
+  CHECK(last.problem("run") == "not_run");
+  int dead = 0;
+  for (const char *node : {"n1", "n2", "n3"}) {
+    dead += !fleet.process(std::string("a") + node).isRunning();
+    dead += !fleet.process(std::string("b") + node).isRunning();
+  }
+  CHECK(dead == 2);
+  for (const char *node : {"n1", "n2", "n3"})
+    CHECK(fleet.call(node, {"GET", "/", {}, ""}, 4'000).Status == 200);
+}
--- /dev/null
+++ b/tests/process/testfleet.cpp
@@ -0,0 +1,234 @@
+#include "process/testfleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace hickoryglade::testing {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Ports below those that the system gives to outgoing connections.
+constexpr int LowestPort = 10'000;
+constexpr int PortRange = 20'000;
+constexpr milliseconds AskLimit{3'000};
+constexpr milliseconds PollPeriod{20};
+
+std::string program(const std::string &name) {
+  return std::string(HICKORYGLADE_BUILD) + "/" + name;
+}
+
+bool isFree(int port) {
+  for (int type : {SOCK_STREAM, SOCK_DGRAM}) {
+    int fd = socket(AF_INET, type, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(std::uint16_t(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    int result =
+        bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    close(fd);
+    if (result != 0)
+      return false;
+  }
+  return true;
+}
+
+} // namespace
+
+TestFleet::TestFleet() : NextPort(LowestPort + (getpid() * 97) % PortRange) {
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "fleet-XXXXXX").string();
+  Folder = mkdtemp(pattern.data());
+}
+
+TestFleet::~TestFleet() {
+  Processes.clear();
+  if (!std::getenv("KEEP_TEST_FILES"))
+    std::filesystem::remove_all(Folder);
+}
+
+std::string TestFleet::takeAddress() {
+  do {
+    NextPort = LowestPort + (NextPort + 1 - LowestPort) % PortRange;
+  } while (!isFree(NextPort));
+  return "127.0.0.1:" + std::to_string(NextPort);
+}
+
+std::string TestFleet::file(const std::string &name) const {
+  return Folder + "/" + name;
+}
+
+void TestFleet::startLog() {
+  if (Log.empty())
+    Log = takeAddress();
+  Processes["log"] = ChildProcess(
+      {program("tests/logstandin"), "--listen", Log}, file("log.err"));
+}
+
+void TestFleet::startNode(const std::string &name, bool hasRelay) {
+  NodeAddresses &at = Nodes[name];
+  if (at.Http.empty()) {
+    at = {takeAddress(), takeAddress(), takeAddress(), "", ""};
+    at.Advertised = at.Fleet;
+    if (hasRelay) {
+      at.Advertised = takeAddress();
+      at.RelayControl = takeAddress();
+      Processes["relay-" + name] = ChildProcess(
+          {program("tests/relay"), "--listen", at.Advertised, "--to", at.Fleet,
+           "--control", at.RelayControl},
+          file("relay.err"));
+    }
+  }
+  json seeds = json::array();
+  for (const auto &[other, addresses] : Nodes)
+    seeds.push_back(addresses.Advertised);
+  json settings = {
+      {"node", name},
+      {"data_centre", "dc-1"},
+      {"listen",
+       {{"http", at.Http}, {"fleet", at.Fleet}, {"admin", at.Admin}}},
+      {"advertise", at.Advertised},
+      {"seeds", seeds},
+      {"log", {{"address", Log}}}};
+  std::ofstream(file(name + ".json")) << settings.dump();
+  Processes[name] =
+      ChildProcess({program("src/hickorygladed/hickorygladed"), "--settings",
+                    file(name + ".json")},
+                   file(name + ".err"));
+}
+
+void TestFleet::startEndpoint(const std::string &name, const std::string &node,
+                              const std::string &service) {
+  std::string &at = Endpoints[name];
+  if (at.empty())
+    at = takeAddress();
+  Processes[name] = ChildProcess(
+      {program("tests/endpointstandin"), "--listen", at, "--announce",
+       Nodes.at(node).Admin, "--name", name, "--workspace", "w", "--service",
+       service},
+      file(name + ".err"));
+}
+
+HttpReply TestFleet::tryPublish(const std::string &node,
+                                const std::string &path, const json &value,
+                                std::int64_t base, const std::string &id) {
+  json change = {{"id", id}, {"path", path}, {"base", base}, {"value", value}};
+  return callOnce(Nodes.at(node).Admin,
+                  {"POST", "/v1/changes", {}, change.dump()},
+                  milliseconds(15'000));
+}
+
+void TestFleet::publish(const std::string &path, const json &value) {
+  static int changes = 0;
+  const std::string &node = Nodes.begin()->first;
+  std::string id = "change-" + std::to_string(++changes);
+  std::int64_t base = settings(node, path).value("revision", 0);
+  HttpReply reply = tryPublish(node, path, value, base, id);
+  INFO(reply.Body);
+  REQUIRE(reply.Status == 200);
+}
+
+void TestFleet::publishDefaults(const json &service) {
+  await("a node that answers", [&] { return !status(Nodes.begin()->first).is_null(); });
+  publish("/w/s", service);
+  publish("/w/s/all", {{"host", "s.example"}});
+}
+
+json TestFleet::controlEndpoint(const std::string &name, const json &change) {
+  HttpReply reply = callOnce(Endpoints.at(name),
+                             {"POST", "/_control", {}, change.dump()}, AskLimit);
+  return json::parse(reply.Body, nullptr, false);
+}
+
+void TestFleet::controlLog(const json &change) {
+  HttpReply reply =
+      callOnce(Log, {"POST", "/control", {}, change.dump()}, AskLimit);
+  REQUIRE(reply.Status == 200);
+}
+
+void TestFleet::controlRelay(const std::string &node, const json &change) {
+  HttpReply reply = callOnce(Nodes.at(node).RelayControl,
+                             {"POST", "/control", {}, change.dump()}, AskLimit);
+  REQUIRE(reply.Status == 200);
+}
+
+HttpReply TestFleet::call(const std::string &node, HttpQuestion question,
+                          int timeoutMs) {
+  question.Headers.push_back({"Host", "s.example"});
+  question.Headers.push_back(
+      {"Request-Timeout-Ms", std::to_string(timeoutMs)});
+  return callOnce(Nodes.at(node).Http, question,
+                  milliseconds(timeoutMs + 2'000));
+}
+
+json TestFleet::status(const std::string &node) {
+  HttpReply reply =
+      callOnce(Nodes.at(node).Admin, {"GET", "/v1/status", {}, ""}, AskLimit);
+  return reply.Status == 200 ? json::parse(reply.Body) : json();
+}
+
+json TestFleet::settings(const std::string &node, const std::string &path) {
+  HttpReply reply = callOnce(Nodes.at(node).Admin,
+                             {"GET", "/v1/settings" + path, {}, ""}, AskLimit);
+  return reply.Status == 200 ? json::parse(reply.Body) : json::object();
+}
+
+int TestFleet::runsOf(const std::string &tag) {
+  int runs = 0;
+  for (const auto &[name, address] : Endpoints) {
+    json counts = controlEndpoint(name, json::object());
+    if (counts.is_object() && counts["runs"].is_object())
+      runs += counts["runs"].value(tag, 0);
+  }
+  return runs;
+}
+
+void TestFleet::awaitReady() {
+  auto isReady = [&](const std::string &name) {
+    json report = status(name);
+    if (report.is_null())
+      return false;
+    std::size_t alive = 0;
+    std::size_t healthy = 0;
+    for (const json &member : report["members"]) {
+      alive += member["state"] == "alive" && !member["leaving"];
+      for (const json &it : member["endpoints"])
+        healthy += it["standing"] == "healthy";
+    }
+    return alive == Nodes.size() && healthy == Endpoints.size() &&
+           report["keepers"].size() == Nodes.size() &&
+           settings(name, "/w/s/all").value("revision", 0) > 0;
+  };
+  for (const auto &[name, addresses] : Nodes)
+    await("node " + name + " ready", [&] { return isReady(name); });
+}
+
+void TestFleet::await(const std::string &what, std::function<bool()> condition,
+                      int limitMs) {
+  auto until = std::chrono::steady_clock::now() + milliseconds(limitMs);
+  while (!condition()) {
+    INFO("awaited: " << what);
+    REQUIRE(std::chrono::steady_clock::now() < until);
+    std::this_thread::sleep_for(PollPeriod);
+  }
+}
+
+HttpQuestion taggedWork(const std::string &tag, int workMs) {
+  return {"POST",
+          "/work",
+          {{"X-Run-Tag", tag}, {"X-Work-Ms", std::to_string(workMs)}},
+          "work " + tag};
+}
+
+} // namespace hickoryglade::testing
--- /dev/null
+++ b/tests/standins/relay.cpp
@@ -0,0 +1,189 @@
+#include "libfleet/address.h"
+#include "libfleet/clock.h"
+#include "standins/standinserver.h"
+
+#include <boost/asio/write.hpp>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <iostream>
+#include <list>
+
+/// Stands between two processes on TCP and UDP and delays, freezes or closes
+/// what passes, each direction apart, as POST /control on another address
+/// says: {"delay_ms", "freeze_in", "freeze_out", "silence", "close"}.
+
+namespace hickoryglade::standins {
+
+using namespace fleet;
+using nlohmann::json;
+
+namespace {
+
+constexpr Millis Step{5};
+constexpr std::size_t BufferBytes = 64 * 1024;
+
+struct Faults {
+  int DelayMs = 0;
+  /// Towards the process behind the relay.
+  bool FreezeIn = false;
+  /// From the process behind the relay.
+  bool FreezeOut = false;
+};
+
+/// One relayed connection.
+struct Pair {
+  explicit Pair(tcp::socket client)
+      : Client(std::move(client)), Server(Client.get_executor()) {}
+
+  tcp::socket Client;
+  tcp::socket Server;
+  /// Frozen for good, as if something between the ends had lost track.
+  bool IsSilent = false;
+
+  void close() {
+    error_code ec;
+    Client.close(ec);
+    Server.close(ec);
+  }
+};
+
+class Relay : public std::enable_shared_from_this<Relay> {
+public:
+  Relay(asio::io_context &io, tcp::endpoint listen, tcp::endpoint to)
+      : Io(io), Acceptor(io, listen, true), To(to),
+        Datagrams(io, udp::endpoint(listen.address(), listen.port())),
+        DatagramsTo(to.address(), to.port()) {}
+
+  void start() {
+    asio::co_spawn(Io, acceptAll(), asio::detached);
+    asio::co_spawn(Io, forwardDatagrams(), asio::detached);
+  }
+
+  asio::awaitable<bool> control(HttpRequest request,
+                                std::shared_ptr<Wire> wire) {
+    json in = json::parse(*request.Content, nullptr, false);
+    if (in.is_object()) {
+      Now.DelayMs = in.value("delay_ms", Now.DelayMs);
+      Now.FreezeIn = in.value("freeze_in", Now.FreezeIn);
+      Now.FreezeOut = in.value("freeze_out", Now.FreezeOut);
+      for (const auto &pair : Pairs) {
+        pair->IsSilent = pair->IsSilent || in.value("silence", false);
+        if (in.value("close", false))
+          pair->close();
+      }
+    }
+    std::string bytes = answerBytes(200, "{}");
+    co_await wire->write(std::move(bytes));
+    co_return true;
+  }
+
+private:
+  asio::awaitable<void> acceptAll() {
+    while (true) {
+      error_code ec;
+      tcp::socket client = co_await Acceptor.async_accept(
+          asio::redirect_error(asio::use_awaitable, ec));
+      if (ec)
+        continue;
+      auto pair = std::make_shared<Pair>(std::move(client));
+      Pairs.push_back(pair);
+      asio::co_spawn(Io, serve(pair), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> serve(std::shared_ptr<Pair> pair) {
+    while (Now.FreezeIn && pair->Client.is_open())
+      co_await sleepFor(Step);
+    error_code ec;
+    co_await pair->Server.async_connect(
+        To, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec) {
+      pair->close();
+      co_return;
+    }
+    pair->Client.set_option(tcp::no_delay(true), ec);
+    pair->Server.set_option(tcp::no_delay(true), ec);
+    asio::co_spawn(Io, pump(pair, pair->Server, pair->Client, Now.FreezeOut),
+                   asio::detached);
+    co_await pump(pair, pair->Client, pair->Server, Now.FreezeIn);
+    Pairs.remove(pair);
+  }
+
+  /// Passes bytes one way, in order, each piece after the delay.
+  asio::awaitable<void> pump(std::shared_ptr<Pair> pair, tcp::socket &from,
+                             tcp::socket &to, const bool &isFrozen) {
+    std::array<char, BufferBytes> buf{};
+    error_code ec;
+    while (!ec) {
+      std::size_t n = co_await from.async_read_some(
+          asio::buffer(buf), asio::redirect_error(asio::use_awaitable, ec));
+      if (ec)
+        break;
+      if (Now.DelayMs > 0)
+        co_await sleepFor(Millis(Now.DelayMs));
+      while ((isFrozen || pair->IsSilent) && to.is_open())
+        co_await sleepFor(Step);
+      co_await asio::async_write(to, asio::buffer(buf.data(), n),
+                                 asio::redirect_error(asio::use_awaitable, ec));
+    }
+    while (pair->IsSilent)
+      co_await sleepFor(std::chrono::seconds(1));
+    pair->close();
+  }
+
+  asio::awaitable<void> forwardDatagrams() {
+    std::array<char, BufferBytes> buf{};
+    udp::endpoint sender;
+    while (true) {
+      error_code ec;
+      std::size_t n = co_await Datagrams.async_receive_from(
+          asio::buffer(buf), sender,
+          asio::redirect_error(asio::use_awaitable, ec));
+      if (ec || Now.FreezeIn)
+        continue;
+      Datagrams.send_to(asio::buffer(buf.data(), n), DatagramsTo, 0, ec);
+    }
+  }
+
+  asio::io_context &Io;
+  tcp::acceptor Acceptor;
+  tcp::endpoint To;
+  udp::socket Datagrams;
+  udp::endpoint DatagramsTo;
+  Faults Now;
+  std::list<std::shared_ptr<Pair>> Pairs;
+};
+
+tcp::endpoint endpointOf(const std::string &address) {
+  auto parsed = parseAddress(address);
+  if (!parsed) {
+    std::cerr << "not an address: " << address << "\n";
+    std::exit(2);
+  }
+  return {asio::ip::make_address(parsed->Ip), parsed->Port};
+}
+
+} // namespace
+
+} // namespace hickoryglade::standins
+
+int main(int argc, char **argv) {
+  using namespace hickoryglade;
+  auto option = [&](const std::string &name) {
+    return standins::optionValue(argc, argv, name, "");
+  };
+  fleet::asio::io_context io{1};
+  auto relay = std::make_shared<standins::Relay>(
+      io, standins::endpointOf(option("listen")),
+      standins::endpointOf(option("to")));
+  relay->start();
+  standins::serveHttp(io, option("control"),
+                      [relay](fleet::HttpRequest request,
+                              std::shared_ptr<standins::Wire> wire) {
+                        return relay->control(std::move(request),
+                                              std::move(wire));
+                      });
+  io.run();
+  return 0;
+}
