--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -37,6 +37,8 @@
   10: i64 fingerprint
   11: i32 copies
   12: bool awaitsClaim
+  // Endpoints that this very request has crashed on its way here.
+  13: i32 knownCrashes
 }
 
 struct Grant {
@@ -80,6 +82,8 @@
   4: i64 retryAfterMs
   5: Load load
   6: string endpoint
+  // The endpoint's process was found gone.
+  7: bool isCrash
 }
 
 struct Cancel {}
@@ -150,7 +154,8 @@
 
 struct QuarantineRecord {
   1: i64 fingerprint
-  2: i32 crashes
+  // Crashes that each node has seen.
+  2: map<string, i32> crashes
   3: i64 remainingMs
 }
 
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -183,10 +183,21 @@
   value = other0.value;
   __isset = other0.__isset;
 }
-Header& Header::operator=(const Header& other1) {
-  name = other1.name;
-  value = other1.value;
+Header::Header(Header&& other1) noexcept {
+  name = std::move(other1.name);
+  value = std::move(other1.value);
   __isset = other1.__isset;
+}
+Header& Header::operator=(const Header& other2) {
+  name = other2.name;
+  value = other2.value;
+  __isset = other2.__isset;
+  return *this;
+}
+Header& Header::operator=(Header&& other3) noexcept {
+  name = std::move(other3.name);
+  value = std::move(other3.value);
+  __isset = other3.__isset;
   return *this;
 }
 void Header::printTo(std::ostream& out) const {
@@ -324,19 +335,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Hello::Hello(const Hello& other2) {
-  node = other2.node;
-  bootId = other2.bootId;
-  dataCentre = other2.dataCentre;
-  protocolVersion = other2.protocolVersion;
-  __isset = other2.__isset;
+Hello::Hello(const Hello& other4) {
+  node = other4.node;
+  bootId = other4.bootId;
+  dataCentre = other4.dataCentre;
+  protocolVersion = other4.protocolVersion;
+  __isset = other4.__isset;
 }
-Hello& Hello::operator=(const Hello& other3) {
-  node = other3.node;
-  bootId = other3.bootId;
-  dataCentre = other3.dataCentre;
-  protocolVersion = other3.protocolVersion;
-  __isset = other3.__isset;
+Hello::Hello(Hello&& other5) noexcept {
+  node = std::move(other5.node);
+  bootId = other5.bootId;
+  dataCentre = std::move(other5.dataCentre);
+  protocolVersion = other5.protocolVersion;
+  __isset = other5.__isset;
+}
+Hello& Hello::operator=(const Hello& other6) {
+  node = other6.node;
+  bootId = other6.bootId;
+  dataCentre = other6.dataCentre;
+  protocolVersion = other6.protocolVersion;
+  __isset = other6.__isset;
+  return *this;
+}
+Hello& Hello::operator=(Hello&& other7) noexcept {
+  node = std::move(other7.node);
+  bootId = other7.bootId;
+  dataCentre = std::move(other7.dataCentre);
+  protocolVersion = other7.protocolVersion;
+  __isset = other7.__isset;
   return *this;
 }
 void Hello::printTo(std::ostream& out) const {
@@ -442,15 +468,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Heartbeat::Heartbeat(const Heartbeat& other4) noexcept {
-  sequence = other4.sequence;
-  reply = other4.reply;
-  __isset = other4.__isset;
+Heartbeat::Heartbeat(const Heartbeat& other8) noexcept {
+  sequence = other8.sequence;
+  reply = other8.reply;
+  __isset = other8.__isset;
 }
-Heartbeat& Heartbeat::operator=(const Heartbeat& other5) noexcept {
-  sequence = other5.sequence;
-  reply = other5.reply;
-  __isset = other5.__isset;
+Heartbeat::Heartbeat(Heartbeat&& other9) noexcept {
+  sequence = other9.sequence;
+  reply = other9.reply;
+  __isset = other9.__isset;
+}
+Heartbeat& Heartbeat::operator=(const Heartbeat& other10) noexcept {
+  sequence = other10.sequence;
+  reply = other10.reply;
+  __isset = other10.__isset;
+  return *this;
+}
+Heartbeat& Heartbeat::operator=(Heartbeat&& other11) noexcept {
+  sequence = other11.sequence;
+  reply = other11.reply;
+  __isset = other11.__isset;
   return *this;
 }
 void Heartbeat::printTo(std::ostream& out) const {
@@ -513,6 +550,10 @@
 void Ticket::__set_awaitsClaim(const bool val) {
   this->awaitsClaim = val;
 }
+
+void Ticket::__set_knownCrashes(const int32_t val) {
+  this->knownCrashes = val;
+}
 std::ostream& operator<<(std::ostream& out, const Ticket& obj)
 {
   obj.printTo(out);
@@ -637,6 +678,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->knownCrashes);
+          this->__isset.knownCrashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -702,6 +751,10 @@
   xfer += oprot->writeBool(this->awaitsClaim);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("knownCrashes", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->knownCrashes);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -721,38 +774,74 @@
   swap(a.fingerprint, b.fingerprint);
   swap(a.copies, b.copies);
   swap(a.awaitsClaim, b.awaitsClaim);
+  swap(a.knownCrashes, b.knownCrashes);
   swap(a.__isset, b.__isset);
 }
 
-Ticket::Ticket(const Ticket& other6) {
-  attemptId = other6.attemptId;
-  workspace = other6.workspace;
-  serviceName = other6.serviceName;
-  gateBootId = other6.gateBootId;
-  timeoutMs = other6.timeoutMs;
-  linkAgeMs = other6.linkAgeMs;
-  expectedCostUs = other6.expectedCostUs;
-  isLong = other6.isLong;
-  isIdempotent = other6.isIdempotent;
-  fingerprint = other6.fingerprint;
-  copies = other6.copies;
-  awaitsClaim = other6.awaitsClaim;
-  __isset = other6.__isset;
+Ticket::Ticket(const Ticket& other12) {
+  attemptId = other12.attemptId;
+  workspace = other12.workspace;
+  serviceName = other12.serviceName;
+  gateBootId = other12.gateBootId;
+  timeoutMs = other12.timeoutMs;
+  linkAgeMs = other12.linkAgeMs;
+  expectedCostUs = other12.expectedCostUs;
+  isLong = other12.isLong;
+  isIdempotent = other12.isIdempotent;
+  fingerprint = other12.fingerprint;
+  copies = other12.copies;
+  awaitsClaim = other12.awaitsClaim;
+  knownCrashes = other12.knownCrashes;
+  __isset = other12.__isset;
+}
+Ticket::Ticket(Ticket&& other13) noexcept {
+  attemptId = std::move(other13.attemptId);
+  workspace = std::move(other13.workspace);
+  serviceName = std::move(other13.serviceName);
+  gateBootId = other13.gateBootId;
+  timeoutMs = other13.timeoutMs;
+  linkAgeMs = other13.linkAgeMs;
+  expectedCostUs = other13.expectedCostUs;
+  isLong = other13.isLong;
+  isIdempotent = other13.isIdempotent;
+  fingerprint = other13.fingerprint;
+  copies = other13.copies;
+  awaitsClaim = other13.awaitsClaim;
+  knownCrashes = other13.knownCrashes;
+  __isset = other13.__isset;
+}
+Ticket& Ticket::operator=(const Ticket& other14) {
+  attemptId = other14.attemptId;
+  workspace = other14.workspace;
+  serviceName = other14.serviceName;
+  gateBootId = other14.gateBootId;
+  timeoutMs = other14.timeoutMs;
+  linkAgeMs = other14.linkAgeMs;
+  expectedCostUs = other14.expectedCostUs;
+  isLong = other14.isLong;
+  isIdempotent = other14.isIdempotent;
+  fingerprint = other14.fingerprint;
+  copies = other14.copies;
+  awaitsClaim = other14.awaitsClaim;
+  knownCrashes = other14.knownCrashes;
+  __isset = other14.__isset;
+  return *this;
 }
-Ticket& Ticket::operator=(const Ticket& other7) {
-  attemptId = other7.attemptId;
-  workspace = other7.workspace;
-  serviceName = other7.serviceName;
-  gateBootId = other7.gateBootId;
-  timeoutMs = other7.timeoutMs;
-  linkAgeMs = other7.linkAgeMs;
-  expectedCostUs = other7.expectedCostUs;
-  isLong = other7.isLong;
-  isIdempotent = other7.isIdempotent;
-  fingerprint = other7.fingerprint;
-  copies = other7.copies;
-  awaitsClaim = other7.awaitsClaim;
-  __isset = other7.__isset;
+Ticket& Ticket::operator=(Ticket&& other15) noexcept {
+  attemptId = std::move(other15.attemptId);
+  workspace = std::move(other15.workspace);
+  serviceName = std::move(other15.serviceName);
+  gateBootId = other15.gateBootId;
+  timeoutMs = other15.timeoutMs;
+  linkAgeMs = other15.linkAgeMs;
+  expectedCostUs = other15.expectedCostUs;
+  isLong = other15.isLong;
+  isIdempotent = other15.isIdempotent;
+  fingerprint = other15.fingerprint;
+  copies = other15.copies;
+  awaitsClaim = other15.awaitsClaim;
+  knownCrashes = other15.knownCrashes;
+  __isset = other15.__isset;
   return *this;
 }
 void Ticket::printTo(std::ostream& out) const {
@@ -770,6 +859,7 @@
   out << ", " << "fingerprint=" << to_string(fingerprint);
   out << ", " << "copies=" << to_string(copies);
   out << ", " << "awaitsClaim=" << to_string(awaitsClaim);
+  out << ", " << "knownCrashes=" << to_string(knownCrashes);
   out << ")";
 }
 
@@ -849,13 +939,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Grant::Grant(const Grant& other8) {
-  endpoint = other8.endpoint;
-  __isset = other8.__isset;
+Grant::Grant(const Grant& other16) {
+  endpoint = other16.endpoint;
+  __isset = other16.__isset;
 }
-Grant& Grant::operator=(const Grant& other9) {
-  endpoint = other9.endpoint;
-  __isset = other9.__isset;
+Grant::Grant(Grant&& other17) noexcept {
+  endpoint = std::move(other17.endpoint);
+  __isset = other17.__isset;
+}
+Grant& Grant::operator=(const Grant& other18) {
+  endpoint = other18.endpoint;
+  __isset = other18.__isset;
+  return *this;
+}
+Grant& Grant::operator=(Grant&& other19) noexcept {
+  endpoint = std::move(other19.endpoint);
+  __isset = other19.__isset;
   return *this;
 }
 void Grant::printTo(std::ostream& out) const {
@@ -945,14 +1044,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size10;
-            ::apache::thrift::protocol::TType _etype13;
-            xfer += iprot->readListBegin(_etype13, _size10);
-            this->headers.resize(_size10);
-            uint32_t _i14;
-            for (_i14 = 0; _i14 < _size10; ++_i14)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->headers.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->headers[_i14].read(iprot);
+              xfer += this->headers[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1001,10 +1100,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter15;
-    for (_iter15 = this->headers.begin(); _iter15 != this->headers.end(); ++_iter15)
+    std::vector<Header> ::const_iterator _iter25;
+    for (_iter25 = this->headers.begin(); _iter25 != this->headers.end(); ++_iter25)
     {
-      xfer += (*_iter15).write(oprot);
+      xfer += (*_iter25).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1029,21 +1128,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Call::Call(const Call& other16) {
-  ticket = other16.ticket;
-  method = other16.method;
-  target = other16.target;
-  headers = other16.headers;
-  bodyBytes = other16.bodyBytes;
-  __isset = other16.__isset;
+Call::Call(const Call& other26) {
+  ticket = other26.ticket;
+  method = other26.method;
+  target = other26.target;
+  headers = other26.headers;
+  bodyBytes = other26.bodyBytes;
+  __isset = other26.__isset;
+}
+Call::Call(Call&& other27) noexcept {
+  ticket = std::move(other27.ticket);
+  method = std::move(other27.method);
+  target = std::move(other27.target);
+  headers = std::move(other27.headers);
+  bodyBytes = other27.bodyBytes;
+  __isset = other27.__isset;
+}
+Call& Call::operator=(const Call& other28) {
+  ticket = other28.ticket;
+  method = other28.method;
+  target = other28.target;
+  headers = other28.headers;
+  bodyBytes = other28.bodyBytes;
+  __isset = other28.__isset;
+  return *this;
 }
-Call& Call::operator=(const Call& other17) {
-  ticket = other17.ticket;
-  method = other17.method;
-  target = other17.target;
-  headers = other17.headers;
-  bodyBytes = other17.bodyBytes;
-  __isset = other17.__isset;
+Call& Call::operator=(Call&& other29) noexcept {
+  ticket = std::move(other29.ticket);
+  method = std::move(other29.method);
+  target = std::move(other29.target);
+  headers = std::move(other29.headers);
+  bodyBytes = other29.bodyBytes;
+  __isset = other29.__isset;
   return *this;
 }
 void Call::printTo(std::ostream& out) const {
@@ -1133,13 +1249,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Data::Data(const Data& other18) {
-  bytes = other18.bytes;
-  __isset = other18.__isset;
+Data::Data(const Data& other30) {
+  bytes = other30.bytes;
+  __isset = other30.__isset;
 }
-Data& Data::operator=(const Data& other19) {
-  bytes = other19.bytes;
-  __isset = other19.__isset;
+Data::Data(Data&& other31) noexcept {
+  bytes = std::move(other31.bytes);
+  __isset = other31.__isset;
+}
+Data& Data::operator=(const Data& other32) {
+  bytes = other32.bytes;
+  __isset = other32.__isset;
+  return *this;
+}
+Data& Data::operator=(Data&& other33) noexcept {
+  bytes = std::move(other33.bytes);
+  __isset = other33.__isset;
   return *this;
 }
 void Data::printTo(std::ostream& out) const {
@@ -1259,17 +1384,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Load::Load(const Load& other20) noexcept {
-  freeSlots = other20.freeSlots;
-  queued = other20.queued;
-  slots = other20.slots;
-  __isset = other20.__isset;
+Load::Load(const Load& other34) noexcept {
+  freeSlots = other34.freeSlots;
+  queued = other34.queued;
+  slots = other34.slots;
+  __isset = other34.__isset;
+}
+Load::Load(Load&& other35) noexcept {
+  freeSlots = other35.freeSlots;
+  queued = other35.queued;
+  slots = other35.slots;
+  __isset = other35.__isset;
 }
-Load& Load::operator=(const Load& other21) noexcept {
-  freeSlots = other21.freeSlots;
-  queued = other21.queued;
-  slots = other21.slots;
-  __isset = other21.__isset;
+Load& Load::operator=(const Load& other36) noexcept {
+  freeSlots = other36.freeSlots;
+  queued = other36.queued;
+  slots = other36.slots;
+  __isset = other36.__isset;
+  return *this;
+}
+Load& Load::operator=(Load&& other37) noexcept {
+  freeSlots = other37.freeSlots;
+  queued = other37.queued;
+  slots = other37.slots;
+  __isset = other37.__isset;
   return *this;
 }
 void Load::printTo(std::ostream& out) const {
@@ -1349,14 +1487,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->headers.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->headers.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->headers[_i26].read(iprot);
+              xfer += this->headers[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1421,10 +1559,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter27;
-    for (_iter27 = this->headers.begin(); _iter27 != this->headers.end(); ++_iter27)
+    std::vector<Header> ::const_iterator _iter43;
+    for (_iter43 = this->headers.begin(); _iter43 != this->headers.end(); ++_iter43)
     {
-      xfer += (*_iter27).write(oprot);
+      xfer += (*_iter43).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1462,23 +1600,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Answer::Answer(const Answer& other28) {
-  status = other28.status;
-  headers = other28.headers;
-  bodyBytes = other28.bodyBytes;
-  endpoint = other28.endpoint;
-  load = other28.load;
-  runUs = other28.runUs;
-  __isset = other28.__isset;
+Answer::Answer(const Answer& other44) {
+  status = other44.status;
+  headers = other44.headers;
+  bodyBytes = other44.bodyBytes;
+  endpoint = other44.endpoint;
+  load = other44.load;
+  runUs = other44.runUs;
+  __isset = other44.__isset;
 }
-Answer& Answer::operator=(const Answer& other29) {
-  status = other29.status;
-  headers = other29.headers;
-  bodyBytes = other29.bodyBytes;
-  endpoint = other29.endpoint;
-  load = other29.load;
-  runUs = other29.runUs;
-  __isset = other29.__isset;
+Answer::Answer(Answer&& other45) noexcept {
+  status = other45.status;
+  headers = std::move(other45.headers);
+  bodyBytes = other45.bodyBytes;
+  endpoint = std::move(other45.endpoint);
+  load = std::move(other45.load);
+  runUs = other45.runUs;
+  __isset = other45.__isset;
+}
+Answer& Answer::operator=(const Answer& other46) {
+  status = other46.status;
+  headers = other46.headers;
+  bodyBytes = other46.bodyBytes;
+  endpoint = other46.endpoint;
+  load = other46.load;
+  runUs = other46.runUs;
+  __isset = other46.__isset;
+  return *this;
+}
+Answer& Answer::operator=(Answer&& other47) noexcept {
+  status = other47.status;
+  headers = std::move(other47.headers);
+  bodyBytes = other47.bodyBytes;
+  endpoint = std::move(other47.endpoint);
+  load = std::move(other47.load);
+  runUs = other47.runUs;
+  __isset = other47.__isset;
   return *this;
 }
 void Answer::printTo(std::ostream& out) const {
@@ -1521,6 +1678,10 @@
 void Failure::__set_endpoint(const std::string& val) {
   this->endpoint = val;
 }
+
+void Failure::__set_isCrash(const bool val) {
+  this->isCrash = val;
+}
 std::ostream& operator<<(std::ostream& out, const Failure& obj)
 {
   obj.printTo(out);
@@ -1597,6 +1758,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isCrash);
+          this->__isset.isCrash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1638,6 +1807,10 @@
   xfer += oprot->writeString(this->endpoint);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("isCrash", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->isCrash);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1651,26 +1824,50 @@
   swap(a.retryAfterMs, b.retryAfterMs);
   swap(a.load, b.load);
   swap(a.endpoint, b.endpoint);
+  swap(a.isCrash, b.isCrash);
   swap(a.__isset, b.__isset);
 }
 
-Failure::Failure(const Failure& other30) {
-  kind = other30.kind;
-  run = other30.run;
-  detail = other30.detail;
-  retryAfterMs = other30.retryAfterMs;
-  load = other30.load;
-  endpoint = other30.endpoint;
-  __isset = other30.__isset;
+Failure::Failure(const Failure& other48) {
+  kind = other48.kind;
+  run = other48.run;
+  detail = other48.detail;
+  retryAfterMs = other48.retryAfterMs;
+  load = other48.load;
+  endpoint = other48.endpoint;
+  isCrash = other48.isCrash;
+  __isset = other48.__isset;
+}
+Failure::Failure(Failure&& other49) noexcept {
+  kind = other49.kind;
+  run = other49.run;
+  detail = std::move(other49.detail);
+  retryAfterMs = other49.retryAfterMs;
+  load = std::move(other49.load);
+  endpoint = std::move(other49.endpoint);
+  isCrash = other49.isCrash;
+  __isset = other49.__isset;
 }
-Failure& Failure::operator=(const Failure& other31) {
-  kind = other31.kind;
-  run = other31.run;
-  detail = other31.detail;
-  retryAfterMs = other31.retryAfterMs;
-  load = other31.load;
-  endpoint = other31.endpoint;
-  __isset = other31.__isset;
+Failure& Failure::operator=(const Failure& other50) {
+  kind = other50.kind;
+  run = other50.run;
+  detail = other50.detail;
+  retryAfterMs = other50.retryAfterMs;
+  load = other50.load;
+  endpoint = other50.endpoint;
+  isCrash = other50.isCrash;
+  __isset = other50.__isset;
+  return *this;
+}
+Failure& Failure::operator=(Failure&& other51) noexcept {
+  kind = other51.kind;
+  run = other51.run;
+  detail = std::move(other51.detail);
+  retryAfterMs = other51.retryAfterMs;
+  load = std::move(other51.load);
+  endpoint = std::move(other51.endpoint);
+  isCrash = other51.isCrash;
+  __isset = other51.__isset;
   return *this;
 }
 void Failure::printTo(std::ostream& out) const {
@@ -1682,6 +1879,7 @@
   out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
   out << ", " << "load=" << to_string(load);
   out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "isCrash=" << to_string(isCrash);
   out << ")";
 }
 
@@ -1740,11 +1938,18 @@
   (void) b;
 }
 
-Cancel::Cancel(const Cancel& other32) noexcept {
-  (void) other32;
+Cancel::Cancel(const Cancel& other52) noexcept {
+  (void) other52;
+}
+Cancel::Cancel(Cancel&& other53) noexcept {
+  (void) other53;
 }
-Cancel& Cancel::operator=(const Cancel& other33) noexcept {
-  (void) other33;
+Cancel& Cancel::operator=(const Cancel& other54) noexcept {
+  (void) other54;
+  return *this;
+}
+Cancel& Cancel::operator=(Cancel&& other55) noexcept {
+  (void) other55;
   return *this;
 }
 void Cancel::printTo(std::ostream& out) const {
@@ -1863,17 +2068,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Revoke::Revoke(const Revoke& other34) {
-  attemptId = other34.attemptId;
-  gateBootId = other34.gateBootId;
-  timeoutMs = other34.timeoutMs;
-  __isset = other34.__isset;
+Revoke::Revoke(const Revoke& other56) {
+  attemptId = other56.attemptId;
+  gateBootId = other56.gateBootId;
+  timeoutMs = other56.timeoutMs;
+  __isset = other56.__isset;
 }
-Revoke& Revoke::operator=(const Revoke& other35) {
-  attemptId = other35.attemptId;
-  gateBootId = other35.gateBootId;
-  timeoutMs = other35.timeoutMs;
-  __isset = other35.__isset;
+Revoke::Revoke(Revoke&& other57) noexcept {
+  attemptId = std::move(other57.attemptId);
+  gateBootId = other57.gateBootId;
+  timeoutMs = other57.timeoutMs;
+  __isset = other57.__isset;
+}
+Revoke& Revoke::operator=(const Revoke& other58) {
+  attemptId = other58.attemptId;
+  gateBootId = other58.gateBootId;
+  timeoutMs = other58.timeoutMs;
+  __isset = other58.__isset;
+  return *this;
+}
+Revoke& Revoke::operator=(Revoke&& other59) noexcept {
+  attemptId = std::move(other59.attemptId);
+  gateBootId = other59.gateBootId;
+  timeoutMs = other59.timeoutMs;
+  __isset = other59.__isset;
   return *this;
 }
 void Revoke::printTo(std::ostream& out) const {
@@ -1961,13 +2179,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Revoked::Revoked(const Revoked& other36) noexcept {
-  state = other36.state;
-  __isset = other36.__isset;
+Revoked::Revoked(const Revoked& other60) noexcept {
+  state = other60.state;
+  __isset = other60.__isset;
 }
-Revoked& Revoked::operator=(const Revoked& other37) noexcept {
-  state = other37.state;
-  __isset = other37.__isset;
+Revoked::Revoked(Revoked&& other61) noexcept {
+  state = other61.state;
+  __isset = other61.__isset;
+}
+Revoked& Revoked::operator=(const Revoked& other62) noexcept {
+  state = other62.state;
+  __isset = other62.__isset;
+  return *this;
+}
+Revoked& Revoked::operator=(Revoked&& other63) noexcept {
+  state = other63.state;
+  __isset = other63.__isset;
   return *this;
 }
 void Revoked::printTo(std::ostream& out) const {
@@ -2033,14 +2260,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->headers.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->headers.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += this->headers[_i42].read(iprot);
+              xfer += this->headers[_i68].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2081,10 +2308,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter43;
-    for (_iter43 = this->headers.begin(); _iter43 != this->headers.end(); ++_iter43)
+    std::vector<Header> ::const_iterator _iter69;
+    for (_iter69 = this->headers.begin(); _iter69 != this->headers.end(); ++_iter69)
     {
-      xfer += (*_iter43).write(oprot);
+      xfer += (*_iter69).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2107,17 +2334,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredAnswer::StoredAnswer(const StoredAnswer& other44) {
-  status = other44.status;
-  headers = other44.headers;
-  body = other44.body;
-  __isset = other44.__isset;
+StoredAnswer::StoredAnswer(const StoredAnswer& other70) {
+  status = other70.status;
+  headers = other70.headers;
+  body = other70.body;
+  __isset = other70.__isset;
 }
-StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other45) {
-  status = other45.status;
-  headers = other45.headers;
-  body = other45.body;
-  __isset = other45.__isset;
+StoredAnswer::StoredAnswer(StoredAnswer&& other71) noexcept {
+  status = other71.status;
+  headers = std::move(other71.headers);
+  body = std::move(other71.body);
+  __isset = other71.__isset;
+}
+StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other72) {
+  status = other72.status;
+  headers = other72.headers;
+  body = other72.body;
+  __isset = other72.__isset;
+  return *this;
+}
+StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other73) noexcept {
+  status = other73.status;
+  headers = std::move(other73.headers);
+  body = std::move(other73.body);
+  __isset = other73.__isset;
   return *this;
 }
 void StoredAnswer::printTo(std::ostream& out) const {
@@ -2292,23 +2532,42 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyRecord::KeyRecord(const KeyRecord& other46) {
-  key = other46.key;
-  requestId = other46.requestId;
-  fingerprint = other46.fingerprint;
-  state = other46.state;
-  answer = other46.answer;
-  lifetimeMs = other46.lifetimeMs;
-  __isset = other46.__isset;
+KeyRecord::KeyRecord(const KeyRecord& other74) {
+  key = other74.key;
+  requestId = other74.requestId;
+  fingerprint = other74.fingerprint;
+  state = other74.state;
+  answer = other74.answer;
+  lifetimeMs = other74.lifetimeMs;
+  __isset = other74.__isset;
+}
+KeyRecord::KeyRecord(KeyRecord&& other75) noexcept {
+  key = std::move(other75.key);
+  requestId = std::move(other75.requestId);
+  fingerprint = other75.fingerprint;
+  state = other75.state;
+  answer = std::move(other75.answer);
+  lifetimeMs = other75.lifetimeMs;
+  __isset = other75.__isset;
+}
+KeyRecord& KeyRecord::operator=(const KeyRecord& other76) {
+  key = other76.key;
+  requestId = other76.requestId;
+  fingerprint = other76.fingerprint;
+  state = other76.state;
+  answer = other76.answer;
+  lifetimeMs = other76.lifetimeMs;
+  __isset = other76.__isset;
+  return *this;
 }
-KeyRecord& KeyRecord::operator=(const KeyRecord& other47) {
-  key = other47.key;
-  requestId = other47.requestId;
-  fingerprint = other47.fingerprint;
-  state = other47.state;
-  answer = other47.answer;
-  lifetimeMs = other47.lifetimeMs;
-  __isset = other47.__isset;
+KeyRecord& KeyRecord::operator=(KeyRecord&& other77) noexcept {
+  key = std::move(other77.key);
+  requestId = std::move(other77.requestId);
+  fingerprint = other77.fingerprint;
+  state = other77.state;
+  answer = std::move(other77.answer);
+  lifetimeMs = other77.lifetimeMs;
+  __isset = other77.__isset;
   return *this;
 }
 void KeyRecord::printTo(std::ostream& out) const {
@@ -2369,9 +2628,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast48;
-          xfer += iprot->readI32(ecast48);
-          this->operation = static_cast<KeyOperation::type>(ecast48);
+          int32_t ecast78;
+          xfer += iprot->readI32(ecast78);
+          this->operation = static_cast<KeyOperation::type>(ecast78);
           this->__isset.operation = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2435,17 +2694,30 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyRequest::KeyRequest(const KeyRequest& other49) {
-  operation = other49.operation;
-  record = other49.record;
-  rosterOffset = other49.rosterOffset;
-  __isset = other49.__isset;
+KeyRequest::KeyRequest(const KeyRequest& other79) {
+  operation = other79.operation;
+  record = other79.record;
+  rosterOffset = other79.rosterOffset;
+  __isset = other79.__isset;
 }
-KeyRequest& KeyRequest::operator=(const KeyRequest& other50) {
-  operation = other50.operation;
-  record = other50.record;
-  rosterOffset = other50.rosterOffset;
-  __isset = other50.__isset;
+KeyRequest::KeyRequest(KeyRequest&& other80) noexcept {
+  operation = other80.operation;
+  record = std::move(other80.record);
+  rosterOffset = other80.rosterOffset;
+  __isset = other80.__isset;
+}
+KeyRequest& KeyRequest::operator=(const KeyRequest& other81) {
+  operation = other81.operation;
+  record = other81.record;
+  rosterOffset = other81.rosterOffset;
+  __isset = other81.__isset;
+  return *this;
+}
+KeyRequest& KeyRequest::operator=(KeyRequest&& other82) noexcept {
+  operation = other82.operation;
+  record = std::move(other82.record);
+  rosterOffset = other82.rosterOffset;
+  __isset = other82.__isset;
   return *this;
 }
 void KeyRequest::printTo(std::ostream& out) const {
@@ -2569,17 +2841,30 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyReply::KeyReply(const KeyReply& other51) {
-  verdict = other51.verdict;
-  record = other51.record;
-  rosterOffset = other51.rosterOffset;
-  __isset = other51.__isset;
+KeyReply::KeyReply(const KeyReply& other83) {
+  verdict = other83.verdict;
+  record = other83.record;
+  rosterOffset = other83.rosterOffset;
+  __isset = other83.__isset;
 }
-KeyReply& KeyReply::operator=(const KeyReply& other52) {
-  verdict = other52.verdict;
-  record = other52.record;
-  rosterOffset = other52.rosterOffset;
-  __isset = other52.__isset;
+KeyReply::KeyReply(KeyReply&& other84) noexcept {
+  verdict = other84.verdict;
+  record = std::move(other84.record);
+  rosterOffset = other84.rosterOffset;
+  __isset = other84.__isset;
+}
+KeyReply& KeyReply::operator=(const KeyReply& other85) {
+  verdict = other85.verdict;
+  record = other85.record;
+  rosterOffset = other85.rosterOffset;
+  __isset = other85.__isset;
+  return *this;
+}
+KeyReply& KeyReply::operator=(KeyReply&& other86) noexcept {
+  verdict = other86.verdict;
+  record = std::move(other86.record);
+  rosterOffset = other86.rosterOffset;
+  __isset = other86.__isset;
   return *this;
 }
 void KeyReply::printTo(std::ostream& out) const {
@@ -2752,23 +3037,42 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointRecord::EndpointRecord(const EndpointRecord& other53) {
-  name = other53.name;
-  workspace = other53.workspace;
-  serviceName = other53.serviceName;
-  slots = other53.slots;
-  generation = other53.generation;
-  state = other53.state;
-  __isset = other53.__isset;
-}
-EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other54) {
-  name = other54.name;
-  workspace = other54.workspace;
-  serviceName = other54.serviceName;
-  slots = other54.slots;
-  generation = other54.generation;
-  state = other54.state;
-  __isset = other54.__isset;
+EndpointRecord::EndpointRecord(const EndpointRecord& other87) {
+  name = other87.name;
+  workspace = other87.workspace;
+  serviceName = other87.serviceName;
+  slots = other87.slots;
+  generation = other87.generation;
+  state = other87.state;
+  __isset = other87.__isset;
+}
+EndpointRecord::EndpointRecord(EndpointRecord&& other88) noexcept {
+  name = std::move(other88.name);
+  workspace = std::move(other88.workspace);
+  serviceName = std::move(other88.serviceName);
+  slots = other88.slots;
+  generation = other88.generation;
+  state = other88.state;
+  __isset = other88.__isset;
+}
+EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other89) {
+  name = other89.name;
+  workspace = other89.workspace;
+  serviceName = other89.serviceName;
+  slots = other89.slots;
+  generation = other89.generation;
+  state = other89.state;
+  __isset = other89.__isset;
+  return *this;
+}
+EndpointRecord& EndpointRecord::operator=(EndpointRecord&& other90) noexcept {
+  name = std::move(other90.name);
+  workspace = std::move(other90.workspace);
+  serviceName = std::move(other90.serviceName);
+  slots = other90.slots;
+  generation = other90.generation;
+  state = other90.state;
+  __isset = other90.__isset;
   return *this;
 }
 void EndpointRecord::printTo(std::ostream& out) const {
@@ -2915,14 +3219,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size55;
-            ::apache::thrift::protocol::TType _etype58;
-            xfer += iprot->readListBegin(_etype58, _size55);
-            this->endpoints.resize(_size55);
-            uint32_t _i59;
-            for (_i59 = 0; _i59 < _size55; ++_i59)
+            uint32_t _size91;
+            ::apache::thrift::protocol::TType _etype94;
+            xfer += iprot->readListBegin(_etype94, _size91);
+            this->endpoints.resize(_size91);
+            uint32_t _i95;
+            for (_i95 = 0; _i95 < _size91; ++_i95)
             {
-              xfer += this->endpoints[_i59].read(iprot);
+              xfer += this->endpoints[_i95].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2995,10 +3299,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter60;
-    for (_iter60 = this->endpoints.begin(); _iter60 != this->endpoints.end(); ++_iter60)
+    std::vector<EndpointRecord> ::const_iterator _iter96;
+    for (_iter96 = this->endpoints.begin(); _iter96 != this->endpoints.end(); ++_iter96)
     {
-      xfer += (*_iter60).write(oprot);
+      xfer += (*_iter96).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3032,31 +3336,58 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other61) {
-  node = other61.node;
-  bootId = other61.bootId;
-  version = other61.version;
-  fleetAddress = other61.fleetAddress;
-  adminAddress = other61.adminAddress;
-  dataCentre = other61.dataCentre;
-  state = other61.state;
-  endpoints = other61.endpoints;
-  settingsOffset = other61.settingsOffset;
-  ledgerOffset = other61.ledgerOffset;
-  __isset = other61.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other97) {
+  node = other97.node;
+  bootId = other97.bootId;
+  version = other97.version;
+  fleetAddress = other97.fleetAddress;
+  adminAddress = other97.adminAddress;
+  dataCentre = other97.dataCentre;
+  state = other97.state;
+  endpoints = other97.endpoints;
+  settingsOffset = other97.settingsOffset;
+  ledgerOffset = other97.ledgerOffset;
+  __isset = other97.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other98) noexcept {
+  node = std::move(other98.node);
+  bootId = other98.bootId;
+  version = other98.version;
+  fleetAddress = std::move(other98.fleetAddress);
+  adminAddress = std::move(other98.adminAddress);
+  dataCentre = std::move(other98.dataCentre);
+  state = other98.state;
+  endpoints = std::move(other98.endpoints);
+  settingsOffset = other98.settingsOffset;
+  ledgerOffset = other98.ledgerOffset;
+  __isset = other98.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other99) {
+  node = other99.node;
+  bootId = other99.bootId;
+  version = other99.version;
+  fleetAddress = other99.fleetAddress;
+  adminAddress = other99.adminAddress;
+  dataCentre = other99.dataCentre;
+  state = other99.state;
+  endpoints = other99.endpoints;
+  settingsOffset = other99.settingsOffset;
+  ledgerOffset = other99.ledgerOffset;
+  __isset = other99.__isset;
+  return *this;
 }
-MemberRecord& MemberRecord::operator=(const MemberRecord& other62) {
-  node = other62.node;
-  bootId = other62.bootId;
-  version = other62.version;
-  fleetAddress = other62.fleetAddress;
-  adminAddress = other62.adminAddress;
-  dataCentre = other62.dataCentre;
-  state = other62.state;
-  endpoints = other62.endpoints;
-  settingsOffset = other62.settingsOffset;
-  ledgerOffset = other62.ledgerOffset;
-  __isset = other62.__isset;
+MemberRecord& MemberRecord::operator=(MemberRecord&& other100) noexcept {
+  node = std::move(other100.node);
+  bootId = other100.bootId;
+  version = other100.version;
+  fleetAddress = std::move(other100.fleetAddress);
+  adminAddress = std::move(other100.adminAddress);
+  dataCentre = std::move(other100.dataCentre);
+  state = other100.state;
+  endpoints = std::move(other100.endpoints);
+  settingsOffset = other100.settingsOffset;
+  ledgerOffset = other100.ledgerOffset;
+  __isset = other100.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -3084,7 +3415,7 @@
   this->fingerprint = val;
 }
 
-void QuarantineRecord::__set_crashes(const int32_t val) {
+void QuarantineRecord::__set_crashes(const std::map<std::string, int32_t> & val) {
   this->crashes = val;
 }
 
@@ -3128,8 +3459,23 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->crashes);
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->crashes.clear();
+            uint32_t _size101;
+            ::apache::thrift::protocol::TType _ktype102;
+            ::apache::thrift::protocol::TType _vtype103;
+            xfer += iprot->readMapBegin(_ktype102, _vtype103, _size101);
+            uint32_t _i105;
+            for (_i105 = 0; _i105 < _size101; ++_i105)
+            {
+              std::string _key106;
+              xfer += iprot->readString(_key106);
+              int32_t& _val107 = this->crashes[_key106];
+              xfer += iprot->readI32(_val107);
+            }
+            xfer += iprot->readMapEnd();
+          }
           this->__isset.crashes = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3164,8 +3510,17 @@
   xfer += oprot->writeI64(this->fingerprint);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->crashes);
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_MAP, 2);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crashes.size()));
+    std::map<std::string, int32_t> ::const_iterator _iter108;
+    for (_iter108 = this->crashes.begin(); _iter108 != this->crashes.end(); ++_iter108)
+    {
+      xfer += oprot->writeString(_iter108->first);
+      xfer += oprot->writeI32(_iter108->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("remainingMs", ::apache::thrift::protocol::T_I64, 3);
@@ -3185,17 +3540,30 @@
   swap(a.__isset, b.__isset);
 }
 
-QuarantineRecord::QuarantineRecord(const QuarantineRecord& other63) noexcept {
-  fingerprint = other63.fingerprint;
-  crashes = other63.crashes;
-  remainingMs = other63.remainingMs;
-  __isset = other63.__isset;
+QuarantineRecord::QuarantineRecord(const QuarantineRecord& other109) {
+  fingerprint = other109.fingerprint;
+  crashes = other109.crashes;
+  remainingMs = other109.remainingMs;
+  __isset = other109.__isset;
 }
-QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other64) noexcept {
-  fingerprint = other64.fingerprint;
-  crashes = other64.crashes;
-  remainingMs = other64.remainingMs;
-  __isset = other64.__isset;
+QuarantineRecord::QuarantineRecord(QuarantineRecord&& other110) noexcept {
+  fingerprint = other110.fingerprint;
+  crashes = std::move(other110.crashes);
+  remainingMs = other110.remainingMs;
+  __isset = other110.__isset;
+}
+QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other111) {
+  fingerprint = other111.fingerprint;
+  crashes = other111.crashes;
+  remainingMs = other111.remainingMs;
+  __isset = other111.__isset;
+  return *this;
+}
+QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other112) noexcept {
+  fingerprint = other112.fingerprint;
+  crashes = std::move(other112.crashes);
+  remainingMs = other112.remainingMs;
+  __isset = other112.__isset;
   return *this;
 }
 void QuarantineRecord::printTo(std::ostream& out) const {
@@ -3300,15 +3668,26 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberUpdate::MemberUpdate(const MemberUpdate& other65) {
-  record = other65.record;
-  state = other65.state;
-  __isset = other65.__isset;
+MemberUpdate::MemberUpdate(const MemberUpdate& other113) {
+  record = other113.record;
+  state = other113.state;
+  __isset = other113.__isset;
+}
+MemberUpdate::MemberUpdate(MemberUpdate&& other114) noexcept {
+  record = std::move(other114.record);
+  state = other114.state;
+  __isset = other114.__isset;
 }
-MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other66) {
-  record = other66.record;
-  state = other66.state;
-  __isset = other66.__isset;
+MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other115) {
+  record = other115.record;
+  state = other115.state;
+  __isset = other115.__isset;
+  return *this;
+}
+MemberUpdate& MemberUpdate::operator=(MemberUpdate&& other116) noexcept {
+  record = std::move(other116.record);
+  state = other116.state;
+  __isset = other116.__isset;
   return *this;
 }
 void MemberUpdate::printTo(std::ostream& out) const {
@@ -3385,9 +3764,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast67;
-          xfer += iprot->readI32(ecast67);
-          this->kind = static_cast<GossipKind::type>(ecast67);
+          int32_t ecast117;
+          xfer += iprot->readI32(ecast117);
+          this->kind = static_cast<GossipKind::type>(ecast117);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3429,14 +3808,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->updates.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->updates.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += this->updates[_i72].read(iprot);
+              xfer += this->updates[_i122].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3449,14 +3828,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size73;
-            ::apache::thrift::protocol::TType _etype76;
-            xfer += iprot->readListBegin(_etype76, _size73);
-            this->buckets.resize(_size73);
-            uint32_t _i77;
-            for (_i77 = 0; _i77 < _size73; ++_i77)
+            uint32_t _size123;
+            ::apache::thrift::protocol::TType _etype126;
+            xfer += iprot->readListBegin(_etype126, _size123);
+            this->buckets.resize(_size123);
+            uint32_t _i127;
+            for (_i127 = 0; _i127 < _size123; ++_i127)
             {
-              xfer += iprot->readI64(this->buckets[_i77]);
+              xfer += iprot->readI64(this->buckets[_i127]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3469,14 +3848,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->quarantines.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size128;
+            ::apache::thrift::protocol::TType _etype131;
+            xfer += iprot->readListBegin(_etype131, _size128);
+            this->quarantines.resize(_size128);
+            uint32_t _i132;
+            for (_i132 = 0; _i132 < _size128; ++_i132)
             {
-              xfer += this->quarantines[_i82].read(iprot);
+              xfer += this->quarantines[_i132].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3525,10 +3904,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<MemberUpdate> ::const_iterator _iter83;
-    for (_iter83 = this->updates.begin(); _iter83 != this->updates.end(); ++_iter83)
+    std::vector<MemberUpdate> ::const_iterator _iter133;
+    for (_iter133 = this->updates.begin(); _iter133 != this->updates.end(); ++_iter133)
     {
-      xfer += (*_iter83).write(oprot);
+      xfer += (*_iter133).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3537,10 +3916,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int64_t> ::const_iterator _iter84;
-    for (_iter84 = this->buckets.begin(); _iter84 != this->buckets.end(); ++_iter84)
+    std::vector<int64_t> ::const_iterator _iter134;
+    for (_iter134 = this->buckets.begin(); _iter134 != this->buckets.end(); ++_iter134)
     {
-      xfer += oprot->writeI64((*_iter84));
+      xfer += oprot->writeI64((*_iter134));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3549,10 +3928,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter85;
-    for (_iter85 = this->quarantines.begin(); _iter85 != this->quarantines.end(); ++_iter85)
+    std::vector<QuarantineRecord> ::const_iterator _iter135;
+    for (_iter135 = this->quarantines.begin(); _iter135 != this->quarantines.end(); ++_iter135)
     {
-      xfer += (*_iter85).write(oprot);
+      xfer += (*_iter135).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3576,27 +3955,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other86) {
-  kind = other86.kind;
-  sender = other86.sender;
-  senderAddress = other86.senderAddress;
-  sequence = other86.sequence;
-  target = other86.target;
-  updates = other86.updates;
-  buckets = other86.buckets;
-  quarantines = other86.quarantines;
-  __isset = other86.__isset;
+Gossip::Gossip(const Gossip& other136) {
+  kind = other136.kind;
+  sender = other136.sender;
+  senderAddress = other136.senderAddress;
+  sequence = other136.sequence;
+  target = other136.target;
+  updates = other136.updates;
+  buckets = other136.buckets;
+  quarantines = other136.quarantines;
+  __isset = other136.__isset;
+}
+Gossip::Gossip(Gossip&& other137) noexcept {
+  kind = other137.kind;
+  sender = std::move(other137.sender);
+  senderAddress = std::move(other137.senderAddress);
+  sequence = other137.sequence;
+  target = std::move(other137.target);
+  updates = std::move(other137.updates);
+  buckets = std::move(other137.buckets);
+  quarantines = std::move(other137.quarantines);
+  __isset = other137.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other138) {
+  kind = other138.kind;
+  sender = other138.sender;
+  senderAddress = other138.senderAddress;
+  sequence = other138.sequence;
+  target = other138.target;
+  updates = other138.updates;
+  buckets = other138.buckets;
+  quarantines = other138.quarantines;
+  __isset = other138.__isset;
+  return *this;
 }
-Gossip& Gossip::operator=(const Gossip& other87) {
-  kind = other87.kind;
-  sender = other87.sender;
-  senderAddress = other87.senderAddress;
-  sequence = other87.sequence;
-  target = other87.target;
-  updates = other87.updates;
-  buckets = other87.buckets;
-  quarantines = other87.quarantines;
-  __isset = other87.__isset;
+Gossip& Gossip::operator=(Gossip&& other139) noexcept {
+  kind = other139.kind;
+  sender = std::move(other139.sender);
+  senderAddress = std::move(other139.senderAddress);
+  sequence = other139.sequence;
+  target = std::move(other139.target);
+  updates = std::move(other139.updates);
+  buckets = std::move(other139.buckets);
+  quarantines = std::move(other139.quarantines);
+  __isset = other139.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -3757,21 +4159,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SettingsEntry::SettingsEntry(const SettingsEntry& other88) {
-  path = other88.path;
-  value = other88.value;
-  revision = other88.revision;
-  writtenOffset = other88.writtenOffset;
-  writtenAtMs = other88.writtenAtMs;
-  __isset = other88.__isset;
+SettingsEntry::SettingsEntry(const SettingsEntry& other140) {
+  path = other140.path;
+  value = other140.value;
+  revision = other140.revision;
+  writtenOffset = other140.writtenOffset;
+  writtenAtMs = other140.writtenAtMs;
+  __isset = other140.__isset;
+}
+SettingsEntry::SettingsEntry(SettingsEntry&& other141) noexcept {
+  path = std::move(other141.path);
+  value = std::move(other141.value);
+  revision = other141.revision;
+  writtenOffset = other141.writtenOffset;
+  writtenAtMs = other141.writtenAtMs;
+  __isset = other141.__isset;
+}
+SettingsEntry& SettingsEntry::operator=(const SettingsEntry& other142) {
+  path = other142.path;
+  value = other142.value;
+  revision = other142.revision;
+  writtenOffset = other142.writtenOffset;
+  writtenAtMs = other142.writtenAtMs;
+  __isset = other142.__isset;
+  return *this;
 }
-SettingsEntry& SettingsEntry::operator=(const SettingsEntry& other89) {
-  path = other89.path;
-  value = other89.value;
-  revision = other89.revision;
-  writtenOffset = other89.writtenOffset;
-  writtenAtMs = other89.writtenAtMs;
-  __isset = other89.__isset;
+SettingsEntry& SettingsEntry::operator=(SettingsEntry&& other143) noexcept {
+  path = std::move(other143.path);
+  value = std::move(other143.value);
+  revision = other143.revision;
+  writtenOffset = other143.writtenOffset;
+  writtenAtMs = other143.writtenAtMs;
+  __isset = other143.__isset;
   return *this;
 }
 void SettingsEntry::printTo(std::ostream& out) const {
@@ -3912,19 +4331,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VerdictRecord::VerdictRecord(const VerdictRecord& other90) {
-  changeId = other90.changeId;
-  path = other90.path;
-  outcome = other90.outcome;
-  revision = other90.revision;
-  __isset = other90.__isset;
+VerdictRecord::VerdictRecord(const VerdictRecord& other144) {
+  changeId = other144.changeId;
+  path = other144.path;
+  outcome = other144.outcome;
+  revision = other144.revision;
+  __isset = other144.__isset;
+}
+VerdictRecord::VerdictRecord(VerdictRecord&& other145) noexcept {
+  changeId = std::move(other145.changeId);
+  path = std::move(other145.path);
+  outcome = other145.outcome;
+  revision = other145.revision;
+  __isset = other145.__isset;
+}
+VerdictRecord& VerdictRecord::operator=(const VerdictRecord& other146) {
+  changeId = other146.changeId;
+  path = other146.path;
+  outcome = other146.outcome;
+  revision = other146.revision;
+  __isset = other146.__isset;
+  return *this;
 }
-VerdictRecord& VerdictRecord::operator=(const VerdictRecord& other91) {
-  changeId = other91.changeId;
-  path = other91.path;
-  outcome = other91.outcome;
-  revision = other91.revision;
-  __isset = other91.__isset;
+VerdictRecord& VerdictRecord::operator=(VerdictRecord&& other147) noexcept {
+  changeId = std::move(other147.changeId);
+  path = std::move(other147.path);
+  outcome = other147.outcome;
+  revision = other147.revision;
+  __isset = other147.__isset;
   return *this;
 }
 void VerdictRecord::printTo(std::ostream& out) const {
@@ -3992,11 +4426,18 @@
   (void) b;
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other92) noexcept {
-  (void) other92;
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other148) noexcept {
+  (void) other148;
+}
+SnapshotRequest::SnapshotRequest(SnapshotRequest&& other149) noexcept {
+  (void) other149;
+}
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other150) noexcept {
+  (void) other150;
+  return *this;
 }
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other93) noexcept {
-  (void) other93;
+SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other151) noexcept {
+  (void) other151;
   return *this;
 }
 void SnapshotRequest::printTo(std::ostream& out) const {
@@ -4061,14 +4502,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->entries.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->entries.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += this->entries[_i98].read(iprot);
+              xfer += this->entries[_i156].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4081,14 +4522,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->verdicts.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->verdicts.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size157;
+            ::apache::thrift::protocol::TType _etype160;
+            xfer += iprot->readListBegin(_etype160, _size157);
+            this->verdicts.resize(_size157);
+            uint32_t _i161;
+            for (_i161 = 0; _i161 < _size157; ++_i161)
             {
-              xfer += this->verdicts[_i103].read(iprot);
+              xfer += this->verdicts[_i161].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4121,10 +4562,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<SettingsEntry> ::const_iterator _iter104;
-    for (_iter104 = this->entries.begin(); _iter104 != this->entries.end(); ++_iter104)
+    std::vector<SettingsEntry> ::const_iterator _iter162;
+    for (_iter162 = this->entries.begin(); _iter162 != this->entries.end(); ++_iter162)
     {
-      xfer += (*_iter104).write(oprot);
+      xfer += (*_iter162).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4133,10 +4574,10 @@
   xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
-    std::vector<VerdictRecord> ::const_iterator _iter105;
-    for (_iter105 = this->verdicts.begin(); _iter105 != this->verdicts.end(); ++_iter105)
+    std::vector<VerdictRecord> ::const_iterator _iter163;
+    for (_iter163 = this->verdicts.begin(); _iter163 != this->verdicts.end(); ++_iter163)
     {
-      xfer += (*_iter105).write(oprot);
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4155,17 +4596,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Snapshot::Snapshot(const Snapshot& other106) {
-  settingsOffset = other106.settingsOffset;
-  entries = other106.entries;
-  verdicts = other106.verdicts;
-  __isset = other106.__isset;
+Snapshot::Snapshot(const Snapshot& other164) {
+  settingsOffset = other164.settingsOffset;
+  entries = other164.entries;
+  verdicts = other164.verdicts;
+  __isset = other164.__isset;
 }
-Snapshot& Snapshot::operator=(const Snapshot& other107) {
-  settingsOffset = other107.settingsOffset;
-  entries = other107.entries;
-  verdicts = other107.verdicts;
-  __isset = other107.__isset;
+Snapshot::Snapshot(Snapshot&& other165) noexcept {
+  settingsOffset = other165.settingsOffset;
+  entries = std::move(other165.entries);
+  verdicts = std::move(other165.verdicts);
+  __isset = other165.__isset;
+}
+Snapshot& Snapshot::operator=(const Snapshot& other166) {
+  settingsOffset = other166.settingsOffset;
+  entries = other166.entries;
+  verdicts = other166.verdicts;
+  __isset = other166.__isset;
+  return *this;
+}
+Snapshot& Snapshot::operator=(Snapshot&& other167) noexcept {
+  settingsOffset = other167.settingsOffset;
+  entries = std::move(other167.entries);
+  verdicts = std::move(other167.verdicts);
+  __isset = other167.__isset;
   return *this;
 }
 void Snapshot::printTo(std::ostream& out) const {
@@ -4557,45 +5011,86 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other108) {
-  stream = other108.stream;
-  hello = other108.hello;
-  heartbeat = other108.heartbeat;
-  ticket = other108.ticket;
-  grant = other108.grant;
-  call = other108.call;
-  data = other108.data;
-  answer = other108.answer;
-  failure = other108.failure;
-  cancel = other108.cancel;
-  revoke = other108.revoke;
-  revoked = other108.revoked;
-  keyRequest = other108.keyRequest;
-  keyReply = other108.keyReply;
-  gossip = other108.gossip;
-  snapshotRequest = other108.snapshotRequest;
-  snapshot = other108.snapshot;
-  __isset = other108.__isset;
-}
-Frame& Frame::operator=(const Frame& other109) {
-  stream = other109.stream;
-  hello = other109.hello;
-  heartbeat = other109.heartbeat;
-  ticket = other109.ticket;
-  grant = other109.grant;
-  call = other109.call;
-  data = other109.data;
-  answer = other109.answer;
-  failure = other109.failure;
-  cancel = other109.cancel;
-  revoke = other109.revoke;
-  revoked = other109.revoked;
-  keyRequest = other109.keyRequest;
-  keyReply = other109.keyReply;
-  gossip = other109.gossip;
-  snapshotRequest = other109.snapshotRequest;
-  snapshot = other109.snapshot;
-  __isset = other109.__isset;
+Frame::Frame(const Frame& other168) {
+  stream = other168.stream;
+  hello = other168.hello;
+  heartbeat = other168.heartbeat;
+  ticket = other168.ticket;
+  grant = other168.grant;
+  call = other168.call;
+  data = other168.data;
+  answer = other168.answer;
+  failure = other168.failure;
+  cancel = other168.cancel;
+  revoke = other168.revoke;
+  revoked = other168.revoked;
+  keyRequest = other168.keyRequest;
+  keyReply = other168.keyReply;
+  gossip = other168.gossip;
+  snapshotRequest = other168.snapshotRequest;
+  snapshot = other168.snapshot;
+  __isset = other168.__isset;
+}
+Frame::Frame(Frame&& other169) noexcept {
+  stream = other169.stream;
+  hello = std::move(other169.hello);
+  heartbeat = std::move(other169.heartbeat);
+  ticket = std::move(other169.ticket);
+  grant = std::move(other169.grant);
+  call = std::move(other169.call);
+  data = std::move(other169.data);
+  answer = std::move(other169.answer);
+  failure = std::move(other169.failure);
+  cancel = std::move(other169.cancel);
+  revoke = std::move(other169.revoke);
+  revoked = std::move(other169.revoked);
+  keyRequest = std::move(other169.keyRequest);
+  keyReply = std::move(other169.keyReply);
+  gossip = std::move(other169.gossip);
+  snapshotRequest = std::move(other169.snapshotRequest);
+  snapshot = std::move(other169.snapshot);
+  __isset = other169.__isset;
+}
+Frame& Frame::operator=(const Frame& other170) {
+  stream = other170.stream;
+  hello = other170.hello;
+  heartbeat = other170.heartbeat;
+  ticket = other170.ticket;
+  grant = other170.grant;
+  call = other170.call;
+  data = other170.data;
+  answer = other170.answer;
+  failure = other170.failure;
+  cancel = other170.cancel;
+  revoke = other170.revoke;
+  revoked = other170.revoked;
+  keyRequest = other170.keyRequest;
+  keyReply = other170.keyReply;
+  gossip = other170.gossip;
+  snapshotRequest = other170.snapshotRequest;
+  snapshot = other170.snapshot;
+  __isset = other170.__isset;
+  return *this;
+}
+Frame& Frame::operator=(Frame&& other171) noexcept {
+  stream = other171.stream;
+  hello = std::move(other171.hello);
+  heartbeat = std::move(other171.heartbeat);
+  ticket = std::move(other171.ticket);
+  grant = std::move(other171.grant);
+  call = std::move(other171.call);
+  data = std::move(other171.data);
+  answer = std::move(other171.answer);
+  failure = std::move(other171.failure);
+  cancel = std::move(other171.cancel);
+  revoke = std::move(other171.revoke);
+  revoked = std::move(other171.revoked);
+  keyRequest = std::move(other171.keyRequest);
+  keyReply = std::move(other171.keyReply);
+  gossip = std::move(other171.gossip);
+  snapshotRequest = std::move(other171.snapshotRequest);
+  snapshot = std::move(other171.snapshot);
+  __isset = other171.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -118,7 +118,9 @@
  public:
 
   Header(const Header&);
+  Header(Header&&) noexcept;
   Header& operator=(const Header&);
+  Header& operator=(Header&&) noexcept;
   Header() noexcept
          : name(),
            value() {
@@ -170,7 +172,9 @@
  public:
 
   Hello(const Hello&);
+  Hello(Hello&&) noexcept;
   Hello& operator=(const Hello&);
+  Hello& operator=(Hello&&) noexcept;
   Hello() noexcept
         : node(),
           bootId(0),
@@ -232,7 +236,9 @@
  public:
 
   Heartbeat(const Heartbeat&) noexcept;
+  Heartbeat(Heartbeat&&) noexcept;
   Heartbeat& operator=(const Heartbeat&) noexcept;
+  Heartbeat& operator=(Heartbeat&&) noexcept;
   Heartbeat() noexcept
             : sequence(0),
               reply(0) {
@@ -273,7 +279,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _Ticket__isset {
-  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), copies(false), awaitsClaim(false) {}
+  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), copies(false), awaitsClaim(false), knownCrashes(false) {}
   bool attemptId :1;
   bool workspace :1;
   bool serviceName :1;
@@ -286,13 +292,16 @@
   bool fingerprint :1;
   bool copies :1;
   bool awaitsClaim :1;
+  bool knownCrashes :1;
 } _Ticket__isset;
 
 class Ticket : public virtual ::apache::thrift::TBase {
  public:
 
   Ticket(const Ticket&);
+  Ticket(Ticket&&) noexcept;
   Ticket& operator=(const Ticket&);
+  Ticket& operator=(Ticket&&) noexcept;
   Ticket() noexcept
          : attemptId(),
            workspace(),
@@ -305,7 +314,8 @@
            isIdempotent(0),
            fingerprint(0),
            copies(0),
-           awaitsClaim(0) {
+           awaitsClaim(0),
+           knownCrashes(0) {
   }
 
   virtual ~Ticket() noexcept;
@@ -321,6 +331,7 @@
   int64_t fingerprint;
   int32_t copies;
   bool awaitsClaim;
+  int32_t knownCrashes;
 
   _Ticket__isset __isset;
 
@@ -348,6 +359,8 @@
 
   void __set_awaitsClaim(const bool val);
 
+  void __set_knownCrashes(const int32_t val);
+
   bool operator == (const Ticket & rhs) const
   {
     if (!(attemptId == rhs.attemptId))
@@ -374,6 +387,8 @@
       return false;
     if (!(awaitsClaim == rhs.awaitsClaim))
       return false;
+    if (!(knownCrashes == rhs.knownCrashes))
+      return false;
     return true;
   }
   bool operator != (const Ticket &rhs) const {
@@ -401,7 +416,9 @@
  public:
 
   Grant(const Grant&);
+  Grant(Grant&&) noexcept;
   Grant& operator=(const Grant&);
+  Grant& operator=(Grant&&) noexcept;
   Grant() noexcept
         : endpoint() {
   }
@@ -448,7 +465,9 @@
  public:
 
   Call(const Call&);
+  Call(Call&&) noexcept;
   Call& operator=(const Call&);
+  Call& operator=(Call&&) noexcept;
   Call() noexcept
        : method(),
          target(),
@@ -513,7 +532,9 @@
  public:
 
   Data(const Data&);
+  Data(Data&&) noexcept;
   Data& operator=(const Data&);
+  Data& operator=(Data&&) noexcept;
   Data() noexcept
        : bytes() {
   }
@@ -558,7 +579,9 @@
  public:
 
   Load(const Load&) noexcept;
+  Load(Load&&) noexcept;
   Load& operator=(const Load&) noexcept;
+  Load& operator=(Load&&) noexcept;
   Load() noexcept
        : freeSlots(0),
          queued(0),
@@ -618,7 +641,9 @@
  public:
 
   Answer(const Answer&);
+  Answer(Answer&&) noexcept;
   Answer& operator=(const Answer&);
+  Answer& operator=(Answer&&) noexcept;
   Answer() noexcept
          : status(0),
            bodyBytes(0),
@@ -681,26 +706,30 @@
 std::ostream& operator<<(std::ostream& out, const Answer& obj);
 
 typedef struct _Failure__isset {
-  _Failure__isset() : kind(false), run(false), detail(false), retryAfterMs(false), load(false), endpoint(false) {}
+  _Failure__isset() : kind(false), run(false), detail(false), retryAfterMs(false), load(false), endpoint(false), isCrash(false) {}
   bool kind :1;
   bool run :1;
   bool detail :1;
   bool retryAfterMs :1;
   bool load :1;
   bool endpoint :1;
+  bool isCrash :1;
 } _Failure__isset;
 
 class Failure : public virtual ::apache::thrift::TBase {
  public:
 
   Failure(const Failure&);
+  Failure(Failure&&) noexcept;
   Failure& operator=(const Failure&);
+  Failure& operator=(Failure&&) noexcept;
   Failure() noexcept
           : kind(0),
             run(0),
             detail(),
             retryAfterMs(0),
-            endpoint() {
+            endpoint(),
+            isCrash(0) {
   }
 
   virtual ~Failure() noexcept;
@@ -710,6 +739,7 @@
   int64_t retryAfterMs;
   Load load;
   std::string endpoint;
+  bool isCrash;
 
   _Failure__isset __isset;
 
@@ -725,6 +755,8 @@
 
   void __set_endpoint(const std::string& val);
 
+  void __set_isCrash(const bool val);
+
   bool operator == (const Failure & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -739,6 +771,8 @@
       return false;
     if (!(endpoint == rhs.endpoint))
       return false;
+    if (!(isCrash == rhs.isCrash))
+      return false;
     return true;
   }
   bool operator != (const Failure &rhs) const {
@@ -762,7 +796,9 @@
  public:
 
   Cancel(const Cancel&) noexcept;
+  Cancel(Cancel&&) noexcept;
   Cancel& operator=(const Cancel&) noexcept;
+  Cancel& operator=(Cancel&&) noexcept;
   Cancel() noexcept {
   }
 
@@ -799,7 +835,9 @@
  public:
 
   Revoke(const Revoke&);
+  Revoke(Revoke&&) noexcept;
   Revoke& operator=(const Revoke&);
+  Revoke& operator=(Revoke&&) noexcept;
   Revoke() noexcept
          : attemptId(),
            gateBootId(0),
@@ -854,7 +892,9 @@
  public:
 
   Revoked(const Revoked&) noexcept;
+  Revoked(Revoked&&) noexcept;
   Revoked& operator=(const Revoked&) noexcept;
+  Revoked& operator=(Revoked&&) noexcept;
   Revoked() noexcept
           : state(0) {
   }
@@ -899,7 +939,9 @@
  public:
 
   StoredAnswer(const StoredAnswer&);
+  StoredAnswer(StoredAnswer&&) noexcept;
   StoredAnswer& operator=(const StoredAnswer&);
+  StoredAnswer& operator=(StoredAnswer&&) noexcept;
   StoredAnswer() noexcept
                : status(0),
                  body() {
@@ -958,7 +1000,9 @@
  public:
 
   KeyRecord(const KeyRecord&);
+  KeyRecord(KeyRecord&&) noexcept;
   KeyRecord& operator=(const KeyRecord&);
+  KeyRecord& operator=(KeyRecord&&) noexcept;
   KeyRecord() noexcept
             : key(),
               requestId(),
@@ -1034,7 +1078,9 @@
  public:
 
   KeyRequest(const KeyRequest&);
+  KeyRequest(KeyRequest&&) noexcept;
   KeyRequest& operator=(const KeyRequest&);
+  KeyRequest& operator=(KeyRequest&&) noexcept;
   KeyRequest() noexcept
              : operation(static_cast<KeyOperation::type>(0)),
                rosterOffset(0) {
@@ -1094,7 +1140,9 @@
  public:
 
   KeyReply(const KeyReply&);
+  KeyReply(KeyReply&&) noexcept;
   KeyReply& operator=(const KeyReply&);
+  KeyReply& operator=(KeyReply&&) noexcept;
   KeyReply() noexcept
            : verdict(0),
              rosterOffset(0) {
@@ -1155,7 +1203,9 @@
  public:
 
   EndpointRecord(const EndpointRecord&);
+  EndpointRecord(EndpointRecord&&) noexcept;
   EndpointRecord& operator=(const EndpointRecord&);
+  EndpointRecord& operator=(EndpointRecord&&) noexcept;
   EndpointRecord() noexcept
                  : name(),
                    workspace(),
@@ -1237,7 +1287,9 @@
  public:
 
   MemberRecord(const MemberRecord&);
+  MemberRecord(MemberRecord&&) noexcept;
   MemberRecord& operator=(const MemberRecord&);
+  MemberRecord& operator=(MemberRecord&&) noexcept;
   MemberRecord() noexcept
                : node(),
                  bootId(0),
@@ -1334,24 +1386,25 @@
 class QuarantineRecord : public virtual ::apache::thrift::TBase {
  public:
 
-  QuarantineRecord(const QuarantineRecord&) noexcept;
-  QuarantineRecord& operator=(const QuarantineRecord&) noexcept;
+  QuarantineRecord(const QuarantineRecord&);
+  QuarantineRecord(QuarantineRecord&&) noexcept;
+  QuarantineRecord& operator=(const QuarantineRecord&);
+  QuarantineRecord& operator=(QuarantineRecord&&) noexcept;
   QuarantineRecord() noexcept
                    : fingerprint(0),
-                     crashes(0),
                      remainingMs(0) {
   }
 
   virtual ~QuarantineRecord() noexcept;
   int64_t fingerprint;
-  int32_t crashes;
+  std::map<std::string, int32_t>  crashes;
   int64_t remainingMs;
 
   _QuarantineRecord__isset __isset;
 
   void __set_fingerprint(const int64_t val);
 
-  void __set_crashes(const int32_t val);
+  void __set_crashes(const std::map<std::string, int32_t> & val);
 
   void __set_remainingMs(const int64_t val);
 
@@ -1391,7 +1444,9 @@
  public:
 
   MemberUpdate(const MemberUpdate&);
+  MemberUpdate(MemberUpdate&&) noexcept;
   MemberUpdate& operator=(const MemberUpdate&);
+  MemberUpdate& operator=(MemberUpdate&&) noexcept;
   MemberUpdate() noexcept
                : state(0) {
   }
@@ -1446,7 +1501,9 @@
  public:
 
   Gossip(const Gossip&);
+  Gossip(Gossip&&) noexcept;
   Gossip& operator=(const Gossip&);
+  Gossip& operator=(Gossip&&) noexcept;
   Gossip() noexcept
          : kind(static_cast<GossipKind::type>(0)),
            sender(),
@@ -1536,7 +1593,9 @@
  public:
 
   SettingsEntry(const SettingsEntry&);
+  SettingsEntry(SettingsEntry&&) noexcept;
   SettingsEntry& operator=(const SettingsEntry&);
+  SettingsEntry& operator=(SettingsEntry&&) noexcept;
   SettingsEntry() noexcept
                 : path(),
                   value(),
@@ -1606,7 +1665,9 @@
  public:
 
   VerdictRecord(const VerdictRecord&);
+  VerdictRecord(VerdictRecord&&) noexcept;
   VerdictRecord& operator=(const VerdictRecord&);
+  VerdictRecord& operator=(VerdictRecord&&) noexcept;
   VerdictRecord() noexcept
                 : changeId(),
                   path(),
@@ -1663,7 +1724,9 @@
  public:
 
   SnapshotRequest(const SnapshotRequest&) noexcept;
+  SnapshotRequest(SnapshotRequest&&) noexcept;
   SnapshotRequest& operator=(const SnapshotRequest&) noexcept;
+  SnapshotRequest& operator=(SnapshotRequest&&) noexcept;
   SnapshotRequest() noexcept {
   }
 
@@ -1700,7 +1763,9 @@
  public:
 
   Snapshot(const Snapshot&);
+  Snapshot(Snapshot&&) noexcept;
   Snapshot& operator=(const Snapshot&);
+  Snapshot& operator=(Snapshot&&) noexcept;
   Snapshot() noexcept
            : settingsOffset(0) {
   }
@@ -1769,7 +1834,9 @@
  public:
 
   Frame(const Frame&);
+  Frame(Frame&&) noexcept;
   Frame& operator=(const Frame&);
+  Frame& operator=(Frame&&) noexcept;
   Frame() noexcept
         : stream(0) {
   }
--- a/src/libfleet/control.cpp
+++ b/src/libfleet/control.cpp
@@ -20,6 +20,8 @@
 /// Changes within this time make one view.
 constexpr Micros RebuildDelay = std::chrono::milliseconds(5);
 constexpr Micros SnapshotLimit = std::chrono::milliseconds(800);
+constexpr Millis ReadyPoll = std::chrono::milliseconds(100);
+constexpr Micros LonelyTerm = std::chrono::milliseconds(1'500);
 constexpr std::size_t MostSnapshotPeers = 3;
 
 wire::Hello makeHello(const NodeSettings &settings, std::int64_t bootId) {
@@ -117,7 +119,7 @@
     scheduleRebuild();
     Handlers.OnEjections(Leases.ejections());
   };
-  events.Living = [this] { return livingMembers(); };
+  events.Members = [this] { return ledgerMembers(); };
   events.DescribeEjection = [this](const LeaseSubject &subject) {
     return describeEjection(subject);
   };
@@ -127,13 +129,13 @@
   return events;
 }
 
-std::vector<LivingMember> Control::livingMembers() const {
-  std::vector<LivingMember> living;
+std::vector<LedgerMember> Control::ledgerMembers() const {
+  std::vector<LedgerMember> all;
   for (const auto &[node, member] : Members.state().Members)
-    if (member.State != MemberState::Dead)
-      living.push_back(
-          {{node, member.Record.BootId}, member.Record.LedgerNext});
-  return living;
+    all.push_back({{node, member.Record.BootId},
+                   member.Record.LedgerNext,
+                   member.State == MemberState::Dead});
+  return all;
 }
 
 /// Counts only endpoints that this node believes healthy.
@@ -192,6 +194,7 @@
   Settings.start();
   Leases.start();
   scheduleRebuild();
+  asio::co_spawn(Io, awaitReady(), asio::detached);
   return absl::OkStatus();
 }
 
@@ -275,6 +278,24 @@
   return out;
 }
 
+/// Callers come only once settings and members are known; a node that hears
+/// of no members takes itself for the first.
+asio::awaitable<void> Control::awaitReady() {
+  Instant start = now();
+  asio::steady_timer timer(Io);
+  bool isReady = false;
+  while (!isReady) {
+    timer.expires_after(ReadyPoll);
+    co_await timer.async_wait(asio::use_awaitable);
+    bool hasMembers = !peers(Members.state()).empty();
+    bool hasWaited = now() - start > LonelyTerm;
+    isReady = Settings.isLoaded() && (hasMembers || hasWaited);
+  }
+  timer.expires_after(ReadyPoll);
+  co_await timer.async_wait(asio::use_awaitable);
+  Handlers.OnReady();
+}
+
 void Control::scheduleRebuild() {
   if (IsRebuildDue)
     return;
@@ -355,7 +376,7 @@
   json crashes = json::array();
   for (const auto &[fingerprint, it] : Crashes.Records)
     crashes.push_back({{"fingerprint", fingerprintName(fingerprint)},
-                       {"crashes", it.Crashes},
+                       {"crashes", it.total()},
                        {"remaining_ms", toMillis(it.Expiry - now()).count()}});
   json keepers = json::array();
   for (const LeaseHolder &it : keeperRoster(Leases.agent().Ledger))
--- a/src/libfleet/control.h
+++ b/src/libfleet/control.h
@@ -26,6 +26,8 @@
   struct Events {
     /// Called with each new view, on the control thread.
     std::function<void(FleetViewPtr)> OnView;
+    /// Called once, when the node knows enough to take callers.
+    std::function<void()> OnReady;
     /// Ends of the ejection leases held, by endpoint, at each change.
     std::function<void(std::map<std::string, Instant>)> OnEjections;
   };
@@ -58,13 +60,14 @@
   asio::awaitable<bool> fetchSnapshot();
   asio::awaitable<bool> askVoucher(std::string node);
   LeaseService::Events leaseEvents();
-  std::vector<LivingMember> livingMembers() const;
+  std::vector<LedgerMember> ledgerMembers() const;
   std::vector<const Member *> membersInService() const;
   LeaseRecord describeEjection(const LeaseSubject &subject) const;
   std::size_t refreshRank(const std::string &what) const;
   void describe(bool isUrgent);
   void scheduleRebuild();
   void rebuild();
+  asio::awaitable<void> awaitReady();
   void addMember(FleetView &view, const Member &member) const;
 
   asio::io_context &Io;
--- a/src/libfleet/entry.cpp
+++ b/src/libfleet/entry.cpp
@@ -70,7 +70,7 @@
     bool IsOpen = false;
   };
 
-  const Inquiry *Request = nullptr;
+  Inquiry *Request = nullptr;
   std::string Id;
   std::vector<Target> Targets;
   std::shared_ptr<StreamMailbox> Box;
@@ -240,8 +240,13 @@
   std::vector<Candidate> all = candidates(inquiry.Way.Service, now());
   const auto *router =
       Registry<RouterPolicy>::instance().find(inquiry.Way.Policy.Router);
-  bool isSerialized = ruleFor(View->Crashes, inquiry.Fingerprint, now()) ==
-                      QuarantineRule::Serialized;
+  QuarantineRule rule =
+      ruleFor(View->Crashes, inquiry.Fingerprint, now(), inquiry.Crashes);
+  if (rule == QuarantineRule::Refused)
+    co_return makeError(ErrorKind::Quarantined,
+                        fingerprintName(inquiry.Fingerprint),
+                        inquiry.Way.Policy.QuarantineTerm);
+  bool isSerialized = rule == QuarantineRule::Serialized;
   RoutePlan plan = router->Plan(all,
                                 {inquiry.Cost.IsLong, inquiry.IsIdempotent,
                                  isSerialized, inquiry.Fingerprint},
@@ -321,6 +326,7 @@
   ticket.isLong = inquiry.Cost.IsLong;
   ticket.isIdempotent = inquiry.IsIdempotent;
   ticket.fingerprint = std::int64_t(inquiry.Fingerprint);
+  ticket.knownCrashes = inquiry.Crashes;
   ticket.copies = int(attempt.Targets.size());
   ticket.awaitsClaim = attempt.AwaitsGrant;
   return ticket;
@@ -402,7 +408,7 @@
       co_return co_await awaitAnswer(attempt, event->Tag);
     }
     if (auto *failure = std::get_if<wire::Failure>(&event->Content)) {
-      last = toError(*failure);
+      last = toError(attempt, *failure);
       noteLoad(attempt.Targets[event->Tag].Gate.Node,
                attempt.Request->Way.Service, failure->load);
     }
@@ -433,7 +439,7 @@
     }
     if (auto *failure = std::get_if<wire::Failure>(&event->Content)) {
       noteLoad(node, service, failure->load);
-      co_return toError(*failure);
+      co_return toError(attempt, *failure);
     }
     if (std::holds_alternative<RevokedEvent>(event->Content))
       co_return makeError(ErrorKind::GateLost, "the gate holds no answer",
@@ -481,7 +487,7 @@
     if (auto *answer = std::get_if<AnswerEvent>(&event->Content))
       co_return std::move(answer->Answer);
     if (auto *failure = std::get_if<wire::Failure>(&event->Content))
-      co_return toError(*failure);
+      co_return toError(attempt, *failure);
     if (std::holds_alternative<CancelledEvent>(event->Content))
       co_return makeError(ErrorKind::Cancelled);
     withdraw(attempt, target);
@@ -497,7 +503,8 @@
   view.At = now();
 }
 
-Error Entry::toError(const wire::Failure &failure) const {
+Error Entry::toError(Attempt &attempt, const wire::Failure &failure) const {
+  attempt.Request->Crashes += failure.isCrash;
   RunState run = failure.run == int(RunState::NotRun) ? RunState::NotRun
                                                       : RunState::Unknown;
   return {errorKindFromWire(failure.kind), run, failure.detail,
--- a/src/libfleet/entry.h
+++ b/src/libfleet/entry.h
@@ -25,6 +25,8 @@
   CostEstimate Cost;
   bool IsIdempotent = true;
   std::string IdempotencyKey;
+  /// Endpoints that the request has crashed so far.
+  int Crashes = 0;
   std::shared_ptr<CallScope> Scope;
 };
 
@@ -73,7 +75,7 @@
   void withdraw(Attempt &attempt, std::size_t target);
   void noteLoad(const std::string &node, const std::string &service,
                 const wire::Load &load);
-  Error toError(const wire::Failure &failure) const;
+  Error toError(Attempt &attempt, const wire::Failure &failure) const;
   HttpAnswer problem(const Error &error, const std::string &id);
   void logRoute(const Inquiry &inquiry, int number, const Attempt &attempt,
                 const RoutePlan &plan) const;
--- a/src/libfleet/gateservice.h
+++ b/src/libfleet/gateservice.h
@@ -28,8 +28,8 @@
     std::function<void(std::uint64_t, CrashRecord)> OnCrash;
   };
 
-  GateService(asio::any_io_executor ex, std::int64_t bootId, Metrics &metrics,
-              Events events);
+  GateService(asio::any_io_executor ex, const std::string &node,
+              std::int64_t bootId, Metrics &metrics, Events events);
 
   void start();
 
@@ -83,7 +83,8 @@
   void reply(const StreamRef &ref, const EndpointResult &result,
              const std::string &service, const std::string &endpoint);
   void sendFailure(const StreamRef &ref, const Error &reason,
-                   const std::string &service, const std::string &endpoint);
+                   const std::string &service, const std::string &endpoint,
+                   bool isCrash = false);
   void keepFinished(const ExchangePtr &exchange,
                     std::shared_ptr<const EndpointResult> result);
   wire::Load wireLoad(const std::string &service) const;
--- a/src/libfleet/httpfront.cpp
+++ b/src/libfleet/httpfront.cpp
@@ -149,7 +149,7 @@
       Lanes(std::move(lanes)), OnFault(std::move(onFault)),
       IsStopping(std::make_shared<std::atomic<bool>>(false)) {}
 
-absl::Status HttpFront::start() {
+absl::Status HttpFront::listen() {
   std::optional<fleet::Address> parsed = parseAddress(Address);
   if (!parsed)
     return absl::InvalidArgumentError("not an address: " + Address);
@@ -160,15 +160,18 @@
     Acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
   if (!ec)
     Acceptor.bind(at, ec);
-  if (!ec)
-    Acceptor.listen(asio::socket_base::max_listen_connections, ec);
   if (ec)
     return absl::UnavailableError("cannot listen on " + Address + ": " +
                                   ec.message());
-  accept();
   return absl::OkStatus();
 }
 
+void HttpFront::start() {
+  error_code ec;
+  Acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  accept();
+}
+
 void HttpFront::stop() {
   *IsStopping = true;
   error_code ec;
--- a/src/libfleet/httpfront.h
+++ b/src/libfleet/httpfront.h
@@ -33,8 +33,11 @@
   HttpFront(asio::any_io_executor ex, std::string address,
             std::vector<Lane> lanes, HttpFaultHandler onFault);
 
-  /// Fails if the address cannot be listened on.
-  absl::Status start();
+  /// Takes the address; fails if it cannot be had.
+  absl::Status listen();
+
+  /// Begins to accept connections.
+  void start();
 
   /// Takes no more connections; open ones close after their answer.
   void stop();
--- a/src/libfleet/keyedcall.cpp
+++ b/src/libfleet/keyedcall.cpp
@@ -61,8 +61,8 @@
 } // namespace
 
 KeyedCall::KeyedCall(asio::any_io_executor ex, PeerLinks &links,
-                     FleetViewPtr view)
-    : Executor(std::move(ex)), Links(links), View(std::move(view)) {}
+                     const FleetViewPtr &view)
+    : Executor(std::move(ex)), Links(links), View(view) {}
 
 wire::KeyRequest
 KeyedCall::makeRequest(const Inquiry &inquiry,
@@ -112,9 +112,10 @@
 
 asio::awaitable<EntryResult> KeyedCall::perform(Inquiry &inquiry, Run run) {
   Instant patience = std::min(now() + GrantPatience, inquiry.Deadline);
-  wire::KeyRequest request = makeRequest(inquiry, wire::KeyOperation::RESERVE);
   while (!inquiry.Scope->IsCancelled) {
     Instant asked = now();
+    wire::KeyRequest request =
+        makeRequest(inquiry, wire::KeyOperation::RESERVE);
     std::optional<wire::KeyReply> reply =
         co_await ask(inquiry, request, inquiry.Deadline);
     KeyVerdict verdict = reply ? verdictOf(*reply) : KeyVerdict::NotKeeper;
--- a/src/libfleet/keyedcall.h
+++ b/src/libfleet/keyedcall.h
@@ -13,7 +13,8 @@
 public:
   using Run = std::function<asio::awaitable<EntryResult>(Inquiry &)>;
 
-  KeyedCall(asio::any_io_executor ex, PeerLinks &links, FleetViewPtr view);
+  KeyedCall(asio::any_io_executor ex, PeerLinks &links,
+            const FleetViewPtr &view);
 
   asio::awaitable<EntryResult> perform(Inquiry &inquiry, Run run);
 
@@ -29,7 +30,8 @@
 
   asio::any_io_executor Executor;
   PeerLinks &Links;
-  FleetViewPtr View;
+  /// The entry's present view, which may change while a call waits.
+  const FleetViewPtr &View;
 };
 
 } // namespace hickoryglade::fleet
--- a/src/libfleet/leaseservice.cpp
+++ b/src/libfleet/leaseservice.cpp
@@ -45,6 +45,7 @@
       Writer(io.get_executor(), logAddress, stream), Counters(metrics),
       Handlers(std::move(events)) {
   Agent.Self = std::move(self);
+  Agent.StartedAt = now();
   Keeper = {LeaseKind::Keeper, "", Agent.Self.Node};
 }
 
@@ -110,7 +111,7 @@
   std::vector<LeaseRecord> due = dueRenewals(Agent, now());
   if (!HasRead)
     return due;
-  for (LeaseRecord &it : dueChallenges(Agent, Handlers.Living(), now()))
+  for (LeaseRecord &it : dueChallenges(Agent, Handlers.Members(), now()))
     due.push_back(std::move(it));
   bool isKeeper = isHeldBy(Agent.Ledger, Keeper, Agent.Self);
   if (!isKeeper && !IsResigned && now() - KeeperAskedAt > AcquirePeriod) {
--- a/src/libfleet/leaseservice.h
+++ b/src/libfleet/leaseservice.h
@@ -21,7 +21,7 @@
   struct Events {
     /// The ledger, or the time until which own leases hold, has changed.
     std::function<void()> OnChange;
-    std::function<std::vector<LivingMember>()> Living;
+    std::function<std::vector<LedgerMember>()> Members;
     /// Healthy endpoints of a service besides the given one, and its floor.
     std::function<LeaseRecord(const LeaseSubject &)> DescribeEjection;
     /// Asks the successor for a promise.
--- a/src/libfleet/membershipservice.cpp
+++ b/src/libfleet/membershipservice.cpp
@@ -63,7 +63,7 @@
   gossip.senderAddress = Kernel.Members.at(Kernel.Self).Record.FleetAddress;
   wire::QuarantineRecord it;
   it.fingerprint = std::int64_t(fingerprint);
-  it.crashes = record.Crashes;
+  it.crashes.insert(record.ByNode.begin(), record.ByNode.end());
   it.remainingMs = toMillis(record.Expiry - now()).count();
   gossip.quarantines.push_back(it);
   std::string bytes = encodeGossip(gossip);
@@ -97,7 +97,8 @@
 void MembershipService::takeCrashes(const wire::Gossip &gossip) {
   expireCrashes(Known, now());
   for (const wire::QuarantineRecord &it : gossip.quarantines) {
-    CrashRecord record{it.crashes, now() + Millis(it.remainingMs)};
+    CrashRecord record{{it.crashes.begin(), it.crashes.end()},
+                       now() + Millis(it.remainingMs)};
     auto fingerprint = std::uint64_t(it.fingerprint);
     if (mergeCrash(Known, fingerprint, record))
       Handlers.OnCrash(fingerprint, record);
--- a/src/libfleet/node.cpp
+++ b/src/libfleet/node.cpp
@@ -86,6 +86,7 @@
   absl::Status start();
   bool stop();
   void applyView(const FleetViewPtr &view);
+  void acceptCallers();
   void connectLocal(Entry &entry, Loop &loop);
   void takeFrame(const std::shared_ptr<FrameChannel> &from, wire::Frame frame);
   asio::awaitable<std::optional<std::int64_t>> announce(Announcement facts);
@@ -121,6 +122,7 @@
   Brain = std::make_unique<Control>(
       control, Facts, BootId, Counters,
       Control::Events{[this](FleetViewPtr view) { applyView(view); },
+                      [this] { acceptCallers(); },
                       [this](std::map<std::string, Instant> ends) {
                         applyEjections(std::move(ends));
                       }});
@@ -140,7 +142,7 @@
       Brain->noteCrash(fingerprint, record);
     });
   };
-  Gate = std::make_unique<GateService>(gateThread, BootId, Counters,
+  Gate = std::make_unique<GateService>(gateThread, Facts.Node, BootId, Counters,
                                        std::move(gateEvents));
 
   std::vector<HttpFront::Lane> lanes;
@@ -259,6 +261,11 @@
       Traffic[0]->Io, task(Gate.get(), std::move(facts)), asio::use_awaitable);
 }
 
+void Node::Parts::acceptCallers() {
+  asio::post(Traffic[0]->Io, [this] { Callers->start(); });
+  logEvent(LogLevel::Info, "ready", nlohmann::json::object());
+}
+
 void Node::Parts::applyView(const FleetViewPtr &view) {
   asio::post(Traffic[0]->Io, [this, view] {
     Gate->applyView(view);
@@ -272,13 +279,14 @@
 absl::Status Node::Parts::start() {
   absl::Status status = Server->start();
   if (status.ok())
-    status = Callers->start();
+    status = Callers->listen();
   if (status.ok())
-    status = AdminHttp->start();
+    status = AdminHttp->listen();
   if (status.ok())
     status = Brain->start();
   if (!status.ok())
     return status;
+  AdminHttp->start();
   Gate->start();
   Keys->start();
   for (auto &loop : Traffic)
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -114,7 +114,7 @@
 
 bool isSerializedBusy(const Gate &gate, const GateService &service,
                       const Ticket &ticket, Instant now) {
-  return ruleFor(gate.Crashes, ticket.Fingerprint, now) ==
+  return ruleFor(gate.Crashes, ticket.Fingerprint, now, ticket.KnownCrashes) ==
              QuarantineRule::Serialized &&
          service.Serialized.contains(ticket.Fingerprint);
 }
@@ -137,7 +137,7 @@
             const Ticket &ticket, Instant now, GateActions &actions) {
   endpoint.Holders.push_back({ticket, now, false});
   gate.Held[ticket.AttemptId] = endpoint.Facts.Name;
-  if (ruleFor(gate.Crashes, ticket.Fingerprint, now) ==
+  if (ruleFor(gate.Crashes, ticket.Fingerprint, now, ticket.KnownCrashes) ==
       QuarantineRule::Serialized)
     service.Serialized.insert(ticket.Fingerprint);
   if (ticket.AwaitsClaim)
@@ -160,7 +160,7 @@
     });
     if (!ticket)
       return;
-    if (ruleFor(gate.Crashes, ticket->Fingerprint, now) ==
+    if (ruleFor(gate.Crashes, ticket->Fingerprint, now, ticket->KnownCrashes) ==
         QuarantineRule::Refused) {
       refuse(
           actions, ticket->AttemptId,
@@ -385,7 +385,8 @@
   if (gate.Ledger.stateOf(ticket.AttemptId) != StartState::Unseen)
     return notRun(ErrorKind::WrongGeneration, "the attempt is fenced",
                   Millis{0});
-  if (ruleFor(gate.Crashes, ticket.Fingerprint, now) == QuarantineRule::Refused)
+  if (ruleFor(gate.Crashes, ticket.Fingerprint, now, ticket.KnownCrashes) ==
+      QuarantineRule::Refused)
     return notRun(
         ErrorKind::Quarantined, fingerprintName(ticket.Fingerprint),
         toMillis(remainingTerm(gate.Crashes, ticket.Fingerprint, now)));
@@ -399,7 +400,7 @@
 void blame(Gate &gate, const GateEndpoint &endpoint, std::uint64_t fingerprint,
            Instant now, GateActions &actions) {
   const std::string &service = endpoint.Facts.Service;
-  noteCrash(gate.Crashes, fingerprint,
+  noteCrash(gate.Crashes, fingerprint, gate.Node,
             now + gate.Services[service].Policy.QuarantineTerm);
   actions.push_back(CrashAction{fingerprint, service});
 }
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -57,6 +57,8 @@
 /// All functions below are the only ones that change it; each takes the time
 /// and returns what the caller must carry out, in order.
 struct Gate {
+  /// Name of this node, under which it counts crashes.
+  std::string Node;
   std::map<std::string, GateEndpoint> Endpoints;
   std::map<std::string, GateService> Services;
   StartLedger Ledger;
--- a/src/libhickoryglade/leasepolicy.cpp
+++ b/src/libhickoryglade/leasepolicy.cpp
@@ -24,18 +24,27 @@
   return it != agent.Promises.end() && now < it->second;
 }
 
-std::int64_t ledgerNextOf(const std::vector<LivingMember> &living,
-                          const std::string &node) {
-  auto it = std::ranges::find(living, node, [](const LivingMember &member) {
+const LedgerMember *findMember(const std::vector<LedgerMember> &members,
+                               const std::string &node) {
+  auto it = std::ranges::find(members, node, [](const LedgerMember &member) {
     return member.Holder.Node;
   });
-  return it == living.end() ? 0 : it->LedgerNext;
+  return it == members.end() ? nullptr : &*it;
+}
+
+bool isGone(const LeaseAgent &agent, const std::vector<LedgerMember> &members,
+            const LeaseHolder &holder, Instant now) {
+  const LedgerMember *member = findMember(members, holder.Node);
+  if (!member)
+    return now - agent.StartedAt > UnknownTerm;
+  return member->Holder.BootId > holder.BootId ||
+         (member->IsDead && member->Holder == holder);
 }
 
 /// A keeper that joined between another and its successor takes over the
 /// successor's part only once that one knows, for it may have promised.
 bool hasTakenOver(const LeaseAgent &agent, const std::string &keeper,
-                  const std::vector<LivingMember> &living) {
+                  const std::vector<LedgerMember> &members) {
   LeaseSubject own{LeaseKind::Keeper, "", agent.Self.Node};
   auto it = agent.Ledger.Leases.find(own);
   if (it == agent.Ledger.Leases.end())
@@ -43,16 +52,17 @@
   LeaseLedger without = agent.Ledger;
   without.Leases.erase(own);
   std::string former = keeperSuccessor(without, keeper);
-  return former.empty() || ledgerNextOf(living, former) > it->second.Since;
+  const LedgerMember *member = findMember(members, former);
+  return former.empty() || (member && member->LedgerNext > it->second.Since);
 }
 
 /// Only a keeper's successor acts against it; against the holder of an
 /// ejection anyone may, and the first record counts.
 bool isOurTask(const LeaseAgent &agent, const LeaseSubject &subject,
-               const std::vector<LivingMember> &living) {
+               const std::vector<LedgerMember> &members) {
   return subject.Kind != LeaseKind::Keeper ||
          (keeperSuccessor(agent.Ledger, subject.Name) == agent.Self.Node &&
-          hasTakenOver(agent, subject.Name, living));
+          hasTakenOver(agent, subject.Name, members));
 }
 
 std::optional<LeaseRecord> actAgainst(const LeaseAgent &agent,
@@ -121,16 +131,15 @@
 }
 
 std::vector<LeaseRecord> dueChallenges(LeaseAgent &agent,
-                                       const std::vector<LivingMember> &living,
+                                       const std::vector<LedgerMember> &members,
                                        Instant now) {
   std::vector<LeaseRecord> due;
   for (const auto &[subject, lease] : agent.Ledger.Leases) {
-    bool isLiving = std::ranges::find(living, lease.Holder,
-                                      &LivingMember::Holder) != living.end();
     auto written = agent.Written.find(subject);
     bool isUnread =
         written != agent.Written.end() && now - written->second < LeaseTerm;
-    if (isLiving || isUnread || !isOurTask(agent, subject, living))
+    if (!isGone(agent, members, lease.Holder, now) || isUnread ||
+        !isOurTask(agent, subject, members))
       continue;
     if (auto record = actAgainst(agent, subject, lease, now)) {
       agent.Written[subject] = now;
--- a/src/libhickoryglade/leasepolicy.h
+++ b/src/libhickoryglade/leasepolicy.h
@@ -25,6 +25,7 @@
 /// A node's own part in the ledger.
 struct LeaseAgent {
   LeaseHolder Self;
+  Instant StartedAt;
   LeaseLedger Ledger;
   /// When the last read that succeeded began.
   std::optional<Instant> ReadAt;
@@ -57,16 +58,22 @@
 /// Renewals that are due, and answers to challenges.
 std::vector<LeaseRecord> dueRenewals(LeaseAgent &agent, Instant now);
 
+/// A holder of which no member has been heard for this long is gone.
+constexpr Micros UnknownTerm = std::chrono::seconds(60);
+
 /// A member as far as the ledger is concerned.
-struct LivingMember {
+struct LedgerMember {
+  /// The latest process under the node's name.
   LeaseHolder Holder;
-  /// Offset up to which the member says that it has read the ledger.
+  /// Offset up to which it says that it has read the ledger.
   std::int64_t LedgerNext = 0;
+  bool IsDead = false;
 };
 
-/// Challenges and evictions against holders that are not among the living.
+/// Challenges and evictions against holders that are dead, replaced by a
+/// later process, or were never heard of.
 std::vector<LeaseRecord> dueChallenges(LeaseAgent &agent,
-                                       const std::vector<LivingMember> &living,
+                                       const std::vector<LedgerMember> &members,
                                        Instant now);
 
 /// Promises not to challenge a keeper for a whole challenge term; refuses if
--- a/src/libhickoryglade/membership.cpp
+++ b/src/libhickoryglade/membership.cpp
@@ -15,6 +15,11 @@
 constexpr Micros SuspicionTerm = std::chrono::seconds(3);
 constexpr Micros SyncPeriod = std::chrono::seconds(5);
 
+/// A node that has just started compares with several others, and often.
+constexpr Micros JoinTerm = std::chrono::seconds(5);
+constexpr Micros JoinSyncPeriod = std::chrono::milliseconds(300);
+constexpr std::size_t JoinSyncs = 3;
+
 /// Dead members are remembered this long, so that old news of them does not
 /// bring them back.
 constexpr Micros DeadMemory = std::chrono::hours(1);
@@ -211,31 +216,48 @@
   std::erase_if(state.Relays, [&](const auto &it) { return it.Expiry <= now; });
 }
 
-/// Seeds are asked too as long as they are not members, so that parts of a
-/// fleet that started apart find each other.
-std::vector<std::string> syncAddresses(const Membership &state) {
+std::vector<std::string> peerAddresses(const Membership &state) {
   std::vector<std::string> all;
   for (const Member *peer : peers(state))
     all.push_back(peer->Record.FleetAddress);
+  return all;
+}
+
+/// Seeds and members that seem dead are asked too, so that parts of a fleet
+/// that were cut off or started apart find each other.
+std::vector<std::string> strangerAddresses(const Membership &state) {
+  std::vector<std::string> all;
+  for (const auto &[node, member] : state.Members)
+    if (member.State == MemberState::Dead && !member.Record.IsLeaving)
+      all.push_back(member.Record.FleetAddress);
+  std::vector<std::string> known = peerAddresses(state);
   for (const std::string &seed : state.Seeds)
-    if (seed != self(state).FleetAddress)
+    if (seed != self(state).FleetAddress &&
+        std::ranges::find(known, seed) == known.end())
       all.push_back(seed);
   return all;
 }
 
+void sendSyncs(Membership &state, std::vector<std::string> addresses,
+               std::size_t most, std::vector<OutgoingGossip> &out) {
+  std::ranges::shuffle(addresses, state.Rng);
+  addresses.resize(std::min(addresses.size(), most));
+  for (const std::string &address : addresses) {
+    OutgoingGossip sync = compose(state, GossipKind::Sync, address, 0);
+    sync.Message.Updates = {{self(state), MemberState::Alive}};
+    sync.Message.Buckets = bucketHashes(state);
+    out.push_back(std::move(sync));
+  }
+}
+
 void startSync(Membership &state, Instant now,
                std::vector<OutgoingGossip> &out) {
-  bool isAlone = state.Members.size() <= 1;
-  state.NextSync = now + (isAlone ? ProbePeriod : SyncPeriod);
-  std::vector<std::string> addresses = syncAddresses(state);
-  if (addresses.empty())
-    return;
-  OutgoingGossip sync =
-      compose(state, GossipKind::Sync,
-              addresses[uniform(state.Rng, addresses.size())], 0);
-  sync.Message.Updates = {{self(state), MemberState::Alive}};
-  sync.Message.Buckets = bucketHashes(state);
-  out.push_back(std::move(sync));
+  bool isJoining =
+      state.Members.size() <= 1 || now - state.StartedAt < JoinTerm;
+  state.NextSync = now + (isJoining ? JoinSyncPeriod : SyncPeriod);
+  std::size_t most = isJoining ? JoinSyncs : 1;
+  sendSyncs(state, peerAddresses(state), most, out);
+  sendSyncs(state, strangerAddresses(state), most, out);
 }
 
 /// Sends the records in the buckets that differ.
@@ -290,6 +312,7 @@
   state.Seeds = std::move(seeds);
   state.Rng.seed(seed);
   state.Members[state.Self] = {std::move(self), MemberState::Alive, now, 0};
+  state.StartedAt = now;
   state.NextProbe = now;
   state.NextSync = now;
   return state;
--- a/src/libhickoryglade/membership.h
+++ b/src/libhickoryglade/membership.h
@@ -87,6 +87,7 @@
 
   std::vector<std::string> ProbeOrder;
   std::int64_t NextSequence = 1;
+  Instant StartedAt;
   Instant NextProbe;
   Instant NextSync;
   /// Raised whenever a belief changes.
--- a/src/libhickoryglade/quarantine.cpp
+++ b/src/libhickoryglade/quarantine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <numeric>
 
 namespace hickoryglade {
 
@@ -12,31 +13,44 @@
 
 } // namespace
 
+int CrashRecord::total() const {
+  return std::accumulate(
+      ByNode.begin(), ByNode.end(), 0,
+      [](int sum, const auto &it) { return sum + it.second; });
+}
+
 QuarantineRule ruleFor(const Quarantine &quarantine, std::uint64_t fingerprint,
-                       Instant now) {
+                       Instant now, int knownCrashes) {
+  if (std::ranges::find(quarantine.Released, fingerprint) !=
+      quarantine.Released.end())
+    return QuarantineRule::Free;
   auto it = quarantine.Records.find(fingerprint);
-  if (it == quarantine.Records.end() || it->second.Expiry <= now ||
-      std::ranges::find(quarantine.Released, fingerprint) !=
-          quarantine.Released.end())
+  bool isRecorded = it != quarantine.Records.end() && it->second.Expiry > now;
+  int crashes = std::max(isRecorded ? it->second.total() : 0, knownCrashes);
+  if (crashes == 0)
     return QuarantineRule::Free;
-  return it->second.Crashes >= CrashesToRefuse ? QuarantineRule::Refused
-                                               : QuarantineRule::Serialized;
+  return crashes >= CrashesToRefuse ? QuarantineRule::Refused
+                                    : QuarantineRule::Serialized;
 }
 
 void noteCrash(Quarantine &quarantine, std::uint64_t fingerprint,
-               Instant expiry) {
+               const std::string &node, Instant expiry) {
   CrashRecord &record = quarantine.Records[fingerprint];
-  ++record.Crashes;
+  ++record.ByNode[node];
   record.Expiry = std::max(record.Expiry, expiry);
 }
 
 bool mergeCrash(Quarantine &quarantine, std::uint64_t fingerprint,
                 const CrashRecord &record) {
   CrashRecord &own = quarantine.Records[fingerprint];
-  if (record.Crashes <= own.Crashes)
-    return false;
-  own = {record.Crashes, std::max(own.Expiry, record.Expiry)};
-  return true;
+  bool isNews = false;
+  for (const auto &[node, crashes] : record.ByNode) {
+    int &count = own.ByNode[node];
+    isNews = isNews || crashes > count;
+    count = std::max(count, crashes);
+  }
+  own.Expiry = std::max(own.Expiry, record.Expiry);
+  return isNews;
 }
 
 void expireCrashes(Quarantine &quarantine, Instant now) {
--- a/src/libhickoryglade/quarantine.h
+++ b/src/libhickoryglade/quarantine.h
@@ -9,12 +9,15 @@
 
 namespace hickoryglade {
 
-/// Crashes that a request's content has been present at.
+/// Crashes that a request's content has been present at. Each node counts
+/// those that it has seen; the sum is what counts.
 struct CrashRecord {
-  int Crashes = 0;
+  std::map<std::string, int> ByNode;
   Instant Expiry;
 
   bool operator==(const CrashRecord &) const = default;
+
+  int total() const;
 };
 
 enum class QuarantineRule { Free, Serialized, Refused };
@@ -29,13 +32,15 @@
 /// Crashes after which a content no longer runs.
 constexpr int CrashesToRefuse = 2;
 
+/// The rule for a content; its sender may know of more crashes than this
+/// node does.
 QuarantineRule ruleFor(const Quarantine &quarantine, std::uint64_t fingerprint,
-                       Instant now);
+                       Instant now, int knownCrashes = 0);
 
 void noteCrash(Quarantine &quarantine, std::uint64_t fingerprint,
-               Instant expiry);
+               const std::string &node, Instant expiry);
 
-/// Takes a record from another node: the higher count and later expiry win.
+/// Takes a record from another node: higher counts and later expiry win.
 bool mergeCrash(Quarantine &quarantine, std::uint64_t fingerprint,
                 const CrashRecord &record);
 
--- a/src/libhickoryglade/ticket.h
+++ b/src/libhickoryglade/ticket.h
@@ -22,6 +22,8 @@
   bool IsIdempotent = false;
   /// Hash of the request's content; equal for a resent copy.
   std::uint64_t Fingerprint = 0;
+  /// Endpoints that this very request has crashed on its way here.
+  int KnownCrashes = 0;
   /// Number of gates at which the request waits.
   int Copies = 1;
   /// True if a free slot is to be held for a claim instead of started.
--- a/tests/standins/standinserver.cpp
+++ b/tests/standins/standinserver.cpp
@@ -31,6 +31,14 @@
                                asio::redirect_error(asio::use_awaitable, ec));
   }
   void close() override { Stream.close(); }
+  bool isGone() override {
+    error_code ec;
+    char byte = 0;
+    Stream.socket().non_blocking(true, ec);
+    std::size_t n = Stream.socket().receive(asio::buffer(&byte, 1),
+                                            tcp::socket::message_peek, ec);
+    return n == 0 && ec != asio::error::would_block;
+  }
 
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
--- /dev/null
+++ b/tests/world/world.h
@@ -0,0 +1,177 @@
+#pragma once
+
+#include "libhickoryglade/costmodel.h"
+#include "libhickoryglade/gate.h"
+#include "libhickoryglade/leasepolicy.h"
+#include "libhickoryglade/retry.h"
+#include "libhickoryglade/routerpolicy.h"
+#include "libhickoryglade/settingslog.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace hickoryglade::world {
+
+/// Mechanisms that a run may leave out, to show what they are for.
+enum class Mechanism { Leases, LeaseTerm, Fence, Quarantine, Verdicts, Retry };
+
+/// What a caller was told.
+enum class Told { Nothing, Answered, NotRun, Unknown };
+
+/// A caller's request.
+struct Call {
+  std::string Id;
+  std::string Entry;
+  std::string Workspace = "w";
+  Instant Start;
+  Instant Deadline;
+  Micros Work{0};
+  bool IsLong = false;
+  bool IsIdempotent = true;
+  bool IsPoison = false;
+  std::uint64_t Fingerprint = 0;
+
+  int Attempts = 0;
+  int Crashes = 0;
+  int Runs = 0;
+  Instant FirstRun;
+  Told Outcome = Told::Nothing;
+  ErrorKind Kind = ErrorKind::Internal;
+  Instant End;
+};
+
+/// An endpoint as it really is, not as anyone believes.
+struct RealEndpoint {
+  std::string Name;
+  std::string Node;
+  int Slots = 3;
+  bool IsStalled = false;
+  bool IsUp = true;
+  bool Announces = true;
+  int Incarnation = 1;
+  int Crashes = 0;
+  Instant LeftAt = Instant::max();
+  int StartsAfterLeaving = 0;
+  std::map<std::string, std::string> Running;
+};
+
+/// Gates and entries of the kernel on virtual time, with endpoints, a log and
+/// a faultable network around them. One service, "w/s".
+class World {
+public:
+  explicit World(std::uint64_t seed);
+
+  void addNode(const std::string &name);
+  void addEndpoint(const std::string &name, const std::string &node,
+                   int slots);
+  void setPolicy(const ServicePolicy &policy);
+  void leaveOut(Mechanism mechanism) { LeftOut.insert(mechanism); }
+
+  /// Runs an action at a time.
+  void at(Instant time, std::function<void()> action);
+  void runUntil(Instant end);
+  Instant now() const { return Now; }
+  Random &rng() { return Rng; }
+
+  // Faults, from now on.
+  void cut(const std::string &from, const std::string &to, bool isCut);
+  void pause(const std::string &node, bool isPaused);
+  void setLog(bool isAway) { IsLogAway = isAway; }
+  void stall(const std::string &endpoint, bool isStalled);
+  void leave(const std::string &endpoint);
+
+  std::shared_ptr<Call> call(Call request);
+  void publish(const std::string &node, const SettingsChange &change);
+
+  const std::vector<std::shared_ptr<Call>> &calls() const { return Calls; }
+  const std::map<std::string, RealEndpoint> &endpoints() const {
+    return Endpoints;
+  }
+  Standing standingOf(const std::string &endpoint) const;
+  /// Endpoints that their gates keep out of rotation at this moment.
+  int ejectedNow() const;
+  int mostEjected() const { return MostEjected; }
+  int settingsWentBack() const { return WentBack; }
+  bool settingsAgree() const;
+  std::int64_t messages() const { return Messages; }
+
+  /// Events worth telling, one a line, in order.
+  const std::vector<std::string> &session() const { return Session; }
+  void note(const std::string &line);
+
+private:
+  struct Attempt;
+  using AttemptPtr = std::shared_ptr<Attempt>;
+  struct Node {
+    std::string Name;
+    Gate Door;
+    LeaseAgent Agent;
+    SettingsState Settings;
+    RetryBudget Budget;
+    CostModel Costs;
+    std::map<std::string, GateLoad> Loads;
+    std::map<std::string, Instant> LoadAt;
+    std::map<std::string, int> Outstanding;
+    std::map<std::string, Instant> DownUntil;
+    std::map<std::string, Standing> Beliefs;
+    std::map<std::string, AttemptPtr> Here;
+    std::set<std::string> Ejecting;
+    std::map<std::string, Instant> AskedAt;
+    bool IsPaused = false;
+    std::vector<std::function<void()>> Inbox;
+  };
+
+  void send(const std::string &from, const std::string &to,
+            std::function<void()> action);
+  void deliver(const std::string &to, std::function<void()> action);
+  void carryOut(Node &node, const GateActions &actions);
+  void carryOutOne(Node &node, const GateAction &action);
+  void startWork(Node &node, const AttemptPtr &attempt,
+                 const std::string &endpoint);
+  void endWork(Node &node, const AttemptPtr &attempt,
+               const std::string &endpoint, AttemptOutcome outcome);
+  void crash(RealEndpoint &endpoint);
+
+  void tryOnce(const std::shared_ptr<Call> &call);
+  void offerAt(const AttemptPtr &attempt, const std::string &gate);
+  void claimAt(const AttemptPtr &attempt, const std::string &gate);
+  void withdrawFrom(const AttemptPtr &attempt, const std::string &gate);
+  void settle(const AttemptPtr &attempt, Told told, const Error &error);
+  void finish(const std::shared_ptr<Call> &call, Told told, ErrorKind kind);
+  void watch(const AttemptPtr &attempt);
+  void refused(const AttemptPtr &attempt, const std::string &gate,
+               const Error &error);
+  Ticket ticketFor(const Attempt &attempt) const;
+  std::vector<Candidate> candidates(Node &node);
+
+  void tickNode(const std::string &name);
+  void readLog(Node &node);
+  void append(const std::string &data, bool isSettings);
+  void seekLeases(Node &node);
+  void shareBeliefs();
+  bool has(Mechanism it) const { return !LeftOut.contains(it); }
+  bool isOpen(const std::string &a, const std::string &b) const;
+
+  Random Rng;
+  Instant Now{std::chrono::seconds(10)};
+  std::multimap<Instant, std::function<void()>> Queue;
+  std::map<std::string, Node> Nodes;
+  std::map<std::string, RealEndpoint> Endpoints;
+  std::set<std::pair<std::string, std::string>> Cuts;
+  std::vector<std::pair<Instant, std::string>> LeaseLog;
+  std::vector<std::pair<Instant, std::string>> SettingsRecords;
+  std::vector<std::shared_ptr<Call>> Calls;
+  std::set<Mechanism> LeftOut;
+  ServicePolicy Policy;
+  std::vector<std::string> Session;
+  bool IsLogAway = false;
+  int MostEjected = 0;
+  int WentBack = 0;
+  std::int64_t Messages = 0;
+};
+
+} // namespace hickoryglade::world
