--- a/src/libfleet/entry.cpp
+++ b/src/libfleet/entry.cpp
@@ -188,11 +188,13 @@
 asio::awaitable<EntryResult> Entry::perform(Inquiry &inquiry) {
   RetryBudget &budget = Budgets[inquiry.Way.Service];
   budget.noteFresh(inquiry.Way.Policy.RetryBudgetPercent);
+  bool mayHaveRun = false;
   for (int number = 1;; ++number) {
     EntryResult result = co_await tryOnce(inquiry, number);
     if (std::holds_alternative<HttpAnswer>(result))
       co_return result;
     const Error &error = std::get<Error>(result);
+    mayHaveRun = mayHaveRun || error.Run == RunState::Unknown;
     RetryAnswer answer =
         decideRetry({error, inquiry.IsIdempotent, number,
                      inquiry.Deadline - now(), inquiry.Cost.Expected},
@@ -207,12 +209,12 @@
               {"retry", answer.Verdict == RetryVerdict::Retry},
               {"reason", answer.Reason}});
     if (answer.Verdict == RetryVerdict::GiveUp)
-      co_return result;
+      co_return finalError(error, mayHaveRun);
   }
 }
 
-std::vector<Candidate> Entry::candidates(const std::string &service,
-                                         Instant now) {
+std::vector<Candidate> Entry::candidates(const Inquiry &inquiry, Instant now) {
+  const std::string &service = inquiry.Way.Service;
   std::vector<Candidate> all;
   auto view = View->Services.find(service);
   if (view == View->Services.end())
@@ -225,6 +227,8 @@
     it.State = gate.State;
     it.IsLocal = gate.Node == Node;
     it.IsPathUp = Links.isPathUp(gate.Node, now);
+    it.WasTried =
+        std::ranges::find(inquiry.Tried, gate.Node) != inquiry.Tried.end();
     const GateLoadView &load = Loads[loadKey(gate.Node, service)];
     bool isFresh = now - load.At < LoadTerm && load.At != Instant{};
     it.FreeSlots = isFresh ? load.Load.freeSlots
@@ -237,7 +241,7 @@
 }
 
 asio::awaitable<EntryResult> Entry::tryOnce(Inquiry &inquiry, int number) {
-  std::vector<Candidate> all = candidates(inquiry.Way.Service, now());
+  std::vector<Candidate> all = candidates(inquiry, now());
   const auto *router =
       Registry<RouterPolicy>::instance().find(inquiry.Way.Policy.Router);
   QuarantineRule rule =
@@ -259,6 +263,7 @@
   for (std::size_t i : plan.Targets) {
     auto node = View->Nodes.find(all[i].Node);
     const auto &gates = View->Services.at(inquiry.Way.Service).Gates;
+    inquiry.Tried.push_back(all[i].Node);
     if (node != View->Nodes.end())
       attempt.Targets.push_back({gates[i], node->second, nullptr, 0, false});
   }
--- a/src/libfleet/entry.h
+++ b/src/libfleet/entry.h
@@ -27,6 +27,8 @@
   std::string IdempotencyKey;
   /// Endpoints that the request has crashed so far.
   int Crashes = 0;
+  /// Gates that have refused or failed it.
+  std::vector<std::string> Tried;
   std::shared_ptr<CallScope> Scope;
 };
 
@@ -69,7 +71,7 @@
   asio::awaitable<EntryResult> resolve(Attempt &attempt, std::size_t target);
   asio::awaitable<bool> openTarget(Attempt &attempt, std::size_t target);
 
-  std::vector<Candidate> candidates(const std::string &service, Instant now);
+  std::vector<Candidate> candidates(const Inquiry &inquiry, Instant now);
   wire::Ticket makeTicket(const Attempt &attempt, std::size_t target) const;
   void sendCall(Attempt &attempt, std::size_t target);
   void withdraw(Attempt &attempt, std::size_t target);
--- a/src/libfleet/membershipservice.cpp
+++ b/src/libfleet/membershipservice.cpp
@@ -6,6 +6,8 @@
 #include "libfleet/logging.h"
 #include "libfleet/wireconvert.h"
 
+#include <algorithm>
+
 namespace hickoryglade::fleet {
 
 namespace {
@@ -15,6 +17,9 @@
 /// Members told at once of a change; the others hear of it by gossip.
 constexpr std::size_t UrgentFanOut = 32;
 
+/// Members to whom news of a crash is passed on by each who hears it first.
+constexpr std::size_t CrashForwards = 4;
+
 std::optional<udp::endpoint> toEndpoint(const std::string &address) {
   std::optional<Address> parsed = parseAddress(address);
   if (!parsed)
@@ -57,6 +62,12 @@
 void MembershipService::spreadCrash(std::uint64_t fingerprint,
                                     const CrashRecord &record) {
   mergeCrash(Known, fingerprint, record);
+  sendCrash(fingerprint, record, peers(Kernel).size());
+}
+
+void MembershipService::sendCrash(std::uint64_t fingerprint,
+                                  const CrashRecord &record,
+                                  std::size_t fanOut) {
   wire::Gossip gossip;
   gossip.kind = wire::GossipKind::UPDATES;
   gossip.sender = Kernel.Self;
@@ -67,8 +78,11 @@
   it.remainingMs = toMillis(record.Expiry - now()).count();
   gossip.quarantines.push_back(it);
   std::string bytes = encodeGossip(gossip);
-  for (const Member *peer : peers(Kernel))
-    sendBytes(peer->Record.FleetAddress, bytes);
+  std::vector<const Member *> targets = peers(Kernel);
+  std::ranges::shuffle(targets, Kernel.Rng);
+  targets.resize(std::min(targets.size(), fanOut));
+  for (const Member *target : targets)
+    sendBytes(target->Record.FleetAddress, bytes);
 }
 
 void MembershipService::receiveNext() {
@@ -100,8 +114,10 @@
     CrashRecord record{{it.crashes.begin(), it.crashes.end()},
                        now() + Millis(it.remainingMs)};
     auto fingerprint = std::uint64_t(it.fingerprint);
-    if (mergeCrash(Known, fingerprint, record))
-      Handlers.OnCrash(fingerprint, record);
+    if (!mergeCrash(Known, fingerprint, record))
+      continue;
+    Handlers.OnCrash(fingerprint, record);
+    sendCrash(fingerprint, Known.Records[fingerprint], CrashForwards);
   }
 }
 
--- a/src/libfleet/membershipservice.h
+++ b/src/libfleet/membershipservice.h
@@ -41,6 +41,8 @@
 private:
   void receiveNext();
   void take(std::size_t n);
+  void sendCrash(std::uint64_t fingerprint, const CrashRecord &record,
+                 std::size_t fanOut);
   void takeCrashes(const wire::Gossip &gossip);
   void send(const std::vector<OutgoingGossip> &messages);
   void sendBytes(const std::string &address, const std::string &bytes);
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -29,6 +29,11 @@
 /// Time after a broken connection in which a restart counts as its cause.
 constexpr Micros DroppedMemory = std::chrono::seconds(10);
 
+/// A gap between ticks beyond this was a pause. A gate that wakes from one
+/// first hears what it has missed before it starts anything.
+constexpr Micros PauseLimit = std::chrono::milliseconds(500);
+constexpr Micros HoldAfterPause = std::chrono::milliseconds(100);
+
 /// Least wait that a refused caller is told.
 constexpr Micros LeastRetryAfter = std::chrono::milliseconds(200);
 
@@ -112,6 +117,11 @@
   return best;
 }
 
+void noticePause(Gate &gate, Instant now) {
+  if (gate.LastTick && now - *gate.LastTick > PauseLimit)
+    gate.HoldUntil = now + HoldAfterPause;
+}
+
 bool isSerializedBusy(const Gate &gate, const GateService &service,
                       const Ticket &ticket, Instant now) {
   return ruleFor(gate.Crashes, ticket.Fingerprint, now, ticket.KnownCrashes) ==
@@ -150,7 +160,7 @@
 void dispatch(Gate &gate, const std::string &name, Instant now,
               GateActions &actions) {
   GateService &service = gate.Services[name];
-  while (service.Queue.size() > 0) {
+  while (service.Queue.size() > 0 && now >= gate.HoldUntil) {
     GateEndpoint *endpoint = nullptr;
     auto ticket = service.Queue.pop([&](const Ticket &it) {
       if (isSerializedBusy(gate, service, it, now))
@@ -523,12 +533,14 @@
 
 GateActions offer(Gate &gate, const Ticket &ticket, Instant now) {
   GateActions actions;
+  noticePause(gate, now);
   GateService &service = gate.Services[ticket.Service];
   if (auto fault = offerFault(gate, ticket, now)) {
     refuse(actions, ticket.AttemptId, std::move(*fault));
     return actions;
   }
-  bool isBusy = isSerializedBusy(gate, service, ticket, now);
+  bool isBusy =
+      now < gate.HoldUntil || isSerializedBusy(gate, service, ticket, now);
   GateEndpoint *endpoint = isBusy || service.Queue.size() > 0
                                ? nullptr
                                : chooseEndpoint(gate, service, ticket, now);
@@ -556,8 +568,9 @@
 
 GateActions claim(Gate &gate, const std::string &attempt, Instant now) {
   GateActions actions;
+  noticePause(gate, now);
   auto held = gate.Held.find(attempt);
-  if (held != gate.Held.end()) {
+  if (held != gate.Held.end() && now >= gate.HoldUntil) {
     GateEndpoint &endpoint = gate.Endpoints.at(held->second);
     auto holder = std::ranges::find_if(endpoint.Holders, [&](const auto &it) {
       return it.Request.AttemptId == attempt;
@@ -645,6 +658,8 @@
 
 GateActions tick(Gate &gate, Instant now) {
   GateActions actions;
+  noticePause(gate, now);
+  gate.LastTick = now;
   for (auto &[name, endpoint] : gate.Endpoints) {
     if (endpoint.State == Standing::Ejected && !isEjected(endpoint, now))
       setStanding(endpoint, Standing::Suspect, "lease ended", now, actions);
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -66,6 +66,10 @@
   /// Endpoint of each attempt that holds a slot.
   std::map<std::string, std::string> Held;
   bool IsDraining = false;
+  /// The latest tick; a gap shows that the process was paused.
+  std::optional<Instant> LastTick;
+  /// Nothing starts before this time.
+  Instant HoldUntil;
   Random Rng{1};
 };
 
--- a/src/libhickoryglade/retry.cpp
+++ b/src/libhickoryglade/retry.cpp
@@ -38,6 +38,12 @@
   return true;
 }
 
+Error finalError(Error last, bool mayHaveRun) {
+  if (mayHaveRun)
+    last.Run = RunState::Unknown;
+  return last;
+}
+
 RetryAnswer decideRetry(const RetryQuestion &question, RetryBudget &budget) {
   if (isFinal(question.Failure.Kind))
     return {RetryVerdict::GiveUp, "another attempt would fail alike"};
--- a/src/libhickoryglade/retry.h
+++ b/src/libhickoryglade/retry.h
@@ -38,6 +38,10 @@
   bool operator==(const RetryAnswer &) const = default;
 };
 
+/// What a caller is told after its last attempt: an earlier one that may have
+/// run counts too.
+Error finalError(Error last, bool mayHaveRun);
+
 /// Attempts after which a request is given up.
 constexpr int MostAttempts = 4;
 
--- a/src/libhickoryglade/routerpolicy.cpp
+++ b/src/libhickoryglade/routerpolicy.cpp
@@ -3,7 +3,7 @@
 #include "libhickoryglade/hash.h"
 
 #include <algorithm>
-#include <iterator>
+#include <array>
 
 namespace hickoryglade {
 
@@ -13,10 +13,11 @@
 constexpr std::uint64_t TrialOdds = 8;
 
 std::vector<std::size_t> withStanding(std::span<const Candidate> candidates,
-                                      Standing state) {
+                                      Standing state, bool wasTried) {
   std::vector<std::size_t> all;
   for (std::size_t i = 0; i < candidates.size(); ++i)
-    if (candidates[i].IsPathUp && candidates[i].State == state)
+    if (candidates[i].IsPathUp && candidates[i].State == state &&
+        candidates[i].WasTried == wasTried)
       all.push_back(i);
   return all;
 }
@@ -30,17 +31,17 @@
 std::vector<std::size_t> eligible(std::span<const Candidate> candidates,
                                   const RouteQuestion &question, Random &rng) {
   if (suitsTrial(question)) {
-    auto trials = withStanding(candidates, Standing::Trial);
+    auto trials = withStanding(candidates, Standing::Trial, false);
     if (!trials.empty() && uniform(rng, TrialOdds) == 0)
       return {trials[uniform(rng, trials.size())]};
   }
-  auto healthy = withStanding(candidates, Standing::Healthy);
-  if (!healthy.empty())
-    return healthy;
-  auto rest = withStanding(candidates, Standing::Suspect);
-  std::ranges::move(withStanding(candidates, Standing::Trial),
-                    std::back_inserter(rest));
-  return rest;
+  constexpr std::array<Standing, 3> order = {
+      Standing::Healthy, Standing::Suspect, Standing::Trial};
+  for (bool wasTried : {false, true})
+    for (Standing state : order)
+      if (auto all = withStanding(candidates, state, wasTried); !all.empty())
+        return all;
+  return {};
 }
 
 std::size_t rendezvous(std::span<const Candidate> candidates,
--- a/src/libhickoryglade/routerpolicy.h
+++ b/src/libhickoryglade/routerpolicy.h
@@ -24,6 +24,8 @@
   bool IsLocal = false;
   /// False while the link to the gate is silent in either direction.
   bool IsPathUp = true;
+  /// True if it has refused or failed this very request before.
+  bool WasTried = false;
 
   bool operator==(const Candidate &) const = default;
 };
@@ -57,7 +59,8 @@
 };
 
 /// Indexes of the candidates to choose from: healthy ones on working paths
-/// and now and then one on trial, else suspects, else nothing.
+/// and now and then one on trial, else suspects, else nothing. Those that have
+/// been tried come last.
 std::vector<std::size_t> eligible(std::span<const Candidate> candidates,
                                   const RouteQuestion &question, Random &rng);
 
--- a/tests/kernel/test_gate.cpp
+++ b/tests/kernel/test_gate.cpp
@@ -220,3 +220,16 @@
   CHECK(gate.Held.size() == 2);
   CHECK(count<StartAction>(offer(gate, ticket("short"), at(1))) == 1);
 }
+
+TEST_CASE("a gate that wakes from a pause hears the news before it starts") {
+  Gate gate = gateWith("e");
+  tick(gate, at(0));
+  announce(gate, endpoint("e"), at(3'000));
+  CHECK(count<StartAction>(offer(gate, ticket("1"), at(3'000))) == 0);
+  CrashRecord record{{{"a", 1}, {"b", 1}}, at(100'000)};
+  mergeCrash(gate.Crashes, 7, record);
+  GateActions actions = tick(gate, at(3'150));
+  CHECK(count<StartAction>(actions) == 0);
+  CHECK(first<RefuseAction>(tick(gate, at(3'300))).Reason.Kind ==
+        ErrorKind::Quarantined);
+}
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -75,8 +75,8 @@
 
 void World::addEndpoint(const std::string &name, const std::string &node,
                         int slots) {
-  Endpoints[name] = {name, node, slots, false, true, true, 1, 0,
-                     Instant::max(), 0, {}};
+  Endpoints[name] = {name, node, slots,          false, true, true,
+                     1,    0,    Instant::max(), 0,     {}};
   auto announceNow = std::make_shared<std::function<void()>>();
   *announceNow = [this, name, announceNow] {
     RealEndpoint &it = Endpoints.at(name);
@@ -149,11 +149,10 @@
   if (!isOpen(from, to))
     return;
   Micros delay = from == to ? Micros(10) : NetDelay;
-  at(Now + delay,
-     [this, to, it = std::move(action)] { deliver(to, it); });
+  at(Now + delay, [this, to, it = std::move(action)] { deliver(to, it); });
 }
 
-std::vector<Candidate> World::candidates(Node &node) {
+std::vector<Candidate> World::candidates(Node &node, const Call &call) {
   std::vector<Candidate> all;
   for (const auto &[name, other] : Nodes) {
     Candidate it;
@@ -178,6 +177,7 @@
     if (!isAny)
       continue;
     it.IsLocal = name == node.Name;
+    it.WasTried = call.Tried.contains(name);
     it.IsPathUp = Now >= node.DownUntil[name];
     it.Outstanding = node.Outstanding[name];
     bool isFresh = Now - node.LoadAt[name] < LoadTerm;
@@ -221,22 +221,24 @@
   QuarantineRule rule =
       ruleFor(node.Door.Crashes, call->Fingerprint, Now, known);
   if (rule == QuarantineRule::Refused)
-    return finish(call, Told::NotRun, ErrorKind::Quarantined);
-  std::vector<Candidate> all = candidates(node);
+    return giveUp(call, makeError(ErrorKind::Quarantined));
+  std::vector<Candidate> all = candidates(node, *call);
   const auto *router = Registry<RouterPolicy>::instance().find(Policy.Router);
-  RoutePlan plan = router->Plan(all,
-                                {call->IsLong, call->IsIdempotent,
-                                 rule == QuarantineRule::Serialized,
-                                 call->Fingerprint},
-                                node.Door.Rng);
+  RoutePlan plan =
+      router->Plan(all,
+                   {call->IsLong, call->IsIdempotent,
+                    rule == QuarantineRule::Serialized, call->Fingerprint},
+                   node.Door.Rng);
   if (plan.Targets.empty())
-    return finish(call, Told::NotRun, ErrorKind::NoEndpoint);
+    return giveUp(call, makeError(ErrorKind::NoEndpoint));
   auto attempt = std::make_shared<Attempt>();
   attempt->Request = call;
   attempt->Id = call->Id + "/" + std::to_string(call->Attempts);
   attempt->AwaitsGrant = plan.AwaitsGrant;
-  for (std::size_t i : plan.Targets)
+  for (std::size_t i : plan.Targets) {
     attempt->Gates.insert(all[i].Node);
+    call->Tried.insert(all[i].Node);
+  }
   for (const std::string &gate : std::set<std::string>(attempt->Gates)) {
     ++node.Outstanding[gate];
     if (!plan.AwaitsGrant)
@@ -357,16 +359,22 @@
       node.Door.Crashes.Records.clear();
       return;
     }
-    CrashRecord record = node.Door.Crashes.Records[crashed->Fingerprint];
-    for (const auto &[name, other] : Nodes)
-      if (name != node.Name)
-        send(node.Name, name,
-             [this, name, fp = crashed->Fingerprint, record] {
-               mergeCrash(Nodes.at(name).Door.Crashes, fp, record);
-             });
+    spreadCrash(node.Name, crashed->Fingerprint,
+                node.Door.Crashes.Records[crashed->Fingerprint]);
   }
 }
 
+/// Who hears news passes it on.
+void World::spreadCrash(const std::string &from, std::uint64_t fingerprint,
+                        const CrashRecord &record) {
+  for (const auto &[name, other] : Nodes)
+    if (name != from)
+      send(from, name, [this, name, fingerprint, record] {
+        if (mergeCrash(Nodes.at(name).Door.Crashes, fingerprint, record))
+          spreadCrash(name, fingerprint, record);
+      });
+}
+
 void World::startWork(Node &node, const AttemptPtr &attempt,
                       const std::string &name) {
   RealEndpoint &endpoint = Endpoints.at(name);
@@ -479,16 +487,19 @@
   const std::shared_ptr<Call> &call = attempt->Request;
   if (told == Told::Answered)
     return finish(call, told, ErrorKind::Internal);
+  call->MayHaveRun = call->MayHaveRun || error.Run == RunState::Unknown;
   bool isSafe = call->IsIdempotent || !has(Mechanism::Retry);
-  RetryAnswer answer =
-      decideRetry({error, isSafe, call->Attempts, call->Deadline - Now,
-                   Micros(0)},
-                  Nodes.at(call->Entry).Budget);
+  RetryAnswer answer = decideRetry(
+      {error, isSafe, call->Attempts, call->Deadline - Now, Micros(0)},
+      Nodes.at(call->Entry).Budget);
   if (answer.Verdict == RetryVerdict::Retry)
     return tryOnce(call);
-  bool wasRun = told == Told::Unknown || call->Attempts > 1;
-  bool mayHaveRun = wasRun && call->Runs > 0;
-  finish(call, mayHaveRun ? Told::Unknown : told, error.Kind);
+  giveUp(call, error);
+}
+
+void World::giveUp(const std::shared_ptr<Call> &call, const Error &error) {
+  bool isUnknown = finalError(error, call->MayHaveRun).Run == RunState::Unknown;
+  finish(call, isUnknown ? Told::Unknown : Told::NotRun, error.Kind);
 }
 
 /// A silent link: the entry asks over a fresh one what became of its attempt.
@@ -497,8 +508,8 @@
   if (attempt->IsSettled || call->Outcome != Told::Nothing)
     return;
   std::string entry = call->Entry;
-  std::string gate = attempt->Chosen.empty() ? *attempt->Gates.begin()
-                                             : attempt->Chosen;
+  std::string gate =
+      attempt->Chosen.empty() ? *attempt->Gates.begin() : attempt->Chosen;
   bool isSilent = !isOpen(entry, gate) || !isOpen(gate, entry);
   Node &own = Nodes.at(entry);
   if (isSilent) {
@@ -516,8 +527,8 @@
     send(entry, gate, [this, attempt, gate, entry] {
       Node &home = Nodes.at(gate);
       GateActions actions;
-      StartState state = revoke(home.Door, attempt->Id,
-                                Now + seconds(60), Now, actions);
+      StartState state =
+          revoke(home.Door, attempt->Id, Now + seconds(60), Now, actions);
       carryOut(home, actions);
       send(gate, entry, [this, attempt, state] {
         if (state == StartState::Fenced)
@@ -571,7 +582,8 @@
 void World::seekLeases(Node &node) {
   std::vector<LedgerMember> members;
   for (const auto &[name, other] : Nodes)
-    members.push_back({{name, 1}, other.Agent.Ledger.Next,
+    members.push_back({{name, 1},
+                       other.Agent.Ledger.Next,
                        other.IsPaused || !isOpen(name, node.Name)});
   for (const LeaseRecord &it : dueRenewals(node.Agent, Now))
     append(encodeLease(it), false);
@@ -591,8 +603,7 @@
     for (const auto &[other, belief] : node.Beliefs)
       if (other != name && belief == Standing::Healthy)
         record.Healthy.push_back(other);
-    bool isAffordable =
-        int(record.Healthy.size()) >= std::max(Policy.Floor, 1);
+    bool isAffordable = int(record.Healthy.size()) >= std::max(Policy.Floor, 1);
     if (!has(Mechanism::Leases)) {
       if (isWanted && isAffordable)
         carryOut(node, setEjection(node.Door, name, Now + seconds(10), Now));
@@ -654,8 +665,7 @@
 
 bool World::settingsAgree() const {
   return std::ranges::all_of(Nodes, [&](const auto &it) {
-    return it.second.Settings.Tree ==
-           Nodes.begin()->second.Settings.Tree;
+    return it.second.Settings.Tree == Nodes.begin()->second.Settings.Tree;
   });
 }
 
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -17,7 +17,7 @@
 namespace hickoryglade::world {
 
 /// Mechanisms that a run may leave out, to show what they are for.
-enum class Mechanism { Leases, LeaseTerm, Fence, Quarantine, Verdicts, Retry };
+enum class Mechanism { Leases, LeaseTerm, Fence, Quarantine, Retry };
 
 /// What a caller was told.
 enum class Told { Nothing, Answered, NotRun, Unknown };
@@ -36,6 +36,8 @@
   std::uint64_t Fingerprint = 0;
 
   int Attempts = 0;
+  std::set<std::string> Tried;
+  bool MayHaveRun = false;
   int Crashes = 0;
   int Runs = 0;
   Instant FirstRun;
@@ -66,8 +68,7 @@
   explicit World(std::uint64_t seed);
 
   void addNode(const std::string &name);
-  void addEndpoint(const std::string &name, const std::string &node,
-                   int slots);
+  void addEndpoint(const std::string &name, const std::string &node, int slots);
   void setPolicy(const ServicePolicy &policy);
   void leaveOut(Mechanism mechanism) { LeftOut.insert(mechanism); }
 
@@ -142,11 +143,14 @@
   void withdrawFrom(const AttemptPtr &attempt, const std::string &gate);
   void settle(const AttemptPtr &attempt, Told told, const Error &error);
   void finish(const std::shared_ptr<Call> &call, Told told, ErrorKind kind);
+  void giveUp(const std::shared_ptr<Call> &call, const Error &error);
   void watch(const AttemptPtr &attempt);
   void refused(const AttemptPtr &attempt, const std::string &gate,
                const Error &error);
   Ticket ticketFor(const Attempt &attempt) const;
-  std::vector<Candidate> candidates(Node &node);
+  std::vector<Candidate> candidates(Node &node, const Call &call);
+  void spreadCrash(const std::string &from, std::uint64_t fingerprint,
+                   const CrashRecord &record);
 
   void tickNode(const std::string &name);
   void readLog(Node &node);
