placement: late binding by tickets, direct sends that never queue

Cause: a request sent straight to a slot that was thought free queued behind others when it was not; long requests counted in the wait of short ones; the wait was divided by the copies of a ticket although most gates had refused theirs. Tickets become the default.

--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -35,10 +35,11 @@
   8: bool isLong
   9: bool isIdempotent
   10: i64 fingerprint
-  11: i32 copies
   12: bool awaitsClaim
   // Endpoints that this very request has crashed on its way here.
   13: i32 knownCrashes
+  // The request is not to wait for a slot.
+  14: bool onlyIfFree
 }
 
 struct Grant {
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -543,10 +543,6 @@
   this->fingerprint = val;
 }
 
-void Ticket::__set_copies(const int32_t val) {
-  this->copies = val;
-}
-
 void Ticket::__set_awaitsClaim(const bool val) {
   this->awaitsClaim = val;
 }
@@ -554,6 +550,10 @@
 void Ticket::__set_knownCrashes(const int32_t val) {
   this->knownCrashes = val;
 }
+
+void Ticket::__set_onlyIfFree(const bool val) {
+  this->onlyIfFree = val;
+}
 std::ostream& operator<<(std::ostream& out, const Ticket& obj)
 {
   obj.printTo(out);
@@ -662,14 +662,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 11:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->copies);
-          this->__isset.copies = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       case 12:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
           xfer += iprot->readBool(this->awaitsClaim);
@@ -686,6 +678,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->onlyIfFree);
+          this->__isset.onlyIfFree = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -743,10 +743,6 @@
   xfer += oprot->writeI64(this->fingerprint);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("copies", ::apache::thrift::protocol::T_I32, 11);
-  xfer += oprot->writeI32(this->copies);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("awaitsClaim", ::apache::thrift::protocol::T_BOOL, 12);
   xfer += oprot->writeBool(this->awaitsClaim);
   xfer += oprot->writeFieldEnd();
@@ -755,6 +751,10 @@
   xfer += oprot->writeI32(this->knownCrashes);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("onlyIfFree", ::apache::thrift::protocol::T_BOOL, 14);
+  xfer += oprot->writeBool(this->onlyIfFree);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -772,9 +772,9 @@
   swap(a.isLong, b.isLong);
   swap(a.isIdempotent, b.isIdempotent);
   swap(a.fingerprint, b.fingerprint);
-  swap(a.copies, b.copies);
   swap(a.awaitsClaim, b.awaitsClaim);
   swap(a.knownCrashes, b.knownCrashes);
+  swap(a.onlyIfFree, b.onlyIfFree);
   swap(a.__isset, b.__isset);
 }
 
@@ -789,9 +789,9 @@
   isLong = other12.isLong;
   isIdempotent = other12.isIdempotent;
   fingerprint = other12.fingerprint;
-  copies = other12.copies;
   awaitsClaim = other12.awaitsClaim;
   knownCrashes = other12.knownCrashes;
+  onlyIfFree = other12.onlyIfFree;
   __isset = other12.__isset;
 }
 Ticket::Ticket(Ticket&& other13) noexcept {
@@ -805,9 +805,9 @@
   isLong = other13.isLong;
   isIdempotent = other13.isIdempotent;
   fingerprint = other13.fingerprint;
-  copies = other13.copies;
   awaitsClaim = other13.awaitsClaim;
   knownCrashes = other13.knownCrashes;
+  onlyIfFree = other13.onlyIfFree;
   __isset = other13.__isset;
 }
 Ticket& Ticket::operator=(const Ticket& other14) {
@@ -821,9 +821,9 @@
   isLong = other14.isLong;
   isIdempotent = other14.isIdempotent;
   fingerprint = other14.fingerprint;
-  copies = other14.copies;
   awaitsClaim = other14.awaitsClaim;
   knownCrashes = other14.knownCrashes;
+  onlyIfFree = other14.onlyIfFree;
   __isset = other14.__isset;
   return *this;
 }
@@ -838,9 +838,9 @@
   isLong = other15.isLong;
   isIdempotent = other15.isIdempotent;
   fingerprint = other15.fingerprint;
-  copies = other15.copies;
   awaitsClaim = other15.awaitsClaim;
   knownCrashes = other15.knownCrashes;
+  onlyIfFree = other15.onlyIfFree;
   __isset = other15.__isset;
   return *this;
 }
@@ -857,9 +857,9 @@
   out << ", " << "isLong=" << to_string(isLong);
   out << ", " << "isIdempotent=" << to_string(isIdempotent);
   out << ", " << "fingerprint=" << to_string(fingerprint);
-  out << ", " << "copies=" << to_string(copies);
   out << ", " << "awaitsClaim=" << to_string(awaitsClaim);
   out << ", " << "knownCrashes=" << to_string(knownCrashes);
+  out << ", " << "onlyIfFree=" << to_string(onlyIfFree);
   out << ")";
 }
 
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -279,7 +279,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _Ticket__isset {
-  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), copies(false), awaitsClaim(false), knownCrashes(false) {}
+  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), awaitsClaim(false), knownCrashes(false), onlyIfFree(false) {}
   bool attemptId :1;
   bool workspace :1;
   bool serviceName :1;
@@ -290,9 +290,9 @@
   bool isLong :1;
   bool isIdempotent :1;
   bool fingerprint :1;
-  bool copies :1;
   bool awaitsClaim :1;
   bool knownCrashes :1;
+  bool onlyIfFree :1;
 } _Ticket__isset;
 
 class Ticket : public virtual ::apache::thrift::TBase {
@@ -313,9 +313,9 @@
            isLong(0),
            isIdempotent(0),
            fingerprint(0),
-           copies(0),
            awaitsClaim(0),
-           knownCrashes(0) {
+           knownCrashes(0),
+           onlyIfFree(0) {
   }
 
   virtual ~Ticket() noexcept;
@@ -329,9 +329,9 @@
   bool isLong;
   bool isIdempotent;
   int64_t fingerprint;
-  int32_t copies;
   bool awaitsClaim;
   int32_t knownCrashes;
+  bool onlyIfFree;
 
   _Ticket__isset __isset;
 
@@ -355,12 +355,12 @@
 
   void __set_fingerprint(const int64_t val);
 
-  void __set_copies(const int32_t val);
-
   void __set_awaitsClaim(const bool val);
 
   void __set_knownCrashes(const int32_t val);
 
+  void __set_onlyIfFree(const bool val);
+
   bool operator == (const Ticket & rhs) const
   {
     if (!(attemptId == rhs.attemptId))
@@ -383,12 +383,12 @@
       return false;
     if (!(fingerprint == rhs.fingerprint))
       return false;
-    if (!(copies == rhs.copies))
-      return false;
     if (!(awaitsClaim == rhs.awaitsClaim))
       return false;
     if (!(knownCrashes == rhs.knownCrashes))
       return false;
+    if (!(onlyIfFree == rhs.onlyIfFree))
+      return false;
     return true;
   }
   bool operator != (const Ticket &rhs) const {
--- a/src/libfleet/entry.cpp
+++ b/src/libfleet/entry.cpp
@@ -75,6 +75,7 @@
   std::vector<Target> Targets;
   std::shared_ptr<StreamMailbox> Box;
   bool AwaitsGrant = false;
+  bool OnlyIfFree = false;
 
   Instant waitUntil() const { return Request->Deadline + VerdictGrace; }
 };
@@ -194,6 +195,7 @@
     if (std::holds_alternative<HttpAnswer>(result))
       co_return result;
     const Error &error = std::get<Error>(result);
+    inquiry.HasMissed = inquiry.HasMissed || error.Kind == ErrorKind::SlotTaken;
     mayHaveRun = mayHaveRun || error.Run == RunState::Unknown;
     RetryAnswer answer =
         decideRetry({error, inquiry.IsIdempotent, number,
@@ -251,19 +253,22 @@
                         fingerprintName(inquiry.Fingerprint),
                         inquiry.Way.Policy.QuarantineTerm);
   bool isSerialized = rule == QuarantineRule::Serialized;
-  RoutePlan plan = router->Plan(all,
-                                {inquiry.Cost.IsLong, inquiry.IsIdempotent,
-                                 isSerialized, inquiry.Fingerprint},
-                                Rng);
+  RoutePlan plan =
+      router->Plan(all,
+                   {inquiry.Cost.IsLong, inquiry.IsIdempotent,
+                    inquiry.HasMissed, isSerialized, inquiry.Fingerprint},
+                   Rng);
   Attempt attempt;
   attempt.Request = &inquiry;
   attempt.Id = inquiry.Id + "/" + std::to_string(number);
   attempt.AwaitsGrant = plan.AwaitsGrant;
+  attempt.OnlyIfFree = plan.OnlyIfFree;
   attempt.Box = std::make_shared<StreamMailbox>(Executor);
   for (std::size_t i : plan.Targets) {
     auto node = View->Nodes.find(all[i].Node);
     const auto &gates = View->Services.at(inquiry.Way.Service).Gates;
-    inquiry.Tried.push_back(all[i].Node);
+    if (!plan.OnlyIfFree && !plan.AwaitsGrant)
+      inquiry.Tried.push_back(all[i].Node);
     if (node != View->Nodes.end())
       attempt.Targets.push_back({gates[i], node->second, nullptr, 0, false});
   }
@@ -332,7 +337,7 @@
   ticket.isIdempotent = inquiry.IsIdempotent;
   ticket.fingerprint = std::int64_t(inquiry.Fingerprint);
   ticket.knownCrashes = inquiry.Crashes;
-  ticket.copies = int(attempt.Targets.size());
+  ticket.onlyIfFree = attempt.OnlyIfFree;
   ticket.awaitsClaim = attempt.AwaitsGrant;
   return ticket;
 }
--- a/src/libfleet/entry.h
+++ b/src/libfleet/entry.h
@@ -27,6 +27,8 @@
   std::string IdempotencyKey;
   /// Endpoints that the request has crashed so far.
   int Crashes = 0;
+  /// A slot that was thought free was not.
+  bool HasMissed = false;
   /// Gates that have refused or failed it.
   std::vector<std::string> Tried;
   std::shared_ptr<CallScope> Scope;
--- a/src/libfleet/gateservice.cpp
+++ b/src/libfleet/gateservice.cpp
@@ -93,8 +93,8 @@
   out.IsLong = in.isLong;
   out.IsIdempotent = in.isIdempotent;
   out.Fingerprint = std::uint64_t(in.fingerprint);
+  out.OnlyIfFree = in.onlyIfFree;
   out.KnownCrashes = in.knownCrashes;
-  out.Copies = std::max(in.copies, 1);
   out.AwaitsClaim = in.awaitsClaim;
   return out;
 }
--- a/src/libhickoryglade/errorkind.cpp
+++ b/src/libhickoryglade/errorkind.cpp
@@ -10,7 +10,7 @@
 constexpr RunState NotRun = RunState::NotRun;
 constexpr RunState Unknown = RunState::Unknown;
 
-constexpr std::array<ErrorAnswer, 22> Answers{{
+constexpr std::array<ErrorAnswer, 23> Answers{{
     {ErrorKind::BadRequest, "bad_request", 400, NotRun, false,
      "The request is malformed"},
     {ErrorKind::HeadersTooLarge, "headers_too_large", 431, NotRun, false,
@@ -55,6 +55,8 @@
      "The endpoint refused the request without running it"},
     {ErrorKind::Internal, "internal", 500, Unknown, true,
      "The fleet failed in an unforeseen way"},
+    {ErrorKind::SlotTaken, "slot_taken", 503, NotRun, true,
+     "The slot that was thought free has been taken"},
 }};
 
 } // namespace
--- a/src/libhickoryglade/errorkind.h
+++ b/src/libhickoryglade/errorkind.h
@@ -35,6 +35,7 @@
   Cancelled,
   EndpointShed,
   Internal,
+  SlotTaken,
 };
 
 /// Row of the table from error kind to answer.
--- a/src/libhickoryglade/fairqueue.cpp
+++ b/src/libhickoryglade/fairqueue.cpp
@@ -11,7 +11,7 @@
 constexpr Micros LeastCost{1'000};
 
 Micros costOf(const Ticket &ticket) {
-  return std::max(ticket.ExpectedCost, LeastCost) / std::max(ticket.Copies, 1);
+  return std::max(ticket.ExpectedCost, LeastCost);
 }
 
 } // namespace
@@ -23,7 +23,7 @@
   if (isNew)
     lane.Service = level;
   lane.Share = std::max(share, 1);
-  lane.Waiting += costOf(ticket);
+  lane.Waiting[ticket.IsLong] += costOf(ticket);
   lane.Tickets.push_back(std::move(ticket));
   ++Count;
 }
@@ -40,7 +40,7 @@
       continue;
     Ticket ticket = std::move(*it);
     lane->Tickets.erase(it);
-    lane->Waiting -= costOf(ticket);
+    lane->Waiting[ticket.IsLong] -= costOf(ticket);
     lane->Service += double(costOf(ticket).count()) / lane->Share;
     LastService = std::max(LastService, service);
     --Count;
@@ -55,7 +55,7 @@
     auto it = std::ranges::find(lane.Tickets, attempt, &Ticket::AttemptId);
     if (it == lane.Tickets.end())
       continue;
-    lane.Waiting -= costOf(*it);
+    lane.Waiting[it->IsLong] -= costOf(*it);
     lane.Tickets.erase(it);
     --Count;
     removeEmpty(std::string(workspace));
@@ -71,7 +71,7 @@
         lane.Tickets.begin(), lane.Tickets.end(),
         [&](const Ticket &it) { return it.Deadline > now; });
     for (auto it = tail; it != lane.Tickets.end(); ++it) {
-      lane.Waiting -= costOf(*it);
+      lane.Waiting[it->IsLong] -= costOf(*it);
       expired.push_back(std::move(*it));
     }
     lane.Tickets.erase(tail, lane.Tickets.end());
@@ -91,9 +91,10 @@
   return all;
 }
 
-Micros FairQueue::costAhead(const std::string &workspace, int share) const {
+Micros FairQueue::costAhead(const std::string &workspace, int share,
+                            bool isLong) const {
   auto own = Lanes.find(workspace);
-  Micros ownCost = own == Lanes.end() ? Micros{0} : own->second.Waiting;
+  Micros ownCost = own == Lanes.end() ? Micros{0} : own->second.Waiting[isLong];
   double ownLevel = double(ownCost.count()) / std::max(share, 1);
   return std::accumulate(
       Lanes.begin(), Lanes.end(), ownCost, [&](Micros sum, const auto &it) {
@@ -101,7 +102,7 @@
           return sum;
         Micros competing{static_cast<Micros::rep>(
             (ownLevel + double(LeastCost.count())) * it.second.Share)};
-        return sum + std::min(it.second.Waiting, competing);
+        return sum + std::min(it.second.Waiting[isLong], competing);
       });
 }
 
--- a/src/libhickoryglade/fairqueue.h
+++ b/src/libhickoryglade/fairqueue.h
@@ -2,6 +2,7 @@
 
 #include "libhickoryglade/ticket.h"
 
+#include <array>
 #include <deque>
 #include <functional>
 #include <map>
@@ -29,9 +30,9 @@
 
   std::vector<Ticket> takeAll();
 
-  /// Slot time of the waiting tickets that would run before a new one of
-  /// this workspace.
-  Micros costAhead(const std::string &workspace, int share) const;
+  /// Slot time of the waiting tickets of a class that would run before a new
+  /// one of this workspace.
+  Micros costAhead(const std::string &workspace, int share, bool isLong) const;
 
   std::size_t size() const { return Count; }
   bool hasShort() const;
@@ -42,7 +43,8 @@
     int Share = 1;
     /// Slot time received per share, in microseconds.
     double Service = 0;
-    Micros Waiting{0};
+    /// Slot time that short and long tickets wait for.
+    std::array<Micros, 2> Waiting{};
   };
 
   /// A workspace that was idle starts level with the busy ones.
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -179,10 +179,27 @@
               toMillis(remainingTerm(gate.Crashes, ticket->Fingerprint, now))));
       continue;
     }
+    if (ticket->Deadline < now + ticket->ExpectedCost) {
+      refuse(actions, ticket->AttemptId,
+             notRun(ErrorKind::Overloaded, "too late to finish in time",
+                    spreadRetry(gate, service.Policy.MaxWait)));
+      continue;
+    }
     assign(gate, service, *endpoint, *ticket, now, actions);
   }
 }
 
+/// Slots that requests of a class can count on in the long run.
+int slotsForClass(const Gate &gate, const GateService &service,
+                  const Ticket &ticket, Instant now) {
+  int slots = 0;
+  for (const auto &[name, it] : gate.Endpoints)
+    if (it.Facts.Service == ticket.Service && it.State != Standing::Draining &&
+        isAnnounced(it, now) && !isEjected(it, now))
+      slots += ticket.IsLong ? longCap(it, service.Policy) : it.Facts.Slots;
+  return slots;
+}
+
 int slotsInRotation(const Gate &gate, const std::string &service, Instant now) {
   int slots = 0;
   for (const auto &[name, it] : gate.Endpoints)
@@ -349,6 +366,8 @@
                   toMillis(EmptyServiceRetry)));
 }
 
+/// Only work of the ticket's class stands in its way: short requests pass
+/// waiting long ones, long ones share the slots that they may hold.
 Micros slotTimeAhead(const Gate &gate, const GateService &service,
                      const Ticket &ticket, Instant now) {
   Micros running{0};
@@ -356,12 +375,14 @@
     if (endpoint.Facts.Service != ticket.Service)
       continue;
     for (const SlotHolder &holder : endpoint.Holders)
-      running += std::max(holder.Request.ExpectedCost - (now - holder.Since),
-                          Micros{0});
+      if (holder.Request.IsLong == ticket.IsLong)
+        running += std::max(holder.Request.ExpectedCost - (now - holder.Since),
+                            Micros{0});
   }
   auto share = service.Shares.find(ticket.Workspace);
   int weight = share == service.Shares.end() ? 1 : share->second;
-  return running + service.Queue.costAhead(ticket.Workspace, weight);
+  return running +
+         service.Queue.costAhead(ticket.Workspace, weight, ticket.IsLong);
 }
 
 std::optional<Error> admissionFault(Gate &gate, GateService &service,
@@ -554,7 +575,12 @@
                   toMillis(EmptyServiceRetry)));
     return actions;
   }
-  int slots = slotsInRotation(gate, ticket.Service, now);
+  if (ticket.OnlyIfFree) {
+    refuse(actions, ticket.AttemptId,
+           notRun(ErrorKind::SlotTaken, "no free slot", Millis{0}));
+    return actions;
+  }
+  int slots = slotsForClass(gate, service, ticket, now);
   if (auto fault = admissionFault(gate, service, ticket, slots, now)) {
     refuse(actions, ticket.AttemptId, std::move(*fault));
     return actions;
--- a/src/libhickoryglade/retry.cpp
+++ b/src/libhickoryglade/retry.cpp
@@ -53,7 +53,8 @@
     return {RetryVerdict::GiveUp, "attempts exhausted"};
   if (question.TimeLeft <= question.ExpectedCost)
     return {RetryVerdict::GiveUp, "no time left"};
-  if (!budget.tryTake())
+  bool isFree = question.Failure.Kind == ErrorKind::SlotTaken;
+  if (!isFree && !budget.tryTake())
     return {RetryVerdict::GiveUp, "retry budget exhausted"};
   return {RetryVerdict::Retry, "another attempt may succeed"};
 }
--- a/src/libhickoryglade/routerpolicy.h
+++ b/src/libhickoryglade/routerpolicy.h
@@ -34,6 +34,8 @@
 struct RouteQuestion {
   bool IsLong = false;
   bool IsIdempotent = true;
+  /// True once a slot that was thought free turned out to be taken.
+  bool HasMissed = false;
   /// True for a request that may have crashed an endpoint: all its copies
   /// must meet at one gate.
   bool IsSerialized = false;
@@ -47,6 +49,9 @@
   /// True to leave tickets and send the body to the first gate that grants
   /// a slot; false to send the request itself to the first target.
   bool AwaitsGrant = false;
+  /// True to have the request refused instead of queued if the gate has no
+  /// free slot after all.
+  bool OnlyIfFree = false;
   std::string Reason;
 
   bool operator==(const RoutePlan &) const = default;
--- a/src/libhickoryglade/servicepolicy.h
+++ b/src/libhickoryglade/servicepolicy.h
@@ -18,8 +18,8 @@
   /// Requests that may wait at one gate.
   int QueueLimit = 1'000;
   /// Longest expected wait at which a request is still let into a queue.
-  Millis MaxWait{2'000};
-  std::string Router = "two_choices";
+  Millis MaxWait{500};
+  std::string Router = "tickets";
   std::string Admission = "deadline";
   std::string Health = "peer_comparison";
   /// Share of a service's slots that long requests may hold while short ones
--- a/src/libhickoryglade/ticket.h
+++ b/src/libhickoryglade/ticket.h
@@ -24,10 +24,10 @@
   std::uint64_t Fingerprint = 0;
   /// Endpoints that this very request has crashed on its way here.
   int KnownCrashes = 0;
-  /// Number of gates at which the request waits.
-  int Copies = 1;
   /// True if a free slot is to be held for a claim instead of started.
   bool AwaitsClaim = false;
+  /// True if the request is not to wait for a slot.
+  bool OnlyIfFree = false;
 
   bool operator==(const Ticket &) const = default;
 };
--- a/src/plugins/tickets/tickets.cpp
+++ b/src/plugins/tickets/tickets.cpp
@@ -25,20 +25,22 @@
                       const RouteQuestion &question, Random &rng) {
   std::vector<std::size_t> among = eligible(candidates, question, rng);
   if (among.empty())
-    return {{}, false, "no candidate"};
+    return {{}, false, false, "no candidate"};
   if (question.IsSerialized)
     return {{rendezvous(candidates, among, question.Fingerprint)},
+            false,
             false,
             "serialized"};
   shuffle(among, rng);
   auto freest = std::ranges::max_element(
       among, {}, [&](std::size_t i) { return knownFree(candidates[i]); });
-  if (knownFree(candidates[*freest]) >= FreeForDirectSend)
-    return {{*freest}, false, "free slot known"};
+  bool isFreeKnown = knownFree(candidates[*freest]) >= FreeForDirectSend;
+  if (isFreeKnown && !question.HasMissed)
+    return {{*freest}, false, true, "free slot known"};
   std::ranges::stable_sort(
       among, {}, [&](std::size_t i) { return pressure(candidates[i]); });
   among.resize(std::min(among.size(), MostTickets));
-  return {among, among.size() > 1, "tickets"};
+  return {among, true, false, "tickets"};
 }
 
 const Registrar<RouterPolicy> Registered("tickets", {planTickets});
--- a/src/plugins/twochoices/twochoices.cpp
+++ b/src/plugins/twochoices/twochoices.cpp
@@ -13,16 +13,17 @@
                          const RouteQuestion &question, Random &rng) {
   std::vector<std::size_t> among = eligible(candidates, question, rng);
   if (among.empty())
-    return {{}, false, "no candidate"};
+    return {{}, false, false, "no candidate"};
   if (question.IsSerialized)
     return {{rendezvous(candidates, among, question.Fingerprint)},
+            false,
             false,
             "serialized"};
   std::size_t first = among[uniform(rng, among.size())];
   std::size_t second = among[uniform(rng, among.size())];
   if (pressure(candidates[second]) < pressure(candidates[first]))
     std::swap(first, second);
-  return {{first}, false, "less loaded of two"};
+  return {{first}, false, false, "less loaded of two"};
 }
 
 const Registrar<RouterPolicy> Registered("two_choices", {planTwoChoices});
--- /dev/null
+++ b/tests/bench/placement.cpp
@@ -0,0 +1,212 @@
+#include "world/world.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+/// Compares policies on virtual time: the same arrivals from one seed, one
+/// policy after the other, a table and JSON.
+///   placement [SEED] [SECONDS]
+
+namespace {
+
+using namespace hickoryglade;
+using namespace hickoryglade::world;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int Endpoints = 8;
+constexpr int Slots = 3;
+constexpr int ShortMs = 25;
+constexpr int LongFactor = 30;
+
+struct Setup {
+  std::string Name;
+  std::string Router = "tickets";
+  std::string Admission = "deadline";
+  int LongSlotsPercent = 34;
+  /// All endpoints behind one gate: the limit that placement can reach.
+  bool IsShared = false;
+};
+
+struct Shape {
+  std::string Name;
+  double Load = 0.7;
+  int LongPercent = 2;
+  double CrestLoad = 0;
+  int TimeoutMs = 2'000;
+};
+
+struct Figures {
+  double P50 = 0;
+  double P99 = 0;
+  double P999 = 0;
+  double LongStart99 = 0;
+  double Goodput = 0;
+  double Refused = 0;
+  double RefusalMs99 = 0;
+  double MessagesPerRequest = 0;
+};
+
+double quantile(std::vector<double> values, double q) {
+  if (values.empty())
+    return 0;
+  std::ranges::sort(values);
+  auto at = std::size_t(q * double(values.size() - 1));
+  return values[at];
+}
+
+double msOf(Micros time) { return double(time.count()) / 1'000; }
+
+class Trial {
+public:
+  Trial(const Setup &setup, const Shape &shape, std::uint64_t seed, int lasting)
+      : Config(setup), Form(shape), It(seed), Begin(It.now()),
+        Warm(Begin + seconds(3)), End(Begin + seconds(3 + lasting)) {
+    for (int i = 0; i < Endpoints; ++i)
+      It.addNode("n" + std::to_string(i));
+    for (int i = 0; i < Endpoints; ++i)
+      It.addEndpoint("e" + std::to_string(i),
+                     "n" + std::to_string(setup.IsShared ? 0 : i), Slots);
+    ServicePolicy policy;
+    policy.Router = setup.Router;
+    policy.Admission = setup.Admission;
+    policy.LongSlotsPercent = setup.LongSlotsPercent;
+    It.setPolicy(policy);
+  }
+
+  Figures run() {
+    It.runUntil(Begin + seconds(1));
+    arrive();
+    It.runUntil(End + seconds(8));
+    return measure();
+  }
+
+private:
+  /// Mean slot time of a request, in milliseconds.
+  double meanWork() const {
+    return ShortMs * (1 + Form.LongPercent / 100.0 * (LongFactor - 1));
+  }
+
+  /// Arrivals a microsecond; the crest lasts 20 s, rises within 2 s.
+  double rate() const {
+    double capacity = Endpoints * Slots / meanWork() / 1'000;
+    double load = Form.Load;
+    Instant crest = Warm + seconds(5);
+    if (Form.CrestLoad > 0 && It.now() > crest &&
+        It.now() < crest + seconds(20)) {
+      double rise = std::min(1.0, msOf(It.now() - crest) / 2'000);
+      load += (Form.CrestLoad - load) * rise;
+    }
+    return load * capacity;
+  }
+
+  void arrive() {
+    if (It.now() >= End)
+      return;
+    std::exponential_distribution<double> gap(rate());
+    Micros wait(1 + std::int64_t(gap(It.rng())));
+    It.at(It.now() + wait, [this] { arrive(); });
+    Call call;
+    call.Id = std::to_string(++Count);
+    call.Entry = "n" + std::to_string(uniform(It.rng(), Endpoints));
+    call.IsLong = int(uniform(It.rng(), 100)) < Form.LongPercent;
+    call.Fingerprint = std::uint64_t(Count);
+    std::uint64_t spread = 50 + uniform(It.rng(), 101);
+    call.Work =
+        Micros(ShortMs * 10 * int(spread)) * (call.IsLong ? LongFactor : 1);
+    call.Deadline =
+        It.now() + milliseconds(Form.TimeoutMs * (call.IsLong ? 5 : 1));
+    It.call(call);
+  }
+
+  Figures measure() const {
+    std::vector<double> shorts;
+    std::vector<double> longStarts;
+    std::vector<double> refusals;
+    double servedWork = 0;
+    std::size_t counted = 0;
+    Instant from = Form.CrestLoad > 0 ? Warm + seconds(7) : Warm;
+    Instant to = Form.CrestLoad > 0 ? Warm + seconds(25) : End;
+    for (const auto &call : It.calls()) {
+      bool isAnswered = call->Outcome == Told::Answered;
+      if (isAnswered && call->End >= from && call->End < to)
+        servedWork += msOf(call->Work);
+      if (call->Start < from || call->Start >= to)
+        continue;
+      ++counted;
+      if (isAnswered && !call->IsLong)
+        shorts.push_back(msOf(call->End - call->Start));
+      if (call->IsLong && call->Runs > 0)
+        longStarts.push_back(msOf(call->FirstRun - call->Start) /
+                             msOf(call->Work));
+      if (!isAnswered)
+        refusals.push_back(msOf(call->End - call->Start));
+    }
+    double slotTime = msOf(to - from) * Endpoints * Slots;
+    return {quantile(shorts, 0.5),
+            quantile(shorts, 0.99),
+            quantile(shorts, 0.999),
+            quantile(longStarts, 0.99),
+            servedWork / slotTime,
+            double(refusals.size()) / double(std::max<std::size_t>(counted, 1)),
+            quantile(refusals, 0.99),
+            double(It.messages()) / double(std::max(Count, 1))};
+  }
+
+  Setup Config;
+  Shape Form;
+  World It;
+  Instant Begin;
+  Instant Warm;
+  Instant End;
+  int Count = 0;
+};
+
+} // namespace
+
+int main(int argc, char **argv) {
+  std::uint64_t seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
+  int lasting = argc > 2 ? std::atoi(argv[2]) : 60;
+  const std::vector<Shape> shapes = {
+      {"70% no long", 0.7, 0, 0, 2'000},  {"70% 2% long", 0.7, 2, 0, 2'000},
+      {"85% no long", 0.85, 0, 0, 2'000}, {"85% 2% long", 0.85, 2, 0, 2'000},
+      {"crest x5", 0.6, 2, 3.0, 2'000},
+  };
+  const std::vector<Setup> setups = {
+      {"shared queue", "two_choices", "deadline", 34, true},
+      {"two choices", "two_choices", "deadline", 34, false},
+      {"tickets", "tickets", "deadline", 34, false},
+      {"tickets, no long cap", "tickets", "deadline", 100, false},
+      {"tickets, queue limit", "tickets", "queue_limit", 34, false},
+  };
+  nlohmann::json all = nlohmann::json::array();
+  std::printf("%-12s %-21s %7s %7s %7s %9s %8s %8s %9s %8s\n", "load", "policy",
+              "p50", "p99", "p99.9", "longstart", "goodput", "refused",
+              "refusal99", "msg/req");
+  for (const Shape &shape : shapes)
+    for (const Setup &setup : setups) {
+      Figures f = Trial(setup, shape, seed, lasting).run();
+      std::printf(
+          "%-12s %-21s %7.1f %7.1f %7.1f %9.2f %8.3f %8.3f %9.1f %8.2f\n",
+          shape.Name.c_str(), setup.Name.c_str(), f.P50, f.P99, f.P999,
+          f.LongStart99, f.Goodput, f.Refused, f.RefusalMs99,
+          f.MessagesPerRequest);
+      all.push_back({{"load", shape.Name},
+                     {"policy", setup.Name},
+                     {"p50_ms", f.P50},
+                     {"p99_ms", f.P99},
+                     {"p999_ms", f.P999},
+                     {"long_start_p99", f.LongStart99},
+                     {"goodput", f.Goodput},
+                     {"refused", f.Refused},
+                     {"refusal_p99_ms", f.RefusalMs99},
+                     {"messages_per_request", f.MessagesPerRequest}});
+    }
+  std::cout << all.dump() << "\n";
+  return 0;
+}
--- a/tests/kernel/test_decisions.cpp
+++ b/tests/kernel/test_decisions.cpp
@@ -40,7 +40,7 @@
 } // namespace
 
 TEST_CASE("every error kind has its own row in the table") {
-  for (int i = 0; i <= int(ErrorKind::Internal); ++i) {
+  for (int i = 0; i <= int(ErrorKind::SlotTaken); ++i) {
     auto kind = static_cast<ErrorKind>(i);
     CHECK(answerFor(kind).Kind == kind);
     CHECK(answerFor(kind).Status >= 400);
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -33,6 +33,7 @@
   /// The gate that has the body.
   std::string Chosen;
   bool AwaitsGrant = false;
+  bool OnlyIfFree = false;
   bool IsSettled = false;
   std::string Endpoint;
   bool HasResult = false;
@@ -226,7 +227,7 @@
   const auto *router = Registry<RouterPolicy>::instance().find(Policy.Router);
   RoutePlan plan =
       router->Plan(all,
-                   {call->IsLong, call->IsIdempotent,
+                   {call->IsLong, call->IsIdempotent, call->HasMissed,
                     rule == QuarantineRule::Serialized, call->Fingerprint},
                    node.Door.Rng);
   if (plan.Targets.empty())
@@ -235,9 +236,11 @@
   attempt->Request = call;
   attempt->Id = call->Id + "/" + std::to_string(call->Attempts);
   attempt->AwaitsGrant = plan.AwaitsGrant;
+  attempt->OnlyIfFree = plan.OnlyIfFree;
   for (std::size_t i : plan.Targets) {
     attempt->Gates.insert(all[i].Node);
-    call->Tried.insert(all[i].Node);
+    if (!plan.OnlyIfFree && !plan.AwaitsGrant)
+      call->Tried.insert(all[i].Node);
   }
   for (const std::string &gate : std::set<std::string>(attempt->Gates)) {
     ++node.Outstanding[gate];
@@ -263,8 +266,8 @@
   ticket.IsIdempotent = call.IsIdempotent;
   ticket.Fingerprint = call.Fingerprint;
   ticket.KnownCrashes = has(Mechanism::Quarantine) ? call.Crashes : 0;
-  ticket.Copies = int(attempt.Gates.size());
   ticket.AwaitsClaim = attempt.AwaitsGrant;
+  ticket.OnlyIfFree = attempt.OnlyIfFree;
   return ticket;
 }
 
@@ -487,6 +490,7 @@
   const std::shared_ptr<Call> &call = attempt->Request;
   if (told == Told::Answered)
     return finish(call, told, ErrorKind::Internal);
+  call->HasMissed = call->HasMissed || error.Kind == ErrorKind::SlotTaken;
   call->MayHaveRun = call->MayHaveRun || error.Run == RunState::Unknown;
   bool isSafe = call->IsIdempotent || !has(Mechanism::Retry);
   RetryAnswer answer = decideRetry(
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -38,6 +38,7 @@
   int Attempts = 0;
   std::set<std::string> Tried;
   bool MayHaveRun = false;
+  bool HasMissed = false;
   int Crashes = 0;
   int Runs = 0;
   Instant FirstRun;
