--- a/src/hickorygladectl/commands.cpp
+++ b/src/hickorygladectl/commands.cpp
@@ -146,6 +146,7 @@
 
 json summary(const json &report) {
   json copy = report;
+  copy.erase("gossip_bytes_sent");
   for (json &it : copy["quarantine"])
     it.erase("remaining_ms");
   return copy;
--- a/src/libfleet/control.cpp
+++ b/src/libfleet/control.cpp
@@ -391,6 +391,7 @@
           {"ejections", std::move(ejections)},
           {"node", Facts.Node},
           {"settings_next", Settings.state().Next},
+          {"gossip_bytes_sent", Members.bytesSent()},
           {"settings_loaded", Settings.isLoaded()},
           {"log_reachable", Settings.isLogReachable()},
           {"members", std::move(members)},
--- a/src/libfleet/endpointclient.cpp
+++ b/src/libfleet/endpointclient.cpp
@@ -181,7 +181,7 @@
   if (!connection)
     connection = co_await connect(address, deadline, handle);
   if (!connection)
-    co_return failed(AttemptOutcome::Failed, ErrorKind::EndpointFailed,
+    co_return failed(AttemptOutcome::Unreachable, ErrorKind::EndpointFailed,
                      RunState::NotRun, "cannot connect to the endpoint");
   handle->Cancel = [connection] { connection->Stream.close(); };
   if (handle->IsCancelled)
--- a/src/libfleet/membershipservice.cpp
+++ b/src/libfleet/membershipservice.cpp
@@ -132,6 +132,7 @@
   if (!to)
     return;
   error_code ec;
+  BytesSent += bytes.size();
   Socket.send_to(asio::buffer(bytes), *to, 0, ec);
 }
 
--- a/src/libfleet/membershipservice.h
+++ b/src/libfleet/membershipservice.h
@@ -31,6 +31,7 @@
   absl::Status start();
 
   const Membership &state() const { return Kernel; }
+  std::uint64_t bytesSent() const { return BytesSent; }
 
   /// Changes the own record and tells others at once.
   void describe(const MemberRecord &record, bool isUrgent);
@@ -55,6 +56,7 @@
   Membership Kernel;
   Events Handlers;
   Quarantine Known;
+  std::uint64_t BytesSent = 0;
   std::int64_t ReportedRevision = -1;
   udp::endpoint Sender;
   std::array<char, 65'536> Buffer{};
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -34,6 +34,10 @@
 constexpr Micros PauseLimit = std::chrono::milliseconds(500);
 constexpr Micros HoldAfterPause = std::chrono::milliseconds(100);
 
+/// Time in which an endpoint that runs a crashing request is found crashed.
+constexpr Micros SettleTerm = std::chrono::milliseconds(100);
+constexpr Micros SettleMemory = std::chrono::seconds(10);
+
 /// Least wait that a refused caller is told.
 constexpr Micros LeastRetryAfter = std::chrono::milliseconds(200);
 
@@ -122,10 +126,18 @@
     gate.HoldUntil = now + HoldAfterPause;
 }
 
-bool isSerializedBusy(const Gate &gate, const GateService &service,
-                      const Ticket &ticket, Instant now) {
+bool isSerialized(const Gate &gate, const Ticket &ticket, Instant now) {
   return ruleFor(gate.Crashes, ticket.Fingerprint, now, ticket.KnownCrashes) ==
-             QuarantineRule::Serialized &&
+         QuarantineRule::Serialized;
+}
+
+bool isSerializedBusy(const Gate &gate, GateService &service,
+                      const Ticket &ticket, Instant now) {
+  if (!isSerialized(gate, ticket, now))
+    return false;
+  auto [settle, isNew] =
+      service.SettleUntil.try_emplace(ticket.Fingerprint, now + SettleTerm);
+  return now < settle->second ||
          service.Serialized.contains(ticket.Fingerprint);
 }
 
@@ -147,8 +159,7 @@
             const Ticket &ticket, Instant now, GateActions &actions) {
   endpoint.Holders.push_back({ticket, now, false});
   gate.Held[ticket.AttemptId] = endpoint.Facts.Name;
-  if (ruleFor(gate.Crashes, ticket.Fingerprint, now, ticket.KnownCrashes) ==
-      QuarantineRule::Serialized)
+  if (isSerialized(gate, ticket, now))
     service.Serialized.insert(ticket.Fingerprint);
   if (ticket.AwaitsClaim)
     actions.push_back(GrantAction{ticket.AttemptId, endpoint.Facts.Name});
@@ -319,6 +330,7 @@
   if (!hasRested || !endpoint.Holders.empty())
     return;
   endpoint.ConsecutiveFailures = 0;
+  endpoint.IsListening = true;
   endpoint.EjectedUntil.reset();
   setStanding(endpoint, Standing::Trial, "has rested", now, actions);
 }
@@ -458,6 +470,7 @@
   switch (outcome) {
   case AttemptOutcome::Answered:
     endpoint.LastCompletion = now;
+    endpoint.IsListening = true;
     ++endpoint.Completions;
     endpoint.ConsecutiveFailures = 0;
     if (endpoint.State != Standing::Draining)
@@ -472,6 +485,11 @@
     return;
   case AttemptOutcome::Crashed:
     blame(gate, endpoint, holder.Request.Fingerprint, now, actions);
+    endpoint.IsListening = false;
+    ++endpoint.ConsecutiveFailures;
+    return;
+  case AttemptOutcome::Unreachable:
+    endpoint.IsListening = false;
     ++endpoint.ConsecutiveFailures;
     return;
   case AttemptOutcome::Broken:
@@ -498,6 +516,7 @@
                         GateActions &actions, Instant now) {
   blameDropped(gate, endpoint, now, actions);
   ++endpoint.Generation;
+  endpoint.IsListening = true;
   endpoint.ConsecutiveFailures = 0;
   endpoint.Completions = 0;
   endpoint.LastCompletion = now;
@@ -701,6 +720,9 @@
            now - it.second.LastHeard > ForgetSilentAfter;
   });
   for (auto &[name, service] : gate.Services) {
+    std::erase_if(service.SettleUntil, [&](const auto &it) {
+      return now - it.second > SettleMemory;
+    });
     expireQueue(service, now, actions);
     emptyQueue(gate, name, now, actions);
     dispatch(gate, name, now, actions);
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -26,6 +26,8 @@
   Broken,
   /// The connection broke and nothing listens at the address any more.
   Crashed,
+  /// Nothing listens at the address; the attempt was not sent.
+  Unreachable,
   /// The answer was malformed, truncated or late.
   Failed,
   /// The deadline passed without an answer.
@@ -51,6 +53,9 @@
   std::map<std::string, int> Shares;
   /// Fingerprints of serialized requests that are running.
   std::set<std::uint64_t> Serialized;
+  /// Serialized requests wait until here for news of copies that were under
+  /// way when the first crash became known.
+  std::map<std::uint64_t, Instant> SettleUntil;
 };
 
 /// State of one node's gate: the only way to the endpoints announced to it.
--- a/src/libhickoryglade/gateendpoint.h
+++ b/src/libhickoryglade/gateendpoint.h
@@ -36,6 +36,8 @@
   std::vector<DroppedRequest> Dropped;
   Instant LastCompletion;
   int ConsecutiveFailures = 0;
+  /// False once nothing has been found listening at its address.
+  bool IsListening = true;
   /// Answers since the endpoint's start.
   int Completions = 0;
   /// When it last passed a trial, while that still counts.
--- a/src/libhickoryglade/healthpolicy.h
+++ b/src/libhickoryglade/healthpolicy.h
@@ -17,6 +17,8 @@
   Micros MostOverdue{0};
   Micros SinceCompletion{0};
   int ConsecutiveFailures = 0;
+  /// False once nothing has been found listening at its address.
+  bool IsListening = true;
 
   bool operator==(const EndpointEvidence &) const = default;
 };
--- a/src/libhickoryglade/routerpolicy.cpp
+++ b/src/libhickoryglade/routerpolicy.cpp
@@ -44,12 +44,14 @@
   return {};
 }
 
-std::size_t rendezvous(std::span<const Candidate> candidates,
-                       const std::vector<std::size_t> &among,
-                       std::uint64_t fingerprint) {
-  return *std::ranges::max_element(among, {}, [&](std::size_t i) {
-    return stableHash(candidates[i].Node, fingerprint);
+RoutePlan planSerialized(std::span<const Candidate> candidates,
+                         std::uint64_t fingerprint) {
+  auto it = std::ranges::max_element(candidates, {}, [&](const auto &c) {
+    return stableHash(c.Node, fingerprint);
   });
+  if (it == candidates.end())
+    return {{}, false, false, "no candidate"};
+  return {{std::size_t(it - candidates.begin())}, false, false, "serialized"};
 }
 
 double pressure(const Candidate &it) {
--- a/src/libhickoryglade/routerpolicy.h
+++ b/src/libhickoryglade/routerpolicy.h
@@ -69,10 +69,10 @@
 std::vector<std::size_t> eligible(std::span<const Candidate> candidates,
                                   const RouteQuestion &question, Random &rng);
 
-/// The candidate at which all copies of a serialized request meet.
-std::size_t rendezvous(std::span<const Candidate> candidates,
-                       const std::vector<std::size_t> &among,
-                       std::uint64_t fingerprint);
+/// The plan for a request whose copies must all meet at one gate: whatever
+/// each entry thinks of paths and health, it must choose alike.
+RoutePlan planSerialized(std::span<const Candidate> candidates,
+                         std::uint64_t fingerprint);
 
 /// Estimated work in front of a new request, per slot.
 double pressure(const Candidate &it);
--- a/src/plugins/peercomparison/peercomparison.cpp
+++ b/src/plugins/peercomparison/peercomparison.cpp
@@ -28,6 +28,8 @@
     return {HealthVerdict::Sick, "fails every request"};
   if (isStalled(evidence, policy) && hasSecondWitness(evidence, policy))
     return {HealthVerdict::Sick, "stalls while its peers complete such work"};
+  if (!evidence.IsListening)
+    return {HealthVerdict::Doubtful, "does not listen"};
   if (evidence.ConsecutiveFailures >= FailuresForDoubt)
     return {HealthVerdict::Doubtful, "failed several requests in a row"};
   if (isStalled(evidence, policy))
--- a/src/plugins/tickets/tickets.cpp
+++ b/src/plugins/tickets/tickets.cpp
@@ -23,14 +23,11 @@
 
 RoutePlan planTickets(std::span<const Candidate> candidates,
                       const RouteQuestion &question, Random &rng) {
+  if (question.IsSerialized)
+    return planSerialized(candidates, question.Fingerprint);
   std::vector<std::size_t> among = eligible(candidates, question, rng);
   if (among.empty())
     return {{}, false, false, "no candidate"};
-  if (question.IsSerialized)
-    return {{rendezvous(candidates, among, question.Fingerprint)},
-            false,
-            false,
-            "serialized"};
   shuffle(among, rng);
   auto freest = std::ranges::max_element(
       among, {}, [&](std::size_t i) { return knownFree(candidates[i]); });
--- a/src/plugins/twochoices/twochoices.cpp
+++ b/src/plugins/twochoices/twochoices.cpp
@@ -11,14 +11,11 @@
 
 RoutePlan planTwoChoices(std::span<const Candidate> candidates,
                          const RouteQuestion &question, Random &rng) {
+  if (question.IsSerialized)
+    return planSerialized(candidates, question.Fingerprint);
   std::vector<std::size_t> among = eligible(candidates, question, rng);
   if (among.empty())
     return {{}, false, false, "no candidate"};
-  if (question.IsSerialized)
-    return {{rendezvous(candidates, among, question.Fingerprint)},
-            false,
-            false,
-            "serialized"};
   std::size_t first = among[uniform(rng, among.size())];
   std::size_t second = among[uniform(rng, among.size())];
   if (pressure(candidates[second]) < pressure(candidates[first]))
--- a/tests/kernel/test_gate.cpp
+++ b/tests/kernel/test_gate.cpp
@@ -163,15 +163,16 @@
   CHECK(count<CrashAction>(
             complete(gate, "1", AttemptOutcome::Crashed, at(1))) == 1);
   announce(gate, endpoint("e", "2"), at(100));
-  offer(gate, ticket("2"), at(101));
+  CHECK(count<StartAction>(offer(gate, ticket("2"), at(101))) == 0);
   CHECK(count<StartAction>(offer(gate, ticket("3"), at(102))) == 0);
-  GateActions crash = complete(gate, "2", AttemptOutcome::Crashed, at(103));
+  CHECK(count<StartAction>(tick(gate, at(202))) == 1);
+  GateActions crash = complete(gate, "2", AttemptOutcome::Crashed, at(203));
   CHECK(first<RefuseAction>(crash).Reason.Kind == ErrorKind::Quarantined);
-  announce(gate, endpoint("e", "3"), at(200));
-  GateActions refused = offer(gate, ticket("4"), at(201));
+  announce(gate, endpoint("e", "3"), at(300));
+  GateActions refused = offer(gate, ticket("4"), at(301));
   CHECK(first<RefuseAction>(refused).Reason.Kind == ErrorKind::Quarantined);
   gate.Crashes.Released.push_back(7);
-  CHECK(count<StartAction>(offer(gate, ticket("5"), at(202))) == 1);
+  CHECK(count<StartAction>(offer(gate, ticket("5"), at(302))) == 1);
 }
 
 TEST_CASE("work whose deadline passes in the queue is refused, not run") {
@@ -233,3 +234,14 @@
   CHECK(first<RefuseAction>(tick(gate, at(3'300))).Reason.Kind ==
         ErrorKind::Quarantined);
 }
+
+TEST_CASE("an endpoint that does not listen is left alone at once") {
+  Gate gate = gateWith("e");
+  announce(gate, endpoint("f"), at(0));
+  offer(gate, ticket("1"), at(0));
+  std::string dead = gate.Held.at("1");
+  complete(gate, "1", AttemptOutcome::Unreachable, at(1));
+  CHECK(gate.Endpoints.at(dead).State == Standing::Suspect);
+  offer(gate, ticket("2"), at(2));
+  CHECK(gate.Held.at("2") != dead);
+}
--- a/tests/process/testfleet.cpp
+++ b/tests/process/testfleet.cpp
@@ -1,12 +1,11 @@
 #include "process/testfleet.h"
 
-#include <catch2/catch.hpp>
-
 #include <arpa/inet.h>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -24,6 +23,12 @@
 constexpr milliseconds AskLimit{3'000};
 constexpr milliseconds PollPeriod{20};
 
+/// Fails the test, or ends the benchmark.
+void require(bool holds, const std::string &what) {
+  if (!holds)
+    throw std::runtime_error("not so: " + what);
+}
+
 std::string program(const std::string &name) {
   return std::string(HICKORYGLADE_BUILD) + "/" + name;
 }
@@ -133,8 +138,7 @@
   std::string id = "change-" + std::to_string(++changes);
   std::int64_t base = settings(node, path).value("revision", 0);
   HttpReply reply = tryPublish(node, path, value, base, id);
-  INFO(reply.Body);
-  REQUIRE(reply.Status == 200);
+  require(reply.Status == 200, "published: " + reply.Body);
 }
 
 void TestFleet::publishDefaults(const json &service) {
@@ -153,13 +157,13 @@
 void TestFleet::controlLog(const json &change) {
   HttpReply reply =
       callOnce(Log, {"POST", "/control", {}, change.dump()}, AskLimit);
-  REQUIRE(reply.Status == 200);
+  require(reply.Status == 200, "stand-in controlled");
 }
 
 void TestFleet::controlRelay(const std::string &node, const json &change) {
   HttpReply reply = callOnce(Nodes.at(node).RelayControl,
                              {"POST", "/control", {}, change.dump()}, AskLimit);
-  REQUIRE(reply.Status == 200);
+  require(reply.Status == 200, "stand-in controlled");
 }
 
 HttpReply TestFleet::call(const std::string &node, HttpQuestion question,
@@ -216,8 +220,7 @@
                       int limitMs) {
   auto until = std::chrono::steady_clock::now() + milliseconds(limitMs);
   while (!condition()) {
-    INFO("awaited: " << what);
-    REQUIRE(std::chrono::steady_clock::now() < until);
+    require(std::chrono::steady_clock::now() < until, "awaited: " + what);
     std::this_thread::sleep_for(PollPeriod);
   }
 }
--- a/tests/process/testfleet.h
+++ b/tests/process/testfleet.h
@@ -34,6 +34,9 @@
   ChildProcess &process(const std::string &name) { return Processes.at(name); }
   const NodeAddresses &node(const std::string &name) { return Nodes.at(name); }
   const std::string &logAddress() const { return Log; }
+  const std::string &endpointAddress(const std::string &name) {
+    return Endpoints.at(name);
+  }
 
   /// Publishes a value and requires that it is accepted.
   void publish(const std::string &path, const nlohmann::json &value);
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -384,7 +384,7 @@
   attempt->Endpoint = name;
   const std::shared_ptr<Call> &call = attempt->Request;
   if (!endpoint.IsUp)
-    return endWork(node, attempt, name, AttemptOutcome::Failed);
+    return endWork(node, attempt, name, AttemptOutcome::Unreachable);
   if (call->Runs++ == 0)
     call->FirstRun = Now;
   endpoint.Running[attempt->Id] = node.Name;
@@ -439,7 +439,7 @@
   if (real != Endpoints.end())
     real->second.Running.erase(attempt->Id);
   bool isAnswer = outcome == AttemptOutcome::Answered;
-  bool neverRan = outcome == AttemptOutcome::Failed &&
+  bool neverRan = outcome == AttemptOutcome::Unreachable &&
                   real != Endpoints.end() && !real->second.IsUp;
   attempt->Result = isAnswer   ? Told::Answered
                     : neverRan ? Told::NotRun
