entry: a gate that failed a request is tried last, news of candidates is awaited

Cause: an idempotent request handed back by a stalled endpoint went to the same gate again while its standing was still on its way, three times within 1 ms, and was then given up; a request that came before the first view was refused. Ruled out: a false verdict on the healthy endpoint (its standing never changed).

--- a/src/libfleet/adminfront.h
+++ b/src/libfleet/adminfront.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace hickoryglade::fleet {
--- a/src/libfleet/entry.cpp
+++ b/src/libfleet/entry.cpp
@@ -28,6 +28,9 @@
 /// Between tries to reach a gate that owes word of an attempt.
 constexpr Micros ResolvePause = std::chrono::milliseconds(20);
 
+/// How long a request waits for its service to have a candidate.
+constexpr Micros CandidatePatience = std::chrono::milliseconds(200);
+
 /// A gate's report older than this says nothing any more.
 constexpr Micros LoadTerm = std::chrono::milliseconds(500);
 
@@ -196,6 +199,9 @@
       co_return result;
     const Error &error = std::get<Error>(result);
     inquiry.HasMissed = inquiry.HasMissed || error.Kind == ErrorKind::SlotTaken;
+    bool hasFailed = error.Kind != ErrorKind::SlotTaken;
+    if (hasFailed && !inquiry.LastGate.empty())
+      inquiry.Tried.push_back(std::exchange(inquiry.LastGate, {}));
     mayHaveRun = mayHaveRun || error.Run == RunState::Unknown;
     RetryAnswer answer =
         decideRetry({error, inquiry.IsIdempotent, number,
@@ -242,10 +248,26 @@
   return all;
 }
 
-asio::awaitable<EntryResult> Entry::tryOnce(Inquiry &inquiry, int number) {
-  std::vector<Candidate> all = candidates(inquiry, now());
+/// Waits a little for a candidate to appear, since news of a change may be on
+/// its way.
+asio::awaitable<RoutePlan> Entry::planRoute(Inquiry &inquiry, bool isSerialized,
+                                            std::vector<Candidate> &all) {
   const auto *router =
       Registry<RouterPolicy>::instance().find(inquiry.Way.Policy.Router);
+  Instant until = std::min(now() + CandidatePatience, inquiry.Deadline);
+  RouteQuestion question{inquiry.Cost.IsLong, inquiry.IsIdempotent,
+                         inquiry.HasMissed, isSerialized, inquiry.Fingerprint};
+  while (true) {
+    all = candidates(inquiry, now());
+    RoutePlan plan = router->Plan(all, question, Rng);
+    if (!plan.Targets.empty() || now() >= until)
+      co_return plan;
+    asio::steady_timer pause(Executor, ResolvePause);
+    co_await pause.async_wait(asio::use_awaitable);
+  }
+}
+
+asio::awaitable<EntryResult> Entry::tryOnce(Inquiry &inquiry, int number) {
   QuarantineRule rule =
       ruleFor(View->Crashes, inquiry.Fingerprint, now(), inquiry.Crashes);
   if (rule == QuarantineRule::Refused)
@@ -253,11 +275,8 @@
                         fingerprintName(inquiry.Fingerprint),
                         inquiry.Way.Policy.QuarantineTerm);
   bool isSerialized = rule == QuarantineRule::Serialized;
-  RoutePlan plan =
-      router->Plan(all,
-                   {inquiry.Cost.IsLong, inquiry.IsIdempotent,
-                    inquiry.HasMissed, isSerialized, inquiry.Fingerprint},
-                   Rng);
+  std::vector<Candidate> all;
+  RoutePlan plan = co_await planRoute(inquiry, isSerialized, all);
   Attempt attempt;
   attempt.Request = &inquiry;
   attempt.Id = inquiry.Id + "/" + std::to_string(number);
@@ -267,8 +286,6 @@
   for (std::size_t i : plan.Targets) {
     auto node = View->Nodes.find(all[i].Node);
     const auto &gates = View->Services.at(inquiry.Way.Service).Gates;
-    if (!plan.OnlyIfFree && !plan.AwaitsGrant)
-      inquiry.Tried.push_back(all[i].Node);
     if (node != View->Nodes.end())
       attempt.Targets.push_back({gates[i], node->second, nullptr, 0, false});
   }
@@ -383,6 +400,7 @@
   if (!isOpen)
     co_return makeError(ErrorKind::NoEndpoint, "the gate cannot be reached",
                         DefaultRetryAfter);
+  attempt.Request->LastGate = attempt.Targets[0].Gate.Node;
   sendCall(attempt, 0);
   co_return co_await awaitAnswer(attempt, 0);
 }
@@ -414,11 +432,14 @@
       for (std::size_t i = 0; i < attempt.Targets.size(); ++i)
         if (i != event->Tag)
           withdraw(attempt, i);
+      attempt.Request->LastGate = attempt.Targets[event->Tag].Gate.Node;
       sendCall(attempt, event->Tag);
       co_return co_await awaitAnswer(attempt, event->Tag);
     }
     if (auto *failure = std::get_if<wire::Failure>(&event->Content)) {
       last = toError(attempt, *failure);
+      if (last.Kind != ErrorKind::Overloaded)
+        attempt.Request->Tried.push_back(attempt.Targets[event->Tag].Gate.Node);
       noteLoad(attempt.Targets[event->Tag].Gate.Node,
                attempt.Request->Way.Service, failure->load);
     }
--- a/src/libfleet/entry.h
+++ b/src/libfleet/entry.h
@@ -29,6 +29,8 @@
   int Crashes = 0;
   /// A slot that was thought free was not.
   bool HasMissed = false;
+  /// Gate of the latest attempt that reached one.
+  std::string LastGate;
   /// Gates that have refused or failed it.
   std::vector<std::string> Tried;
   std::shared_ptr<CallScope> Scope;
@@ -65,6 +67,8 @@
                                        std::string id);
   asio::awaitable<EntryResult> perform(Inquiry &inquiry);
   asio::awaitable<EntryResult> performKeyed(Inquiry &inquiry);
+  asio::awaitable<RoutePlan> planRoute(Inquiry &inquiry, bool isSerialized,
+                                       std::vector<Candidate> &all);
   asio::awaitable<EntryResult> tryOnce(Inquiry &inquiry, int number);
   asio::awaitable<EntryResult> sendDirect(Attempt &attempt);
   asio::awaitable<EntryResult> leaveTickets(Attempt &attempt);
--- a/src/libfleet/framechannel.h
+++ b/src/libfleet/framechannel.h
@@ -6,7 +6,7 @@
 
 namespace hickoryglade::wire {
 class Frame;
-}
+} // namespace hickoryglade::wire
 
 namespace hickoryglade::fleet {
 
--- a/src/libfleet/membershipservice.h
+++ b/src/libfleet/membershipservice.h
@@ -12,7 +12,7 @@
 
 namespace hickoryglade::wire {
 class Gossip;
-}
+} // namespace hickoryglade::wire
 
 namespace hickoryglade::fleet {
 
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -239,8 +239,6 @@
   attempt->OnlyIfFree = plan.OnlyIfFree;
   for (std::size_t i : plan.Targets) {
     attempt->Gates.insert(all[i].Node);
-    if (!plan.OnlyIfFree && !plan.AwaitsGrant)
-      call->Tried.insert(all[i].Node);
   }
   for (const std::string &gate : std::set<std::string>(attempt->Gates)) {
     ++node.Outstanding[gate];
@@ -490,6 +488,8 @@
   const std::shared_ptr<Call> &call = attempt->Request;
   if (told == Told::Answered)
     return finish(call, told, ErrorKind::Internal);
+  if (error.Kind != ErrorKind::SlotTaken && !attempt->Chosen.empty())
+    call->Tried.insert(attempt->Chosen);
   call->HasMissed = call->HasMissed || error.Kind == ErrorKind::SlotTaken;
   call->MayHaveRun = call->MayHaveRun || error.Run == RunState::Unknown;
   bool isSafe = call->IsIdempotent || !has(Mechanism::Retry);
