--- a/src/libfleet/link.cpp
+++ b/src/libfleet/link.cpp
@@ -4,6 +4,8 @@
 #include "libfleet/framecodec.h"
 #include "libfleet/logging.h"
 
+#include <nlohmann/json.hpp>
+
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
--- a/src/libfleet/membershipservice.cpp
+++ b/src/libfleet/membershipservice.cpp
@@ -6,6 +6,8 @@
 #include "libfleet/logging.h"
 #include "libfleet/wireconvert.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 
 namespace hickoryglade::fleet {
--- a/src/libfleet/settingsservice.cpp
+++ b/src/libfleet/settingsservice.cpp
@@ -4,6 +4,8 @@
 #include "libfleet/logging.h"
 #include "libfleet/metrics.h"
 
+#include <nlohmann/json.hpp>
+
 namespace hickoryglade::fleet {
 
 namespace {
--- a/src/libhickoryglade/costmodel.cpp
+++ b/src/libhickoryglade/costmodel.cpp
@@ -14,7 +14,7 @@
 constexpr int SizeClassBits = 2;
 
 std::string keyOf(const CostClass &cls) {
-  int sizeClass = std::bit_width(cls.BodyBytes) / SizeClassBits;
+  int sizeClass = int(std::bit_width(cls.BodyBytes)) / SizeClassBits;
   return cls.Route + ' ' + cls.Method + ' ' + std::to_string(sizeClass);
 }
 
--- a/src/libhickoryglade/settingsschema.cpp
+++ b/src/libhickoryglade/settingsschema.cpp
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 #include <array>
 #include <functional>
@@ -116,13 +118,6 @@
          std::ranges::all_of(name, isNameChar);
 }
 
-std::string join(const std::vector<std::string> &names) {
-  std::string all;
-  for (const std::string &name : names)
-    all += (all.empty() ? "" : ", ") + name;
-  return all;
-}
-
 std::string fault(const IntegerRule &rule, const json &value) {
   std::string range = "must be an integer from " + std::to_string(rule.Lowest) +
                       " to " + std::to_string(rule.Highest);
@@ -138,7 +133,8 @@
   if (value.is_string() &&
       std::ranges::find(names, value.get<std::string>()) != names.end())
     return "";
-  return "must be one of " + join(names) + ", not " + value.dump();
+  return "must be one of " + absl::StrJoin(names, ", ") + ", not " +
+         value.dump();
 }
 
 bool isStringList(const json &value) {
