--- a/src/libfleet/control.cpp
+++ b/src/libfleet/control.cpp
@@ -24,15 +24,6 @@
 constexpr Micros LonelyTerm = std::chrono::milliseconds(1'500);
 constexpr std::size_t MostSnapshotPeers = 3;
 
-wire::Hello makeHello(const NodeSettings &settings, std::int64_t bootId) {
-  wire::Hello hello;
-  hello.node = settings.Node;
-  hello.bootId = bootId;
-  hello.dataCentre = settings.DataCentre;
-  hello.protocolVersion = 1;
-  return hello;
-}
-
 MemberRecord makeRecord(const NodeSettings &settings, std::int64_t bootId) {
   MemberRecord record;
   record.Node = settings.Node;
@@ -91,7 +82,8 @@
                  std::int64_t bootId, Metrics &metrics, Events events)
     : Io(io), Facts(settings), BootId(bootId), Counters(metrics),
       Handlers(std::move(events)),
-      Links(io.get_executor(), makeHello(settings, bootId)),
+      Links(io.get_executor(),
+            makeHello(settings.Node, bootId, settings.DataCentre)),
       Members(io, settings.FleetAddress,
               makeMembership(makeRecord(settings, bootId), settings.Seeds,
                              std::uint64_t(bootId), now()),
--- a/src/libfleet/entry.cpp
+++ b/src/libfleet/entry.cpp
@@ -3,6 +3,7 @@
 #include "libfleet/keyedcall.h"
 #include "libfleet/logging.h"
 #include "libfleet/metrics.h"
+#include "libfleet/wireconvert.h"
 #include "libhickoryglade/hash.h"
 #include "libhickoryglade/registry.h"
 #include "libhickoryglade/startledger.h"
@@ -87,15 +88,7 @@
              std::int64_t bootId, std::size_t worker, Metrics &metrics)
     : Executor(ex), Node(std::move(node)), DataCentre(std::move(dataCentre)),
       BootId(bootId), Worker(worker), Counters(metrics),
-      Links(ex,
-            [&] {
-              wire::Hello hello;
-              hello.node = Node;
-              hello.bootId = bootId;
-              hello.dataCentre = DataCentre;
-              hello.protocolVersion = 1;
-              return hello;
-            }()),
+      Links(ex, makeHello(Node, bootId, DataCentre)),
       Rng(std::uint64_t(bootId) + worker) {}
 
 void Entry::applyView(FleetViewPtr view) { View = std::move(view); }
--- a/src/libfleet/node.cpp
+++ b/src/libfleet/node.cpp
@@ -11,6 +11,7 @@
 #include "libfleet/localchannel.h"
 #include "libfleet/logging.h"
 #include "libfleet/metrics.h"
+#include "libfleet/wireconvert.h"
 
 #include <nlohmann/json.hpp>
 
@@ -29,15 +30,6 @@
 constexpr Millis HandOnLimit = std::chrono::seconds(2);
 constexpr Millis StopPoll = std::chrono::milliseconds(20);
 
-wire::Hello makeHello(const NodeSettings &settings, std::int64_t bootId) {
-  wire::Hello hello;
-  hello.node = settings.Node;
-  hello.bootId = bootId;
-  hello.dataCentre = settings.DataCentre;
-  hello.protocolVersion = 1;
-  return hello;
-}
-
 HttpAnswer faultAnswer(int status) {
   ErrorKind kind = status == 431   ? ErrorKind::HeadersTooLarge
                    : status == 413 ? ErrorKind::BodyTooLarge
@@ -161,7 +153,8 @@
   Keys = std::make_unique<KeyService>(
       gateThread, LeaseHolder{Facts.Node, BootId}, Entries[0]->links());
   Server = std::make_unique<LinkServer>(
-      gateThread, Facts.FleetAddress, makeHello(Facts, BootId),
+      gateThread, Facts.FleetAddress,
+      makeHello(Facts.Node, BootId, Facts.DataCentre),
       [this](const std::shared_ptr<FrameChannel> &from, wire::Frame frame) {
         takeFrame(from, std::move(frame));
       });
--- a/src/libfleet/wireconvert.cpp
+++ b/src/libfleet/wireconvert.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr int ProtocolVersion = 1;
 constexpr std::size_t MostSnapshotVerdicts = 256;
 
 template <typename Enum> std::optional<Enum> toEnum(int value, Enum last) {
@@ -78,6 +79,16 @@
 
 } // namespace
 
+wire::Hello makeHello(const std::string &node, std::int64_t bootId,
+                      const std::string &dataCentre) {
+  wire::Hello hello;
+  hello.node = node;
+  hello.bootId = bootId;
+  hello.dataCentre = dataCentre;
+  hello.protocolVersion = ProtocolVersion;
+  return hello;
+}
+
 wire::Gossip toWire(const GossipMessage &message) {
   wire::Gossip out;
   out.kind = static_cast<wire::GossipKind::type>(message.Kind);
--- a/src/libfleet/wireconvert.h
+++ b/src/libfleet/wireconvert.h
@@ -10,6 +10,10 @@
 
 namespace hickoryglade::fleet {
 
+/// How a node introduces itself on a link.
+wire::Hello makeHello(const std::string &node, std::int64_t bootId,
+                      const std::string &dataCentre);
+
 wire::Gossip toWire(const GossipMessage &message);
 /// Gives nothing if a value is out of range.
 std::optional<GossipMessage> fromWire(const wire::Gossip &gossip);
--- a/src/libhickoryglade/settingsschema.cpp
+++ b/src/libhickoryglade/settingsschema.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
@@ -229,7 +230,7 @@
   for (const auto &[key, item] : value.items()) {
     std::string reason = keyFault(key, level, item);
     if (!reason.empty())
-      faults.push_back({path + ": " + key, reason});
+      faults.push_back({absl::StrCat(path, ": ", key), reason});
   }
   if (level == SettingsLevel::Route && !value.contains("host"))
     faults.push_back({path + ": host", "is missing"});
