--- a/src/libfleet/endpointclient.cpp
+++ b/src/libfleet/endpointclient.cpp
@@ -18,6 +18,9 @@
 constexpr Micros ConnectLimit = std::chrono::milliseconds(500);
 constexpr Micros ListenCheckLimit = std::chrono::milliseconds(100);
 
+/// A process that ends may close its connections before it stops listening.
+constexpr Micros ExitTime = std::chrono::milliseconds(50);
+
 /// An idle connection may have been forgotten by something between its ends.
 /// Work that cannot be repeated trusts only one that worked a moment ago.
 constexpr Micros IdleLimit = std::chrono::seconds(15);
@@ -169,6 +172,11 @@
                             std::string detail) {
   forget(address);
   bool isAlive = co_await isListening(address);
+  if (isAlive) {
+    asio::steady_timer pause(Executor, ExitTime);
+    co_await pause.async_wait(asio::use_awaitable);
+    isAlive = co_await isListening(address);
+  }
   co_return failed(isAlive ? AttemptOutcome::Broken : AttemptOutcome::Crashed,
                    kind, RunState::Unknown, std::move(detail));
 }
