--- a/src/libfleet/adminfront.cpp
+++ b/src/libfleet/adminfront.cpp
@@ -3,6 +3,7 @@
 #include "libfleet/address.h"
 #include "libfleet/clock.h"
 #include "libfleet/control.h"
+#include "libfleet/logging.h"
 #include "libfleet/metrics.h"
 #include "libhickoryglade/routetable.h"
 
@@ -153,6 +154,11 @@
 asio::awaitable<HttpAnswer> AdminFront::serve(HttpRequest request) {
   const std::string &target = request.Target;
   bool isGet = request.Method == "GET";
+  if (Handlers.ParseMessage) {
+    EndpointMessage message = Handlers.ParseMessage(request);
+    if (!std::holds_alternative<std::monostate>(message))
+      co_return co_await takeMessage(std::move(message));
+  }
   if (target == EndpointsPath && request.Method == "POST")
     co_return co_await announce(request);
   if (target.starts_with("/v1/endpoints/") && request.Method == "DELETE")
@@ -179,6 +185,22 @@
   co_return announcedAnswer(generation);
 }
 
+asio::awaitable<HttpAnswer> AdminFront::takeMessage(EndpointMessage message) {
+  if (auto *malformed = std::get_if<MalformedAnnouncement>(&message)) {
+    logEvent(LogLevel::Warn, "announcement_malformed",
+             {{"reason", malformed->Reason}});
+    co_return fault(400, malformed->Reason);
+  }
+  if (auto *departure = std::get_if<Departure>(&message)) {
+    bool isDone = co_await Handlers.OnDepart(departure->Name);
+    co_return isDone ? jsonAnswer(200, json::object())
+                     : fault(503, "the node is leaving");
+  }
+  std::optional<std::int64_t> generation =
+      co_await Handlers.OnAnnounce(std::get<Announcement>(std::move(message)));
+  co_return announcedAnswer(generation);
+}
+
 HttpAnswer AdminFront::withdraw(const std::string &target) {
   Handlers.OnWithdraw(target.substr(EndpointsPath.size() + 1));
   return jsonAnswer(200, json::object());
--- a/src/libfleet/adminfront.h
+++ b/src/libfleet/adminfront.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libfleet/httpfront.h"
+#include "libfleet/platformadapter.h"
 #include "libhickoryglade/announcement.h"
 
 #include <functional>
@@ -23,6 +24,10 @@
     std::function<asio::awaitable<std::optional<std::int64_t>>(Announcement)>
         OnAnnounce;
     std::function<void(std::string)> OnWithdraw;
+    /// As OnWithdraw, and tells once it is done.
+    std::function<asio::awaitable<bool>(std::string)> OnDepart;
+    /// Reads messages in the platform's words; may be empty.
+    std::function<EndpointMessage(const HttpRequest &)> ParseMessage;
   };
 
   AdminFront(asio::io_context &io, Control &control, Metrics &metrics,
@@ -32,6 +37,7 @@
 
 private:
   asio::awaitable<HttpAnswer> announce(const HttpRequest &request);
+  asio::awaitable<HttpAnswer> takeMessage(EndpointMessage message);
   asio::awaitable<HttpAnswer> change(const HttpRequest &request);
   HttpAnswer withdraw(const std::string &target);
   HttpAnswer settings(const std::string &target) const;
--- a/src/libfleet/clock.cpp
+++ b/src/libfleet/clock.cpp
@@ -1,14 +1,27 @@
 #include "libfleet/clock.h"
 
+#include <ctime>
+
 namespace hickoryglade::fleet {
 
+namespace {
+
+constexpr std::int64_t MicrosPerSecond = 1'000'000;
+constexpr std::int64_t NanosPerMicro = 1'000;
+
+} // namespace
+
+// The steady clock stands still while the VM is suspended, which would make old
+// news look fresh.
 Instant now() {
-  auto since = std::chrono::steady_clock::now().time_since_epoch();
-  return Instant(std::chrono::duration_cast<Micros>(since));
+  timespec at{};
+  clock_gettime(CLOCK_BOOTTIME, &at);
+  return Instant(
+      Micros(at.tv_sec * MicrosPerSecond + at.tv_nsec / NanosPerMicro));
 }
 
 std::chrono::steady_clock::time_point toSteady(Instant at) {
-  return std::chrono::steady_clock::time_point(at.time_since_epoch());
+  return std::chrono::steady_clock::now() + (at - now());
 }
 
 std::int64_t wallMicros() {
--- a/src/libfleet/clock.h
+++ b/src/libfleet/clock.h
@@ -4,7 +4,7 @@
 
 namespace hickoryglade::fleet {
 
-/// Present time on the kernel's axis, from the steady clock.
+/// Present time on the kernel's axis; goes on while the VM is suspended.
 Instant now();
 
 /// Point of the steady clock that corresponds to an instant.
--- a/src/libfleet/control.cpp
+++ b/src/libfleet/control.cpp
@@ -24,6 +24,15 @@
 constexpr Micros LonelyTerm = std::chrono::milliseconds(1'500);
 constexpr std::size_t MostSnapshotPeers = 3;
 
+/// News of a settings document reaches most nodes from the store this soon;
+/// only those left behind ask their peers.
+constexpr Millis CatchUpDelay = std::chrono::milliseconds(300);
+
+/// Between tries to reach the directory, and between looks into it while no
+/// other node is known.
+constexpr Millis DirectoryPause = std::chrono::milliseconds(500);
+constexpr Millis LonelyPause = std::chrono::seconds(2);
+
 MemberRecord makeRecord(const NodeSettings &settings, std::int64_t bootId) {
   MemberRecord record;
   record.Node = settings.Node;
@@ -87,7 +96,10 @@
       Members(io, settings.FleetAddress,
               makeMembership(makeRecord(settings, bootId), settings.Seeds,
                              std::uint64_t(bootId), now()),
-              {[this] { scheduleRebuild(); },
+              {[this] {
+                 followPeers();
+                 scheduleRebuild();
+               },
                [this](std::uint64_t fingerprint, CrashRecord record) {
                  if (mergeCrash(Crashes, fingerprint, record))
                    scheduleRebuild();
@@ -179,12 +191,43 @@
   co_return reply && reply->verdict == int(KeyVerdict::Granted);
 }
 
+void Control::usePlatform(const PlatformAdapter &platform) {
+  asio::any_io_executor ex = Io.get_executor();
+  Settings.followDocuments(
+      platform.MakeSettingsSource(ex, Facts.PlatformAddress));
+  Directory = platform.MakeDirectory(ex, Facts.PlatformAddress);
+}
+
+/// Enters this node into the directory, then looks for others until one is
+/// known; gossip brings the rest.
+asio::awaitable<void> Control::findNodes() {
+  asio::steady_timer timer(Io);
+  bool isEntered = false;
+  while (!IsLeaving) {
+    if (!isEntered)
+      isEntered =
+          co_await Directory->enter(Facts.Node, Facts.AdvertisedAddress);
+    auto addresses = co_await Directory->list();
+    if (addresses)
+      Members.addSeeds(*addresses);
+    else
+      logEvent(LogLevel::Warn, "directory_unreachable", json::object());
+    timer.expires_after(addresses ? LonelyPause : DirectoryPause);
+    co_await timer.async_wait(asio::use_awaitable);
+    if (isEntered && !peers(Members.state()).empty())
+      co_return;
+  }
+}
+
 absl::Status Control::start() {
   absl::Status status = Members.start();
   if (!status.ok())
     return status;
   Settings.start();
-  Leases.start();
+  if (Directory)
+    asio::co_spawn(Io, findNodes(), asio::detached);
+  else
+    Leases.start();
   scheduleRebuild();
   asio::co_spawn(Io, awaitReady(), asio::detached);
   return absl::OkStatus();
@@ -216,6 +259,37 @@
   describe(true);
 }
 
+/// A node that the store does not serve takes newer settings from a member
+/// that says it has them.
+void Control::followPeers() {
+  if (!Directory || IsCatchingUp)
+    return;
+  bool isBehind = std::ranges::any_of(
+      peers(Members.state()), [this](const Member *it) {
+        return it->Record.SettingsNext > Settings.state().Next;
+      });
+  if (!isBehind)
+    return;
+  IsCatchingUp = true;
+  asio::co_spawn(Io, catchUp(), asio::detached);
+}
+
+asio::awaitable<void> Control::catchUp() {
+  asio::steady_timer timer(Io, CatchUpDelay);
+  co_await timer.async_wait(asio::use_awaitable);
+  std::vector<std::string> ahead;
+  for (const Member *it : peers(Members.state()))
+    if (it->Record.SettingsNext > Settings.state().Next)
+      ahead.push_back(it->Record.FleetAddress);
+  if (!ahead.empty()) {
+    bool hasAnswer = co_await fetchSnapshotFrom(std::move(ahead));
+    logEvent(LogLevel::Info, "settings_from_peer",
+             {{"answered", hasAnswer}, {"next", Settings.state().Next}});
+  }
+  IsCatchingUp = false;
+  followPeers();
+}
+
 /// Order in which members take a task that one of them must do.
 std::size_t Control::refreshRank(const std::string &what) const {
   const Membership &state = Members.state();
@@ -233,6 +307,11 @@
     addresses.push_back(peer->Record.FleetAddress);
   if (addresses.empty())
     addresses = Facts.Seeds;
+  co_return co_await fetchSnapshotFrom(std::move(addresses));
+}
+
+asio::awaitable<bool>
+Control::fetchSnapshotFrom(std::vector<std::string> addresses) {
   std::ranges::shuffle(addresses, Random(std::uint64_t(wallMicros())));
   addresses.resize(std::min(addresses.size(), MostSnapshotPeers));
   bool hasAnswer = false;
@@ -331,7 +410,8 @@
     RoutesNext = settings.Next;
   }
   auto view = std::make_shared<FleetView>();
-  view->HasSettings = Settings.isLoaded();
+  view->HasSettings = Settings.isLoaded() && !settings.Tree.Nodes.empty();
+  view->Root = policyAt(settings.Tree, "/");
   view->Routes = Routes;
   for (const auto &[node, member] : Members.state().Members)
     addMember(*view, member);
--- a/src/libfleet/control.h
+++ b/src/libfleet/control.h
@@ -5,6 +5,7 @@
 #include "libfleet/membershipservice.h"
 #include "libfleet/nodesettings.h"
 #include "libfleet/peerlinks.h"
+#include "libfleet/platformadapter.h"
 #include "libfleet/settingsservice.h"
 
 #include "libhickoryglade/gateaction.h"
@@ -26,7 +27,7 @@
   struct Events {
     /// Called with each new view, on the control thread.
     std::function<void(FleetViewPtr)> OnView;
-    /// Called once, when the node knows enough to take callers.
+    /// Called once, when the node knows enough to serve callers.
     std::function<void()> OnReady;
     /// Ends of the ejection leases held, by endpoint, at each change.
     std::function<void(std::map<std::string, Instant>)> OnEjections;
@@ -35,6 +36,9 @@
   Control(asio::io_context &io, const NodeSettings &settings,
           std::int64_t bootId, Metrics &metrics, Events events);
 
+  /// Takes settings and other nodes from the platform in place of the log.
+  void usePlatform(const PlatformAdapter &platform);
+
   absl::Status start();
 
   void setEndpoints(std::vector<EndpointRecord> endpoints);
@@ -58,6 +62,7 @@
 
 private:
   asio::awaitable<bool> fetchSnapshot();
+  asio::awaitable<bool> fetchSnapshotFrom(std::vector<std::string> addresses);
   asio::awaitable<bool> askVoucher(std::string node);
   LeaseService::Events leaseEvents();
   std::vector<LedgerMember> ledgerMembers() const;
@@ -65,9 +70,12 @@
   LeaseRecord describeEjection(const LeaseSubject &subject) const;
   std::size_t refreshRank(const std::string &what) const;
   void describe(bool isUrgent);
+  void followPeers();
+  asio::awaitable<void> catchUp();
   void scheduleRebuild();
   void rebuild();
   asio::awaitable<void> awaitReady();
+  asio::awaitable<void> findNodes();
   void addMember(FleetView &view, const Member &member) const;
 
   asio::io_context &Io;
@@ -79,9 +87,11 @@
   MembershipService Members;
   SettingsService Settings;
   LeaseService Leases;
+  std::unique_ptr<NodeDirectory> Directory;
   asio::steady_timer RebuildTimer;
   bool IsRebuildDue = false;
   bool IsLeaving = false;
+  bool IsCatchingUp = false;
   std::vector<EndpointRecord> Endpoints;
   Quarantine Crashes;
   std::shared_ptr<const RouteTable> Routes;
--- a/src/libfleet/endpointclient.cpp
+++ b/src/libfleet/endpointclient.cpp
@@ -72,13 +72,8 @@
   return answer;
 }
 
-bool isShed(const HttpAnswer &answer) {
-  return answer.Status == 503 &&
-         headerValue(answer.Headers, "Endpoint-Shed") == "not-run";
-}
-
 /// An answer that ends when its connection closes cannot be told from a
-/// truncated one.
+/// truncated one, unless the endpoint is known to close in order.
 template <typename Parser>
 bool isLengthKnown(const Parser &parser, bool isHead) {
   int status = int(parser.get().result_int());
@@ -108,8 +103,9 @@
   Instant IdleSince;
 };
 
-EndpointClient::EndpointClient(asio::any_io_executor ex)
-    : Executor(std::move(ex)) {}
+EndpointClient::EndpointClient(asio::any_io_executor ex,
+                               const HttpDialect &dialect)
+    : Executor(std::move(ex)), Dialect(dialect) {}
 
 EndpointClient::~EndpointClient() = default;
 
@@ -181,13 +177,89 @@
                    kind, RunState::Unknown, std::move(detail));
 }
 
+EndpointResult EndpointClient::judge(HttpAnswer answer) const {
+  constexpr int misdirected = 421;
+  if (answer.Status == misdirected && Dialect.IsNotRun(answer))
+    return failed(AttemptOutcome::Unreachable, ErrorKind::WrongGeneration,
+                  RunState::NotRun, "another endpoint has the address");
+  if (Dialect.IsNotRun(answer))
+    return failed(AttemptOutcome::Shed, ErrorKind::EndpointShed,
+                  RunState::NotRun, "the endpoint sheds load");
+  AttemptOutcome outcome = answer.Status >= 500 ? AttemptOutcome::ServerError
+                                                : AttemptOutcome::Answered;
+  return EndpointResult{outcome, std::move(answer), {}, Micros{0}};
+}
+
+/// Reads answers until one belongs to the request: late ones to earlier
+/// requests may come first.
+asio::awaitable<EndpointResult>
+EndpointClient::readAnswer(ConnectionPtr connection, const EndpointCall &call,
+                           std::shared_ptr<bool> isWritten) {
+  bool isHead = call.Request.Method == "HEAD";
+  std::string id = headerValue(call.Request.Headers, Dialect.RequestIdHeader);
+  bool isInOrder = true;
+  while (true) {
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(MostAnswerBytes);
+    parser.skip(isHead);
+    error_code ec;
+    co_await http::async_read_header(
+        connection->Stream, connection->Buffer, parser,
+        asio::redirect_error(asio::use_awaitable, ec));
+    bool hasHead = !ec;
+    bool isFramed = hasHead && isLengthKnown(parser, isHead);
+    if (hasHead && !isFramed && !Dialect.MayLackLength)
+      co_return failed(AttemptOutcome::Failed, ErrorKind::AnswerTruncated,
+                       RunState::Unknown, "the answer's length is not known");
+    if (hasHead && !parser.is_done())
+      co_await http::async_read(connection->Stream, connection->Buffer, parser,
+                                asio::redirect_error(asio::use_awaitable, ec));
+    if (ec == beast::error::timeout)
+      co_return failed(AttemptOutcome::TimedOut, ErrorKind::DeadlineExceeded,
+                       RunState::Unknown,
+                       "the endpoint did not answer in time");
+    if (ec)
+      co_return co_await explainLoss(call.Address,
+                                     hasHead ? ErrorKind::AnswerTruncated
+                                             : ErrorKind::EndpointFailed,
+                                     ec.message());
+    bool isKept = parser.keep_alive() && isFramed && *isWritten;
+    HttpAnswer answer = fromBeast(parser.release());
+    AnswerMatch match = matchAnswer(Dialect, answer, id);
+    if (match == AnswerMatch::Stray && isKept) {
+      isInOrder = false;
+      continue;
+    }
+    if (match != AnswerMatch::Own)
+      co_return failed(AttemptOutcome::Failed, ErrorKind::EndpointFailed,
+                       RunState::Unknown, "the answer is not the endpoint's");
+    if (isKept && isInOrder && connection->Buffer.size() == 0)
+      putIdle(call.Address, connection);
+    co_return judge(std::move(answer));
+  }
+}
+
+namespace {
+
+/// Sends a request; an endpoint may answer before it has read all of it.
+template <typename Connection>
+asio::awaitable<void> writeRequest(std::shared_ptr<Connection> connection,
+                                   http::request<http::string_body> message,
+                                   std::shared_ptr<bool> isWritten) {
+  error_code ec;
+  co_await http::async_write(connection->Stream, message,
+                             asio::redirect_error(asio::use_awaitable, ec));
+  *isWritten = !ec;
+}
+
+} // namespace
+
 asio::awaitable<EndpointResult>
-EndpointClient::exchange(std::string address, HttpRequest request,
-                         bool isIdempotent, Instant deadline,
+EndpointClient::exchange(EndpointCall call,
                          std::shared_ptr<ExchangeHandle> handle) {
-  ConnectionPtr connection = takeIdle(address, isIdempotent);
+  ConnectionPtr connection = takeIdle(call.Address, call.IsIdempotent);
   if (!connection)
-    connection = co_await connect(address, deadline, handle);
+    connection = co_await connect(call.Address, call.Deadline, handle);
   if (!connection)
     co_return failed(AttemptOutcome::Unreachable, ErrorKind::EndpointFailed,
                      RunState::NotRun, "cannot connect to the endpoint");
@@ -195,48 +267,17 @@
   if (handle->IsCancelled)
     co_return failed(AttemptOutcome::Cancelled, ErrorKind::Cancelled,
                      RunState::NotRun, "given up before it was sent");
-
-  auto message = toBeast(request, address);
-  bool isHead = request.Method == "HEAD";
-  connection->Stream.expires_at(toSteady(deadline));
-  error_code ec;
-  co_await http::async_write(connection->Stream, message,
-                             asio::redirect_error(asio::use_awaitable, ec));
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(MostAnswerBytes);
-  parser.skip(isHead);
-  if (!ec)
-    co_await http::async_read_header(
-        connection->Stream, connection->Buffer, parser,
-        asio::redirect_error(asio::use_awaitable, ec));
-  bool hasHead = !ec;
-  if (hasHead && !isLengthKnown(parser, isHead))
-    co_return failed(AttemptOutcome::Failed, ErrorKind::AnswerTruncated,
-                     RunState::Unknown, "the answer's length is not known");
-  if (hasHead && !parser.is_done())
-    co_await http::async_read(connection->Stream, connection->Buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, ec));
+  connection->Stream.expires_at(toSteady(call.Deadline));
+  auto isWritten = std::make_shared<bool>(false);
+  asio::co_spawn(Executor,
+                 writeRequest(connection, toBeast(call.Request, call.Address),
+                              isWritten),
+                 asio::detached);
+  EndpointResult result = co_await readAnswer(connection, call, isWritten);
   if (handle->IsCancelled)
     co_return failed(AttemptOutcome::Cancelled, ErrorKind::Cancelled,
                      RunState::Unknown, "given up");
-  if (ec == beast::error::timeout)
-    co_return failed(AttemptOutcome::TimedOut, ErrorKind::DeadlineExceeded,
-                     RunState::Unknown, "the endpoint did not answer in time");
-  if (ec)
-    co_return co_await explainLoss(address,
-                                   hasHead ? ErrorKind::AnswerTruncated
-                                           : ErrorKind::EndpointFailed,
-                                   ec.message());
-  bool isKept = parser.keep_alive() && connection->Buffer.size() == 0;
-  HttpAnswer answer = fromBeast(parser.release());
-  if (isKept)
-    putIdle(address, connection);
-  if (isShed(answer))
-    co_return failed(AttemptOutcome::Shed, ErrorKind::EndpointShed,
-                     RunState::NotRun, "the endpoint sheds load");
-  AttemptOutcome outcome = answer.Status >= 500 ? AttemptOutcome::ServerError
-                                                : AttemptOutcome::Answered;
-  co_return EndpointResult{outcome, std::move(answer), {}, Micros{0}};
+  co_return result;
 }
 
 } // namespace hickoryglade::fleet
--- a/src/libfleet/endpointclient.h
+++ b/src/libfleet/endpointclient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "libfleet/asio.h"
-#include "libfleet/httpmessage.h"
+#include "libfleet/httpdialect.h"
 #include "libhickoryglade/gate.h"
 
 #include <functional>
@@ -28,16 +28,23 @@
   bool IsCancelled = false;
 };
 
+/// A request on its way to an endpoint.
+struct EndpointCall {
+  std::string Address;
+  HttpRequest Request;
+  bool IsIdempotent = false;
+  Instant Deadline;
+};
+
 /// Speaks HTTP/1.1 to endpoints over pooled connections, one exchange at a
 /// time on each. Used from one thread only.
 class EndpointClient {
 public:
-  explicit EndpointClient(asio::any_io_executor ex);
+  EndpointClient(asio::any_io_executor ex, const HttpDialect &dialect);
   ~EndpointClient();
 
   asio::awaitable<EndpointResult>
-  exchange(std::string address, HttpRequest request, bool isIdempotent,
-           Instant deadline, std::shared_ptr<ExchangeHandle> handle);
+  exchange(EndpointCall call, std::shared_ptr<ExchangeHandle> handle);
 
   /// Closes idle connections to an endpoint.
   void forget(const std::string &address);
@@ -51,11 +58,16 @@
   asio::awaitable<ConnectionPtr>
   connect(std::string address, Instant deadline,
           std::shared_ptr<ExchangeHandle> handle);
+  asio::awaitable<EndpointResult> readAnswer(ConnectionPtr connection,
+                                             const EndpointCall &call,
+                                             std::shared_ptr<bool> isWritten);
+  EndpointResult judge(HttpAnswer answer) const;
   asio::awaitable<bool> isListening(std::string address);
   asio::awaitable<EndpointResult>
   explainLoss(std::string address, ErrorKind kind, std::string detail);
 
   asio::any_io_executor Executor;
+  const HttpDialect &Dialect;
   std::map<std::string, std::list<ConnectionPtr>> Idle;
 };
 
--- a/src/libfleet/entry.cpp
+++ b/src/libfleet/entry.cpp
@@ -12,7 +12,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 
 namespace hickoryglade::fleet {
 
@@ -62,6 +61,13 @@
   return hash;
 }
 
+/// An endpoint's report of a failure is worth another try where that is safe.
+bool isFinalAnswer(const EntryResult &result, bool isIdempotent) {
+  constexpr int leastServerError = 500;
+  const auto *answer = std::get_if<HttpAnswer>(&result);
+  return answer && (!isIdempotent || answer->Status < leastServerError);
+}
+
 } // namespace
 
 /// One try of a request: the gates asked, and the streams open to them.
@@ -84,10 +90,12 @@
   Instant waitUntil() const { return Request->Deadline + VerdictGrace; }
 };
 
-Entry::Entry(asio::any_io_executor ex, std::string node, std::string dataCentre,
-             std::int64_t bootId, std::size_t worker, Metrics &metrics)
-    : Executor(ex), Node(std::move(node)), DataCentre(std::move(dataCentre)),
-      BootId(bootId), Worker(worker), Counters(metrics),
+Entry::Entry(asio::any_io_executor ex, const NodeSettings &settings,
+             std::int64_t bootId, std::size_t worker,
+             const HttpDialect &dialect, Metrics &metrics)
+    : Executor(ex), Node(settings.Node), DataCentre(settings.DataCentre),
+      Service(settings.Service), HasKeepers(settings.Platform.empty()),
+      BootId(bootId), Worker(worker), Dialect(dialect), Counters(metrics),
       Links(ex, makeHello(Node, bootId, DataCentre)),
       Rng(std::uint64_t(bootId) + worker) {}
 
@@ -103,6 +111,8 @@
                                          std::shared_ptr<CallScope> scope) {
   Instant start = now();
   std::string id = nextId();
+  std::string callerId =
+      headerValue(request.Headers, Dialect.RequestIdHeader);
   ++InFlight;
   std::string service;
   std::variant<Inquiry, Error> examined =
@@ -113,7 +123,8 @@
   } else {
     Inquiry &inquiry = std::get<Inquiry>(examined);
     service = inquiry.Way.Service;
-    bool isKeyed = !inquiry.IsIdempotent && !inquiry.IdempotencyKey.empty();
+    bool isKeyed = HasKeepers && !inquiry.IsIdempotent &&
+                   !inquiry.IdempotencyKey.empty();
     if (isKeyed)
       result = co_await performKeyed(inquiry);
     else
@@ -124,13 +135,32 @@
     answer = problem(*error, id);
   else
     answer = std::move(std::get<HttpAnswer>(result));
-  answer.Headers.push_back({"Request-Id", id});
+  const std::string &shownId = Dialect.IsIdFromCaller ? callerId : id;
+  if (headerValue(answer.Headers, Dialect.RequestIdHeader).empty())
+    answer.Headers.push_back({Dialect.RequestIdHeader, shownId});
   --InFlight;
   Counters.countAnswer(service, answer.Status,
                        std::chrono::duration<double>(now() - start).count());
   co_return answer;
 }
 
+/// The caller's time or the setting's default, within the route's limit.
+Millis Entry::allowedTime(const HttpRequest &request,
+                          const ServicePolicy &policy,
+                          std::optional<Error> &fault) const {
+  std::string text = headerValue(request.Headers, Dialect.TimeoutHeader);
+  if (text.empty())
+    return std::min(policy.Timeout, policy.TimeLimit);
+  std::optional<Millis> parsed = parseTimeout(text);
+  if (parsed)
+    return std::min(*parsed, policy.TimeLimit);
+  fault = makeError(ErrorKind::BadRequest,
+                    Dialect.TimeoutHeader +
+                        " must be a positive number of milliseconds of at "
+                        "most a day");
+  return {};
+}
+
 std::variant<Inquiry, Error> Entry::examine(HttpRequest request,
                                             std::shared_ptr<CallScope> scope,
                                             std::string id) {
@@ -145,27 +175,25 @@
   if (bytes > policy.MaxBodyBytes)
     return makeError(ErrorKind::BodyTooLarge,
                      "limit " + std::to_string(policy.MaxBodyBytes));
-  Millis timeout = policy.Timeout;
-  if (std::string text = headerValue(request.Headers, "Request-Timeout-Ms");
-      !text.empty()) {
-    std::optional<Millis> parsed = parseTimeout(text);
-    if (!parsed)
-      return makeError(ErrorKind::BadRequest,
-                       "Request-Timeout-Ms must be a positive number of "
-                       "milliseconds of at most a day");
-    timeout = *parsed;
-  }
+  std::optional<Error> fault;
+  Millis timeout = allowedTime(request, policy, fault);
+  if (fault)
+    return *fault;
   Inquiry inquiry;
   inquiry.Id = std::move(id);
   inquiry.Way = *route;
+  inquiry.Way.Service = Splits.choose(*route, Rng);
   inquiry.Deadline = now() + timeout;
-  inquiry.Fingerprint = fingerprintOf(request, route->Service);
+  inquiry.Fingerprint = fingerprintOf(request, inquiry.Way.Service);
   inquiry.Class = {route->Path, request.Method, std::uint64_t(bytes)};
   inquiry.Cost = Costs.estimate(inquiry.Class, policy.LongAfter);
   inquiry.IsIdempotent = policy.isIdempotent(request.Method);
   inquiry.IdempotencyKey = headerValue(request.Headers, "Idempotency-Key");
   if (inquiry.IdempotencyKey.size() > MostKeyBytes)
     return makeError(ErrorKind::BadRequest, "Idempotency-Key is too long");
+  dropNodeHeaders(Dialect, request.Headers);
+  if (!Dialect.CallerServiceHeader.empty())
+    request.Headers.push_back({Dialect.CallerServiceHeader, Service});
   inquiry.Http = std::move(request);
   inquiry.Scope = std::move(scope);
   if (ruleFor(View->Crashes, inquiry.Fingerprint, now()) ==
@@ -185,21 +213,27 @@
 asio::awaitable<EntryResult> Entry::perform(Inquiry &inquiry) {
   RetryBudget &budget = Budgets[inquiry.Way.Service];
   budget.noteFresh(inquiry.Way.Policy.RetryBudgetPercent);
-  bool mayHaveRun = false;
+  int runs = 0;
+  std::optional<HttpAnswer> failure;
   for (int number = 1;; ++number) {
     EntryResult result = co_await tryOnce(inquiry, number);
-    if (std::holds_alternative<HttpAnswer>(result))
+    if (isFinalAnswer(result, inquiry.IsIdempotent))
       co_return result;
+    if (auto *answer = std::get_if<HttpAnswer>(&result)) {
+      failure = std::move(*answer);
+      result = makeError(ErrorKind::EndpointFailed,
+                         "answered " + std::to_string(failure->Status));
+    }
     const Error &error = std::get<Error>(result);
     inquiry.HasMissed = inquiry.HasMissed || error.Kind == ErrorKind::SlotTaken;
     bool hasFailed = error.Kind != ErrorKind::SlotTaken;
     if (hasFailed && !inquiry.LastGate.empty())
       inquiry.Tried.push_back(std::exchange(inquiry.LastGate, {}));
-    mayHaveRun = mayHaveRun || error.Run == RunState::Unknown;
-    RetryAnswer answer =
-        decideRetry({error, inquiry.IsIdempotent, number,
-                     inquiry.Deadline - now(), inquiry.Cost.Expected},
-                    budget);
+    runs += error.Run == RunState::Unknown;
+    RetryAnswer answer = decideRetry(
+        {error, inquiry.IsIdempotent, number, inquiry.Deadline - now(),
+         inquiry.Cost.Expected, runs, inquiry.Way.Policy.MaxAttempts},
+        budget);
     Counters.countRetry(std::string(answer.Reason));
     logEvent(LogLevel::Info, "attempt_failed",
              {{"request", inquiry.Id},
@@ -209,8 +243,11 @@
               {"detail", error.Detail},
               {"retry", answer.Verdict == RetryVerdict::Retry},
               {"reason", answer.Reason}});
-    if (answer.Verdict == RetryVerdict::GiveUp)
-      co_return finalError(error, mayHaveRun);
+    if (answer.Verdict == RetryVerdict::Retry)
+      continue;
+    if (failure)
+      co_return std::move(*failure);
+    co_return finalError(error, runs > 0);
   }
 }
 
@@ -538,19 +575,19 @@
 HttpAnswer Entry::problem(const Error &error, const std::string &id) {
   const ErrorAnswer &row = answerFor(error.Kind);
   Counters.countError(std::string(row.Name));
+  HttpAnswer answer;
+  answer.Status = statusOf(error);
   json body = {{"type", "about:blank"}, {"title", row.Title},
-               {"status", row.Status},  {"detail", error.Detail},
+               {"status", answer.Status},  {"detail", error.Detail},
                {"kind", row.Name},      {"run", toString(error.Run)},
                {"request_id", id}};
-  HttpAnswer answer;
-  answer.Status = row.Status;
-  if (row.IsRetryable) {
+  if (row.IsRetryable && error.Run == RunState::NotRun) {
     Millis wait = error.RetryAfter.count() > 0
                       ? error.RetryAfter
                       : DefaultRetryAfter + Millis(uniform(Rng, RetrySpreadMs));
     body["retry_after_ms"] = wait.count();
-    auto seconds = std::int64_t(std::ceil(double(wait.count()) / 1000));
-    answer.Headers.push_back({"Retry-After", std::to_string(seconds)});
+    answer.Headers.push_back(
+        {"Retry-After", formatRetryAfter(Dialect, wait)});
   }
   answer.Headers.push_back({"Content-Type", "application/problem+json"});
   answer.Content = std::make_shared<const std::string>(
--- a/src/libfleet/entry.h
+++ b/src/libfleet/entry.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include "libfleet/callscope.h"
+#include "libfleet/httpdialect.h"
+#include "libfleet/nodesettings.h"
 #include "libfleet/peerlinks.h"
 #include "libhickoryglade/costmodel.h"
 #include "libhickoryglade/retry.h"
+#include "libhickoryglade/splitter.h"
 
 #include <map>
 #include <memory>
@@ -42,8 +45,9 @@
 /// gate, tries again where that is safe, and answers.
 class Entry {
 public:
-  Entry(asio::any_io_executor ex, std::string node, std::string dataCentre,
-        std::int64_t bootId, std::size_t worker, Metrics &metrics);
+  Entry(asio::any_io_executor ex, const NodeSettings &settings,
+        std::int64_t bootId, std::size_t worker, const HttpDialect &dialect,
+        Metrics &metrics);
 
   PeerLinks &links() { return Links; }
   void applyView(FleetViewPtr view);
@@ -85,6 +89,8 @@
                 const wire::Load &load);
   Error toError(Attempt &attempt, const wire::Failure &failure) const;
   HttpAnswer problem(const Error &error, const std::string &id);
+  Millis allowedTime(const HttpRequest &request, const ServicePolicy &policy,
+                     std::optional<Error> &fault) const;
   void logRoute(const Inquiry &inquiry, int number, const Attempt &attempt,
                 const RoutePlan &plan) const;
   std::string nextId();
@@ -92,13 +98,18 @@
   asio::any_io_executor Executor;
   std::string Node;
   std::string DataCentre;
+  std::string Service;
+  /// Idempotency keys need keepers, who find each other through the log.
+  bool HasKeepers;
   std::int64_t BootId;
   std::size_t Worker;
+  const HttpDialect &Dialect;
   Metrics &Counters;
   PeerLinks Links;
   FleetViewPtr View = std::make_shared<const FleetView>();
   std::map<std::string, GateLoadView> Loads;
   CostModel Costs;
+  Splitter Splits;
   std::map<std::string, RetryBudget> Budgets;
   Random Rng;
   std::uint64_t Requests = 0;
--- a/src/libfleet/fleetview.h
+++ b/src/libfleet/fleetview.h
@@ -44,6 +44,8 @@
 /// it has been handed over.
 struct FleetView {
   bool HasSettings = false;
+  /// Policy at the root of the tree.
+  ServicePolicy Root;
   std::shared_ptr<const RouteTable> Routes =
       std::make_shared<const RouteTable>();
   std::map<std::string, ServiceView> Services;
--- a/src/libfleet/gateservice.cpp
+++ b/src/libfleet/gateservice.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Micros TickPeriod = std::chrono::milliseconds(50);
+constexpr Micros IdleTickPeriod = std::chrono::milliseconds(1'000);
 
 /// Finished answers are kept for callers whose link broke meanwhile.
 constexpr Micros ResultTerm = std::chrono::seconds(10);
@@ -45,21 +46,30 @@
   std::shared_ptr<ExchangeHandle> Handle = std::make_shared<ExchangeHandle>();
 };
 
-GateService::GateService(asio::any_io_executor ex, const std::string &node,
-                         std::int64_t bootId, Metrics &metrics, Events events)
-    : Executor(ex), Timer(ex), BootId(bootId), Counters(metrics),
-      Handlers(std::move(events)), Client(ex) {
-  Kernel.Node = node;
+GateService::GateService(asio::any_io_executor ex, const NodeSettings &settings,
+                         std::int64_t bootId, const HttpDialect &dialect,
+                         Metrics &metrics, Events events)
+    : Executor(ex), Timer(ex), BootId(bootId), Dialect(dialect),
+      Counters(metrics), Handlers(std::move(events)), Client(ex, dialect) {
+  Kernel.Node = settings.Node;
+  Kernel.AnnouncementLimit = settings.AnnouncementLimit;
   Kernel.Rng.seed(std::uint64_t(bootId));
 }
 
 void GateService::start() { scheduleTick(); }
 
+/// Ticks often while requests wait or run, and seldom otherwise.
 void GateService::scheduleTick() {
-  Timer.expires_after(TickPeriod);
+  Micros period = idle() ? IdleTickPeriod : TickPeriod;
+  if (IsTicking && period >= CurrentPeriod)
+    return;
+  IsTicking = true;
+  CurrentPeriod = period;
+  Timer.expires_after(period);
   Timer.async_wait([this](const error_code &ec) {
     if (ec)
       return;
+    IsTicking = false;
     carryOut(tick(Kernel, now()));
     while (!Results.empty() && now() - Results.front().At > ResultTerm) {
       ResultBytes -= sizeOf(*Results.front().Result);
@@ -82,6 +92,7 @@
     takeCancel(ref);
   else if (frame.__isset.revoke)
     takeRevoke(ref, frame.revoke);
+  scheduleTick();
 }
 
 Ticket GateService::toTicket(const wire::Ticket &in, std::int64_t lagMs) const {
@@ -299,15 +310,18 @@
     co_return;
   HttpRequest request = exchange->Http;
   std::string attempt = exchange->Request.AttemptId;
-  request.Headers.push_back(
-      {"Request-Id", attempt.substr(0, attempt.rfind('/'))});
+  if (!Dialect.IsIdFromCaller)
+    request.Headers.push_back(
+        {Dialect.RequestIdHeader, attempt.substr(0, attempt.rfind('/'))});
   auto left = toMillis(exchange->Request.Deadline - now()).count();
-  request.Headers.push_back({"Request-Deadline-Ms", std::to_string(left)});
+  request.Headers.push_back({Dialect.DeadlineHeader, std::to_string(left)});
+  if (!Dialect.ExpectedEndpointHeader.empty())
+    request.Headers.push_back({Dialect.ExpectedEndpointHeader, endpoint});
   Instant start = now();
+  EndpointCall call{it->second.Facts.Address, std::move(request),
+                    exchange->Request.IsIdempotent, exchange->Request.Deadline};
   EndpointResult result =
-      co_await Client.exchange(it->second.Facts.Address, std::move(request),
-                               exchange->Request.IsIdempotent,
-                               exchange->Request.Deadline, exchange->Handle);
+      co_await Client.exchange(std::move(call), exchange->Handle);
   result.RunTime = now() - start;
   finish(exchange, std::move(result));
 }
@@ -395,7 +409,8 @@
   carryOut(announce(Kernel, facts, now()));
   if (isChanged)
     publishEndpoints();
-  return Kernel.Endpoints.at(facts.Name).Generation;
+  auto after = Kernel.Endpoints.find(facts.Name);
+  return after == Kernel.Endpoints.end() ? 0 : after->second.Generation;
 }
 
 void GateService::withdrawEndpoint(const std::string &name) {
--- a/src/libfleet/gateservice.h
+++ b/src/libfleet/gateservice.h
@@ -3,6 +3,7 @@
 #include "libfleet/endpointclient.h"
 #include "libfleet/fleetview.h"
 #include "libfleet/framechannel.h"
+#include "libfleet/nodesettings.h"
 #include "libhickoryglade/gate.h"
 #include "libhickoryglade/memberrecord.h"
 
@@ -28,8 +29,9 @@
     std::function<void(std::uint64_t, CrashRecord)> OnCrash;
   };
 
-  GateService(asio::any_io_executor ex, const std::string &node,
-              std::int64_t bootId, Metrics &metrics, Events events);
+  GateService(asio::any_io_executor ex, const NodeSettings &settings,
+              std::int64_t bootId, const HttpDialect &dialect,
+              Metrics &metrics, Events events);
 
   void start();
 
@@ -93,7 +95,10 @@
 
   asio::any_io_executor Executor;
   asio::steady_timer Timer;
+  bool IsTicking = false;
+  Micros CurrentPeriod{0};
   std::int64_t BootId;
+  const HttpDialect &Dialect;
   Metrics &Counters;
   Events Handlers;
   EndpointClient Client;
--- /dev/null
+++ b/src/libfleet/httpcaller.cpp
@@ -0,0 +1,111 @@
+#include "libfleet/httpcaller.h"
+
+#include "libfleet/address.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <netinet/tcp.h>
+
+namespace hickoryglade::fleet {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace {
+
+constexpr Millis ConnectLimit = std::chrono::seconds(1);
+constexpr std::uint64_t MostReplyBytes = 64 * 1024 * 1024;
+
+/// A peer that does not answer keep-alive probes for about 3 s has gone
+/// silent: long polls would notice only at their end.
+constexpr int KeepAliveIdleSeconds = 1;
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+
+void probeWhileIdle(tcp::socket &socket) {
+  using Idle = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using Interval =
+      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using Count = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  error_code ec;
+  socket.set_option(tcp::no_delay(true), ec);
+  socket.set_option(asio::socket_base::keep_alive(true), ec);
+  socket.set_option(Idle(KeepAliveIdleSeconds), ec);
+  socket.set_option(Interval(KeepAliveIntervalSeconds), ec);
+  socket.set_option(Count(KeepAliveProbes), ec);
+}
+
+} // namespace
+
+struct HttpCaller::Connection {
+  explicit Connection(const asio::any_io_executor &ex) : Stream(ex) {}
+
+  beast::tcp_stream Stream;
+  beast::flat_buffer Buffer;
+};
+
+HttpCaller::HttpCaller(asio::any_io_executor ex, std::string address)
+    : Executor(std::move(ex)), Address(std::move(address)) {}
+
+HttpCaller::~HttpCaller() = default;
+
+asio::awaitable<bool> HttpCaller::connect() {
+  std::optional<fleet::Address> parsed = parseAddress(Address);
+  if (!parsed)
+    co_return false;
+  Current = std::make_unique<Connection>(Executor);
+  Current->Stream.expires_after(ConnectLimit);
+  error_code ec;
+  co_await Current->Stream.async_connect(
+      tcp::endpoint(asio::ip::make_address(parsed->Ip), parsed->Port),
+      asio::redirect_error(asio::use_awaitable, ec));
+  if (ec) {
+    Current = nullptr;
+    co_return false;
+  }
+  probeWhileIdle(Current->Stream.socket());
+  co_return true;
+}
+
+asio::awaitable<std::optional<HttpAnswer>>
+HttpCaller::call(std::string method, std::string target, std::string content,
+                 Millis limit) {
+  if (!Current) {
+    bool isConnected = co_await connect();
+    if (!isConnected)
+      co_return std::nullopt;
+  }
+  http::request<http::string_body> request;
+  request.version(11);
+  request.method_string(method);
+  request.target(target);
+  request.set(http::field::host, Address);
+  request.body() = std::move(content);
+  request.prepare_payload();
+  Current->Stream.expires_after(limit);
+  error_code ec;
+  co_await http::async_write(Current->Stream, request,
+                             asio::redirect_error(asio::use_awaitable, ec));
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(MostReplyBytes);
+  if (!ec)
+    co_await http::async_read(Current->Stream, Current->Buffer, parser,
+                              asio::redirect_error(asio::use_awaitable, ec));
+  if (ec) {
+    Current = nullptr;
+    co_return std::nullopt;
+  }
+  HttpAnswer answer;
+  answer.Status = int(parser.get().result_int());
+  for (const auto &field : parser.get())
+    answer.Headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  answer.Content =
+      std::make_shared<const std::string>(std::move(parser.get().body()));
+  if (!parser.keep_alive())
+    Current = nullptr;
+  co_return answer;
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/httpdialect.cpp
@@ -0,0 +1,72 @@
+#include "libfleet/httpdialect.h"
+
+#include <boost/beast/core/string.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace hickoryglade::fleet {
+
+namespace {
+
+constexpr double MillisPerSecond = 1'000;
+constexpr int ServiceUnavailable = 503;
+
+bool isOwnNotRun(const HttpAnswer &answer) {
+  return answer.Status == ServiceUnavailable &&
+         headerValue(answer.Headers, "Endpoint-Shed") == "not-run";
+}
+
+HttpDialect makeOwnDialect() {
+  HttpDialect dialect;
+  dialect.IsNotRun = isOwnNotRun;
+  return dialect;
+}
+
+bool isSuccess(const HttpAnswer &answer) { return answer.Status / 100 == 2; }
+
+} // namespace
+
+const HttpDialect &ownDialect() {
+  static const HttpDialect it = makeOwnDialect();
+  return it;
+}
+
+AnswerMatch matchAnswer(const HttpDialect &dialect, const HttpAnswer &answer,
+                        const std::string &requestId) {
+  if (!dialect.IsIdFromCaller)
+    return AnswerMatch::Own;
+  std::string id = headerValue(answer.Headers, dialect.RequestIdHeader);
+  if (!id.empty() && id != requestId)
+    return AnswerMatch::Stray;
+  bool hasProof =
+      !headerValue(answer.Headers, dialect.ProofHeader).empty();
+  bool isEncoded = !headerValue(answer.Headers, "Content-Encoding").empty();
+  if (id.empty() || isEncoded || (isSuccess(answer) && !hasProof))
+    return AnswerMatch::Unusable;
+  return AnswerMatch::Own;
+}
+
+std::string formatRetryAfter(const HttpDialect &dialect, Millis wait) {
+  double seconds = double(wait.count()) / MillisPerSecond;
+  if (!dialect.IsRetryAfterFractional)
+    return std::to_string(std::int64_t(std::ceil(seconds)));
+  std::string millis = std::to_string(wait.count() % 1'000);
+  return std::to_string(wait.count() / 1'000) + "." +
+         std::string(3 - millis.size(), '0') + millis;
+}
+
+void dropNodeHeaders(const HttpDialect &dialect,
+                     std::vector<HttpHeader> &headers) {
+  const std::array names = {dialect.DeadlineHeader, dialect.TimeoutHeader,
+                            dialect.ExpectedEndpointHeader,
+                            dialect.CallerServiceHeader};
+  std::erase_if(headers, [&](const HttpHeader &it) {
+    return std::ranges::any_of(names, [&](const std::string &name) {
+      return !name.empty() && boost::beast::iequals(it.Name, name);
+    });
+  });
+}
+
+} // namespace hickoryglade::fleet
--- a/src/libfleet/httpfront.cpp
+++ b/src/libfleet/httpfront.cpp
@@ -14,11 +14,12 @@
 
 namespace {
 
-constexpr std::uint32_t MostHeaderBytes = 32 * 1024;
-constexpr std::uint64_t MostBodyBytes = 64 * 1024 * 1024;
-constexpr auto IdleLimit = std::chrono::seconds(60);
+/// Longest time for the body of a request, and for writing an answer.
+constexpr auto BodyLimit = std::chrono::seconds(30);
 constexpr auto WriteLimit = std::chrono::seconds(30);
 
+constexpr std::size_t ReadBytes = 8 * 1024;
+
 /// One caller's connection.
 struct Session {
   beast::tcp_stream Stream;
@@ -58,8 +59,10 @@
 
 /// Status for bytes that the parser has refused; 0 if the caller just left.
 int faultStatus(const error_code &ec) {
-  if (ec == http::error::end_of_stream || ec == beast::error::timeout)
+  if (ec == http::error::end_of_stream)
     return 0;
+  if (ec == beast::error::timeout)
+    return 408;
   if (ec == http::error::header_limit)
     return 431;
   if (ec == http::error::body_limit)
@@ -103,18 +106,52 @@
                                asio::redirect_error(asio::use_awaitable, ec));
 }
 
+/// Waits for the first bytes of a request; false if the caller has left or
+/// stays idle.
+asio::awaitable<bool> awaitRequest(std::shared_ptr<Session> session,
+                                   Millis idleLimit) {
+  if (session->Buffer.size() > 0)
+    co_return true;
+  session->Stream.expires_after(idleLimit);
+  error_code ec;
+  std::size_t n = co_await session->Stream.async_read_some(
+      session->Buffer.prepare(ReadBytes),
+      asio::redirect_error(asio::use_awaitable, ec));
+  session->Buffer.commit(n);
+  co_return !ec;
+}
+
+using RequestParser = http::request_parser<http::string_body>;
+
+asio::awaitable<void> readRequest(std::shared_ptr<Session> session,
+                                  RequestParser &parser,
+                                  const HttpLimits &limits, error_code &ec) {
+  parser.header_limit(limits.HeaderBytes);
+  parser.body_limit(limits.BodyBytes.load());
+  session->Stream.expires_after(Millis(limits.HeaderTimeoutMs));
+  co_await http::async_read_header(
+      session->Stream, session->Buffer, parser,
+      asio::redirect_error(asio::use_awaitable, ec));
+  if (ec || parser.is_done())
+    co_return;
+  session->Stream.expires_after(BodyLimit);
+  co_await http::async_read(session->Stream, session->Buffer, parser,
+                            asio::redirect_error(asio::use_awaitable, ec));
+}
+
 asio::awaitable<void> serve(std::shared_ptr<Session> session,
                             HttpHandler handler, HttpFaultHandler onFault,
-                            std::shared_ptr<std::atomic<bool>> isStopping) {
+                            std::shared_ptr<std::atomic<bool>> isStopping,
+                            std::shared_ptr<HttpLimits> limits) {
   error_code ec;
   session->Stream.socket().set_option(tcp::no_delay(true), ec);
   while (true) {
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(MostHeaderBytes);
-    parser.body_limit(MostBodyBytes);
-    session->Stream.expires_after(IdleLimit);
-    co_await http::async_read(session->Stream, session->Buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, ec));
+    bool hasRequest =
+        co_await awaitRequest(session, Millis(limits->IdleTimeoutMs));
+    if (!hasRequest)
+      break;
+    RequestParser parser;
+    co_await readRequest(session, parser, *limits, ec);
     if (ec) {
       if (int status = faultStatus(ec))
         co_await writeAnswer(session, onFault(status), "GET", false, ec);
@@ -172,6 +209,8 @@
   accept();
 }
 
+void HttpFront::wind() { *IsStopping = true; }
+
 void HttpFront::stop() {
   *IsStopping = true;
   error_code ec;
@@ -182,13 +221,13 @@
   Lane &lane = Lanes[NextLane++ % Lanes.size()];
   Acceptor.async_accept(
       lane.Executor, [this, &lane](const error_code &ec, tcp::socket socket) {
-        if (ec == asio::error::operation_aborted || *IsStopping)
+        if (ec == asio::error::operation_aborted)
           return;
         if (!ec) {
           auto session = std::make_shared<Session>(
               Session{beast::tcp_stream(std::move(socket)), {}});
           asio::co_spawn(lane.Executor,
-                         serve(session, lane.Handler, OnFault, IsStopping),
+                         serve(session, lane.Handler, OnFault, IsStopping, Limits),
                          asio::detached);
         }
         accept();
--- a/src/libfleet/httpfront.h
+++ b/src/libfleet/httpfront.h
@@ -7,6 +7,7 @@
 #include <absl/status/status.h>
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -21,6 +22,14 @@
 /// Builds the answer to bytes that are not an acceptable request.
 using HttpFaultHandler = std::function<HttpAnswer(int status)>;
 
+/// What a front allows its callers; may change while it runs.
+struct HttpLimits {
+  std::atomic<std::uint32_t> HeaderBytes = 32 * 1024;
+  std::atomic<std::uint64_t> BodyBytes = 64 * 1024 * 1024;
+  std::atomic<std::int64_t> HeaderTimeoutMs = 10'000;
+  std::atomic<std::int64_t> IdleTimeoutMs = 60'000;
+};
+
 /// Accepts HTTP/1.1 connections and shares them out between executors. Each
 /// executor must be run by one thread.
 class HttpFront {
@@ -33,12 +42,18 @@
   HttpFront(asio::any_io_executor ex, std::string address,
             std::vector<Lane> lanes, HttpFaultHandler onFault);
 
+  HttpLimits &limits() { return *Limits; }
+
   /// Takes the address; fails if it cannot be had.
   absl::Status listen();
 
   /// Begins to accept connections.
   void start();
 
+  /// Open connections close after their next answer; new ones are taken for
+  /// one request.
+  void wind();
+
   /// Takes no more connections; open ones close after their answer.
   void stop();
 
@@ -51,6 +66,7 @@
   std::vector<Lane> Lanes;
   HttpFaultHandler OnFault;
   std::shared_ptr<std::atomic<bool>> IsStopping;
+  std::shared_ptr<HttpLimits> Limits = std::make_shared<HttpLimits>();
   std::size_t NextLane = 0;
 };
 
--- a/src/libfleet/link.cpp
+++ b/src/libfleet/link.cpp
@@ -40,7 +40,6 @@
   hello.__set_hello(Own);
   send(std::move(hello));
   readPrefix();
-  beat();
 }
 
 void Link::close(std::string_view reason) {
@@ -59,9 +58,12 @@
 std::int64_t Link::ageMs() const { return toMillis(now() - OpenedAt).count(); }
 
 void Link::setBusy(bool isBusy) {
-  if (isBusy && !Busy)
-    BusySince = now();
+  if (isBusy == Busy)
+    return;
   Busy = isBusy;
+  BusySince = now();
+  if (Busy && !IsBeating && Open)
+    beat();
 }
 
 void Link::send(wire::Frame frame) {
@@ -174,8 +176,12 @@
   Handlers.OnFrame(shared_from_this(), std::move(frame));
 }
 
+/// Goes on only while streams are in flight.
 void Link::beat() {
-  Timer.expires_at(toSteady(now() + BeatPeriod));
+  IsBeating = Busy;
+  if (!Busy)
+    return;
+  Timer.expires_after(BeatPeriod);
   Timer.async_wait([self = shared_from_this()](const error_code &ec) {
     if (ec || !self->Open)
       return;
--- a/src/libfleet/link.h
+++ b/src/libfleet/link.h
@@ -71,6 +71,7 @@
   bool IsWriting = false;
   bool Open = true;
   bool Busy = false;
+  bool IsBeating = false;
   Instant OpenedAt;
   Instant LastHeard;
   Instant BusySince;
--- a/src/libfleet/logclient.h
+++ b/src/libfleet/logclient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "libfleet/asio.h"
+#include "libfleet/httpcaller.h"
 #include "libhickoryglade/instant.h"
 
 #include <cstdint>
@@ -47,9 +47,8 @@
 class LogClient {
 public:
   LogClient(asio::any_io_executor ex, std::string address, std::string stream);
-  ~LogClient();
 
-  const std::string &address() const { return Address; }
+  const std::string &address() const { return Caller.address(); }
   const std::string &stream() const { return Stream; }
 
   asio::awaitable<AppendResult> append(std::string data);
@@ -58,20 +57,8 @@
   asio::awaitable<ReadResult> read(std::int64_t from, Millis wait);
 
 private:
-  struct Connection;
-  struct Reply {
-    int Status = 0;
-    std::string Body;
-    Millis RetryAfter{0};
-  };
-
-  asio::awaitable<std::optional<Reply>>
-  call(std::string method, std::string target, std::string body, Millis limit);
-
-  asio::any_io_executor Executor;
-  std::string Address;
+  HttpCaller Caller;
   std::string Stream;
-  std::unique_ptr<Connection> Current;
 };
 
 } // namespace hickoryglade::fleet
--- a/src/libfleet/membershipservice.cpp
+++ b/src/libfleet/membershipservice.cpp
@@ -14,7 +14,8 @@
 
 namespace {
 
-constexpr Micros TickPeriod = std::chrono::milliseconds(50);
+/// Due times that are past do not make the service spin.
+constexpr Micros LeastTickGap = std::chrono::milliseconds(10);
 
 /// Members told at once of a change; the others hear of it by gossip.
 constexpr std::size_t UrgentFanOut = 32;
@@ -61,6 +62,11 @@
   reportChange();
 }
 
+void MembershipService::addSeeds(const std::vector<std::string> &addresses) {
+  hickoryglade::addSeeds(Kernel, addresses, now());
+  scheduleTick();
+}
+
 void MembershipService::spreadCrash(std::uint64_t fingerprint,
                                     const CrashRecord &record) {
   mergeCrash(Known, fingerprint, record);
@@ -139,7 +145,8 @@
 }
 
 void MembershipService::scheduleTick() {
-  Timer.expires_after(TickPeriod);
+  Instant due = std::max(nextDue(Kernel), now() + LeastTickGap);
+  Timer.expires_at(toSteady(due));
   Timer.async_wait([this](const error_code &ec) {
     if (ec)
       return;
--- a/src/libfleet/membershipservice.h
+++ b/src/libfleet/membershipservice.h
@@ -36,6 +36,9 @@
   /// Changes the own record and tells others at once.
   void describe(const MemberRecord &record, bool isUrgent);
 
+  /// Asks these addresses for members too.
+  void addSeeds(const std::vector<std::string> &addresses);
+
   /// Tells all members of a crash record.
   void spreadCrash(std::uint64_t fingerprint, const CrashRecord &record);
 
--- a/src/libfleet/node.cpp
+++ b/src/libfleet/node.cpp
@@ -11,7 +11,9 @@
 #include "libfleet/localchannel.h"
 #include "libfleet/logging.h"
 #include "libfleet/metrics.h"
+#include "libfleet/platformadapter.h"
 #include "libfleet/wireconvert.h"
+#include "libhickoryglade/registry.h"
 
 #include <nlohmann/json.hpp>
 
@@ -24,15 +26,13 @@
 
 namespace {
 
-/// After the fleet has been told of a stop, work that was already on its way
-/// still arrives for this long.
-constexpr Millis LingerTerm = std::chrono::seconds(1);
 constexpr Millis HandOnLimit = std::chrono::seconds(2);
 constexpr Millis StopPoll = std::chrono::milliseconds(20);
 
 HttpAnswer faultAnswer(int status) {
   ErrorKind kind = status == 431   ? ErrorKind::HeadersTooLarge
                    : status == 413 ? ErrorKind::BodyTooLarge
+                   : status == 408 ? ErrorKind::RequestTimeout
                                    : ErrorKind::BadRequest;
   const ErrorAnswer &row = answerFor(kind);
   HttpAnswer answer;
@@ -47,6 +47,13 @@
   return answer;
 }
 
+/// Waits on the calling thread, which runs no executor.
+void pauseFor(Millis time) {
+  asio::io_context io;
+  asio::steady_timer timer(io, time);
+  timer.wait();
+}
+
 /// A thread that runs one executor.
 struct Loop {
   asio::io_context Io{1};
@@ -78,7 +85,8 @@
   absl::Status start();
   bool stop();
   void applyView(const FleetViewPtr &view);
-  void acceptCallers();
+  HttpAnswer readiness() const;
+  asio::awaitable<bool> depart(std::string endpoint);
   void connectLocal(Entry &entry, Loop &loop);
   void takeFrame(const std::shared_ptr<FrameChannel> &from, wire::Frame frame);
   asio::awaitable<std::optional<std::int64_t>> announce(Announcement facts);
@@ -102,23 +110,39 @@
   std::unique_ptr<HttpFront> Callers;
   std::unique_ptr<AdminFront> Admin;
   std::unique_ptr<HttpFront> AdminHttp;
+  std::unique_ptr<HttpFront> ReadyHttp;
+  const PlatformAdapter *Platform = nullptr;
+  HttpDialect Dialect = ownDialect();
+  /// Used on the control thread.
+  bool IsReady = false;
   bool IsLeaving = false;
 };
 
 Node::Parts::Parts(NodeSettings settings) : Facts(std::move(settings)) {
   for (int i = 0; i < Facts.TrafficThreads; ++i)
     Traffic.push_back(std::make_unique<Loop>());
+  if (!Facts.Platform.empty()) {
+    Platform = Registry<PlatformAdapter>::instance().find(Facts.Platform);
+    Dialect = Platform->Dialect();
+  }
   asio::io_context &control = ControlLoop.Io;
   asio::any_io_executor gateThread = Traffic[0]->Io.get_executor();
 
   Brain = std::make_unique<Control>(
       control, Facts, BootId, Counters,
       Control::Events{[this](FleetViewPtr view) { applyView(view); },
-                      [this] { acceptCallers(); },
+                      [this] {
+                        IsReady = true;
+                        logEvent(LogLevel::Info, "ready",
+                                 nlohmann::json::object());
+                      },
                       [this](std::map<std::string, Instant> ends) {
                         applyEjections(std::move(ends));
                       }});
 
+  if (Platform)
+    Brain->usePlatform(*Platform);
+
   GateService::Events gateEvents;
   gateEvents.OnEndpoints = [this](std::vector<EndpointRecord> endpoints) {
     asio::post(ControlLoop.Io, [this, it = std::move(endpoints)]() mutable {
@@ -134,14 +158,14 @@
       Brain->noteCrash(fingerprint, record);
     });
   };
-  Gate = std::make_unique<GateService>(gateThread, Facts.Node, BootId, Counters,
-                                       std::move(gateEvents));
+  Gate = std::make_unique<GateService>(gateThread, Facts, BootId, Dialect,
+                                       Counters, std::move(gateEvents));
 
   std::vector<HttpFront::Lane> lanes;
   for (std::size_t i = 0; i < Traffic.size(); ++i) {
     Entries.push_back(std::make_unique<Entry>(Traffic[i]->Io.get_executor(),
-                                              Facts.Node, Facts.DataCentre,
-                                              BootId, i, Counters));
+                                              Facts, BootId, i, Dialect,
+                                              Counters));
     connectLocal(*Entries.back(), *Traffic[i]);
     lanes.push_back(
         {Traffic[i]->Io.get_executor(),
@@ -167,6 +191,11 @@
   adminEvents.OnWithdraw = [this](std::string name) {
     asio::post(Traffic[0]->Io, [this, name] { Gate->withdrawEndpoint(name); });
   };
+  adminEvents.OnDepart = [this](std::string name) {
+    return depart(std::move(name));
+  };
+  if (Platform)
+    adminEvents.ParseMessage = Platform->ParseEndpointMessage;
   Admin = std::make_unique<AdminFront>(control, *Brain, Counters,
                                        std::move(adminEvents));
   std::vector<HttpFront::Lane> adminLanes{
@@ -177,6 +206,36 @@
   AdminHttp =
       std::make_unique<HttpFront>(control.get_executor(), Facts.AdminAddress,
                                   std::move(adminLanes), faultAnswer);
+  if (Facts.ReadyAddress.empty())
+    return;
+  std::vector<HttpFront::Lane> readyLanes{
+      {control.get_executor(),
+       [this](HttpRequest,
+              std::shared_ptr<CallScope>) -> asio::awaitable<HttpAnswer> {
+         co_return readiness();
+       }}};
+  ReadyHttp =
+      std::make_unique<HttpFront>(control.get_executor(), Facts.ReadyAddress,
+                                  std::move(readyLanes), faultAnswer);
+}
+
+HttpAnswer Node::Parts::readiness() const {
+  constexpr int ok = 200;
+  constexpr int unavailable = 503;
+  HttpAnswer answer;
+  answer.Status = IsReady && !IsLeaving ? ok : unavailable;
+  return answer;
+}
+
+/// Returns once no more requests go to an endpoint that has left.
+asio::awaitable<bool> Node::Parts::depart(std::string endpoint) {
+  auto task = [](GateService *gate, std::string it) -> asio::awaitable<bool> {
+    gate->withdrawEndpoint(it);
+    co_return true;
+  };
+  co_return co_await asio::co_spawn(Traffic[0]->Io,
+                                    task(Gate.get(), std::move(endpoint)),
+                                    asio::use_awaitable);
 }
 
 /// An entry reaches the gate of its own node by a direct call.
@@ -244,7 +303,7 @@
 
 asio::awaitable<std::optional<std::int64_t>>
 Node::Parts::announce(Announcement facts) {
-  if (IsLeaving)
+  if (IsLeaving && !facts.IsDraining)
     co_return std::nullopt;
   auto task = [](GateService *gate,
                  Announcement it) -> asio::awaitable<std::int64_t> {
@@ -254,12 +313,12 @@
       Traffic[0]->Io, task(Gate.get(), std::move(facts)), asio::use_awaitable);
 }
 
-void Node::Parts::acceptCallers() {
-  asio::post(Traffic[0]->Io, [this] { Callers->start(); });
-  logEvent(LogLevel::Info, "ready", nlohmann::json::object());
-}
-
 void Node::Parts::applyView(const FleetViewPtr &view) {
+  HttpLimits &limits = Callers->limits();
+  limits.HeaderBytes = std::uint32_t(view->Root.MaxHeaderBytes);
+  limits.BodyBytes = std::uint64_t(view->Root.MaxBodyBytes);
+  limits.HeaderTimeoutMs = view->Root.HeaderTimeout.count();
+  limits.IdleTimeoutMs = view->Root.IdleTimeout.count();
   asio::post(Traffic[0]->Io, [this, view] {
     Gate->applyView(view);
     Keys->applyView(view);
@@ -275,13 +334,19 @@
     status = Callers->listen();
   if (status.ok())
     status = AdminHttp->listen();
+  if (status.ok() && ReadyHttp)
+    status = ReadyHttp->listen();
   if (status.ok())
     status = Brain->start();
   if (!status.ok())
     return status;
   AdminHttp->start();
+  Callers->start();
+  if (ReadyHttp)
+    ReadyHttp->start();
   Gate->start();
-  Keys->start();
+  if (!Platform)
+    Keys->start();
   for (auto &loop : Traffic)
     loop->start();
   ControlLoop.start();
@@ -325,15 +390,23 @@
     return true;
   });
   Traffic[0]->call([this] {
-    Callers->stop();
+    Callers->wind();
     Gate->drainNow();
     return true;
   });
-  handOnKeys();
+  if (!Platform)
+    handOnKeys();
   bool isClean = false;
-  while (!isClean && now() - begin < LingerTerm + Facts.DrainLimit) {
-    std::this_thread::sleep_for(StopPoll);
-    isClean = now() - begin >= LingerTerm && isQuiet();
+  bool isAccepting = true;
+  while (!isClean && now() - begin < Facts.Linger + Facts.DrainLimit) {
+    pauseFor(StopPoll);
+    bool hasLingered = now() - begin >= Facts.Linger;
+    if (hasLingered && std::exchange(isAccepting, false))
+      Traffic[0]->call([this] {
+        Callers->stop();
+        return true;
+      });
+    isClean = hasLingered && isQuiet();
   }
   for (auto &loop : Traffic)
     loop->stop();
--- /dev/null
+++ b/src/libfleet/nodedirectory.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "libfleet/asio.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hickoryglade::fleet {
+
+/// Where nodes that have just started find others.
+class NodeDirectory {
+public:
+  virtual ~NodeDirectory() = default;
+
+  /// Enters a node; returns false if the directory could not be reached.
+  virtual asio::awaitable<bool> enter(std::string node,
+                                      std::string address) = 0;
+
+  /// Removes a node that leaves for good; returns false if the directory could
+  /// not be reached.
+  virtual asio::awaitable<bool> remove(std::string node) = 0;
+
+  /// Addresses of all nodes entered, or nothing if it could not be reached.
+  virtual asio::awaitable<std::optional<std::vector<std::string>>> list() = 0;
+};
+
+} // namespace hickoryglade::fleet
--- a/src/libfleet/nodesettings.cpp
+++ b/src/libfleet/nodesettings.cpp
@@ -1,6 +1,8 @@
 #include "libfleet/nodesettings.h"
 
 #include "libfleet/address.h"
+#include "libfleet/platformadapter.h"
+#include "libhickoryglade/registry.h"
 
 #include <nlohmann/json.hpp>
 
@@ -102,6 +104,7 @@
   reader.readAddress("http", settings.HttpAddress, true);
   reader.readAddress("fleet", settings.FleetAddress, true);
   reader.readAddress("admin", settings.AdminAddress, true);
+  reader.readAddress("ready", settings.ReadyAddress, false);
   reader.reportUnknown();
 }
 
@@ -117,6 +120,17 @@
   reader.reportUnknown();
 }
 
+void readPlatform(const json &object, NodeSettings &settings,
+                  std::vector<SettingsFault> &faults) {
+  ObjectReader reader(object, "platform.", faults);
+  reader.readString("adapter", settings.Platform, true);
+  reader.readAddress("address", settings.PlatformAddress, true);
+  if (!settings.Platform.empty() &&
+      !Registry<PlatformAdapter>::instance().find(settings.Platform))
+    reader.fault("adapter", "no adapter is called " + settings.Platform);
+  reader.reportUnknown();
+}
+
 void readRoot(const json &root, NodeSettings &settings,
               std::vector<SettingsFault> &faults) {
   ObjectReader reader(root, "", faults);
@@ -129,16 +143,30 @@
   int drainMs = int(settings.DrainLimit.count());
   reader.readInteger("drain_limit_ms", drainMs, 0, MostDrainMs);
   settings.DrainLimit = Millis(drainMs);
+  int lingerMs = int(settings.Linger.count());
+  reader.readInteger("linger_ms", lingerMs, 0, MostDrainMs);
+  settings.Linger = Millis(lingerMs);
+  int announcementMs = int(settings.AnnouncementLimit.count());
+  reader.readInteger("announcement_limit_ms", announcementMs, 100, MostDrainMs);
+  settings.AnnouncementLimit = Millis(announcementMs);
+  reader.readString("service", settings.Service, false);
   reader.readString("log_level", settings.LogLevel, false);
   if (std::ranges::find(LogLevels, settings.LogLevel) == LogLevels.end())
     reader.fault("log_level", "must be debug, info, warn or error");
   const json *listen = reader.take("listen", true);
-  const json *log = reader.take("log", true);
+  const json *platform = reader.take("platform", false);
+  const json *log = reader.take("log", platform == nullptr);
   reader.reportUnknown();
   if (listen && listen->is_object())
     readListen(*listen, settings, faults);
   else if (listen)
     reader.fault("listen", "must be an object");
+  if (platform && log)
+    reader.fault("platform", "stands beside log; only one of them may");
+  if (platform && platform->is_object())
+    readPlatform(*platform, settings, faults);
+  else if (platform)
+    reader.fault("platform", "must be an object");
   if (log && log->is_object())
     readLog(*log, settings, faults);
   else if (log)
--- a/src/libfleet/nodesettings.h
+++ b/src/libfleet/nodesettings.h
@@ -19,6 +19,15 @@
   std::string AdvertisedAddress;
   /// Where endpoints announce themselves and operators ask.
   std::string AdminAddress;
+  /// Where the platform asks whether the node takes callers; none if empty.
+  std::string ReadyAddress;
+  /// Service whose endpoints run on this VM; endpoints are told it as the
+  /// origin of requests.
+  std::string Service;
+  /// Adapter to the platform and the address of its store; with an adapter
+  /// there is no log.
+  std::string Platform;
+  std::string PlatformAddress;
   std::string LogAddress;
   /// Prefix of the names of this fleet's streams.
   std::string StreamPrefix = "hickoryglade";
@@ -29,6 +38,11 @@
   std::string LogLevel = "info";
   /// Longest time that a stop waits for requests in flight.
   Millis DrainLimit{30'000};
+  /// How long a node that stops still takes callers, who hear of it late.
+  Millis Linger{1'000};
+  /// Silence after which an endpoint is taken for gone: new work stops within
+  /// 2 s of its leaving if it announces itself every second.
+  Millis AnnouncementLimit{1'900};
 
   bool operator==(const NodeSettings &) const = default;
 };
--- a/src/libfleet/settingsservice.cpp
+++ b/src/libfleet/settingsservice.cpp
@@ -33,7 +33,15 @@
       Reader(io.get_executor(), logAddress, stream), Counters(metrics),
       Handlers(std::move(events)) {}
 
+void SettingsService::followDocuments(std::unique_ptr<SettingsSource> source) {
+  Source = std::move(source);
+}
+
 void SettingsService::start() {
+  if (Source) {
+    asio::co_spawn(Io, takeDocuments(), asio::detached);
+    return;
+  }
   asio::co_spawn(Io, follow(), asio::detached);
   asio::co_spawn(Io, refresh(), asio::detached);
 }
@@ -75,6 +83,48 @@
   }
 }
 
+asio::awaitable<void> SettingsService::takeDocuments() {
+  Millis backoff = FirstBackoff;
+  while (true) {
+    SettingsUpdate update = co_await Source->next();
+    if (update.IsReachable != IsReachable)
+      logEvent(LogLevel::Warn,
+               update.IsReachable ? "store_regained" : "store_lost",
+               {{"settings_next", Folded.Next}});
+    IsReachable = update.IsReachable;
+    takeDocument(update);
+    if (IsReachable && Loaded) {
+      backoff = FirstBackoff;
+      continue;
+    }
+    if (!IsReachable) {
+      Counters.countLogFailure("read");
+      co_await Handlers.FetchSnapshot();
+    }
+    co_await pause(backoff);
+    backoff = std::min(backoff * 2, MostBackoff);
+  }
+}
+
+void SettingsService::takeDocument(const SettingsUpdate &update) {
+  if (!update.Faults.empty()) {
+    Counters.countSettings("rejected");
+    logEvent(LogLevel::Warn, "settings_rejected",
+             {{"where", update.Faults.front().Where},
+              {"reason", update.Faults.front().Reason},
+              {"faults", update.Faults.size()}});
+  }
+  if (!update.Document || !replaceTree(Folded, *update.Document))
+    return;
+  Loaded = true;
+  Counters.countSettings("accepted");
+  Counters.setSettingsNext(double(Folded.Next));
+  logEvent(LogLevel::Info, "settings_taken",
+           {{"version", update.Document->Version},
+            {"values", update.Document->Values.size()}});
+  Handlers.OnChange();
+}
+
 /// Records have expired before this node read them: peers may know them.
 asio::awaitable<void> SettingsService::takeExpired(std::int64_t first) {
   FirstKept = first;
--- a/src/libfleet/settingsservice.h
+++ b/src/libfleet/settingsservice.h
@@ -2,6 +2,7 @@
 
 #include "libfleet/asio.h"
 #include "libfleet/logclient.h"
+#include "libfleet/settingssource.h"
 #include "libhickoryglade/settingslog.h"
 
 #include <functional>
@@ -29,6 +30,9 @@
                   std::string stream, Millis retention, Metrics &metrics,
                   Events events);
 
+  /// Takes whole documents from a source in place of changes from the log.
+  void followDocuments(std::unique_ptr<SettingsSource> source);
+
   void start();
   const SettingsState &state() const { return Folded; }
 
@@ -46,6 +50,8 @@
 
 private:
   asio::awaitable<void> follow();
+  asio::awaitable<void> takeDocuments();
+  void takeDocument(const SettingsUpdate &update);
   asio::awaitable<void> refresh();
   RecordPlace oldestSafe() const;
   asio::awaitable<void> pause(Millis wait);
@@ -57,6 +63,7 @@
   std::string Stream;
   Millis Retention;
   LogClient Reader;
+  std::unique_ptr<SettingsSource> Source;
   Metrics &Counters;
   Events Handlers;
   SettingsState Folded;
--- a/src/libhickoryglade/announcement.h
+++ b/src/libhickoryglade/announcement.h
@@ -18,6 +18,11 @@
   /// Changes with every start of the endpoint.
   std::string Incarnation;
   bool IsDraining = false;
+  /// Start of the endpoint's process in milliseconds since the Unix epoch;
+  /// 0 if it does not say.
+  std::int64_t StartedAtMs = 0;
+  /// Rises with each announcement of one process; 0 if it does not say.
+  std::int64_t Sequence = 0;
 
   bool operator==(const Announcement &) const = default;
 };
--- a/src/libhickoryglade/errorkind.cpp
+++ b/src/libhickoryglade/errorkind.cpp
@@ -10,7 +10,7 @@
 constexpr RunState NotRun = RunState::NotRun;
 constexpr RunState Unknown = RunState::Unknown;
 
-constexpr std::array<ErrorAnswer, 23> Answers{{
+constexpr std::array<ErrorAnswer, 24> Answers{{
     {ErrorKind::BadRequest, "bad_request", 400, NotRun, false,
      "The request is malformed"},
     {ErrorKind::HeadersTooLarge, "headers_too_large", 431, NotRun, false,
@@ -57,6 +57,8 @@
      "The fleet failed in an unforeseen way"},
     {ErrorKind::SlotTaken, "slot_taken", 503, NotRun, true,
      "The slot that was thought free has been taken"},
+    {ErrorKind::RequestTimeout, "request_timeout", 408, NotRun, true,
+     "The caller took too long to send the request"},
 }};
 
 } // namespace
@@ -75,6 +77,20 @@
   return {kind, answerFor(kind).DefaultRun, std::move(detail), retryAfter};
 }
 
+int statusOf(const Error &error) {
+  constexpr int badGateway = 502;
+  constexpr int unavailable = 503;
+  constexpr int gatewayTimeout = 504;
+  int status = answerFor(error.Kind).Status;
+  bool isPromise = status == unavailable || status == 408;
+  bool isVague = status == badGateway || status == gatewayTimeout;
+  if (error.Run == RunState::Unknown && isPromise)
+    return badGateway;
+  if (error.Run == RunState::NotRun && isVague)
+    return unavailable;
+  return status;
+}
+
 std::string_view toString(RunState run) {
   return run == RunState::NotRun ? "not_run" : "unknown";
 }
--- a/src/libhickoryglade/errorkind.h
+++ b/src/libhickoryglade/errorkind.h
@@ -36,6 +36,7 @@
   EndpointShed,
   Internal,
   SlotTaken,
+  RequestTimeout,
 };
 
 /// Row of the table from error kind to answer.
@@ -67,6 +68,11 @@
 Error makeError(ErrorKind kind, std::string detail = {},
                 Millis retryAfter = Millis{0});
 
+/// Status of the answer to a caller. 408, 421, 429 and 503 promise that the
+/// request has not run, so an error that may have run never gets them, and one
+/// that has not run never gets 502 or 504.
+int statusOf(const Error &error);
+
 std::string_view toString(RunState run);
 
 } // namespace hickoryglade
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -10,9 +10,8 @@
 
 namespace {
 
-/// An endpoint that announced itself every second is taken for gone after
-/// this silence: new work stops within 2 s of its leaving.
-constexpr Micros AnnouncementLimit = std::chrono::milliseconds(1'900);
+/// How long announcements of an endpoint that has left may still arrive.
+constexpr Micros DepartedMemory = std::chrono::seconds(60);
 
 /// A silent endpoint with nothing running is forgotten after this time.
 constexpr Micros ForgetSilentAfter = std::chrono::seconds(30);
@@ -31,7 +30,7 @@
 
 /// A gap between ticks beyond this was a pause. A gate that wakes from one
 /// first hears what it has missed before it starts anything.
-constexpr Micros PauseLimit = std::chrono::milliseconds(500);
+constexpr Micros PauseLimit = std::chrono::milliseconds(1'500);
 constexpr Micros HoldAfterPause = std::chrono::milliseconds(100);
 
 /// Time in which an endpoint that runs a crashing request is found crashed.
@@ -44,7 +43,7 @@
 constexpr Micros EmptyServiceRetry = std::chrono::seconds(1);
 
 bool isAnnounced(const GateEndpoint &endpoint, Instant now) {
-  return now - endpoint.LastHeard <= AnnouncementLimit;
+  return now - endpoint.LastHeard <= endpoint.AnnouncementLimit;
 }
 
 bool isEjected(const GateEndpoint &endpoint, Instant now) {
@@ -533,12 +532,46 @@
     setStanding(endpoint, Standing::Trial, "restarted", now, actions);
 }
 
+/// An endpoint at whose address another one has started is gone.
+void replaceAtAddress(Gate &gate, const Announcement &facts, Instant now,
+                      GateActions &actions) {
+  std::vector<std::string> gone;
+  for (const auto &[name, it] : gate.Endpoints)
+    if (name != facts.Name && it.Facts.Address == facts.Address)
+      gone.push_back(name);
+  for (const std::string &name : gone) {
+    GateActions more = withdraw(gate, name, now);
+    std::ranges::move(more, std::back_inserter(actions));
+  }
+}
+
 } // namespace
 
+bool isOutdated(const Gate &gate, const Announcement &facts) {
+  auto departed = gate.Departed.find(facts.Name);
+  if (departed != gate.Departed.end() && departed->second.StartedAtMs > 0 &&
+      facts.StartedAtMs <= departed->second.StartedAtMs)
+    return true;
+  for (const auto &[name, it] : gate.Endpoints) {
+    bool isSameProcess =
+        name == facts.Name && it.Facts.Incarnation == facts.Incarnation;
+    if (isSameProcess && facts.Sequence < it.Facts.Sequence)
+      return true;
+    bool isSamePlace = name == facts.Name || it.Facts.Address == facts.Address;
+    if (isSamePlace && facts.StartedAtMs < it.Facts.StartedAtMs)
+      return true;
+  }
+  return false;
+}
+
 GateActions announce(Gate &gate, const Announcement &facts, Instant now) {
   GateActions actions;
+  if (isOutdated(gate, facts))
+    return actions;
+  replaceAtAddress(gate, facts, now, actions);
   auto [it, isNew] = gate.Endpoints.try_emplace(facts.Name);
   GateEndpoint &endpoint = it->second;
+  endpoint.AnnouncementLimit = gate.AnnouncementLimit;
   bool isRestart = !isNew && endpoint.Facts.Incarnation != facts.Incarnation;
   endpoint.Facts = facts;
   endpoint.LastHeard = now;
@@ -562,6 +595,8 @@
   if (it == gate.Endpoints.end())
     return actions;
   std::string service = it->second.Facts.Service;
+  gate.Departed[endpoint] = {it->second.Facts.StartedAtMs,
+                             now + DepartedMemory};
   if (it->second.Holders.empty())
     gate.Endpoints.erase(it);
   else
@@ -727,6 +762,8 @@
     emptyQueue(gate, name, now, actions);
     dispatch(gate, name, now, actions);
   }
+  std::erase_if(gate.Departed,
+                [&](const auto &it) { return it.second.ForgetAt <= now; });
   gate.Ledger.forget(now);
   expireCrashes(gate.Crashes, now);
   return actions;
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -58,6 +58,13 @@
   std::map<std::uint64_t, Instant> SettleUntil;
 };
 
+/// An endpoint that has left, kept so that late announcements of it do not
+/// bring it back.
+struct DepartedEndpoint {
+  std::int64_t StartedAtMs = 0;
+  Instant ForgetAt;
+};
+
 /// State of one node's gate: the only way to the endpoints announced to it.
 /// All functions below are the only ones that change it; each takes the time
 /// and returns what the caller must carry out, in order.
@@ -65,6 +72,10 @@
   /// Name of this node, under which it counts crashes.
   std::string Node;
   std::map<std::string, GateEndpoint> Endpoints;
+  std::map<std::string, DepartedEndpoint> Departed;
+  /// An endpoint that has not announced itself for this long is taken for
+  /// gone.
+  Micros AnnouncementLimit = std::chrono::milliseconds(1'900);
   std::map<std::string, GateService> Services;
   StartLedger Ledger;
   Quarantine Crashes;
@@ -78,7 +89,12 @@
   Random Rng{1};
 };
 
-/// Takes or renews an announcement.
+/// True for an announcement that is older than what the gate knows: of an
+/// endpoint that has left, of an earlier process, or sent before one already
+/// taken.
+bool isOutdated(const Gate &gate, const Announcement &facts);
+
+/// Takes or renews an announcement; outdated ones change nothing.
 GateActions announce(Gate &gate, const Announcement &facts, Instant now);
 
 /// Forgets an endpoint that has left; what it runs may finish.
--- a/src/libhickoryglade/gateendpoint.h
+++ b/src/libhickoryglade/gateendpoint.h
@@ -31,6 +31,8 @@
   /// Counts the incarnations that this gate has seen; fences late results.
   std::int64_t Generation = 1;
   Instant LastHeard;
+  /// Silence after which the endpoint is taken for gone.
+  Micros AnnouncementLimit = std::chrono::milliseconds(1'900);
   Standing State = Standing::Healthy;
   std::vector<SlotHolder> Holders;
   std::vector<DroppedRequest> Dropped;
--- a/src/libhickoryglade/membership.cpp
+++ b/src/libhickoryglade/membership.cpp
@@ -318,6 +318,26 @@
   return state;
 }
 
+void addSeeds(Membership &state, const std::vector<std::string> &addresses,
+              Instant now) {
+  for (const std::string &it : addresses)
+    if (std::ranges::find(state.Seeds, it) == state.Seeds.end())
+      state.Seeds.push_back(it);
+  state.NextSync = now;
+}
+
+Instant nextDue(const Membership &state) {
+  Instant due = std::min(state.NextSync, state.NextProbe);
+  if (state.Pending)
+    due = state.Pending->SentAt +
+          (state.Pending->IsIndirect ? ProbeTimeout : DirectTimeout);
+  due = std::min(due, state.NextSync);
+  for (const auto &[node, member] : state.Members)
+    if (member.State == MemberState::Suspect)
+      due = std::min(due, member.StateSince + SuspicionTerm);
+  return due;
+}
+
 void describeSelf(Membership &state, MemberRecord record) {
   Member &own = state.Members.at(state.Self);
   record.Version = own.Record.Version;
--- a/src/libhickoryglade/membership.h
+++ b/src/libhickoryglade/membership.h
@@ -97,6 +97,13 @@
 Membership makeMembership(MemberRecord self, std::vector<std::string> seeds,
                           std::uint64_t seed, Instant now);
 
+/// Addresses to ask as well while they are not those of known members.
+void addSeeds(Membership &state, const std::vector<std::string> &addresses,
+              Instant now);
+
+/// Time of the next probe, answer or expiry that tick() has to see to.
+Instant nextDue(const Membership &state);
+
 /// Replaces the own record; its version is raised if anything changed.
 void describeSelf(Membership &state, MemberRecord record);
 
--- a/src/libhickoryglade/retry.cpp
+++ b/src/libhickoryglade/retry.cpp
@@ -49,6 +49,8 @@
     return {RetryVerdict::GiveUp, "another attempt would fail alike"};
   if (question.Failure.Run == RunState::Unknown && !question.IsIdempotent)
     return {RetryVerdict::GiveUp, "may have run and is not idempotent"};
+  if (question.Runs >= question.MostRuns)
+    return {RetryVerdict::GiveUp, "endpoints exhausted"};
   if (question.Attempts >= MostAttempts)
     return {RetryVerdict::GiveUp, "attempts exhausted"};
   if (question.TimeLeft <= question.ExpectedCost)
--- a/src/libhickoryglade/retry.h
+++ b/src/libhickoryglade/retry.h
@@ -29,6 +29,9 @@
   int Attempts = 1;
   Micros TimeLeft{0};
   Micros ExpectedCost{0};
+  /// Attempts that an endpoint may have run, and how many may.
+  int Runs = 0;
+  int MostRuns = 4;
 };
 
 struct RetryAnswer {
@@ -42,8 +45,9 @@
 /// run counts too.
 Error finalError(Error last, bool mayHaveRun);
 
-/// Attempts after which a request is given up.
-constexpr int MostAttempts = 4;
+/// Attempts after which a request is given up; most of them are refusals by
+/// gates that cost one message.
+constexpr int MostAttempts = 8;
 
 /// Work that may have run moves to another endpoint only if it is
 /// idempotent; the budget holds over the whole path since only entries retry.
--- a/src/libhickoryglade/routetable.cpp
+++ b/src/libhickoryglade/routetable.cpp
@@ -12,12 +12,19 @@
 Route makeRoute(const SettingsTree &tree, const std::string &path,
                 const nlohmann::json &value) {
   std::vector<std::string> names = splitSettingsPath(path);
-  return {path,
-          value["host"].get<std::string>(),
-          value.value("prefix", "/"),
-          value.value("workspace", names[0]),
-          qualifiedService(names[0], names[1]),
-          policyAt(tree, path)};
+  Route route{path,
+              value["host"].get<std::string>(),
+              value.value("prefix", "/"),
+              value.value("workspace", names[0]),
+              qualifiedService(names[0], names[1]),
+              policyAt(tree, path),
+              {}};
+  auto split = value.find("split");
+  if (split != value.end())
+    for (const auto &[service, weight] : split->items())
+      route.Split.push_back(
+          {qualifiedService(names[0], service), weight.get<std::int64_t>()});
+  return route;
 }
 
 /// "/a" matches "/a", "/a/b" and "/a?x", but not "/ab".
--- a/src/libhickoryglade/routetable.h
+++ b/src/libhickoryglade/routetable.h
@@ -10,6 +10,15 @@
 
 namespace hickoryglade {
 
+/// One service that takes a share of a route's requests.
+struct SplitPart {
+  /// Qualified service name.
+  std::string Service;
+  std::int64_t Weight = 0;
+
+  bool operator==(const SplitPart &) const = default;
+};
+
 /// Where requests of a host and path prefix go.
 struct Route {
   std::string Path;
@@ -20,6 +29,8 @@
   /// Qualified service name: "workspace/service".
   std::string Service;
   ServicePolicy Policy;
+  /// Services among which requests are shared out; empty if all go to one.
+  std::vector<SplitPart> Split;
 
   bool operator==(const Route &) const = default;
 };
--- a/src/libhickoryglade/servicepolicy.h
+++ b/src/libhickoryglade/servicepolicy.h
@@ -3,6 +3,7 @@
 #include "libhickoryglade/instant.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,22 @@
   int Floor = 0;
   /// Time allowed for a request whose caller names none.
   Millis Timeout{30'000};
+  /// Longest time for a request, whatever its caller allows.
+  Millis TimeLimit{86'400'000};
+  /// Time within which an answer has its full value to the caller.
+  Millis TargetLatency{30'000};
+  /// Rank among requests that compete for a slot; 0 goes first.
+  int Priority = 0;
+  /// Endpoints to which one request may be sent.
+  int MaxAttempts = 4;
+  /// Whether requests may run more than once, if settings say so; otherwise
+  /// their methods decide.
+  std::optional<bool> Idempotent;
+  std::int64_t MaxHeaderBytes = 32 * 1024;
+  /// Time for a caller to send a request's header.
+  Millis HeaderTimeout{10'000};
+  /// Time after which a caller's idle connection is closed.
+  Millis IdleTimeout{60'000};
   std::int64_t MaxBodyBytes = 8 * 1024 * 1024;
   /// Requests that may wait at one gate.
   int QueueLimit = 1'000;
--- a/src/libhickoryglade/settingslog.cpp
+++ b/src/libhickoryglade/settingslog.cpp
@@ -196,6 +196,29 @@
   return isChanged;
 }
 
+std::vector<SettingsFault> checkDocument(const SettingsDocument &document) {
+  std::vector<SettingsFault> faults;
+  for (const auto &[path, value] : document.Values)
+    std::ranges::move(checkSettingsValue(path, value),
+                      std::back_inserter(faults));
+  return faults;
+}
+
+bool replaceTree(SettingsState &state, const SettingsDocument &document) {
+  if (document.Version < state.Next)
+    return false;
+  state.Next = document.Version + 1;
+  for (auto &[path, node] : state.Tree.Nodes)
+    if (!node.Value.is_null() && !document.Values.contains(path))
+      node = {nullptr, document.Version};
+  for (const auto &[path, value] : document.Values) {
+    SettingsNode &node = state.Tree.Nodes[path];
+    if (node.Revision == 0 || node.Value != value)
+      node = {value, document.Version};
+  }
+  return true;
+}
+
 void skipTo(SettingsState &state, std::int64_t first) {
   if (first <= state.Next)
     return;
--- a/src/libhickoryglade/settingslog.h
+++ b/src/libhickoryglade/settingslog.h
@@ -99,6 +99,22 @@
 /// Takes a peer's state: per path, the higher revision wins.
 bool mergeSnapshot(SettingsState &state, const SettingsState &peer);
 
+/// A whole tree of settings, published at once under a rising version.
+struct SettingsDocument {
+  std::int64_t Version = 0;
+  /// Own values by path.
+  std::map<std::string, nlohmann::json> Values;
+
+  bool operator==(const SettingsDocument &) const = default;
+};
+
+/// Faults that make a document unusable as a whole.
+std::vector<SettingsFault> checkDocument(const SettingsDocument &document);
+
+/// Puts a checked document in the place of the tree. Returns false, and changes
+/// nothing, if its version is not above the one in force.
+bool replaceTree(SettingsState &state, const SettingsDocument &document);
+
 /// Marks that records below an offset are no longer kept.
 void skipTo(SettingsState &state, std::int64_t first);
 
--- a/src/libhickoryglade/settingsschema.cpp
+++ b/src/libhickoryglade/settingsschema.cpp
@@ -36,7 +36,9 @@
 };
 
 struct MethodListRule {};
+struct IdempotentRule {};
 struct HostRule {};
+struct SplitRule {};
 struct PrefixRule {};
 struct WorkspaceRule {};
 struct QuarantineReleaseRule {};
@@ -45,12 +47,14 @@
 struct KeyRule {
   std::string_view Key;
   SettingsLevel From;
-  std::variant<IntegerRule, PolicyNameRule, MethodListRule, HostRule,
-               PrefixRule, WorkspaceRule, QuarantineReleaseRule>
+  std::variant<IntegerRule, PolicyNameRule, MethodListRule, IdempotentRule,
+               HostRule, PrefixRule, WorkspaceRule, SplitRule,
+               QuarantineReleaseRule>
       Rule;
 };
 
 constexpr std::int64_t DayMs = 86'400'000;
+constexpr std::int64_t MostWeight = 1'000'000;
 
 const std::vector<KeyRule> &schema() {
   using P = ServicePolicy;
@@ -60,6 +64,28 @@
       {"timeout_ms", SettingsLevel::Fleet,
        IntegerRule{1, DayMs,
                    [](P &p, std::int64_t v) { p.Timeout = Millis(v); }}},
+      {"time_limit_ms", SettingsLevel::Fleet,
+       IntegerRule{1, DayMs,
+                   [](P &p, std::int64_t v) { p.TimeLimit = Millis(v); }}},
+      {"target_latency_ms", SettingsLevel::Fleet,
+       IntegerRule{1, DayMs,
+                   [](P &p, std::int64_t v) { p.TargetLatency = Millis(v); }}},
+      {"priority", SettingsLevel::Fleet,
+       IntegerRule{0, 100,
+                   [](P &p, std::int64_t v) { p.Priority = int(v); }}},
+      {"max_attempts", SettingsLevel::Fleet,
+       IntegerRule{1, 100,
+                   [](P &p, std::int64_t v) { p.MaxAttempts = int(v); }}},
+      {"idempotent", SettingsLevel::Fleet, IdempotentRule{}},
+      {"max_header_bytes", SettingsLevel::Fleet,
+       IntegerRule{256, 1024 * 1024,
+                   [](P &p, std::int64_t v) { p.MaxHeaderBytes = v; }}},
+      {"header_timeout_ms", SettingsLevel::Fleet,
+       IntegerRule{1, DayMs,
+                   [](P &p, std::int64_t v) { p.HeaderTimeout = Millis(v); }}},
+      {"idle_timeout_ms", SettingsLevel::Fleet,
+       IntegerRule{1, DayMs,
+                   [](P &p, std::int64_t v) { p.IdleTimeout = Millis(v); }}},
       {"max_body_bytes", SettingsLevel::Fleet,
        IntegerRule{0, 64 * 1024 * 1024,
                    [](P &p, std::int64_t v) { p.MaxBodyBytes = v; }}},
@@ -105,6 +131,7 @@
       {"host", SettingsLevel::Route, HostRule{}},
       {"prefix", SettingsLevel::Route, PrefixRule{}},
       {"workspace", SettingsLevel::Route, WorkspaceRule{}},
+      {"split", SettingsLevel::Route, SplitRule{}},
   };
   return it;
 }
@@ -170,6 +197,30 @@
              : "must be the name of a workspace";
 }
 
+std::string fault(const IdempotentRule &, const json &value) {
+  return value.is_boolean() ? "" : "must be true or false";
+}
+
+bool isWeight(const json &value) {
+  return value.is_number_integer() && value.get<std::int64_t>() >= 0 &&
+         value.get<std::int64_t>() <= MostWeight;
+}
+
+/// A split names services of the route's workspace; some weight counts.
+std::string fault(const SplitRule &, const json &value) {
+  bool isWellFormed = value.is_object() && !value.empty();
+  std::int64_t sum = 0;
+  if (isWellFormed)
+    for (const auto &[name, weight] : value.items()) {
+      isWellFormed = isWellFormed && isName(name) && isWeight(weight);
+      sum += isWellFormed ? weight.get<std::int64_t>() : 0;
+    }
+  return isWellFormed && sum > 0
+             ? ""
+             : "must map names of services to weights from 0 to 1000000, one "
+               "of them above 0";
+}
+
 std::string_view levelName(SettingsLevel level) {
   constexpr std::array<std::string_view, 4> names = {"fleet", "workspace",
                                                      "service", "route"};
@@ -246,6 +297,8 @@
       integer->Apply(base, it->get<std::int64_t>());
     if (const auto *name = std::get_if<PolicyNameRule>(&rule.Rule))
       name->Apply(base, it->get<std::string>());
+    if (std::holds_alternative<IdempotentRule>(rule.Rule))
+      base.Idempotent = it->get<bool>();
     if (std::holds_alternative<MethodListRule>(rule.Rule))
       base.IdempotentMethods = it->get<std::vector<std::string>>();
   }
--- a/src/libhickoryglade/settingstree.cpp
+++ b/src/libhickoryglade/settingstree.cpp
@@ -18,7 +18,8 @@
 
 /// Identity of a route; a path's descendants never inherit these.
 bool isRouteKey(const std::string &key) {
-  return key == "host" || key == "prefix" || key == "workspace";
+  return key == "host" || key == "prefix" || key == "workspace" ||
+         key == "split";
 }
 
 } // namespace
--- /dev/null
+++ b/src/libhickoryglade/splitter.cpp
@@ -0,0 +1,37 @@
+#include "libhickoryglade/splitter.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace hickoryglade {
+
+// Smooth weighted round robin. Each node starts at a place of its own, so that
+// many nodes with few requests each come to the weights together.
+const std::string &Splitter::choose(const Route &route, Random &rng) {
+  if (route.Split.empty())
+    return route.Service;
+  std::int64_t sum = std::transform_reduce(
+      route.Split.begin(), route.Split.end(), std::int64_t{0}, std::plus{},
+      [](const SplitPart &it) { return it.Weight; });
+  Shares &shares = ByRoute[route.Path];
+  if (shares.Split != route.Split) {
+    shares = {route.Split, {}};
+    for (std::size_t i = 0; i < route.Split.size(); ++i)
+      shares.Owed.push_back(
+          std::int64_t(uniform(rng, std::uint64_t(sum) + 1)));
+  }
+  for (std::size_t i = 0; i < route.Split.size(); ++i)
+    shares.Owed[i] += route.Split[i].Weight;
+  // A part of no weight gets nothing, whatever place it started from.
+  auto rank = [&](std::size_t i) {
+    return std::pair(route.Split[i].Weight > 0, shares.Owed[i]);
+  };
+  std::size_t best = 0;
+  for (std::size_t i = 1; i < route.Split.size(); ++i)
+    if (rank(i) > rank(best))
+      best = i;
+  shares.Owed[best] -= sum;
+  return route.Split[best].Service;
+}
+
+} // namespace hickoryglade
