--- a/src/libfleet/control.cpp
+++ b/src/libfleet/control.cpp
@@ -436,6 +436,9 @@
   view->KeepersOffset = Leases.agent().Ledger.Next;
   view->HandedOn = Leases.handedOn();
   view->KeeperUntil = Leases.keeperUntil();
+  for (const auto &[name, service] : view->Services)
+    view->Root.MaxBodyBytes =
+        std::max(view->Root.MaxBodyBytes, service.Policy.MaxBodyBytes);
   Counters.setMembers(double(view->Nodes.size()));
   View = view;
   Handlers.OnView(View);
--- a/src/libfleet/fleetview.h
+++ b/src/libfleet/fleetview.h
@@ -44,7 +44,8 @@
 /// it has been handed over.
 struct FleetView {
   bool HasSettings = false;
-  /// Policy at the root of the tree.
+  /// Policy at the root of the tree, with the largest body that any service
+  /// takes.
   ServicePolicy Root;
   std::shared_ptr<const RouteTable> Routes =
       std::make_shared<const RouteTable>();
--- a/src/libfleet/httpfront.cpp
+++ b/src/libfleet/httpfront.cpp
@@ -20,6 +20,10 @@
 
 constexpr std::size_t ReadBytes = 8 * 1024;
 
+/// What is read of a request that has been refused.
+constexpr auto DiscardLimit = std::chrono::seconds(2);
+constexpr std::size_t MostDiscarded = 64 * 1024 * 1024;
+
 /// One caller's connection.
 struct Session {
   beast::tcp_stream Stream;
@@ -121,6 +125,21 @@
   co_return !ec;
 }
 
+/// Reads what a refused caller still sends, so that closing the connection does
+/// not reset it before the caller has read the answer.
+asio::awaitable<void> discardRest(std::shared_ptr<Session> session) {
+  error_code ec;
+  session->Stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+  session->Stream.expires_after(DiscardLimit);
+  std::size_t bytes = 0;
+  while (!ec && bytes < MostDiscarded) {
+    session->Buffer.clear();
+    bytes += co_await session->Stream.async_read_some(
+        session->Buffer.prepare(ReadBytes),
+        asio::redirect_error(asio::use_awaitable, ec));
+  }
+}
+
 using RequestParser = http::request_parser<http::string_body>;
 
 asio::awaitable<void> readRequest(std::shared_ptr<Session> session,
@@ -153,8 +172,10 @@
     RequestParser parser;
     co_await readRequest(session, parser, *limits, ec);
     if (ec) {
-      if (int status = faultStatus(ec))
+      if (int status = faultStatus(ec)) {
         co_await writeAnswer(session, onFault(status), "GET", false, ec);
+        co_await discardRest(session);
+      }
       break;
     }
     bool isKept = parser.keep_alive() && !*isStopping;
--- a/src/libfleet/node.cpp
+++ b/src/libfleet/node.cpp
@@ -133,6 +133,9 @@
       Control::Events{[this](FleetViewPtr view) { applyView(view); },
                       [this] {
                         IsReady = true;
+                        if (!Facts.AcceptsBeforeReady)
+                          asio::post(Traffic[0]->Io,
+                                     [this] { Callers->start(); });
                         logEvent(LogLevel::Info, "ready",
                                  nlohmann::json::object());
                       },
@@ -341,7 +344,8 @@
   if (!status.ok())
     return status;
   AdminHttp->start();
-  Callers->start();
+  if (Facts.AcceptsBeforeReady)
+    Callers->start();
   if (ReadyHttp)
     ReadyHttp->start();
   Gate->start();
--- a/src/libfleet/nodesettings.cpp
+++ b/src/libfleet/nodesettings.cpp
@@ -57,6 +57,15 @@
     out = value->get<int>();
   }
 
+  void readBoolean(const char *key, bool &out) {
+    const json *value = take(key, false);
+    if (!value)
+      return;
+    if (!value->is_boolean())
+      return fault(key, "must be true or false, not " + value->dump());
+    out = value->get<bool>();
+  }
+
   void readAddresses(const char *key, std::vector<std::string> &out) {
     const json *value = take(key, false);
     if (!value)
@@ -150,6 +159,7 @@
   reader.readInteger("announcement_limit_ms", announcementMs, 100, MostDrainMs);
   settings.AnnouncementLimit = Millis(announcementMs);
   reader.readString("service", settings.Service, false);
+  reader.readBoolean("accept_before_ready", settings.AcceptsBeforeReady);
   reader.readString("log_level", settings.LogLevel, false);
   if (std::ranges::find(LogLevels, settings.LogLevel) == LogLevels.end())
     reader.fault("log_level", "must be debug, info, warn or error");
--- a/src/libfleet/nodesettings.h
+++ b/src/libfleet/nodesettings.h
@@ -38,6 +38,9 @@
   std::string LogLevel = "info";
   /// Longest time that a stop waits for requests in flight.
   Millis DrainLimit{30'000};
+  /// Whether callers are answered, with a refusal, before the node knows
+  /// settings and members; otherwise their connections are refused.
+  bool AcceptsBeforeReady = false;
   /// How long a node that stops still takes callers, who hear of it late.
   Millis Linger{1'000};
   /// Silence after which an endpoint is taken for gone: new work stops within
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -537,7 +537,8 @@
                       GateActions &actions) {
   std::vector<std::string> gone;
   for (const auto &[name, it] : gate.Endpoints)
-    if (name != facts.Name && it.Facts.Address == facts.Address)
+    if (name != facts.Name && it.Facts.Address == facts.Address &&
+        it.Facts.StartedAtMs < facts.StartedAtMs)
       gone.push_back(name);
   for (const std::string &name : gone) {
     GateActions more = withdraw(gate, name, now);
--- a/src/libhickoryglade/retry.h
+++ b/src/libhickoryglade/retry.h
@@ -45,9 +45,8 @@
 /// run counts too.
 Error finalError(Error last, bool mayHaveRun);
 
-/// Attempts after which a request is given up; most of them are refusals by
-/// gates that cost one message.
-constexpr int MostAttempts = 8;
+/// Attempts after which a request is given up.
+constexpr int MostAttempts = 4;
 
 /// Work that may have run moves to another endpoint only if it is
 /// idempotent; the budget holds over the whole path since only entries retry.
