--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -40,6 +40,13 @@
   13: i32 knownCrashes
   // The request is not to wait for a slot.
   14: bool onlyIfFree
+  // An endpoint has seen the request before: the gate's budget of repeats
+  // decides whether it may see it again.
+  15: bool isRepeat
+  // The entry knows that the gate's endpoint is doubtful or on trial.
+  16: bool acceptsDoubtful
+  // Rank among requests that compete for a slot; 0 goes first.
+  17: i32 priority
 }
 
 struct Grant {
@@ -85,6 +92,8 @@
   6: string endpoint
   // The endpoint's process was found gone.
   7: bool isCrash
+  // The request's bytes have reached an endpoint.
+  8: bool hasReached
 }
 
 struct Cancel {}
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -554,6 +554,18 @@
 void Ticket::__set_onlyIfFree(const bool val) {
   this->onlyIfFree = val;
 }
+
+void Ticket::__set_isRepeat(const bool val) {
+  this->isRepeat = val;
+}
+
+void Ticket::__set_acceptsDoubtful(const bool val) {
+  this->acceptsDoubtful = val;
+}
+
+void Ticket::__set_priority(const int32_t val) {
+  this->priority = val;
+}
 std::ostream& operator<<(std::ostream& out, const Ticket& obj)
 {
   obj.printTo(out);
@@ -686,6 +698,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isRepeat);
+          this->__isset.isRepeat = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->acceptsDoubtful);
+          this->__isset.acceptsDoubtful = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -755,6 +791,18 @@
   xfer += oprot->writeBool(this->onlyIfFree);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("isRepeat", ::apache::thrift::protocol::T_BOOL, 15);
+  xfer += oprot->writeBool(this->isRepeat);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("acceptsDoubtful", ::apache::thrift::protocol::T_BOOL, 16);
+  xfer += oprot->writeBool(this->acceptsDoubtful);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 17);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -775,6 +823,9 @@
   swap(a.awaitsClaim, b.awaitsClaim);
   swap(a.knownCrashes, b.knownCrashes);
   swap(a.onlyIfFree, b.onlyIfFree);
+  swap(a.isRepeat, b.isRepeat);
+  swap(a.acceptsDoubtful, b.acceptsDoubtful);
+  swap(a.priority, b.priority);
   swap(a.__isset, b.__isset);
 }
 
@@ -792,6 +843,9 @@
   awaitsClaim = other12.awaitsClaim;
   knownCrashes = other12.knownCrashes;
   onlyIfFree = other12.onlyIfFree;
+  isRepeat = other12.isRepeat;
+  acceptsDoubtful = other12.acceptsDoubtful;
+  priority = other12.priority;
   __isset = other12.__isset;
 }
 Ticket::Ticket(Ticket&& other13) noexcept {
@@ -808,6 +862,9 @@
   awaitsClaim = other13.awaitsClaim;
   knownCrashes = other13.knownCrashes;
   onlyIfFree = other13.onlyIfFree;
+  isRepeat = other13.isRepeat;
+  acceptsDoubtful = other13.acceptsDoubtful;
+  priority = other13.priority;
   __isset = other13.__isset;
 }
 Ticket& Ticket::operator=(const Ticket& other14) {
@@ -824,6 +881,9 @@
   awaitsClaim = other14.awaitsClaim;
   knownCrashes = other14.knownCrashes;
   onlyIfFree = other14.onlyIfFree;
+  isRepeat = other14.isRepeat;
+  acceptsDoubtful = other14.acceptsDoubtful;
+  priority = other14.priority;
   __isset = other14.__isset;
   return *this;
 }
@@ -841,6 +901,9 @@
   awaitsClaim = other15.awaitsClaim;
   knownCrashes = other15.knownCrashes;
   onlyIfFree = other15.onlyIfFree;
+  isRepeat = other15.isRepeat;
+  acceptsDoubtful = other15.acceptsDoubtful;
+  priority = other15.priority;
   __isset = other15.__isset;
   return *this;
 }
@@ -860,6 +923,9 @@
   out << ", " << "awaitsClaim=" << to_string(awaitsClaim);
   out << ", " << "knownCrashes=" << to_string(knownCrashes);
   out << ", " << "onlyIfFree=" << to_string(onlyIfFree);
+  out << ", " << "isRepeat=" << to_string(isRepeat);
+  out << ", " << "acceptsDoubtful=" << to_string(acceptsDoubtful);
+  out << ", " << "priority=" << to_string(priority);
   out << ")";
 }
 
@@ -1682,6 +1748,10 @@
 void Failure::__set_isCrash(const bool val) {
   this->isCrash = val;
 }
+
+void Failure::__set_hasReached(const bool val) {
+  this->hasReached = val;
+}
 std::ostream& operator<<(std::ostream& out, const Failure& obj)
 {
   obj.printTo(out);
@@ -1766,6 +1836,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->hasReached);
+          this->__isset.hasReached = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1811,6 +1889,10 @@
   xfer += oprot->writeBool(this->isCrash);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("hasReached", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->hasReached);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1825,6 +1907,7 @@
   swap(a.load, b.load);
   swap(a.endpoint, b.endpoint);
   swap(a.isCrash, b.isCrash);
+  swap(a.hasReached, b.hasReached);
   swap(a.__isset, b.__isset);
 }
 
@@ -1836,6 +1919,7 @@
   load = other48.load;
   endpoint = other48.endpoint;
   isCrash = other48.isCrash;
+  hasReached = other48.hasReached;
   __isset = other48.__isset;
 }
 Failure::Failure(Failure&& other49) noexcept {
@@ -1846,6 +1930,7 @@
   load = std::move(other49.load);
   endpoint = std::move(other49.endpoint);
   isCrash = other49.isCrash;
+  hasReached = other49.hasReached;
   __isset = other49.__isset;
 }
 Failure& Failure::operator=(const Failure& other50) {
@@ -1856,6 +1941,7 @@
   load = other50.load;
   endpoint = other50.endpoint;
   isCrash = other50.isCrash;
+  hasReached = other50.hasReached;
   __isset = other50.__isset;
   return *this;
 }
@@ -1867,6 +1953,7 @@
   load = std::move(other51.load);
   endpoint = std::move(other51.endpoint);
   isCrash = other51.isCrash;
+  hasReached = other51.hasReached;
   __isset = other51.__isset;
   return *this;
 }
@@ -1880,6 +1967,7 @@
   out << ", " << "load=" << to_string(load);
   out << ", " << "endpoint=" << to_string(endpoint);
   out << ", " << "isCrash=" << to_string(isCrash);
+  out << ", " << "hasReached=" << to_string(hasReached);
   out << ")";
 }
 
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -279,7 +279,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _Ticket__isset {
-  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), awaitsClaim(false), knownCrashes(false), onlyIfFree(false) {}
+  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), awaitsClaim(false), knownCrashes(false), onlyIfFree(false), isRepeat(false), acceptsDoubtful(false), priority(false) {}
   bool attemptId :1;
   bool workspace :1;
   bool serviceName :1;
@@ -293,6 +293,9 @@
   bool awaitsClaim :1;
   bool knownCrashes :1;
   bool onlyIfFree :1;
+  bool isRepeat :1;
+  bool acceptsDoubtful :1;
+  bool priority :1;
 } _Ticket__isset;
 
 class Ticket : public virtual ::apache::thrift::TBase {
@@ -315,7 +318,10 @@
            fingerprint(0),
            awaitsClaim(0),
            knownCrashes(0),
-           onlyIfFree(0) {
+           onlyIfFree(0),
+           isRepeat(0),
+           acceptsDoubtful(0),
+           priority(0) {
   }
 
   virtual ~Ticket() noexcept;
@@ -332,6 +338,9 @@
   bool awaitsClaim;
   int32_t knownCrashes;
   bool onlyIfFree;
+  bool isRepeat;
+  bool acceptsDoubtful;
+  int32_t priority;
 
   _Ticket__isset __isset;
 
@@ -361,6 +370,12 @@
 
   void __set_onlyIfFree(const bool val);
 
+  void __set_isRepeat(const bool val);
+
+  void __set_acceptsDoubtful(const bool val);
+
+  void __set_priority(const int32_t val);
+
   bool operator == (const Ticket & rhs) const
   {
     if (!(attemptId == rhs.attemptId))
@@ -389,6 +404,12 @@
       return false;
     if (!(onlyIfFree == rhs.onlyIfFree))
       return false;
+    if (!(isRepeat == rhs.isRepeat))
+      return false;
+    if (!(acceptsDoubtful == rhs.acceptsDoubtful))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
     return true;
   }
   bool operator != (const Ticket &rhs) const {
@@ -706,7 +727,7 @@
 std::ostream& operator<<(std::ostream& out, const Answer& obj);
 
 typedef struct _Failure__isset {
-  _Failure__isset() : kind(false), run(false), detail(false), retryAfterMs(false), load(false), endpoint(false), isCrash(false) {}
+  _Failure__isset() : kind(false), run(false), detail(false), retryAfterMs(false), load(false), endpoint(false), isCrash(false), hasReached(false) {}
   bool kind :1;
   bool run :1;
   bool detail :1;
@@ -714,6 +735,7 @@
   bool load :1;
   bool endpoint :1;
   bool isCrash :1;
+  bool hasReached :1;
 } _Failure__isset;
 
 class Failure : public virtual ::apache::thrift::TBase {
@@ -729,7 +751,8 @@
             detail(),
             retryAfterMs(0),
             endpoint(),
-            isCrash(0) {
+            isCrash(0),
+            hasReached(0) {
   }
 
   virtual ~Failure() noexcept;
@@ -740,6 +763,7 @@
   Load load;
   std::string endpoint;
   bool isCrash;
+  bool hasReached;
 
   _Failure__isset __isset;
 
@@ -757,6 +781,8 @@
 
   void __set_isCrash(const bool val);
 
+  void __set_hasReached(const bool val);
+
   bool operator == (const Failure & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -773,6 +799,8 @@
       return false;
     if (!(isCrash == rhs.isCrash))
       return false;
+    if (!(hasReached == rhs.hasReached))
+      return false;
     return true;
   }
   bool operator != (const Failure &rhs) const {
--- a/src/libfleet/control.cpp
+++ b/src/libfleet/control.cpp
@@ -193,8 +193,7 @@
 
 void Control::usePlatform(const PlatformAdapter &platform) {
   asio::any_io_executor ex = Io.get_executor();
-  Settings.followDocuments(
-      platform.MakeSettingsSource(ex, Facts.PlatformAddress));
+  Settings.followDocuments(platform.MakeSettingsSource(ex, Facts));
   Directory = platform.MakeDirectory(ex, Facts.PlatformAddress);
 }
 
@@ -264,8 +263,8 @@
 void Control::followPeers() {
   if (!Directory || IsCatchingUp)
     return;
-  bool isBehind = std::ranges::any_of(
-      peers(Members.state()), [this](const Member *it) {
+  bool isBehind =
+      std::ranges::any_of(peers(Members.state()), [this](const Member *it) {
         return it->Record.SettingsNext > Settings.state().Next;
       });
   if (!isBehind)
--- a/src/libfleet/endpointclient.cpp
+++ b/src/libfleet/endpointclient.cpp
@@ -269,10 +269,10 @@
                      RunState::NotRun, "given up before it was sent");
   connection->Stream.expires_at(toSteady(call.Deadline));
   auto isWritten = std::make_shared<bool>(false);
-  asio::co_spawn(Executor,
-                 writeRequest(connection, toBeast(call.Request, call.Address),
-                              isWritten),
-                 asio::detached);
+  asio::co_spawn(
+      Executor,
+      writeRequest(connection, toBeast(call.Request, call.Address), isWritten),
+      asio::detached);
   EndpointResult result = co_await readAnswer(connection, call, isWritten);
   if (handle->IsCancelled)
     co_return failed(AttemptOutcome::Cancelled, ErrorKind::Cancelled,
--- a/src/libfleet/entry.cpp
+++ b/src/libfleet/entry.cpp
@@ -34,6 +34,10 @@
 /// A gate's report older than this says nothing any more.
 constexpr Micros LoadTerm = std::chrono::milliseconds(500);
 
+/// Refusals by gates that cost one message each, after which a request is
+/// given up.
+constexpr int MostFreeTries = 12;
+
 constexpr std::size_t MostKeyBytes = 255;
 constexpr Millis LongestTimeout = std::chrono::hours(24);
 constexpr Millis DefaultRetryAfter = std::chrono::seconds(1);
@@ -61,6 +65,15 @@
   return hash;
 }
 
+/// A caller that is to come back needs time for the work itself then.
+Millis usefulWait(Millis wait, Millis timeLeft) {
+  constexpr int part = 4;
+  constexpr Millis least{20};
+  if (timeLeft <= least * part)
+    return wait;
+  return std::clamp(wait, least, timeLeft / part);
+}
+
 /// An endpoint's report of a failure is worth another try where that is safe.
 bool isFinalAnswer(const EntryResult &result, bool isIdempotent) {
   constexpr int leastServerError = 500;
@@ -111,10 +124,10 @@
                                          std::shared_ptr<CallScope> scope) {
   Instant start = now();
   std::string id = nextId();
-  std::string callerId =
-      headerValue(request.Headers, Dialect.RequestIdHeader);
+  std::string callerId = headerValue(request.Headers, Dialect.RequestIdHeader);
   ++InFlight;
   std::string service;
+  Micros timeLeft{0};
   std::variant<Inquiry, Error> examined =
       examine(std::move(request), std::move(scope), id);
   EntryResult result = Error{};
@@ -123,16 +136,17 @@
   } else {
     Inquiry &inquiry = std::get<Inquiry>(examined);
     service = inquiry.Way.Service;
-    bool isKeyed = HasKeepers && !inquiry.IsIdempotent &&
-                   !inquiry.IdempotencyKey.empty();
+    bool isKeyed =
+        HasKeepers && !inquiry.IsIdempotent && !inquiry.IdempotencyKey.empty();
     if (isKeyed)
       result = co_await performKeyed(inquiry);
     else
       result = co_await perform(inquiry);
+    timeLeft = inquiry.Deadline - now();
   }
   HttpAnswer answer;
   if (auto *error = std::get_if<Error>(&result))
-    answer = problem(*error, id);
+    answer = problem(*error, id, timeLeft);
   else
     answer = std::move(std::get<HttpAnswer>(result));
   const std::string &shownId = Dialect.IsIdFromCaller ? callerId : id;
@@ -214,6 +228,7 @@
   RetryBudget &budget = Budgets[inquiry.Way.Service];
   budget.noteFresh(inquiry.Way.Policy.RetryBudgetPercent);
   int runs = 0;
+  int freeTries = 0;
   std::optional<HttpAnswer> failure;
   for (int number = 1;; ++number) {
     EntryResult result = co_await tryOnce(inquiry, number);
@@ -221,19 +236,24 @@
       co_return result;
     if (auto *answer = std::get_if<HttpAnswer>(&result)) {
       failure = std::move(*answer);
+      ++inquiry.Arrivals;
       result = makeError(ErrorKind::EndpointFailed,
                          "answered " + std::to_string(failure->Status));
     }
     const Error &error = std::get<Error>(result);
     inquiry.HasMissed = inquiry.HasMissed || error.Kind == ErrorKind::SlotTaken;
     bool hasFailed = error.Kind != ErrorKind::SlotTaken;
+    freeTries += isFreeRetry(error.Kind);
     if (hasFailed && !inquiry.LastGate.empty())
       inquiry.Tried.push_back(std::exchange(inquiry.LastGate, {}));
     runs += error.Run == RunState::Unknown;
-    RetryAnswer answer = decideRetry(
-        {error, inquiry.IsIdempotent, number, inquiry.Deadline - now(),
-         inquiry.Cost.Expected, runs, inquiry.Way.Policy.MaxAttempts},
-        budget);
+    if (error.Run == RunState::Unknown && inquiry.Arrivals == 0)
+      inquiry.Arrivals = 1;
+    RetryAnswer answer =
+        decideRetry({error, inquiry.IsIdempotent, number - freeTries,
+                     inquiry.Deadline - now(), inquiry.Cost.Expected, runs,
+                     inquiry.Way.Policy.MaxAttempts},
+                    budget);
     Counters.countRetry(std::string(answer.Reason));
     logEvent(LogLevel::Info, "attempt_failed",
              {{"request", inquiry.Id},
@@ -243,7 +263,7 @@
               {"detail", error.Detail},
               {"retry", answer.Verdict == RetryVerdict::Retry},
               {"reason", answer.Reason}});
-    if (answer.Verdict == RetryVerdict::Retry)
+    if (answer.Verdict == RetryVerdict::Retry && freeTries < MostFreeTries)
       continue;
     if (failure)
       co_return std::move(*failure);
@@ -264,6 +284,7 @@
     it.Slots = gate.Slots;
     it.State = gate.State;
     it.IsLocal = gate.Node == Node;
+    it.IsNear = gate.DataCentre == DataCentre;
     it.IsPathUp = Links.isPathUp(gate.Node, now);
     it.WasTried =
         std::ranges::find(inquiry.Tried, gate.Node) != inquiry.Tried.end();
@@ -286,7 +307,8 @@
       Registry<RouterPolicy>::instance().find(inquiry.Way.Policy.Router);
   Instant until = std::min(now() + CandidatePatience, inquiry.Deadline);
   RouteQuestion question{inquiry.Cost.IsLong, inquiry.IsIdempotent,
-                         inquiry.HasMissed, isSerialized, inquiry.Fingerprint};
+                         inquiry.HasMissed,   isSerialized,
+                         inquiry.Fingerprint, inquiry.Way.Policy.TrialOdds};
   while (true) {
     all = candidates(inquiry, now());
     RoutePlan plan = router->Plan(all, question, Rng);
@@ -386,6 +408,9 @@
   ticket.knownCrashes = inquiry.Crashes;
   ticket.onlyIfFree = attempt.OnlyIfFree;
   ticket.awaitsClaim = attempt.AwaitsGrant;
+  ticket.isRepeat = inquiry.Arrivals > 0;
+  ticket.acceptsDoubtful = it.Gate.State != Standing::Healthy;
+  ticket.priority = inquiry.Way.Policy.Priority;
   return ticket;
 }
 
@@ -566,28 +591,30 @@
 
 Error Entry::toError(Attempt &attempt, const wire::Failure &failure) const {
   attempt.Request->Crashes += failure.isCrash;
+  attempt.Request->Arrivals += failure.hasReached;
   RunState run = failure.run == int(RunState::NotRun) ? RunState::NotRun
                                                       : RunState::Unknown;
   return {errorKindFromWire(failure.kind), run, failure.detail,
           Millis(failure.retryAfterMs)};
 }
 
-HttpAnswer Entry::problem(const Error &error, const std::string &id) {
+HttpAnswer Entry::problem(const Error &error, const std::string &id,
+                          Micros timeLeft) {
   const ErrorAnswer &row = answerFor(error.Kind);
   Counters.countError(std::string(row.Name));
   HttpAnswer answer;
   answer.Status = statusOf(error);
-  json body = {{"type", "about:blank"}, {"title", row.Title},
-               {"status", answer.Status},  {"detail", error.Detail},
-               {"kind", row.Name},      {"run", toString(error.Run)},
+  json body = {{"type", "about:blank"},   {"title", row.Title},
+               {"status", answer.Status}, {"detail", error.Detail},
+               {"kind", row.Name},        {"run", toString(error.Run)},
                {"request_id", id}};
   if (row.IsRetryable && error.Run == RunState::NotRun) {
     Millis wait = error.RetryAfter.count() > 0
                       ? error.RetryAfter
                       : DefaultRetryAfter + Millis(uniform(Rng, RetrySpreadMs));
+    wait = usefulWait(wait, toMillis(timeLeft));
     body["retry_after_ms"] = wait.count();
-    answer.Headers.push_back(
-        {"Retry-After", formatRetryAfter(Dialect, wait)});
+    answer.Headers.push_back({"Retry-After", formatRetryAfter(Dialect, wait)});
   }
   answer.Headers.push_back({"Content-Type", "application/problem+json"});
   answer.Content = std::make_shared<const std::string>(
--- a/src/libfleet/entry.h
+++ b/src/libfleet/entry.h
@@ -30,6 +30,8 @@
   std::string IdempotencyKey;
   /// Endpoints that the request has crashed so far.
   int Crashes = 0;
+  /// Attempts that an endpoint has seen.
+  int Arrivals = 0;
   /// A slot that was thought free was not.
   bool HasMissed = false;
   /// Gate of the latest attempt that reached one.
@@ -88,7 +90,8 @@
   void noteLoad(const std::string &node, const std::string &service,
                 const wire::Load &load);
   Error toError(Attempt &attempt, const wire::Failure &failure) const;
-  HttpAnswer problem(const Error &error, const std::string &id);
+  HttpAnswer problem(const Error &error, const std::string &id,
+                     Micros timeLeft);
   Millis allowedTime(const HttpRequest &request, const ServicePolicy &policy,
                      std::optional<Error> &fault) const;
   void logRoute(const Inquiry &inquiry, int number, const Attempt &attempt,
--- a/src/libfleet/gateservice.cpp
+++ b/src/libfleet/gateservice.cpp
@@ -109,6 +109,9 @@
   out.OnlyIfFree = in.onlyIfFree;
   out.KnownCrashes = in.knownCrashes;
   out.AwaitsClaim = in.awaitsClaim;
+  out.IsRepeat = in.isRepeat;
+  out.AcceptsDoubtful = in.acceptsDoubtful;
+  out.Priority = in.priority;
   return out;
 }
 
@@ -356,8 +359,7 @@
                         const std::string &service,
                         const std::string &endpoint) {
   if (!result.Answer)
-    return sendFailure(ref, result.Failure, service, endpoint,
-                       result.Outcome == AttemptOutcome::Crashed);
+    return sendFailure(ref, result.Failure, service, endpoint, &result);
   auto channel = ref.Channel.lock();
   if (!channel || !channel->isOpen())
     return;
@@ -376,13 +378,16 @@
 
 void GateService::sendFailure(const StreamRef &ref, const Error &reason,
                               const std::string &service,
-                              const std::string &endpoint, bool isCrash) {
+                              const std::string &endpoint,
+                              const EndpointResult *result) {
   auto channel = ref.Channel.lock();
   if (!channel || !channel->isOpen())
     return;
   wire::Frame frame;
   frame.stream = ref.Stream;
-  frame.failure.isCrash = isCrash;
+  frame.failure.isCrash = result && result->Outcome == AttemptOutcome::Crashed;
+  frame.failure.hasReached =
+      result && result->Outcome != AttemptOutcome::Unreachable;
   frame.failure.kind = int(reason.Kind);
   frame.failure.run = int(reason.Run);
   frame.failure.detail = reason.Detail;
@@ -426,6 +431,7 @@
   for (const auto &[name, service] : view->Services) {
     Kernel.Services[name].Policy = service.Policy;
     Kernel.Services[name].Shares = service.Shares;
+    Kernel.Services[name].Gates = int(service.Gates.size());
   }
   for (const auto &[fingerprint, record] : view->Crashes.Records)
     mergeCrash(Kernel.Crashes, fingerprint, record);
--- a/src/libfleet/gateservice.h
+++ b/src/libfleet/gateservice.h
@@ -30,8 +30,8 @@
   };
 
   GateService(asio::any_io_executor ex, const NodeSettings &settings,
-              std::int64_t bootId, const HttpDialect &dialect,
-              Metrics &metrics, Events events);
+              std::int64_t bootId, const HttpDialect &dialect, Metrics &metrics,
+              Events events);
 
   void start();
 
@@ -86,7 +86,7 @@
              const std::string &service, const std::string &endpoint);
   void sendFailure(const StreamRef &ref, const Error &reason,
                    const std::string &service, const std::string &endpoint,
-                   bool isCrash = false);
+                   const EndpointResult *result = nullptr);
   void keepFinished(const ExchangePtr &exchange,
                     std::shared_ptr<const EndpointResult> result);
   wire::Load wireLoad(const std::string &service) const;
--- a/src/libfleet/httpcaller.cpp
+++ b/src/libfleet/httpcaller.cpp
@@ -68,9 +68,10 @@
   co_return true;
 }
 
-asio::awaitable<std::optional<HttpAnswer>>
-HttpCaller::call(std::string method, std::string target, std::string content,
-                 Millis limit) {
+asio::awaitable<std::optional<HttpAnswer>> HttpCaller::call(std::string method,
+                                                            std::string target,
+                                                            std::string content,
+                                                            Millis limit) {
   if (!Current) {
     bool isConnected = co_await connect();
     if (!isConnected)
--- a/src/libfleet/httpdialect.cpp
+++ b/src/libfleet/httpdialect.cpp
@@ -40,8 +40,7 @@
   std::string id = headerValue(answer.Headers, dialect.RequestIdHeader);
   if (!id.empty() && id != requestId)
     return AnswerMatch::Stray;
-  bool hasProof =
-      !headerValue(answer.Headers, dialect.ProofHeader).empty();
+  bool hasProof = !headerValue(answer.Headers, dialect.ProofHeader).empty();
   bool isEncoded = !headerValue(answer.Headers, "Content-Encoding").empty();
   if (id.empty() || isEncoded || (isSuccess(answer) && !hasProof))
     return AnswerMatch::Unusable;
--- a/src/libfleet/httpfront.cpp
+++ b/src/libfleet/httpfront.cpp
@@ -240,19 +240,19 @@
 
 void HttpFront::accept() {
   Lane &lane = Lanes[NextLane++ % Lanes.size()];
-  Acceptor.async_accept(
-      lane.Executor, [this, &lane](const error_code &ec, tcp::socket socket) {
-        if (ec == asio::error::operation_aborted)
-          return;
-        if (!ec) {
-          auto session = std::make_shared<Session>(
-              Session{beast::tcp_stream(std::move(socket)), {}});
-          asio::co_spawn(lane.Executor,
-                         serve(session, lane.Handler, OnFault, IsStopping, Limits),
-                         asio::detached);
-        }
-        accept();
-      });
+  Acceptor.async_accept(lane.Executor, [this, &lane](const error_code &ec,
+                                                     tcp::socket socket) {
+    if (ec == asio::error::operation_aborted)
+      return;
+    if (!ec) {
+      auto session = std::make_shared<Session>(
+          Session{beast::tcp_stream(std::move(socket)), {}});
+      asio::co_spawn(lane.Executor,
+                     serve(session, lane.Handler, OnFault, IsStopping, Limits),
+                     asio::detached);
+    }
+    accept();
+  });
 }
 
 } // namespace hickoryglade::fleet
--- a/src/libfleet/logclient.cpp
+++ b/src/libfleet/logclient.cpp
@@ -99,8 +99,8 @@
                        "/records?from=" + std::to_string(from) +
                        "&limit=" + std::to_string(RecordsPerRead) +
                        "&wait_ms=" + std::to_string(wait.count());
-  std::optional<HttpAnswer> reply = co_await Caller.call(
-      "GET", std::move(target), "", wait + CallLimit);
+  std::optional<HttpAnswer> reply =
+      co_await Caller.call("GET", std::move(target), "", wait + CallLimit);
   ReadResult result;
   if (!reply)
     co_return result;
--- a/src/libfleet/node.cpp
+++ b/src/libfleet/node.cpp
@@ -130,18 +130,17 @@
 
   Brain = std::make_unique<Control>(
       control, Facts, BootId, Counters,
-      Control::Events{[this](FleetViewPtr view) { applyView(view); },
-                      [this] {
-                        IsReady = true;
-                        if (!Facts.AcceptsBeforeReady)
-                          asio::post(Traffic[0]->Io,
-                                     [this] { Callers->start(); });
-                        logEvent(LogLevel::Info, "ready",
-                                 nlohmann::json::object());
-                      },
-                      [this](std::map<std::string, Instant> ends) {
-                        applyEjections(std::move(ends));
-                      }});
+      Control::Events{
+          [this](FleetViewPtr view) { applyView(view); },
+          [this] {
+            IsReady = true;
+            if (!Facts.AcceptsBeforeReady)
+              asio::post(Traffic[0]->Io, [this] { Callers->start(); });
+            logEvent(LogLevel::Info, "ready", nlohmann::json::object());
+          },
+          [this](std::map<std::string, Instant> ends) {
+            applyEjections(std::move(ends));
+          }});
 
   if (Platform)
     Brain->usePlatform(*Platform);
@@ -166,9 +165,8 @@
 
   std::vector<HttpFront::Lane> lanes;
   for (std::size_t i = 0; i < Traffic.size(); ++i) {
-    Entries.push_back(std::make_unique<Entry>(Traffic[i]->Io.get_executor(),
-                                              Facts, BootId, i, Dialect,
-                                              Counters));
+    Entries.push_back(std::make_unique<Entry>(
+        Traffic[i]->Io.get_executor(), Facts, BootId, i, Dialect, Counters));
     connectLocal(*Entries.back(), *Traffic[i]);
     lanes.push_back(
         {Traffic[i]->Io.get_executor(),
@@ -213,10 +211,8 @@
     return;
   std::vector<HttpFront::Lane> readyLanes{
       {control.get_executor(),
-       [this](HttpRequest,
-              std::shared_ptr<CallScope>) -> asio::awaitable<HttpAnswer> {
-         co_return readiness();
-       }}};
+       [this](HttpRequest, std::shared_ptr<CallScope>)
+           -> asio::awaitable<HttpAnswer> { co_return readiness(); }}};
   ReadyHttp =
       std::make_unique<HttpFront>(control.get_executor(), Facts.ReadyAddress,
                                   std::move(readyLanes), faultAnswer);
--- a/src/libfleet/nodesettings.cpp
+++ b/src/libfleet/nodesettings.cpp
@@ -80,6 +80,20 @@
     }
   }
 
+  void readNumbers(const char *key, std::map<std::string, double> &out) {
+    const json *value = take(key, false);
+    if (!value)
+      return;
+    bool isTable =
+        value->is_object() && std::ranges::all_of(*value, [](const json &it) {
+          return it.is_number() || it.is_boolean();
+        });
+    if (!isTable)
+      return fault(key, "must map names to numbers");
+    for (const auto &[name, it] : value->items())
+      out[name] = it.is_boolean() ? it.get<bool>() : it.get<double>();
+  }
+
   const json *take(const char *key, bool isRequired) {
     Known.emplace_back(key);
     auto it = Object.find(key);
@@ -134,6 +148,7 @@
   ObjectReader reader(object, "platform.", faults);
   reader.readString("adapter", settings.Platform, true);
   reader.readAddress("address", settings.PlatformAddress, true);
+  reader.readNumbers("bounds", settings.PlatformBounds);
   if (!settings.Platform.empty() &&
       !Registry<PlatformAdapter>::instance().find(settings.Platform))
     reader.fault("adapter", "no adapter is called " + settings.Platform);
--- a/src/libfleet/nodesettings.h
+++ b/src/libfleet/nodesettings.h
@@ -2,6 +2,7 @@
 
 #include "libhickoryglade/settingsschema.h"
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,8 @@
   /// there is no log.
   std::string Platform;
   std::string PlatformAddress;
+  /// What the platform demands, under its own names.
+  std::map<std::string, double> PlatformBounds;
   std::string LogAddress;
   /// Prefix of the names of this fleet's streams.
   std::string StreamPrefix = "hickoryglade";
--- a/src/libfleet/platformadapter.h
+++ b/src/libfleet/platformadapter.h
@@ -2,6 +2,7 @@
 
 #include "libfleet/httpdialect.h"
 #include "libfleet/nodedirectory.h"
+#include "libfleet/nodesettings.h"
 #include "libfleet/settingssource.h"
 #include "libhickoryglade/announcement.h"
 
@@ -23,9 +24,8 @@
 };
 
 /// What an endpoint says of itself; nothing if the request is not of that kind.
-using EndpointMessage =
-    std::variant<std::monostate, Announcement, Departure,
-                 MalformedAnnouncement>;
+using EndpointMessage = std::variant<std::monostate, Announcement, Departure,
+                                     MalformedAnnouncement>;
 
 /// All that a platform words in its own way. An adapter registers itself under
 /// the name that node settings use.
@@ -33,7 +33,7 @@
   HttpDialect (*Dialect)();
   EndpointMessage (*ParseEndpointMessage)(const HttpRequest &request);
   std::unique_ptr<SettingsSource> (*MakeSettingsSource)(
-      asio::any_io_executor ex, const std::string &address);
+      asio::any_io_executor ex, const NodeSettings &settings);
   std::unique_ptr<NodeDirectory> (*MakeDirectory)(asio::any_io_executor ex,
                                                   const std::string &address);
 };
--- a/src/libhickoryglade/errorkind.cpp
+++ b/src/libhickoryglade/errorkind.cpp
@@ -10,7 +10,7 @@
 constexpr RunState NotRun = RunState::NotRun;
 constexpr RunState Unknown = RunState::Unknown;
 
-constexpr std::array<ErrorAnswer, 24> Answers{{
+constexpr std::array<ErrorAnswer, 26> Answers{{
     {ErrorKind::BadRequest, "bad_request", 400, NotRun, false,
      "The request is malformed"},
     {ErrorKind::HeadersTooLarge, "headers_too_large", 431, NotRun, false,
@@ -59,6 +59,10 @@
      "The slot that was thought free has been taken"},
     {ErrorKind::RequestTimeout, "request_timeout", 408, NotRun, true,
      "The caller took too long to send the request"},
+    {ErrorKind::EndpointDoubtful, "endpoint_doubtful", 503, NotRun, true,
+     "The endpoint fails and takes only trials"},
+    {ErrorKind::RetriesExhausted, "retries_exhausted", 503, NotRun, true,
+     "The service's endpoints see too many retries"},
 }};
 
 } // namespace
--- a/src/libhickoryglade/errorkind.h
+++ b/src/libhickoryglade/errorkind.h
@@ -37,6 +37,8 @@
   Internal,
   SlotTaken,
   RequestTimeout,
+  EndpointDoubtful,
+  RetriesExhausted,
 };
 
 /// Row of the table from error kind to answer.
--- a/src/libhickoryglade/fairqueue.cpp
+++ b/src/libhickoryglade/fairqueue.cpp
@@ -24,7 +24,9 @@
     lane.Service = level;
   lane.Share = std::max(share, 1);
   lane.Waiting[ticket.IsLong] += costOf(ticket);
-  lane.Tickets.push_back(std::move(ticket));
+  auto place = std::ranges::upper_bound(lane.Tickets, ticket.Priority, {},
+                                        &Ticket::Priority);
+  lane.Tickets.insert(place, std::move(ticket));
   ++Count;
 }
 
@@ -65,21 +67,26 @@
 }
 
 std::vector<Ticket> FairQueue::takeExpired(Instant now) {
-  std::vector<Ticket> expired;
+  return takeWhere([&](const Ticket &it) { return it.Deadline <= now; });
+}
+
+std::vector<Ticket>
+FairQueue::takeWhere(const std::function<bool(const Ticket &)> &isTaken) {
+  std::vector<Ticket> taken;
   for (auto &[workspace, lane] : Lanes) {
-    auto tail = std::stable_partition(
-        lane.Tickets.begin(), lane.Tickets.end(),
-        [&](const Ticket &it) { return it.Deadline > now; });
+    auto tail =
+        std::stable_partition(lane.Tickets.begin(), lane.Tickets.end(),
+                              [&](const Ticket &it) { return !isTaken(it); });
     for (auto it = tail; it != lane.Tickets.end(); ++it) {
       lane.Waiting[it->IsLong] -= costOf(*it);
-      expired.push_back(std::move(*it));
+      taken.push_back(std::move(*it));
     }
     lane.Tickets.erase(tail, lane.Tickets.end());
   }
-  Count -= expired.size();
+  Count -= taken.size();
   std::erase_if(Lanes,
                 [](const auto &it) { return it.second.Tickets.empty(); });
-  return expired;
+  return taken;
 }
 
 std::vector<Ticket> FairQueue::takeAll() {
--- a/src/libhickoryglade/fairqueue.h
+++ b/src/libhickoryglade/fairqueue.h
@@ -28,6 +28,9 @@
   /// Takes out the tickets whose deadline leaves no time to run.
   std::vector<Ticket> takeExpired(Instant now);
 
+  std::vector<Ticket>
+  takeWhere(const std::function<bool(const Ticket &)> &isTaken);
+
   std::vector<Ticket> takeAll();
 
   /// Slot time of the waiting tickets of a class that would run before a new
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -40,6 +40,9 @@
 /// Least wait that a refused caller is told.
 constexpr Micros LeastRetryAfter = std::chrono::milliseconds(200);
 
+/// Answers that end a trial of an endpoint that has relapsed.
+constexpr int AnswersAfterRelapse = 2;
+
 constexpr Micros EmptyServiceRetry = std::chrono::seconds(1);
 
 bool isAnnounced(const GateEndpoint &endpoint, Instant now) {
@@ -93,9 +96,18 @@
   return freeSlots(endpoint) > 1 && !service.Queue.hasShort();
 }
 
+/// An entry that does not know yet that an endpoint is doubtful has better
+/// choices.
+bool isUnawares(const GateEndpoint &endpoint, const GateService &service,
+                const Ticket &ticket) {
+  bool isDoubtful =
+      endpoint.State == Standing::Suspect || endpoint.State == Standing::Trial;
+  return isDoubtful && service.Gates > 1 && !ticket.AcceptsDoubtful;
+}
+
 bool mayTake(const GateEndpoint &endpoint, const GateService &service,
              const Ticket &ticket, Instant now) {
-  if (!takesWork(endpoint, now))
+  if (!takesWork(endpoint, now) || isUnawares(endpoint, service, ticket))
     return false;
   bool isTrial = endpoint.State == Standing::Trial;
   if (isTrial && (ticket.IsLong || !ticket.IsIdempotent))
@@ -146,6 +158,7 @@
   holder.IsStarted = true;
   holder.Since = now;
   if (gate.Ledger.tryStart(ticket.AttemptId, forgetAt(ticket))) {
+    gate.Services[ticket.Service].Repeats.note(ticket.IsRepeat, now);
     actions.push_back(StartAction{ticket.AttemptId, endpoint.Facts.Name});
     return;
   }
@@ -228,6 +241,22 @@
   });
 }
 
+bool isOnlyUnawares(const Gate &gate, const GateService &service,
+                    const Ticket &ticket) {
+  return std::ranges::all_of(gate.Endpoints, [&](const auto &it) {
+    return it.second.Facts.Service != ticket.Service ||
+           it.second.State == Standing::Draining ||
+           isUnawares(it.second, service, ticket);
+  });
+}
+
+bool isOverRepeats(GateService &service, const Ticket &ticket, Instant now) {
+  const ServicePolicy &policy = service.Policy;
+  double allowance = double(policy.RetryAllowance) / std::max(service.Gates, 1);
+  return ticket.IsRepeat && !service.Repeats.allowsRepeat(
+                                policy.RetryBudgetPercent, allowance, now);
+}
+
 void setStanding(GateEndpoint &endpoint, Standing state, std::string reason,
                  Instant now, GateActions &actions) {
   if (endpoint.State == state)
@@ -277,6 +306,10 @@
 void recover(GateEndpoint &endpoint, Instant now, GateActions &actions) {
   if (endpoint.State == Standing::Healthy)
     return;
+  ++endpoint.TrialAnswers;
+  bool isOnTrial = endpoint.State == Standing::Trial && endpoint.Relapses > 0;
+  if (isOnTrial && endpoint.TrialAnswers < AnswersAfterRelapse)
+    return;
   endpoint.RecoveredAt = now;
   setStanding(endpoint, Standing::Healthy, "completes work", now, actions);
   actions.push_back(
@@ -319,18 +352,31 @@
     handBack(endpoint, policy, now, actions);
 }
 
-/// A sick endpoint that has rested may try one request.
-void considerTrial(GateEndpoint &endpoint, Instant now, GateActions &actions) {
+/// A sick endpoint that has rested may try one request. One that nobody has
+/// tried for long is taken for healthy: its service may have no idempotent
+/// work.
+void considerTrial(const Gate &gate, GateEndpoint &endpoint, Instant now,
+                   GateActions &actions) {
+  auto service = gate.Services.find(endpoint.Facts.Service);
+  static const ServicePolicy defaults;
+  const ServicePolicy &policy =
+      service == gate.Services.end() ? defaults : service->second.Policy;
+  bool isForgotten = endpoint.State == Standing::Trial &&
+                     endpoint.Holders.empty() &&
+                     now - endpoint.StateSince > policy.TrialPatience;
+  if (isForgotten)
+    setStanding(endpoint, Standing::Healthy, "no trial came", now, actions);
   if (endpoint.State != Standing::Suspect &&
       endpoint.State != Standing::Ejected)
     return;
   bool hasRested =
-      now - endpoint.StateSince >= restBeforeTrial(endpoint.Relapses);
+      now - endpoint.StateSince >= restBeforeTrial(policy, endpoint.Relapses);
   if (!hasRested || !endpoint.Holders.empty())
     return;
   endpoint.ConsecutiveFailures = 0;
   endpoint.IsListening = true;
   endpoint.EjectedUntil.reset();
+  endpoint.TrialAnswers = 0;
   setStanding(endpoint, Standing::Trial, "has rested", now, actions);
 }
 
@@ -377,6 +423,21 @@
                   toMillis(EmptyServiceRetry)));
 }
 
+/// Waiting requests whose entries do not know that the gate's endpoint has
+/// become doubtful are better served elsewhere.
+void handBackWaiting(Gate &gate, const std::string &name,
+                     GateActions &actions) {
+  GateService &service = gate.Services[name];
+  if (service.Queue.size() == 0)
+    return;
+  auto unawares = service.Queue.takeWhere(
+      [&](const Ticket &it) { return isOnlyUnawares(gate, service, it); });
+  for (const Ticket &ticket : unawares)
+    refuse(actions, ticket.AttemptId,
+           notRun(ErrorKind::EndpointDoubtful, "the endpoint has failed",
+                  Millis{0}));
+}
+
 /// Only work of the ticket's class stands in its way: short requests pass
 /// waiting long ones, long ones share the slots that they may hold.
 Micros slotTimeAhead(const Gate &gate, const GateService &service,
@@ -481,6 +542,8 @@
     return;
   case AttemptOutcome::Shed:
     endpoint.LastCompletion = now;
+    // The gate sends no more than the endpoint has slots: it had room.
+    ++endpoint.ConsecutiveFailures;
     return;
   case AttemptOutcome::Crashed:
     blame(gate, endpoint, holder.Request.Fingerprint, now, actions);
@@ -615,6 +678,18 @@
     refuse(actions, ticket.AttemptId, std::move(*fault));
     return actions;
   }
+  if (isOnlyUnawares(gate, service, ticket)) {
+    refuse(actions, ticket.AttemptId,
+           notRun(ErrorKind::EndpointDoubtful, "the endpoint has failed",
+                  Millis{0}));
+    return actions;
+  }
+  if (isOverRepeats(service, ticket, now)) {
+    refuse(actions, ticket.AttemptId,
+           notRun(ErrorKind::RetriesExhausted, "the budget of this gate",
+                  spreadRetry(gate, LeastRetryAfter)));
+    return actions;
+  }
   bool isBusy =
       now < gate.HoldUntil || isSerializedBusy(gate, service, ticket, now);
   GateEndpoint *endpoint = isBusy || service.Queue.size() > 0
@@ -701,6 +776,7 @@
   std::string service = endpoint->Facts.Service;
   noteOutcome(gate, *endpoint, *holder, outcome, now, actions);
   judge(gate, *endpoint, now, actions);
+  handBackWaiting(gate, service, actions);
   dispatch(gate, service, now, actions);
   return actions;
 }
@@ -746,7 +822,7 @@
       setStanding(endpoint, Standing::Suspect, "lease ended", now, actions);
     expireHolders(gate, endpoint, now, actions);
     judge(gate, endpoint, now, actions);
-    considerTrial(endpoint, now, actions);
+    considerTrial(gate, endpoint, now, actions);
     if (endpoint.State == Standing::Healthy &&
         now - endpoint.StateSince > RelapseMemory)
       endpoint.Relapses = 0;
@@ -760,6 +836,7 @@
       return now - it.second > SettleMemory;
     });
     expireQueue(service, now, actions);
+    handBackWaiting(gate, name, actions);
     emptyQueue(gate, name, now, actions);
     dispatch(gate, name, now, actions);
   }
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -5,6 +5,7 @@
 #include "libhickoryglade/gateendpoint.h"
 #include "libhickoryglade/quarantine.h"
 #include "libhickoryglade/random.h"
+#include "libhickoryglade/repeatbudget.h"
 #include "libhickoryglade/startledger.h"
 
 #include <functional>
@@ -49,6 +50,9 @@
 struct GateService {
   ServicePolicy Policy;
   FairQueue Queue;
+  RepeatBudget Repeats;
+  /// Gates over which the service's allowance of retries is shared out.
+  int Gates = 1;
   /// Shares of the workspaces that use the service.
   std::map<std::string, int> Shares;
   /// Fingerprints of serialized requests that are running.
--- a/src/libhickoryglade/gateendpoint.cpp
+++ b/src/libhickoryglade/gateendpoint.cpp
@@ -10,8 +10,8 @@
 constexpr int WarmCompletions = 3;
 constexpr int ColdAllowance = 3;
 
-constexpr Micros FirstRest = std::chrono::seconds(1);
-constexpr int MostDoublings = 6;
+/// Bounds the shift; the policy bounds the rest itself.
+constexpr int MostDoublings = 16;
 
 Micros overdueBy(const GateEndpoint &endpoint, const SlotHolder &holder,
                  const ServicePolicy &policy, Instant now) {
@@ -55,8 +55,9 @@
   return evidence;
 }
 
-Micros restBeforeTrial(int relapses) {
-  return FirstRest * (1 << std::min(relapses, MostDoublings));
+Micros restBeforeTrial(const ServicePolicy &policy, int relapses) {
+  Micros rest = policy.FirstRest * (1 << std::min(relapses, MostDoublings));
+  return std::min<Micros>(rest, policy.MostRest);
 }
 
 } // namespace hickoryglade
--- a/src/libhickoryglade/gateendpoint.h
+++ b/src/libhickoryglade/gateendpoint.h
@@ -44,6 +44,8 @@
   int Completions = 0;
   /// When it last passed a trial, while that still counts.
   std::optional<Instant> RecoveredAt;
+  /// Answers since the present trial began.
+  int TrialAnswers = 0;
   /// Times that the endpoint fell ill again soon after it was readmitted.
   int Relapses = 0;
   Instant StateSince;
@@ -62,6 +64,6 @@
                             const ServicePolicy &policy, Instant now);
 
 /// Time that a sick endpoint rests before a trial; doubles with relapses.
-Micros restBeforeTrial(int relapses);
+Micros restBeforeTrial(const ServicePolicy &policy, int relapses);
 
 } // namespace hickoryglade
--- a/src/libhickoryglade/retry.cpp
+++ b/src/libhickoryglade/retry.cpp
@@ -19,6 +19,7 @@
   case ErrorKind::KeyUnvouched:
   case ErrorKind::KeyAnswerGone:
   case ErrorKind::BodyTooLarge:
+  case ErrorKind::RetriesExhausted:
     return true;
   default:
     return false;
@@ -44,6 +45,10 @@
   return last;
 }
 
+bool isFreeRetry(ErrorKind kind) {
+  return kind == ErrorKind::SlotTaken || kind == ErrorKind::EndpointDoubtful;
+}
+
 RetryAnswer decideRetry(const RetryQuestion &question, RetryBudget &budget) {
   if (isFinal(question.Failure.Kind))
     return {RetryVerdict::GiveUp, "another attempt would fail alike"};
@@ -55,8 +60,7 @@
     return {RetryVerdict::GiveUp, "attempts exhausted"};
   if (question.TimeLeft <= question.ExpectedCost)
     return {RetryVerdict::GiveUp, "no time left"};
-  bool isFree = question.Failure.Kind == ErrorKind::SlotTaken;
-  if (!isFree && !budget.tryTake())
+  if (!isFreeRetry(question.Failure.Kind) && !budget.tryTake())
     return {RetryVerdict::GiveUp, "retry budget exhausted"};
   return {RetryVerdict::Retry, "another attempt may succeed"};
 }
--- a/src/libhickoryglade/retry.h
+++ b/src/libhickoryglade/retry.h
@@ -48,6 +48,9 @@
 /// Attempts after which a request is given up.
 constexpr int MostAttempts = 4;
 
+/// True for a refusal that costs one message and draws on no budget.
+bool isFreeRetry(ErrorKind kind);
+
 /// Work that may have run moves to another endpoint only if it is
 /// idempotent; the budget holds over the whole path since only entries retry.
 RetryAnswer decideRetry(const RetryQuestion &question, RetryBudget &budget);
--- a/src/libhickoryglade/routerpolicy.cpp
+++ b/src/libhickoryglade/routerpolicy.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-/// One in this many suitable requests is offered to an endpoint on trial.
-constexpr std::uint64_t TrialOdds = 8;
-
 std::vector<std::size_t> withStanding(std::span<const Candidate> candidates,
                                       Standing state, bool wasTried) {
   std::vector<std::size_t> all;
@@ -32,7 +29,7 @@
                                   const RouteQuestion &question, Random &rng) {
   if (suitsTrial(question)) {
     auto trials = withStanding(candidates, Standing::Trial, false);
-    if (!trials.empty() && uniform(rng, TrialOdds) == 0)
+    if (!trials.empty() && uniform(rng, std::uint64_t(question.TrialOdds)) == 0)
       return {trials[uniform(rng, trials.size())]};
   }
   constexpr std::array<Standing, 3> order = {
--- a/src/libhickoryglade/routerpolicy.h
+++ b/src/libhickoryglade/routerpolicy.h
@@ -22,6 +22,8 @@
   int Outstanding = 0;
   Standing State = Standing::Healthy;
   bool IsLocal = false;
+  /// True for a gate in the entry's own data centre.
+  bool IsNear = false;
   /// False while the link to the gate is silent in either direction.
   bool IsPathUp = true;
   /// True if it has refused or failed this very request before.
@@ -40,6 +42,8 @@
   /// must meet at one gate.
   bool IsSerialized = false;
   std::uint64_t Fingerprint = 0;
+  /// One suitable request in this many goes to an endpoint on trial.
+  int TrialOdds = 8;
 };
 
 /// Where to send a request.
--- a/src/libhickoryglade/servicepolicy.h
+++ b/src/libhickoryglade/servicepolicy.h
@@ -50,6 +50,20 @@
   Millis KeyLifetime{600'000};
   /// Retries allowed as a share of fresh requests.
   int RetryBudgetPercent = 20;
+  /// Retries beyond that share that the service's endpoints may see together
+  /// in 10 s.
+  int RetryAllowance = 1'000;
+  /// Failures in a row from which an endpoint is doubtful.
+  int FailuresForDoubt = 3;
+  /// Time that a doubtful endpoint rests before a trial, at first and at most;
+  /// it doubles with each relapse.
+  Millis FirstRest{1'000};
+  Millis MostRest{64'000};
+  /// An endpoint on trial to which no request comes for this long is taken for
+  /// healthy.
+  Millis TrialPatience{86'400'000};
+  /// One suitable request in this many goes to an endpoint on trial.
+  int TrialOdds = 8;
   /// Weight of the workspace in the fair sharing of a service.
   int Share = 1;
   /// How long a request that crashed endpoints stays quarantined.
--- a/src/libhickoryglade/splitter.cpp
+++ b/src/libhickoryglade/splitter.cpp
@@ -17,8 +17,7 @@
   if (shares.Split != route.Split) {
     shares = {route.Split, {}};
     for (std::size_t i = 0; i < route.Split.size(); ++i)
-      shares.Owed.push_back(
-          std::int64_t(uniform(rng, std::uint64_t(sum) + 1)));
+      shares.Owed.push_back(std::int64_t(uniform(rng, std::uint64_t(sum) + 1)));
   }
   for (std::size_t i = 0; i < route.Split.size(); ++i)
     shares.Owed[i] += route.Split[i].Weight;
--- a/src/libhickoryglade/ticket.h
+++ b/src/libhickoryglade/ticket.h
@@ -28,6 +28,12 @@
   bool AwaitsClaim = false;
   /// True if the request is not to wait for a slot.
   bool OnlyIfFree = false;
+  /// True if an endpoint has seen the request before.
+  bool IsRepeat = false;
+  /// True if the entry knows that the endpoint is doubtful or on trial.
+  bool AcceptsDoubtful = false;
+  /// Rank among requests that compete for a slot; 0 goes first.
+  int Priority = 0;
 
   bool operator==(const Ticket &) const = default;
 };
--- a/src/plugins/peercomparison/peercomparison.cpp
+++ b/src/plugins/peercomparison/peercomparison.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr int FailuresForDoubt = 3;
 constexpr int FailuresForSickness = 6;
 
 bool isStalled(const EndpointEvidence &it, const ServicePolicy &policy) {
@@ -30,8 +29,8 @@
     return {HealthVerdict::Sick, "stalls while its peers complete such work"};
   if (!evidence.IsListening)
     return {HealthVerdict::Doubtful, "does not listen"};
-  if (evidence.ConsecutiveFailures >= FailuresForDoubt)
-    return {HealthVerdict::Doubtful, "failed several requests in a row"};
+  if (evidence.ConsecutiveFailures >= policy.FailuresForDoubt)
+    return {HealthVerdict::Doubtful, "failed requests in a row"};
   if (isStalled(evidence, policy))
     return {HealthVerdict::Doubtful, "completes nothing"};
   return {};
--- a/src/plugins/tickets/tickets.cpp
+++ b/src/plugins/tickets/tickets.cpp
@@ -17,6 +17,16 @@
 /// request is sent without asking.
 constexpr int FreeForDirectSend = 1;
 
+/// Free slots that a gate elsewhere must have beyond one that is near: traffic
+/// between data centres costs more than a slightly fuller endpoint.
+constexpr double FarPenalty = 1.5;
+constexpr double LocalBonus = 0.5;
+
+double attraction(const Candidate &it) {
+  return knownFree(it) - (it.IsNear ? 0 : FarPenalty) +
+         (it.IsLocal ? LocalBonus : 0);
+}
+
 void shuffle(std::vector<std::size_t> &among, Random &rng) {
   std::ranges::shuffle(among, rng);
 }
@@ -29,13 +39,16 @@
   if (among.empty())
     return {{}, false, false, "no candidate"};
   shuffle(among, rng);
-  auto freest = std::ranges::max_element(
-      among, {}, [&](std::size_t i) { return knownFree(candidates[i]); });
+  auto freest = std::ranges::max_element(among, {}, [&](std::size_t i) {
+    bool isFree = knownFree(candidates[i]) >= FreeForDirectSend;
+    return std::pair(isFree, attraction(candidates[i]));
+  });
   bool isFreeKnown = knownFree(candidates[*freest]) >= FreeForDirectSend;
   if (isFreeKnown && !question.HasMissed)
     return {{*freest}, false, true, "free slot known"};
-  std::ranges::stable_sort(
-      among, {}, [&](std::size_t i) { return pressure(candidates[i]); });
+  std::ranges::stable_sort(among, {}, [&](std::size_t i) {
+    return std::pair(pressure(candidates[i]), !candidates[i].IsNear);
+  });
   among.resize(std::min(among.size(), MostTickets));
   return {among, true, false, "tickets"};
 }
--- a/tests/kernel/test_gate.cpp
+++ b/tests/kernel/test_gate.cpp
@@ -139,9 +139,12 @@
 }
 
 TEST_CASE("readmission slows down with each relapse") {
-  CHECK(restBeforeTrial(1) == 2 * restBeforeTrial(0));
-  CHECK(restBeforeTrial(4) == 16 * restBeforeTrial(0));
-  CHECK(restBeforeTrial(100) == restBeforeTrial(6));
+  CHECK(restBeforeTrial(ServicePolicy{}, 1) ==
+        2 * restBeforeTrial(ServicePolicy{}, 0));
+  CHECK(restBeforeTrial(ServicePolicy{}, 4) ==
+        16 * restBeforeTrial(ServicePolicy{}, 0));
+  CHECK(restBeforeTrial(ServicePolicy{}, 100) ==
+        restBeforeTrial(ServicePolicy{}, 6));
 }
 
 TEST_CASE("an ejection ends by itself when its lease does") {
