membership: less to say

Ruled out: probes (400 B/s) and sync hashes. The version of a document now goes along with other messages; news that its subject has broadcast is passed on once.

--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -189,6 +189,8 @@
   // Hashes of the sender's records by bucket (SYNC).
   7: list<i64> buckets
   8: list<QuarantineRecord> quarantines
+  // Version of the sender's settings, where they come as whole documents.
+  9: optional i64 settingsNext
 }
 
 struct SettingsEntry {
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -3822,6 +3822,11 @@
 void Gossip::__set_quarantines(const std::vector<QuarantineRecord> & val) {
   this->quarantines = val;
 }
+
+void Gossip::__set_settingsNext(const int64_t val) {
+  this->settingsNext = val;
+__isset.settingsNext = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -3952,6 +3957,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->settingsNext);
+          this->__isset.settingsNext = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4025,6 +4038,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.settingsNext) {
+    xfer += oprot->writeFieldBegin("settingsNext", ::apache::thrift::protocol::T_I64, 9);
+    xfer += oprot->writeI64(this->settingsNext);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4040,6 +4058,7 @@
   swap(a.updates, b.updates);
   swap(a.buckets, b.buckets);
   swap(a.quarantines, b.quarantines);
+  swap(a.settingsNext, b.settingsNext);
   swap(a.__isset, b.__isset);
 }
 
@@ -4052,6 +4071,7 @@
   updates = other136.updates;
   buckets = other136.buckets;
   quarantines = other136.quarantines;
+  settingsNext = other136.settingsNext;
   __isset = other136.__isset;
 }
 Gossip::Gossip(Gossip&& other137) noexcept {
@@ -4063,6 +4083,7 @@
   updates = std::move(other137.updates);
   buckets = std::move(other137.buckets);
   quarantines = std::move(other137.quarantines);
+  settingsNext = other137.settingsNext;
   __isset = other137.__isset;
 }
 Gossip& Gossip::operator=(const Gossip& other138) {
@@ -4074,6 +4095,7 @@
   updates = other138.updates;
   buckets = other138.buckets;
   quarantines = other138.quarantines;
+  settingsNext = other138.settingsNext;
   __isset = other138.__isset;
   return *this;
 }
@@ -4086,6 +4108,7 @@
   updates = std::move(other139.updates);
   buckets = std::move(other139.buckets);
   quarantines = std::move(other139.quarantines);
+  settingsNext = other139.settingsNext;
   __isset = other139.__isset;
   return *this;
 }
@@ -4100,6 +4123,7 @@
   out << ", " << "updates=" << to_string(updates);
   out << ", " << "buckets=" << to_string(buckets);
   out << ", " << "quarantines=" << to_string(quarantines);
+  out << ", " << "settingsNext="; (__isset.settingsNext ? (out << to_string(settingsNext)) : (out << "<null>"));
   out << ")";
 }
 
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -1514,7 +1514,7 @@
 std::ostream& operator<<(std::ostream& out, const MemberUpdate& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : kind(false), sender(false), senderAddress(false), sequence(false), target(false), updates(false), buckets(false), quarantines(false) {}
+  _Gossip__isset() : kind(false), sender(false), senderAddress(false), sequence(false), target(false), updates(false), buckets(false), quarantines(false), settingsNext(false) {}
   bool kind :1;
   bool sender :1;
   bool senderAddress :1;
@@ -1523,6 +1523,7 @@
   bool updates :1;
   bool buckets :1;
   bool quarantines :1;
+  bool settingsNext :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -1537,7 +1538,8 @@
            sender(),
            senderAddress(),
            sequence(0),
-           target() {
+           target(),
+           settingsNext(0) {
   }
 
   virtual ~Gossip() noexcept;
@@ -1553,6 +1555,7 @@
   std::vector<MemberUpdate>  updates;
   std::vector<int64_t>  buckets;
   std::vector<QuarantineRecord>  quarantines;
+  int64_t settingsNext;
 
   _Gossip__isset __isset;
 
@@ -1572,6 +1575,8 @@
 
   void __set_quarantines(const std::vector<QuarantineRecord> & val);
 
+  void __set_settingsNext(const int64_t val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1590,6 +1595,10 @@
       return false;
     if (!(quarantines == rhs.quarantines))
       return false;
+    if (__isset.settingsNext != rhs.__isset.settingsNext)
+      return false;
+    else if (__isset.settingsNext && !(settingsNext == rhs.settingsNext))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/src/libfleet/control.cpp
+++ b/src/libfleet/control.cpp
@@ -96,14 +96,12 @@
       Members(io, settings.FleetAddress,
               makeMembership(makeRecord(settings, bootId), settings.Seeds,
                              std::uint64_t(bootId), now()),
-              {[this] {
-                 followPeers();
-                 scheduleRebuild();
-               },
+              {[this] { scheduleRebuild(); },
                [this](std::uint64_t fingerprint, CrashRecord record) {
                  if (mergeCrash(Crashes, fingerprint, record))
                    scheduleRebuild();
-               }}),
+               },
+               [this] { followPeers(); }}),
       Settings(io, settings.LogAddress, settings.StreamPrefix + ".settings",
                settings.LogRetention, metrics,
                {[this] {
@@ -236,7 +234,12 @@
   MemberRecord record = makeRecord(Facts, BootId);
   record.IsLeaving = IsLeaving;
   record.Endpoints = Endpoints;
-  record.SettingsNext = Settings.state().Next;
+  // Documents would change the records of all members at once; their version
+  // goes along with other messages.
+  if (Directory)
+    Members.setSettingsNext(Settings.state().Next);
+  else
+    record.SettingsNext = Settings.state().Next;
   record.LedgerNext = Leases.agent().Ledger.Next;
   Members.describe(record, isUrgent);
 }
@@ -261,32 +264,31 @@
 /// A node that the store does not serve takes newer settings from a member
 /// that says it has them.
 void Control::followPeers() {
-  if (!Directory || IsCatchingUp)
-    return;
-  bool isBehind =
-      std::ranges::any_of(peers(Members.state()), [this](const Member *it) {
-        return it->Record.SettingsNext > Settings.state().Next;
-      });
-  if (!isBehind)
+  if (!Directory || IsCatchingUp || !isBehind())
     return;
   IsCatchingUp = true;
   asio::co_spawn(Io, catchUp(), asio::detached);
 }
 
+bool Control::isBehind() const {
+  return Members.state().Newest.Next > Settings.state().Next;
+}
+
 asio::awaitable<void> Control::catchUp() {
-  asio::steady_timer timer(Io, CatchUpDelay);
-  co_await timer.async_wait(asio::use_awaitable);
-  std::vector<std::string> ahead;
-  for (const Member *it : peers(Members.state()))
-    if (it->Record.SettingsNext > Settings.state().Next)
-      ahead.push_back(it->Record.FleetAddress);
-  if (!ahead.empty()) {
-    bool hasAnswer = co_await fetchSnapshotFrom(std::move(ahead));
+  asio::steady_timer timer(Io);
+  while (isBehind()) {
+    timer.expires_after(CatchUpDelay);
+    co_await timer.async_wait(asio::use_awaitable);
+    if (!isBehind())
+      break;
+    std::vector<std::string> newest = {Members.state().Newest.Address};
+    bool hasAnswer = co_await fetchSnapshotFrom(std::move(newest));
+    if (!hasAnswer)
+      hasAnswer = co_await fetchSnapshot();
     logEvent(LogLevel::Info, "settings_from_peer",
              {{"answered", hasAnswer}, {"next", Settings.state().Next}});
   }
   IsCatchingUp = false;
-  followPeers();
 }
 
 /// Order in which members take a task that one of them must do.
--- a/src/libfleet/control.h
+++ b/src/libfleet/control.h
@@ -71,6 +71,7 @@
   std::size_t refreshRank(const std::string &what) const;
   void describe(bool isUrgent);
   void followPeers();
+  bool isBehind() const;
   asio::awaitable<void> catchUp();
   void scheduleRebuild();
   void rebuild();
--- a/src/libfleet/gateservice.cpp
+++ b/src/libfleet/gateservice.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr Micros TickPeriod = std::chrono::milliseconds(50);
+/// Between ticks while nothing waits or runs.
 constexpr Micros IdleTickPeriod = std::chrono::milliseconds(1'000);
 
 /// Finished answers are kept for callers whose link broke meanwhile.
@@ -65,6 +65,7 @@
     return;
   IsTicking = true;
   CurrentPeriod = period;
+  Kernel.TickDue = now() + period;
   Timer.expires_after(period);
   Timer.async_wait([this](const error_code &ec) {
     if (ec)
--- a/src/libfleet/membershipservice.cpp
+++ b/src/libfleet/membershipservice.cpp
@@ -111,7 +111,10 @@
     logEvent(LogLevel::Warn, "gossip_malformed", {{"bytes", n}});
     return;
   }
+  std::int64_t newest = Kernel.Newest.Next;
   send(receive(Kernel, *message, now()));
+  if (Kernel.Newest.Next > newest && Handlers.OnNewerSettings)
+    Handlers.OnNewerSettings();
   takeCrashes(*gossip);
   reportChange();
 }
--- a/src/libfleet/membershipservice.h
+++ b/src/libfleet/membershipservice.h
@@ -23,6 +23,8 @@
     /// A belief about some member has changed.
     std::function<void()> OnChange;
     std::function<void(std::uint64_t, CrashRecord)> OnCrash;
+    /// Another node has said that it has newer settings than before.
+    std::function<void()> OnNewerSettings;
   };
 
   MembershipService(asio::io_context &io, std::string listenAddress,
@@ -36,6 +38,9 @@
   /// Changes the own record and tells others at once.
   void describe(const MemberRecord &record, bool isUrgent);
 
+  /// Says in each message up to which version this node has the settings.
+  void setSettingsNext(std::int64_t next) { Kernel.SettingsNext = next; }
+
   /// Asks these addresses for members too.
   void addSeeds(const std::vector<std::string> &addresses);
 
--- a/src/libfleet/wireconvert.cpp
+++ b/src/libfleet/wireconvert.cpp
@@ -98,6 +98,8 @@
   out.target = message.Target;
   for (const MemberUpdate &it : message.Updates)
     out.updates.push_back(toWire(it));
+  if (message.SettingsNext > 0)
+    out.__set_settingsNext(message.SettingsNext);
   if (message.Kind == GossipKind::Sync)
     out.buckets.assign(message.Buckets.begin(), message.Buckets.end());
   return out;
@@ -113,6 +115,7 @@
   out.SenderAddress = gossip.senderAddress;
   out.Sequence = gossip.sequence;
   out.Target = gossip.target;
+  out.SettingsNext = gossip.__isset.settingsNext ? gossip.settingsNext : 0;
   for (const wire::MemberUpdate &it : gossip.updates) {
     auto update = fromWire(it);
     if (!update)
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -28,9 +28,9 @@
 /// Time after a broken connection in which a restart counts as its cause.
 constexpr Micros DroppedMemory = std::chrono::seconds(10);
 
-/// A gap between ticks beyond this was a pause. A gate that wakes from one
+/// A tick that is later than this shows a pause. A gate that wakes from one
 /// first hears what it has missed before it starts anything.
-constexpr Micros PauseLimit = std::chrono::milliseconds(1'500);
+constexpr Micros PauseLimit = std::chrono::milliseconds(450);
 constexpr Micros HoldAfterPause = std::chrono::milliseconds(100);
 
 /// Time in which an endpoint that runs a crashing request is found crashed.
@@ -133,7 +133,7 @@
 }
 
 void noticePause(Gate &gate, Instant now) {
-  if (gate.LastTick && now - *gate.LastTick > PauseLimit)
+  if (gate.TickDue && now - *gate.TickDue > PauseLimit)
     gate.HoldUntil = now + HoldAfterPause;
 }
 
@@ -816,7 +816,7 @@
 GateActions tick(Gate &gate, Instant now) {
   GateActions actions;
   noticePause(gate, now);
-  gate.LastTick = now;
+  gate.TickDue = now + TickPeriod;
   for (auto &[name, endpoint] : gate.Endpoints) {
     if (endpoint.State == Standing::Ejected && !isEjected(endpoint, now))
       setStanding(endpoint, Standing::Suspect, "lease ended", now, actions);
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -15,6 +15,9 @@
 
 namespace hickoryglade {
 
+/// Usual time between ticks of a gate.
+constexpr Micros TickPeriod = std::chrono::milliseconds(50);
+
 /// How an attempt at an endpoint ended.
 enum class AttemptOutcome {
   /// A whole answer of any status below 500.
@@ -86,8 +89,9 @@
   /// Endpoint of each attempt that holds a slot.
   std::map<std::string, std::string> Held;
   bool IsDraining = false;
-  /// The latest tick; a gap shows that the process was paused.
-  std::optional<Instant> LastTick;
+  /// When the next tick is expected; one that is long overdue shows that the
+  /// process was paused. Whoever ticks more seldom than usual moves it.
+  std::optional<Instant> TickDue;
   /// Nothing starts before this time.
   Instant HoldUntil;
   Random Rng{1};
--- a/src/libhickoryglade/membership.cpp
+++ b/src/libhickoryglade/membership.cpp
@@ -16,16 +16,23 @@
 constexpr Micros SyncPeriod = std::chrono::seconds(5);
 
 /// A node that has just started compares with several others, and often.
-constexpr Micros JoinTerm = std::chrono::seconds(5);
+constexpr Micros JoinTerm = std::chrono::seconds(2);
 constexpr Micros JoinSyncPeriod = std::chrono::milliseconds(300);
-constexpr std::size_t JoinSyncs = 3;
+constexpr std::size_t JoinSyncs = 2;
 
 /// Dead members are remembered this long, so that old news of them does not
 /// bring them back.
 constexpr Micros DeadMemory = std::chrono::hours(1);
 
 constexpr std::size_t IndirectProbes = 3;
-constexpr int TransmissionFactor = 3;
+
+/// Each belief is passed on this many times the logarithm of the members;
+/// anti-entropy finds what that misses.
+constexpr int TransmissionFactor = 1;
+
+/// News that its subject has told many members itself is passed on only this
+/// often by each.
+constexpr int DirectTransmissions = 1;
 
 /// Bounds a datagram; a record weighs its endpoints and itself.
 constexpr std::size_t MostWeight = 40;
@@ -76,7 +83,8 @@
            sequence,
            std::move(target),
            freshUpdates(state),
-           {}}};
+           {},
+           state.SettingsNext}};
 }
 
 /// Splits beliefs over as many datagrams as they need.
@@ -84,7 +92,8 @@
              const std::vector<MemberUpdate> &updates,
              std::vector<OutgoingGossip> &out) {
   GossipMessage message{
-      GossipKind::Updates, state.Self, self(state).FleetAddress, 0, {}, {}, {}};
+      GossipKind::Updates, state.Self, self(state).FleetAddress, 0, {}, {}, {},
+      state.SettingsNext};
   std::size_t weight = 0;
   for (const MemberUpdate &update : updates) {
     weight += weightOf(update);
@@ -139,6 +148,19 @@
   setState(state, member, update.State, now);
 }
 
+/// A node tells all members of its own changes at once.
+void noteDirectNews(Membership &state, const GossipMessage &message) {
+  auto member = state.Members.find(message.Sender);
+  bool isDirect = message.Kind == GossipKind::Updates &&
+                  message.Updates.size() == 1 &&
+                  message.Updates.front().Record.Node == message.Sender;
+  if (!isDirect || member == state.Members.end())
+    return;
+  member->second.Transmissions =
+      std::max(member->second.Transmissions,
+               mostTransmissions(state) - DirectTransmissions);
+}
+
 std::vector<std::string> probeTargets(const Membership &state) {
   std::vector<std::string> targets;
   for (const auto &[node, member] : state.Members)
@@ -365,6 +387,9 @@
   std::vector<OutgoingGossip> out;
   for (const MemberUpdate &update : message.Updates)
     merge(state, update, now);
+  noteDirectNews(state, message);
+  if (message.SettingsNext > state.Newest.Next)
+    state.Newest = {message.SenderAddress, message.SettingsNext};
   switch (message.Kind) {
   case GossipKind::Ping:
     out.push_back(compose(state, GossipKind::Ack, message.SenderAddress,
--- a/src/libhickoryglade/membership.h
+++ b/src/libhickoryglade/membership.h
@@ -42,6 +42,8 @@
   std::string Target;
   std::vector<MemberUpdate> Updates;
   BucketHashes Buckets{};
+  /// Version up to which the sender has the settings; 0 if it does not say.
+  std::int64_t SettingsNext = 0;
 
   bool operator==(const GossipMessage &) const = default;
 };
@@ -85,6 +87,16 @@
   };
   std::vector<Relay> Relays;
 
+  /// What this node says of its settings in each message.
+  std::int64_t SettingsNext = 0;
+
+  /// The latest settings that another node has said to have.
+  struct SettingsHolder {
+    std::string Address;
+    std::int64_t Next = 0;
+  };
+  SettingsHolder Newest;
+
   std::vector<std::string> ProbeOrder;
   std::int64_t NextSequence = 1;
   Instant StartedAt;
