links: a silent link is found in 0.4 s, a lost path is proved before a request uses it

Cause: a request over a link that had been cut waited 0.7 s, longer than most calls may take, and each later one tried the lost path again.

--- a/src/libfleet/entry.cpp
+++ b/src/libfleet/entry.cpp
@@ -286,6 +286,9 @@
     it.IsLocal = gate.Node == Node;
     it.IsNear = gate.DataCentre == DataCentre;
     it.IsPathUp = Links.isPathUp(gate.Node, now);
+    auto node = View->Nodes.find(gate.Node);
+    if (!it.IsPathUp && node != View->Nodes.end())
+      Links.tryAgain(gate.Node, node->second, now);
     it.WasTried =
         std::ranges::find(inquiry.Tried, gate.Node) != inquiry.Tried.end();
     const GateLoadView &load = Loads[loadKey(gate.Node, service)];
@@ -530,8 +533,11 @@
     if (std::holds_alternative<RevokedEvent>(event->Content))
       co_return makeError(ErrorKind::GateLost, "the gate holds no answer",
                           DefaultRetryAfter);
-    if (std::holds_alternative<LostEvent>(event->Content))
-      co_return co_await resolve(attempt, target);
+    if (!std::holds_alternative<LostEvent>(event->Content))
+      continue;
+    if (attempt.Request->IsIdempotent)
+      co_return makeError(ErrorKind::GateLost, "the link to the gate was lost");
+    co_return co_await resolve(attempt, target);
   }
 }
 
--- a/src/libfleet/link.cpp
+++ b/src/libfleet/link.cpp
@@ -15,10 +15,11 @@
 
 namespace {
 
-constexpr Micros BeatPeriod = std::chrono::milliseconds(200);
+constexpr Micros BeatPeriod = std::chrono::milliseconds(150);
 
-/// Silence after which a busy link is given up: three lost beats.
-constexpr Micros SilenceLimit = std::chrono::milliseconds(700);
+/// Silence after which a busy link is given up: two lost beats and the time for
+/// which a VM with a processor quota may stand still.
+constexpr Micros SilenceLimit = std::chrono::milliseconds(400);
 
 constexpr std::size_t ChunkBytes = 64 * 1024;
 constexpr std::size_t MostGatherBytes = 256 * 1024;
@@ -39,7 +40,9 @@
   wire::Frame hello;
   hello.__set_hello(Own);
   send(std::move(hello));
+  IsStarted = true;
   readPrefix();
+  beat();
 }
 
 void Link::close(std::string_view reason) {
@@ -62,7 +65,7 @@
     return;
   Busy = isBusy;
   BusySince = now();
-  if (Busy && !IsBeating && Open)
+  if (IsStarted && !IsBeating)
     beat();
 }
 
@@ -176,11 +179,17 @@
   Handlers.OnFrame(shared_from_this(), std::move(frame));
 }
 
-/// Goes on only while streams are in flight.
+/// Goes on only while streams are in flight. The first beat goes out at once:
+/// an idle link may have been cut off long ago.
 void Link::beat() {
   IsBeating = Busy;
-  if (!Busy)
+  if (!Busy || !Open)
     return;
+  wire::Frame frame;
+  frame.heartbeat.sequence = ++Beats;
+  frame.heartbeat.reply = false;
+  frame.__isset.heartbeat = true;
+  send(std::move(frame));
   Timer.expires_after(BeatPeriod);
   Timer.async_wait([self = shared_from_this()](const error_code &ec) {
     if (ec || !self->Open)
@@ -188,13 +197,6 @@
     Instant since = std::max(self->LastHeard, self->BusySince);
     if (self->Busy && now() - since > SilenceLimit)
       return self->close("silent");
-    if (self->Busy) {
-      wire::Frame frame;
-      frame.heartbeat.sequence = ++self->Beats;
-      frame.heartbeat.reply = false;
-      frame.__isset.heartbeat = true;
-      self->send(std::move(frame));
-    }
     self->beat();
   });
 }
--- a/src/libfleet/link.h
+++ b/src/libfleet/link.h
@@ -72,6 +72,7 @@
   bool Open = true;
   bool Busy = false;
   bool IsBeating = false;
+  bool IsStarted = false;
   Instant OpenedAt;
   Instant LastHeard;
   Instant BusySince;
--- a/src/libfleet/peerlinks.cpp
+++ b/src/libfleet/peerlinks.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-/// Longest time for a connection and the hellos over it.
+/// Longest time for a connection and the hellos over it, and how much of it a
+/// request waits before it goes elsewhere.
 constexpr Micros ConnectLimit = std::chrono::milliseconds(500);
+constexpr Micros RequestPatience = std::chrono::milliseconds(200);
 constexpr Micros PollPeriod = std::chrono::milliseconds(2);
 
 /// A lost path is left alone this long, doubling with further losses.
@@ -31,7 +33,7 @@
 PeerLinks::connect(std::string node, const NodeView &view, Instant until) {
   if (node == LocalNode)
     co_return Local;
-  until = std::min(until, now() + ConnectLimit);
+  until = std::min(until, now() + RequestPatience);
   std::string address = view.FleetAddress;
   while (true) {
     Peer &peer = Peers[node];
@@ -123,11 +125,25 @@
   peer.DownUntil = now() + pause;
 }
 
+/// A path that was lost counts again once a connection over it stands.
 bool PeerLinks::isPathUp(const std::string &node, Instant now) const {
   auto it = Peers.find(node);
-  if (it == Peers.end() || it->second.Connection)
+  if (it == Peers.end() || it->second.Losses == 0)
     return true;
-  return now >= it->second.DownUntil;
+  const Peer &peer = it->second;
+  return peer.Connection && peer.Connection->peer() && now >= peer.DownUntil;
+}
+
+void PeerLinks::tryAgain(const std::string &node, const NodeView &view,
+                         Instant now) {
+  auto it = Peers.find(node);
+  if (it == Peers.end() || it->second.Losses == 0)
+    return;
+  Peer &peer = it->second;
+  if (peer.Connection || peer.IsConnecting || now < peer.DownUntil)
+    return;
+  peer.IsConnecting = true;
+  asio::co_spawn(Executor, open(node, view.FleetAddress), asio::detached);
 }
 
 void PeerLinks::closeAll() {
--- a/src/libfleet/peerlinks.h
+++ b/src/libfleet/peerlinks.h
@@ -26,6 +26,9 @@
   /// False for a short time after a link to the node was lost.
   bool isPathUp(const std::string &node, Instant now) const;
 
+  /// Opens a lost path anew, if that is due, so that no request has to.
+  void tryAgain(const std::string &node, const NodeView &view, Instant now);
+
   void closeAll();
 
 private:
