--- a/src/hickorygladed/main.cpp
+++ b/src/hickorygladed/main.cpp
@@ -21,7 +21,8 @@
 constexpr const char *Usage = R"(Usage: hickorygladed --settings FILE [--check]
 
 Runs one node of a hickoryglade fleet until SIGTERM or SIGINT, then finishes
-what is in flight and exits.
+what is in flight and exits. SIGHUP reads the settings again: the log level and
+the limits of a stop change at once, anything else with the next start.
 
   -s, --settings FILE  settings of this node, JSON with comments
   -c, --check          check the settings and exit
@@ -90,10 +91,32 @@
   return result.Settings;
 }
 
-int waitForSignal(const sigset_t &signals) {
-  int signal = 0;
-  sigwait(&signals, &signal);
-  return signal;
+/// Reads the settings file again. Only some settings can change while a node
+/// runs; the others are named, and wait for a restart.
+void reload(const std::string &file, fleet::NodeSettings &settings,
+            fleet::Node &node) {
+  std::optional<fleet::NodeSettings> next = loadSettings(file);
+  if (!next) {
+    fleet::logEvent(fleet::LogLevel::Error, "reload_refused", {{"file", file}});
+    return;
+  }
+  bool needsRestart = !node.reload(*next);
+  fleet::logEvent(fleet::LogLevel::Info, "reloaded",
+                  {{"file", file},
+                   {"changed", *next != settings},
+                   {"needs_restart", needsRestart}});
+  settings = *next;
+}
+
+/// Returns once the node is to stop.
+void waitForStop(const sigset_t &signals, const std::string &file,
+                 fleet::NodeSettings settings, fleet::Node &node) {
+  int signal = SIGHUP;
+  while (signal == SIGHUP) {
+    sigwait(&signals, &signal);
+    if (signal == SIGHUP)
+      reload(file, settings, node);
+  }
 }
 
 } // namespace
@@ -113,6 +136,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
 
@@ -122,6 +146,6 @@
     std::cerr << "cannot start: " << status.message() << "\n";
     return 1;
   }
-  waitForSignal(signals);
+  waitForStop(signals, options.SettingsFile, *settings, node);
   return node.stop() ? 0 : 1;
 }
--- a/src/libfleet/logging.cpp
+++ b/src/libfleet/logging.cpp
@@ -42,6 +42,10 @@
   spdlog::set_default_logger(std::move(logger));
 }
 
+void setLogLevel(const std::string &level) {
+  spdlog::set_level(spdlog::level::from_str(level));
+}
+
 void logEvent(LogLevel level, std::string_view event,
               const nlohmann::json &fields) {
   if (!isLogged(level))
--- a/src/libfleet/logging.h
+++ b/src/libfleet/logging.h
@@ -12,6 +12,8 @@
 /// Sends all later log lines to standard error as JSON, one object a line.
 void startLogging(const std::string &node, const std::string &level);
 
+void setLogLevel(const std::string &level);
+
 /// Writes one line: time, level, node, event and the given fields.
 void logEvent(LogLevel level, std::string_view event,
               const nlohmann::json &fields);
--- a/src/libfleet/node.cpp
+++ b/src/libfleet/node.cpp
@@ -84,6 +84,7 @@
 
   absl::Status start();
   bool stop();
+  bool reload(const NodeSettings &settings);
   void applyView(const FleetViewPtr &view);
   HttpAnswer readiness() const;
   asio::awaitable<bool> depart(std::string endpoint);
@@ -381,6 +382,16 @@
     asio::co_spawn(ControlLoop.Io, resign(Brain.get()), asio::use_future).get();
 }
 
+// Called on the thread that also stops the node.
+bool Node::Parts::reload(const NodeSettings &settings) {
+  Facts.DrainLimit = settings.DrainLimit;
+  Facts.Linger = settings.Linger;
+  if (settings.LogLevel != Facts.LogLevel)
+    setLogLevel(settings.LogLevel);
+  Facts.LogLevel = settings.LogLevel;
+  return Facts == settings;
+}
+
 bool Node::Parts::stop() {
   Instant begin = now();
   logEvent(LogLevel::Info, "stopping", nlohmann::json::object());
@@ -422,6 +433,10 @@
 
 absl::Status Node::start() { return All->start(); }
 
+bool Node::reload(const NodeSettings &settings) {
+  return All->reload(settings);
+}
+
 bool Node::stop() { return All->stop(); }
 
 } // namespace hickoryglade::fleet
--- a/src/libfleet/node.h
+++ b/src/libfleet/node.h
@@ -19,6 +19,10 @@
   /// Starts all threads; on failure none runs.
   absl::Status start();
 
+  /// Takes over the settings that can change while the node runs; returns false
+  /// if others differ too.
+  bool reload(const NodeSettings &settings);
+
   /// Leaves the fleet: takes nothing new, finishes what is in flight within
   /// the configured limit. Returns false if something had to be cut off.
   bool stop();
--- a/src/libfleet/nodesettings.cpp
+++ b/src/libfleet/nodesettings.cpp
@@ -149,6 +149,11 @@
   reader.readString("adapter", settings.Platform, true);
   reader.readAddress("address", settings.PlatformAddress, true);
   reader.readNumbers("bounds", settings.PlatformBounds);
+  if (const json *defaults = reader.take("root_defaults", false)) {
+    for (const SettingsFault &it : checkSettingsValue("/", *defaults))
+      reader.fault("root_defaults", it.Where + " " + it.Reason);
+    settings.RootDefaults = *defaults;
+  }
   if (!settings.Platform.empty() &&
       !Registry<PlatformAdapter>::instance().find(settings.Platform))
     reader.fault("adapter", "no adapter is called " + settings.Platform);
--- a/src/libfleet/nodesettings.h
+++ b/src/libfleet/nodesettings.h
@@ -2,6 +2,8 @@
 
 #include "libhickoryglade/settingsschema.h"
 
+#include <nlohmann/json.hpp>
+
 #include <map>
 #include <string>
 #include <vector>
@@ -31,6 +33,9 @@
   std::string PlatformAddress;
   /// What the platform demands, under its own names.
   std::map<std::string, double> PlatformBounds;
+  /// Values for the root of the tree of settings where a platform's documents
+  /// leave them open.
+  nlohmann::json RootDefaults = nlohmann::json::object();
   std::string LogAddress;
   /// Prefix of the names of this fleet's streams.
   std::string StreamPrefix = "hickoryglade";
