tests: the platform's path on stand-ins, codecs, doubt, documents; front: a slow header gets 408

The test of a slow header failed first: the stream's own expiry had closed the connection before the answer.

--- a/src/libfleet/httpfront.cpp
+++ b/src/libfleet/httpfront.cpp
@@ -147,10 +147,23 @@
                                   const HttpLimits &limits, error_code &ec) {
   parser.header_limit(limits.HeaderBytes);
   parser.body_limit(limits.BodyBytes.load());
-  session->Stream.expires_after(Millis(limits.HeaderTimeoutMs));
+  // The stream's own expiry would close the connection before it is answered.
+  session->Stream.expires_never();
+  auto isLate = std::make_shared<bool>(false);
+  asio::steady_timer timer(session->Stream.get_executor(),
+                           Millis(limits.HeaderTimeoutMs));
+  timer.async_wait([session, isLate](const error_code &fault) {
+    if (fault)
+      return;
+    *isLate = true;
+    session->Stream.cancel();
+  });
   co_await http::async_read_header(
       session->Stream, session->Buffer, parser,
       asio::redirect_error(asio::use_awaitable, ec));
+  timer.cancel();
+  if (ec && *isLate)
+    ec = beast::error::timeout;
   if (ec || parser.is_done())
     co_return;
   session->Stream.expires_after(BodyLimit);
--- /dev/null
+++ b/tests/kernel/test_documents.cpp
@@ -0,0 +1,141 @@
+#include "libhickoryglade/membership.h"
+#include "libhickoryglade/settingslog.h"
+#include "libhickoryglade/splitter.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace hickoryglade;
+using std::chrono::milliseconds;
+
+namespace {
+
+SettingsDocument document(std::int64_t version, const std::string &service) {
+  return {version,
+          {{"/", {{"timeout_ms", 1'000}}},
+           {"/w/" + service + "/r", {{"host", "h"}}}}};
+}
+
+std::string serviceAt(const SettingsState &state) {
+  const Route *route = RouteTable(state.Tree).find("h", "/");
+  return route ? route->Service : "";
+}
+
+} // namespace
+
+TEST_CASE("a document replaces the tree as a whole") {
+  SettingsState state;
+  CHECK(replaceTree(state, document(5, "a")));
+  CHECK(serviceAt(state) == "w/a");
+  CHECK(replaceTree(state, document(9, "b")));
+  CHECK(serviceAt(state) == "w/b");
+  CHECK(RouteTable(state.Tree).size() == 1);
+  CHECK(revisionOf(state.Tree, "/") == 5);
+  CHECK(revisionOf(state.Tree, "/w/b/r") == 9);
+}
+
+TEST_CASE("an older or equal document changes nothing") {
+  SettingsState state;
+  replaceTree(state, document(5, "a"));
+  CHECK_FALSE(replaceTree(state, document(5, "b")));
+  CHECK_FALSE(replaceTree(state, document(4, "b")));
+  CHECK(serviceAt(state) == "w/a");
+}
+
+TEST_CASE("a peer's tree brings removed routes along") {
+  SettingsState ahead;
+  replaceTree(ahead, document(5, "a"));
+  SettingsState behind = ahead;
+  replaceTree(ahead, document(6, "b"));
+  CHECK(mergeSnapshot(behind, ahead));
+  CHECK(serviceAt(behind) == "w/b");
+  CHECK(RouteTable(behind.Tree).size() == 1);
+  CHECK_FALSE(replaceTree(behind, document(6, "a")));
+}
+
+TEST_CASE("a document with any bad value is refused") {
+  SettingsDocument bad = document(1, "a");
+  bad.Values["/"]["timeout_ms"] = "long";
+  CHECK(checkDocument(bad).size() == 1);
+  CHECK(checkDocument(document(1, "a")).empty());
+}
+
+TEST_CASE("requests are shared out by weight") {
+  Route route;
+  route.Path = "/w/a/r";
+  route.Split = {{"w/a", 90}, {"w/b", 10}, {"w/c", 0}};
+  std::map<std::string, int> taken;
+  // Many nodes with few requests each come to the weights together.
+  for (std::uint64_t node = 0; node < 200; ++node) {
+    Random rng(node);
+    Splitter splitter;
+    for (int i = 0; i < 5; ++i)
+      ++taken[splitter.choose(route, rng)];
+  }
+  CHECK(taken["w/b"] > 60);
+  CHECK(taken["w/b"] < 140);
+  CHECK(taken["w/c"] == 0);
+  Random rng(1);
+  Splitter one;
+  taken.clear();
+  for (int i = 0; i < 100; ++i)
+    ++taken[one.choose(route, rng)];
+  CHECK(taken["w/b"] >= 9);
+  CHECK(taken["w/b"] <= 11);
+}
+
+namespace {
+
+MemberRecord record(const std::string &node) {
+  MemberRecord it;
+  it.Node = node;
+  it.BootId = 1;
+  it.Version = 1;
+  it.FleetAddress = node;
+  return it;
+}
+
+} // namespace
+
+TEST_CASE("messages carry the version of the settings") {
+  Instant start(milliseconds(0));
+  Membership a = makeMembership(record("a"), {}, 1, start);
+  Membership b = makeMembership(record("b"), {"a"}, 2, start);
+  a.SettingsNext = 8;
+  for (const OutgoingGossip &it : tick(b, start))
+    for (const OutgoingGossip &answer : receive(a, it.Message, start))
+      receive(b, answer.Message, start);
+  CHECK(b.Newest.Next == 8);
+  CHECK(b.Newest.Address == "a");
+}
+
+TEST_CASE("found addresses are asked at once") {
+  Instant start(milliseconds(0));
+  Membership a = makeMembership(record("a"), {}, 1, start);
+  tick(a, start);
+  Instant later(milliseconds(100));
+  addSeeds(a, {"b"}, later);
+  CHECK(nextDue(a) <= later);
+  auto out = tick(a, later);
+  CHECK(std::ranges::any_of(
+      out, [](const OutgoingGossip &it) { return it.Address == "b"; }));
+}
+
+TEST_CASE("news that its subject has broadcast is passed on once") {
+  Instant start(milliseconds(0));
+  Membership a = makeMembership(record("a"), {}, 1, start);
+  for (const char *node : {"b", "c", "d", "e", "f", "g", "h"})
+    receive(a,
+            {GossipKind::Updates, node, node, 0, {}, {{record(node)}}, {}, 0},
+            start);
+  int told = 0;
+  for (int ms = 0; ms < 20'000; ms += 50)
+    for (const OutgoingGossip &it : tick(a, Instant(milliseconds(ms))))
+      told += int(std::ranges::count_if(
+          it.Message.Updates, [](const MemberUpdate &update) {
+            return update.Record.Node == "b" &&
+                   update.State == MemberState::Alive;
+          }));
+  CHECK(told == 1);
+}
--- /dev/null
+++ b/tests/platform/platformfleet.cpp
@@ -0,0 +1,173 @@
+#include "platform/platformfleet.h"
+
+#include "process/testfleet.h"
+
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+namespace hickoryglade::testing {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds AskLimit{3'000};
+
+std::string program(const std::string &name) {
+  return std::string(HICKORYGLADE_BUILD) + "/" + name;
+}
+
+json rule(const std::string &name, const std::string &prefix,
+          const std::string &kind, const std::string &service) {
+  return {{"name", name},
+          {"kind", kind},
+          {"target_latency_s", 0.8},
+          {"priority", 1},
+          {"match", {{"path_prefix", prefix}}},
+          {"action",
+           {{"service", service}, {"timeout_s", 2}, {"max_attempts", 2}}}};
+}
+
+} // namespace
+
+json usualConfig(int version, const std::string &service) {
+  json clusters = json::array();
+  for (const char *name : {"s", "t"})
+    clusters.push_back({{"name", name},
+                        {"health_path", "/health"},
+                        {"connection_limit", 330}});
+  return {{"version", version},
+          {"limits",
+           {{"header_bytes", 16'384},
+            {"body_bytes", 1'000'000},
+            {"header_timeout_s", 1},
+            {"idle_timeout_s", 5}}},
+          {"clusters", clusters},
+          {"listeners",
+           {{{"hostname", "h.example"},
+             {"route_rules",
+              {rule("safe", "/safe/", "safe", service),
+               rule("once", "/once/", "non_idempotent", service)}}}}}};
+}
+
+PlatformFleet::PlatformFleet() {
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "platform-XXXXXX").string();
+  Folder = mkdtemp(pattern.data());
+}
+
+PlatformFleet::~PlatformFleet() {
+  Processes.clear();
+  std::filesystem::remove_all(Folder);
+}
+
+std::string PlatformFleet::file(const std::string &name) const {
+  return Folder + "/" + name;
+}
+
+void PlatformFleet::startStore() {
+  Store = Addresses.next();
+  Processes["store"] = ChildProcess(
+      {program("tests/storestandin"), "--listen", Store}, file("store.err"));
+}
+
+void PlatformFleet::startNode(const std::string &name,
+                              const std::string &service) {
+  NodeAddresses &at = Nodes[name];
+  if (at.Http.empty())
+    at = {Addresses.next(), Addresses.next(), Addresses.next(),
+          Addresses.next()};
+  json settings = {{"node", name},
+                   {"data_centre", "dc-1"},
+                   {"service", service},
+                   {"listen",
+                    {{"http", at.Http},
+                     {"fleet", at.Fleet},
+                     {"admin", at.Admin},
+                     {"ready", at.Ready}}},
+                   {"platform",
+                    {{"adapter", "metadata_store"},
+                     {"address", Store},
+                     {"root_defaults",
+                      {{"failures_for_doubt", 1}, {"first_rest_ms", 300}}}}},
+                   {"accept_before_ready", true},
+                   {"announcement_limit_ms", 3'000},
+                   {"linger_ms", 500},
+                   {"drain_limit_ms", 2'000}};
+  std::ofstream(file(name + ".json")) << settings.dump();
+  Processes[name] = ChildProcess({program("src/hickorygladed/hickorygladed"),
+                                  "--settings", file(name + ".json")},
+                                 file(name + ".err"));
+}
+
+void PlatformFleet::startServer(const std::string &node,
+                                const std::string &service) {
+  std::string &at = Servers[node];
+  at = Addresses.next();
+  Processes["server-" + node] = ChildProcess(
+      {program("tests/serverstandin"), "--listen", at, "--control",
+       Nodes.at(node).Admin, "--id", "i-" + node, "--service", service},
+      file("server.err"));
+}
+
+void PlatformFleet::configure(const json &config) {
+  auto isTaken = [&] {
+    return callOnce(Store, {"POST", "/_operator", {}, config.dump()}, AskLimit)
+               .Status == 200;
+  };
+  TestFleet::await("configuration", isTaken);
+}
+
+json PlatformFleet::controlStore(const json &change) {
+  HttpReply reply =
+      callOnce(Store, {"POST", "/_control", {}, change.dump()}, AskLimit);
+  return json::parse(reply.Body, nullptr, false);
+}
+
+json PlatformFleet::controlServer(const std::string &node, const json &change) {
+  HttpReply reply = callOnce(
+      Servers.at(node), {"POST", "/_control", {}, change.dump()}, AskLimit);
+  return json::parse(reply.Body, nullptr, false);
+}
+
+HttpReply PlatformFleet::call(const std::string &node,
+                              const std::string &method,
+                              const std::string &target,
+                              const std::string &body) {
+  LastId = "attempt-" + std::to_string(++Attempts);
+  HttpQuestion question{method,
+                        target,
+                        {{"Host", "h.example"},
+                         {"Attempt-Id", LastId},
+                         {"Calling-Service", "forged"},
+                         {"Remaining-Milliseconds", "1500"}},
+                        body};
+  return callOnce(Nodes.at(node).Http, question, AskLimit);
+}
+
+int PlatformFleet::readiness(const std::string &node) {
+  return callOnce(Nodes.at(node).Ready, {"GET", "/readiness", {}, ""}, AskLimit)
+      .Status;
+}
+
+int PlatformFleet::runsOfLast() {
+  int runs = 0;
+  for (const auto &[node, address] : Servers) {
+    json seen = controlServer(node, json::object());
+    if (seen.is_object())
+      runs += seen["runs"].value(LastId, 0);
+  }
+  return runs;
+}
+
+void PlatformFleet::awaitServing() {
+  for (const auto &[name, at] : Nodes)
+    TestFleet::await("node " + name + " serves", [&] {
+      return readiness(name) == 200 &&
+             call(name, "GET", "/safe/x").Status == 200;
+    });
+}
+
+} // namespace hickoryglade::testing
--- /dev/null
+++ b/tests/platform/platformfleet.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "process/childprocess.h"
+#include "process/freeaddress.h"
+#include "process/httpcall.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <string>
+
+namespace hickoryglade::testing {
+
+/// Real nodes on stand-ins of the users' platform: the store, and a server
+/// beside each node.
+class PlatformFleet {
+public:
+  PlatformFleet();
+  ~PlatformFleet();
+
+  struct NodeAddresses {
+    std::string Http;
+    std::string Fleet;
+    std::string Admin;
+    std::string Ready;
+  };
+
+  void startStore();
+  void startNode(const std::string &name, const std::string &service = "s");
+  /// A server of the node's service, reached only by that node.
+  void startServer(const std::string &node, const std::string &service = "s");
+
+  /// Puts a configuration as the operator does.
+  void configure(const nlohmann::json &config);
+  nlohmann::json controlStore(const nlohmann::json &change);
+  nlohmann::json controlServer(const std::string &node,
+                               const nlohmann::json &change);
+
+  /// One client attempt; each has an id of its own.
+  HttpReply call(const std::string &node, const std::string &method,
+                 const std::string &target, const std::string &body = "");
+  int readiness(const std::string &node);
+  /// Runs of the latest attempt over all servers.
+  int runsOfLast();
+  const std::string &lastId() const { return LastId; }
+
+  ChildProcess &process(const std::string &name) { return Processes.at(name); }
+  const NodeAddresses &node(const std::string &name) { return Nodes.at(name); }
+
+  /// Waits until every node serves requests.
+  void awaitServing();
+
+private:
+  std::string file(const std::string &name) const;
+
+  std::string Folder;
+  FreeAddresses Addresses;
+  std::string Store;
+  std::map<std::string, ChildProcess> Processes;
+  std::map<std::string, NodeAddresses> Nodes;
+  std::map<std::string, std::string> Servers;
+  std::string LastId;
+  int Attempts = 0;
+};
+
+/// A configuration with a safe route at /safe/ and one that is not idempotent
+/// at /once/, both to a service.
+nlohmann::json usualConfig(int version, const std::string &service = "s");
+
+} // namespace hickoryglade::testing
--- /dev/null
+++ b/tests/platform/serverstandin.cpp
@@ -0,0 +1,162 @@
+#include "libfleet/clock.h"
+#include "standins/standinserver.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+
+/// Stand-in for a server of the users' platform: sends heartbeats to the node
+/// on its machine, runs requests and says what it saw. POST /_control switches
+/// faults on and off.
+
+namespace hickoryglade::standins {
+
+using namespace fleet;
+using nlohmann::json;
+
+namespace {
+
+constexpr Millis BeatPeriod{200};
+
+struct Identity {
+  std::string Listen;
+  std::string Control;
+  std::string Id;
+  std::string Service;
+  std::int64_t Born = wallMicros() / 1'000;
+};
+
+class Server {
+public:
+  explicit Server(Identity identity) : Self(std::move(identity)) {}
+
+  asio::awaitable<bool> handle(HttpRequest request,
+                               std::shared_ptr<Wire> wire) {
+    if (request.Target == "/_control")
+      co_return co_await control(request, wire);
+    std::string id = headerValue(request.Headers, "Attempt-Id");
+    std::string expected = headerValue(request.Headers, "Expected-Instance");
+    std::string echo = "Attempt-Id: " + id + "\r\n";
+    if (expected != Self.Id)
+      co_return co_await reply(wire, answerBytes(421, "", echo));
+    ++Arrivals;
+    if (Fault == "shed")
+      co_return co_await reply(
+          wire, answerBytes(503, "", echo + "Not-Executed: 1\r\n"));
+    ++Runs[id];
+    Last = {{"caller", headerValue(request.Headers, "Calling-Service")},
+            {"left", headerValue(request.Headers, "Remaining-Milliseconds")},
+            {"target", request.Target},
+            {"body", *request.Content}};
+    if (Fault == "reset")
+      co_return false;
+    if (Fault == "error")
+      co_return co_await reply(wire, answerBytes(500, "", echo + Proof));
+    if (Fault == "stray") {
+      std::string stray = "Attempt-Id: earlier\r\n" + Proof;
+      co_await wire->write(answerBytes(200, "another's answer", stray));
+    }
+    std::string body = Self.Id + ":" + *request.Content;
+    if (Fault == "unframed") {
+      co_await wire->write("HTTP/1.1 200 OK\r\n" + echo + Proof +
+                           "Connection: close\r\n\r\n" + body);
+      co_return false;
+    }
+    if (Fault == "unsigned")
+      co_return co_await reply(wire, answerBytes(200, body, echo));
+    co_return co_await reply(wire, answerBytes(200, body, echo + Proof));
+  }
+
+  asio::awaitable<void> beatForever() {
+    while (State != "gone") {
+      co_await beat();
+      co_await sleepFor(BeatPeriod);
+    }
+  }
+
+private:
+  asio::awaitable<void> beat() {
+    std::string method = "POST";
+    std::string target = "/rpc?call=instances.heartbeat&of=" + Self.Id;
+    std::string body = json{
+        {"service", Self.Service},
+        {"address", Self.Listen},
+        {"zone", "z"},
+        {"version", "v1"},
+        {"slots", 3},
+        {"state", State},
+        {"cold_remaining_s", 0},
+        {"born", Self.Born},
+        {"sequence",
+         ++Sequence}}.dump();
+    std::string sent = State;
+    CallResult result = co_await callHttp(Self.Control, method, target, body);
+    if (result.Status == 200)
+      Acked = sent;
+  }
+
+  asio::awaitable<bool> reply(std::shared_ptr<Wire> wire, std::string bytes) {
+    co_await wire->write(std::move(bytes));
+    co_return true;
+  }
+
+  asio::awaitable<bool> control(const HttpRequest &request,
+                                std::shared_ptr<Wire> wire) {
+    json in = json::parse(*request.Content, nullptr, false);
+    if (in.is_object()) {
+      Fault = in.value("fault", Fault);
+      State = in.value("state", State);
+      if (in.value("leave", false)) {
+        State = "gone";
+        std::string method = "POST";
+        std::string target = "/rpc?call=instances.deregister&of=" + Self.Id;
+        std::string body = json{{"born", Self.Born}}.dump();
+        CallResult result =
+            co_await callHttp(Self.Control, method, target, body);
+        Acked = result.Status == 200 ? "gone" : Acked;
+      }
+    }
+    json out = {{"runs", Runs},
+                {"arrivals", Arrivals},
+                {"acked", Acked},
+                {"last", Last}};
+    co_return co_await reply(wire, answerBytes(200, out.dump()));
+  }
+
+  const std::string Proof = "Response-Signature: proof\r\n";
+  Identity Self;
+  std::string Fault;
+  std::string State = "ready";
+  std::string Acked;
+  std::map<std::string, int> Runs;
+  json Last;
+  int Arrivals = 0;
+  int Sequence = 0;
+};
+
+} // namespace
+
+} // namespace hickoryglade::standins
+
+int main(int argc, char **argv) {
+  using namespace hickoryglade;
+  auto option = [&](const std::string &name, const std::string &otherwise) {
+    return standins::optionValue(argc, argv, name, otherwise);
+  };
+  standins::Identity identity;
+  identity.Listen = option("listen", "127.0.0.1:7100");
+  identity.Control = option("control", "127.0.0.1:9200");
+  identity.Id = option("id", "i-1");
+  identity.Service = option("service", "s");
+  fleet::asio::io_context io{1};
+  auto server = std::make_shared<standins::Server>(identity);
+  standins::serveHttp(io, identity.Listen,
+                      [server](fleet::HttpRequest request,
+                               std::shared_ptr<standins::Wire> wire) {
+                        return server->handle(std::move(request),
+                                              std::move(wire));
+                      });
+  fleet::asio::co_spawn(io, server->beatForever(), fleet::asio::detached);
+  io.run();
+  return 0;
+}
--- /dev/null
+++ b/tests/platform/test_codecs.cpp
@@ -0,0 +1,243 @@
+#include "libhickoryglade/random.h"
+#include "libhickoryglade/routetable.h"
+#include "platform/bounds.h"
+#include "platform/configdocument.h"
+#include "platform/dialect.h"
+#include "platform/endpointmessage.h"
+#include "platform/storeclient.h"
+
+#include <catch2/catch.hpp>
+
+#include <absl/strings/escaping.h>
+
+using namespace hickoryglade;
+using namespace hickoryglade::platform;
+using nlohmann::json;
+
+namespace {
+
+/// Bytes that a parser must survive, made from good ones: cut short, with
+/// bytes changed, doubled or dropped.
+std::string spoil(std::string text, Random &rng) {
+  std::uint64_t changes = 1 + uniform(rng, 4);
+  for (std::uint64_t i = 0; i < changes && !text.empty(); ++i) {
+    std::size_t at = uniform(rng, text.size());
+    switch (uniform(rng, 5)) {
+    case 0:
+      text.resize(at);
+      break;
+    case 1:
+      text[at] = char(uniform(rng, 256));
+      break;
+    case 2:
+      text.insert(at, text.substr(at / 2, 1 + uniform(rng, 8)));
+      break;
+    case 3:
+      text.erase(at, 1 + uniform(rng, 8));
+      break;
+    default:
+      text[at] = "{}[]\",:0-"[uniform(rng, 9)];
+      break;
+    }
+  }
+  return text;
+}
+
+constexpr int SpoiledInputs = 20'000;
+
+json goodConfig() {
+  return json::parse(R"({"version":7,"base_version":5,
+    "limits":{"header_bytes":16384,"body_bytes":1000,"header_timeout_s":3,
+              "idle_timeout_s":15},
+    "clusters":[{"name":"a","health_path":"/health"},{"name":"b"}],
+    "listeners":[{"hostname":"x.example","route_rules":[
+      {"name":"r1","kind":"safe","target_latency_s":0.8,"priority":2,
+       "match":{"path_prefix":"/p/"},
+       "action":{"traffic_split":[{"service":"a","weight":90},
+                                  {"service":"b","weight":10}],
+                 "timeout_s":1.5,"max_attempts":2}},
+      {"name":"r2","kind":"non_idempotent","target_latency_s":0.5,"priority":0,
+       "match":{"path_prefix":"/q/"},
+       "action":{"service":"b","timeout_s":1.2,"max_attempts":3}}]}]})");
+}
+
+std::string goodBeat() {
+  return R"({"service":"a","address":"10.0.0.9:8080","zone":"z","version":"v1",)"
+         R"("slots":3,"state":"draining","cold_remaining_s":0,"sequence":4,)"
+         R"("born":1700000000000})";
+}
+
+fleet::HttpRequest beatOf(const std::string &body) {
+  fleet::HttpRequest request;
+  request.Method = "POST";
+  request.Target = "/rpc?call=instances.heartbeat&of=i-1";
+  request.Content = std::make_shared<const std::string>(body);
+  return request;
+}
+
+bool isRefused(const json &config) {
+  std::vector<SettingsFault> faults;
+  auto document = parseConfig(config.dump(), faults);
+  return !document && !faults.empty();
+}
+
+} // namespace
+
+TEST_CASE("a configuration becomes a tree of settings") {
+  std::vector<SettingsFault> faults;
+  auto document = parseConfig(goodConfig().dump(), faults);
+  REQUIRE(document);
+  CHECK(document->Version == 7);
+  SettingsState state;
+  REQUIRE(replaceTree(state, *document));
+  RouteTable routes(state.Tree);
+  const Route *split = routes.find("x.example", "/p/1");
+  REQUIRE(split);
+  CHECK(split->Split ==
+        std::vector<SplitPart>{{"shared/a", 90}, {"shared/b", 10}});
+  CHECK(split->Policy.isIdempotent("POST"));
+  CHECK(split->Policy.TimeLimit == Millis(1'500));
+  CHECK(split->Policy.TargetLatency == Millis(800));
+  const Route *plain = routes.find("x.example", "/q/1");
+  REQUIRE(plain);
+  CHECK(plain->Service == "shared/b");
+  CHECK_FALSE(plain->Policy.isIdempotent("GET"));
+  CHECK(plain->Policy.MaxAttempts == 3);
+  CHECK(plain->Policy.MaxBodyBytes == 1'000);
+  CHECK(routes.find("x.example", "/q") == nullptr);
+}
+
+TEST_CASE("a configuration with any fault is refused whole") {
+  json config = goodConfig();
+  json &rule = config["listeners"][0]["route_rules"][1];
+  SECTION("unknown service") { rule["action"]["service"] = "c"; }
+  SECTION("odd kind") { rule["kind"] = "sometimes"; }
+  SECTION("no name") { rule.erase("name"); }
+  SECTION("time-out of a day") { rule["action"]["timeout_s"] = 86'400; }
+  SECTION("time-out that is no number") { rule["action"]["timeout_s"] = "1"; }
+  SECTION("negative time-out") { rule["action"]["timeout_s"] = -1; }
+  SECTION("two rules of one name") {
+    rule["name"] = "r1";
+    rule["action"]["service"] = "a";
+  }
+  SECTION("no limits") { config.erase("limits"); }
+  SECTION("no version") { config.erase("version"); }
+  SECTION("version is a text") { config["version"] = "8"; }
+  SECTION("routes are no list") { config["listeners"] = json::object(); }
+  SECTION("no weight") {
+    config["listeners"][0]["route_rules"][0]["action"]["traffic_split"] =
+        json::array();
+  }
+  CHECK(isRefused(config));
+}
+
+TEST_CASE("heartbeats become announcements, or are refused with a reason") {
+  auto message = parseEndpointMessage(beatOf(goodBeat()));
+  REQUIRE(std::holds_alternative<Announcement>(message));
+  const auto &facts = std::get<Announcement>(message);
+  CHECK(facts.Name == "i-1");
+  CHECK(facts.Service == "shared/a");
+  CHECK(facts.IsDraining);
+  CHECK(facts.StartedAtMs == 1'700'000'000'000);
+  CHECK(facts.Sequence == 4);
+  for (const char *key :
+       {"service", "address", "slots", "state", "sequence", "born"}) {
+    json beat = json::parse(goodBeat());
+    beat.erase(key);
+    CHECK(std::holds_alternative<fleet::MalformedAnnouncement>(
+        parseEndpointMessage(beatOf(beat.dump()))));
+    beat[key] = json::array();
+    CHECK(std::holds_alternative<fleet::MalformedAnnouncement>(
+        parseEndpointMessage(beatOf(beat.dump()))));
+  }
+  fleet::HttpRequest other = beatOf("");
+  other.Target = "/v1/endpoints";
+  CHECK(std::holds_alternative<std::monostate>(parseEndpointMessage(other)));
+}
+
+TEST_CASE("records keep their keys and values") {
+  std::string bytes = std::string(16, '\0') + encodeRecord({"k", "value"}) +
+                      encodeRecord({"gone", ""});
+  auto records = decodeRecords(bytes, 5);
+  REQUIRE(records);
+  CHECK(records->Next == 7);
+  CHECK(records->Records ==
+        std::vector<KeyedRecord>{{"k", "value"}, {"gone", ""}});
+  CHECK_FALSE(decodeRecords("short", 0));
+  CHECK_FALSE(decodeRecords(bytes.substr(0, bytes.size() - 1), 5));
+}
+
+TEST_CASE("pages of a table are read or refused") {
+  json page = {{"items",
+                {{{"key", "config"},
+                  {"value", absl::Base64Escape("{}")},
+                  {"offset", 4}}}},
+               {"has_more", true},
+               {"end_offset", 6}};
+  auto read = decodePage(page.dump());
+  REQUIRE(read);
+  CHECK(read->Values.at("config") == "{}");
+  CHECK(read->HasMore);
+  CHECK(read->Next == 6);
+  page["items"][0]["value"] = "not base64!";
+  CHECK_FALSE(decodePage(page.dump()));
+  CHECK_FALSE(decodePage("[]"));
+}
+
+TEST_CASE("bounds become settings of the root") {
+  json root =
+      rootFromBounds({{"retry_budget_ratio", 0.2}, {"retry_budget_slack", 58}});
+  CHECK(root["retry_budget_percent"] <= 20);
+  CHECK(root["retry_allowance"] <= 58);
+  CHECK(checkSettingsValue("/", root).empty());
+  CHECK(rootFromBounds({}).empty());
+}
+
+TEST_CASE("an answer belongs to a request by its id and proof") {
+  fleet::HttpDialect dialect = makeDialect();
+  auto answer = [](int status, std::vector<fleet::HttpHeader> headers) {
+    return fleet::HttpAnswer{status, std::move(headers),
+                             std::make_shared<const std::string>()};
+  };
+  auto match = [&](const fleet::HttpAnswer &it) {
+    return matchAnswer(dialect, it, "1");
+  };
+  using fleet::AnswerMatch;
+  CHECK(match(answer(200, {{"Attempt-Id", "1"},
+                           {"Response-Signature", "s"}})) == AnswerMatch::Own);
+  CHECK(
+      match(answer(200, {{"Attempt-Id", "2"}, {"Response-Signature", "s"}})) ==
+      AnswerMatch::Stray);
+  CHECK(match(answer(200, {{"Attempt-Id", "1"}})) == AnswerMatch::Unusable);
+  CHECK(match(answer(200, {{"Response-Signature", "s"}})) ==
+        AnswerMatch::Unusable);
+  CHECK(match(answer(200, {{"Attempt-Id", "1"},
+                           {"Response-Signature", "s"},
+                           {"Content-Encoding", "gzip"}})) ==
+        AnswerMatch::Unusable);
+  CHECK(match(answer(500, {{"Attempt-Id", "1"}})) == AnswerMatch::Own);
+  CHECK(dialect.IsNotRun(answer(503, {{"Not-Executed", "1"}})));
+  CHECK(dialect.IsNotRun(answer(421, {})));
+  CHECK_FALSE(dialect.IsNotRun(answer(503, {})));
+  CHECK(formatRetryAfter(dialect, Millis(1'050)) == "1.050");
+  CHECK(formatRetryAfter(fleet::ownDialect(), Millis(1'050)) == "2");
+}
+
+TEST_CASE("parsers survive spoiled bytes") {
+  Random rng(20'261'204);
+  std::string config = goodConfig().dump();
+  std::string records =
+      std::string(16, '\0') + encodeRecord({"config", config});
+  std::string page = json{{"items", json::array()}, {"end_offset", 6}}.dump();
+  int taken = 0;
+  for (int i = 0; i < SpoiledInputs; ++i) {
+    std::vector<SettingsFault> faults;
+    auto document = parseConfig(spoil(config, rng), faults);
+    CHECK(document.has_value() == faults.empty());
+    taken += document.has_value();
+    parseEndpointMessage(beatOf(spoil(goodBeat(), rng)));
+    decodeRecords(spoil(records, rng), 0);
+    decodePage(spoil(page, rng));
+  }
+  CHECK(taken < SpoiledInputs);
+}
--- /dev/null
+++ b/tests/platform/test_platform.cpp
@@ -0,0 +1,226 @@
+#include "platform/platformfleet.h"
+#include "process/testfleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <csignal>
+
+using namespace hickoryglade::testing;
+using nlohmann::json;
+
+namespace {
+
+constexpr auto CallLimit = std::chrono::milliseconds(3'000);
+
+/// Two nodes with a server each and one whose server is of another service.
+void startAll(PlatformFleet &fleet) {
+  fleet.startStore();
+  for (const char *node : {"n1", "n2"}) {
+    fleet.startNode(node);
+    fleet.startServer(node);
+  }
+  fleet.startNode("n3", "t");
+  fleet.startServer("n3", "t");
+  fleet.configure(usualConfig(1));
+  fleet.awaitServing();
+}
+
+int servedOf(PlatformFleet &fleet, int calls) {
+  int served = 0;
+  for (int i = 0; i < calls; ++i)
+    served += fleet.call("n3", "GET", "/safe/x").Status == 200;
+  return served;
+}
+
+} // namespace
+
+TEST_CASE("a node without settings is not ready and refuses", "[platform]") {
+  PlatformFleet fleet;
+  fleet.startStore();
+  fleet.startNode("n1");
+  TestFleet::await("an answer", [&] { return fleet.readiness("n1") == 503; });
+  HttpReply reply = fleet.call("n1", "GET", "/safe/x");
+  CHECK(reply.Status == 503);
+  CHECK(reply.header("Attempt-Id") == fleet.lastId());
+  CHECK_FALSE(reply.header("Retry-After").empty());
+}
+
+TEST_CASE("requests reach servers as they were sent", "[platform]") {
+  PlatformFleet fleet;
+  startAll(fleet);
+  HttpReply reply = fleet.call("n3", "POST", "/once/a?b=c", "the body");
+  CHECK(reply.Status == 200);
+  CHECK(reply.header("Response-Signature") == "proof");
+  CHECK(reply.header("Attempt-Id") == fleet.lastId());
+  CHECK(reply.Body.ends_with(":the body"));
+  CHECK(fleet.runsOfLast() == 1);
+  json last;
+  for (const char *node : {"n1", "n2"}) {
+    json seen = fleet.controlServer(node, json::object());
+    if (seen["runs"].contains(fleet.lastId()))
+      last = seen["last"];
+  }
+  REQUIRE(last.is_object());
+  CHECK(last["target"] == "/once/a?b=c");
+  CHECK(last["caller"] == "t");
+  int left = std::stoi(last["left"].get<std::string>());
+  CHECK(left > 0);
+  CHECK(left <= 1'500);
+  CHECK(fleet.call("n1", "GET", "/nowhere/").Status == 404);
+}
+
+TEST_CASE("settings follow the operator and never go back", "[platform]") {
+  PlatformFleet fleet;
+  startAll(fleet);
+  auto servedBy = [&](const std::string &server) {
+    return fleet.call("n1", "GET", "/safe/x").Body.starts_with(server);
+  };
+  fleet.configure(usualConfig(7, "t"));
+  TestFleet::await(
+      "the route has moved", [&] { return servedBy("i-n3"); }, 2'000);
+  fleet.configure(usualConfig(5, "s"));
+  json odd = usualConfig(9, "s");
+  odd["listeners"][0]["route_rules"][0]["kind"] = "odd";
+  fleet.configure(odd);
+  fleet.configure(usualConfig(11, "unknown"));
+  for (int i = 0; i < 20; ++i)
+    CHECK(servedBy("i-n3"));
+  fleet.configure(usualConfig(12, "s"));
+  TestFleet::await(
+      "the route is back", [&] { return !servedBy("i-n3"); }, 2'000);
+}
+
+TEST_CASE("nodes serve while the store is away and follow when it is back",
+          "[platform]") {
+  PlatformFleet fleet;
+  startAll(fleet);
+  fleet.controlStore({{"mode", "silent"}});
+  CHECK(servedOf(fleet, 20) == 20);
+  CHECK(fleet.readiness("n1") == 200);
+  fleet.process("n1").signal(SIGKILL);
+  fleet.process("n1").wait();
+  fleet.controlStore({{"mode", "ok"}, {"lost_answers", 2}});
+  fleet.startNode("n1");
+  fleet.configure(usualConfig(2, "t"));
+  TestFleet::await("new settings everywhere", [&] {
+    return fleet.call("n1", "GET", "/safe/x").Body.starts_with("i-n3") &&
+           fleet.call("n2", "GET", "/safe/x").Body.starts_with("i-n3");
+  });
+}
+
+TEST_CASE("a server that leaves gets nothing once that is acknowledged",
+          "[platform]") {
+  PlatformFleet fleet;
+  startAll(fleet);
+  json how = GENERATE(json{{"state", "draining"}}, json{{"leave", true}});
+  std::string wanted = how.contains("state") ? "draining" : "gone";
+  fleet.controlServer("n1", how);
+  TestFleet::await("an acknowledgement", [&] {
+    return fleet.controlServer("n1", json::object())["acked"] == wanted;
+  });
+  int before = fleet.controlServer("n1", json::object())["arrivals"];
+  CHECK(servedOf(fleet, 20) == 20);
+  CHECK(fleet.controlServer("n1", json::object())["arrivals"] == before);
+}
+
+TEST_CASE("work that may have run is not repeated unless it is safe",
+          "[platform]") {
+  PlatformFleet fleet;
+  startAll(fleet);
+  for (const char *node : {"n1", "n2"})
+    fleet.controlServer(node, {{"fault", "reset"}});
+  HttpReply once = fleet.call("n3", "POST", "/once/x", "pay");
+  CHECK(once.Status == 502);
+  CHECK(fleet.runsOfLast() == 1);
+  fleet.controlServer("n1", {{"fault", ""}});
+  TestFleet::await("the sound server to be trusted", [&] {
+    return fleet.call("n3", "GET", "/safe/x").Status == 200;
+  });
+  CHECK(servedOf(fleet, 20) == 20);
+}
+
+TEST_CASE("a refusal by all servers says that nothing has run", "[platform]") {
+  PlatformFleet fleet;
+  startAll(fleet);
+  for (const char *node : {"n1", "n2"})
+    fleet.controlServer(node, {{"fault", "shed"}});
+  HttpReply reply = fleet.call("n3", "POST", "/once/x", "pay");
+  CHECK(reply.Status == 503);
+  CHECK(fleet.runsOfLast() == 0);
+  double wait = std::stod(reply.header("Retry-After"));
+  CHECK(wait > 0);
+  CHECK(wait <= 0.5);
+}
+
+TEST_CASE("only an answer that is the server's own reaches a client",
+          "[platform]") {
+  PlatformFleet fleet;
+  startAll(fleet);
+  auto callWith = [&](const std::string &fault) {
+    for (const char *node : {"n1", "n2"})
+      fleet.controlServer(node, {{"fault", fault}});
+    return fleet.call("n3", "POST", "/once/x", "mine");
+  };
+  CHECK(callWith("stray").Body.ends_with(":mine"));
+  CHECK(callWith("unframed").Body.ends_with(":mine"));
+  HttpReply unsignedReply = callWith("unsigned");
+  CHECK(unsignedReply.Status == 502);
+  CHECK(unsignedReply.Body.find(":mine") == std::string::npos);
+}
+
+TEST_CASE("after all nodes are killed they find each other again",
+          "[platform]") {
+  PlatformFleet fleet;
+  startAll(fleet);
+  for (const char *node : {"n1", "n2", "n3"}) {
+    fleet.process(node).signal(SIGKILL);
+    fleet.process(node).wait();
+  }
+  fleet.startNode("n1");
+  fleet.startNode("n2");
+  fleet.startNode("n3", "t");
+  fleet.awaitServing();
+  CHECK(servedOf(fleet, 20) == 20);
+}
+
+TEST_CASE("bad messages name no server and harm nothing", "[platform]") {
+  PlatformFleet fleet;
+  startAll(fleet);
+  auto beat = [&](const std::string &id, const std::string &body) {
+    HttpQuestion question{
+        "POST", "/rpc?call=instances.heartbeat&of=" + id, {}, body};
+    return callOnce(fleet.node("n1").Admin, question, CallLimit).Status;
+  };
+  CHECK(beat("x", "") == 400);
+  CHECK(beat("x", "[1,2]") == 400);
+  CHECK(beat("x", R"({"service":7})") == 400);
+  CHECK(beat("", R"({"service":"s","address":"127.0.0.1:1","slots":3,)"
+                 R"("state":"ready","sequence":1,"born":1})") == 400);
+  CHECK(beat("x", R"({"service":"s","address":"127.0.0.1:1","slots":3,)"
+                  R"("state":"odd","sequence":1,"born":1})") == 400);
+  std::string slow = sendRaw(fleet.node("n1").Http, "GET /safe/ HT", CallLimit);
+  CHECK(slow.find("408") != std::string::npos);
+  std::string large =
+      "GET /safe/ HTTP/1.1\r\nX: " + std::string(20'000, 'a') + "\r\n\r\n";
+  std::string refused = sendRaw(fleet.node("n1").Http, large, CallLimit);
+  CHECK(refused.find("431") != std::string::npos);
+  CHECK(
+      fleet.call("n3", "POST", "/once/x", std::string(1'100'000, 'a')).Status ==
+      413);
+  CHECK(servedOf(fleet, 20) == 20);
+}
+
+TEST_CASE("a stop under load loses nothing, SIGHUP changes nothing",
+          "[platform]") {
+  PlatformFleet fleet;
+  startAll(fleet);
+  fleet.process("n2").signal(SIGHUP);
+  CHECK(servedOf(fleet, 10) == 10);
+  CHECK(fleet.process("n2").isRunning());
+  fleet.process("n2").signal(SIGTERM);
+  TestFleet::await("not ready", [&] { return fleet.readiness("n2") != 200; });
+  CHECK(servedOf(fleet, 20) == 20);
+  CHECK(fleet.call("n2", "GET", "/safe/x").Status == 200);
+  CHECK(fleet.process("n2").wait() == 0);
+  CHECK(servedOf(fleet, 10) == 10);
+}
--- a/tests/process/testfleet.cpp
+++ b/tests/process/testfleet.cpp
@@ -1,12 +1,10 @@
 #include "process/testfleet.h"
 
-#include <arpa/inet.h>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
-#include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
 
@@ -17,9 +15,6 @@
 
 namespace {
 
-/// Ports below those that the system gives to outgoing connections.
-constexpr int LowestPort = 10'000;
-constexpr int PortRange = 20'000;
 constexpr milliseconds AskLimit{3'000};
 constexpr milliseconds PollPeriod{20};
 
@@ -33,25 +28,9 @@
   return std::string(HICKORYGLADE_BUILD) + "/" + name;
 }
 
-bool isFree(int port) {
-  for (int type : {SOCK_STREAM, SOCK_DGRAM}) {
-    int fd = socket(AF_INET, type, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(std::uint16_t(port));
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    int result =
-        bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address));
-    close(fd);
-    if (result != 0)
-      return false;
-  }
-  return true;
-}
-
 } // namespace
 
-TestFleet::TestFleet() : NextPort(LowestPort + (getpid() * 97) % PortRange) {
+TestFleet::TestFleet() {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "fleet-XXXXXX").string();
   Folder = mkdtemp(pattern.data());
@@ -63,20 +42,13 @@
     std::filesystem::remove_all(Folder);
 }
 
-std::string TestFleet::takeAddress() {
-  do {
-    NextPort = LowestPort + (NextPort + 1 - LowestPort) % PortRange;
-  } while (!isFree(NextPort));
-  return "127.0.0.1:" + std::to_string(NextPort);
-}
-
 std::string TestFleet::file(const std::string &name) const {
   return Folder + "/" + name;
 }
 
 void TestFleet::startLog() {
   if (Log.empty())
-    Log = takeAddress();
+    Log = Addresses.next();
   Processes["log"] = ChildProcess(
       {program("tests/logstandin"), "--listen", Log}, file("log.err"));
 }
@@ -84,11 +56,11 @@
 void TestFleet::startNode(const std::string &name, bool hasRelay) {
   NodeAddresses &at = Nodes[name];
   if (at.Http.empty()) {
-    at = {takeAddress(), takeAddress(), takeAddress(), "", ""};
+    at = {Addresses.next(), Addresses.next(), Addresses.next(), "", ""};
     at.Advertised = at.Fleet;
     if (hasRelay) {
-      at.Advertised = takeAddress();
-      at.RelayControl = takeAddress();
+      at.Advertised = Addresses.next();
+      at.RelayControl = Addresses.next();
       Processes["relay-" + name] =
           ChildProcess({program("tests/relay"), "--listen", at.Advertised,
                         "--to", at.Fleet, "--control", at.RelayControl},
@@ -115,7 +87,7 @@
                               const std::string &service) {
   std::string &at = Endpoints[name];
   if (at.empty())
-    at = takeAddress();
+    at = Addresses.next();
   Processes[name] =
       ChildProcess({program("tests/endpointstandin"), "--listen", at,
                     "--announce", Nodes.at(node).Admin, "--name", name,
--- a/tests/process/testfleet.h
+++ b/tests/process/testfleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "process/childprocess.h"
+#include "process/freeaddress.h"
 #include "process/httpcall.h"
 
 #include <nlohmann/json.hpp>
@@ -68,7 +69,6 @@
                     int limitMs = 20'000);
 
 private:
-  std::string takeAddress();
   std::string file(const std::string &name) const;
 
   std::string Folder;
@@ -76,7 +76,7 @@
   std::map<std::string, ChildProcess> Processes;
   std::map<std::string, NodeAddresses> Nodes;
   std::map<std::string, std::string> Endpoints;
-  int NextPort;
+  FreeAddresses Addresses;
 };
 
 /// A POST of non-idempotent work that is counted under a tag.
