--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -47,6 +47,8 @@
   16: bool acceptsDoubtful
   // Rank among requests that compete for a slot; 0 goes first.
   17: i32 priority
+  // Sent to the one gate at which all copies of suspect content meet.
+  18: bool isSerialized
 }
 
 struct Grant {
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -566,6 +566,10 @@
 void Ticket::__set_priority(const int32_t val) {
   this->priority = val;
 }
+
+void Ticket::__set_isSerialized(const bool val) {
+  this->isSerialized = val;
+}
 std::ostream& operator<<(std::ostream& out, const Ticket& obj)
 {
   obj.printTo(out);
@@ -722,6 +726,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isSerialized);
+          this->__isset.isSerialized = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -803,6 +815,10 @@
   xfer += oprot->writeI32(this->priority);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("isSerialized", ::apache::thrift::protocol::T_BOOL, 18);
+  xfer += oprot->writeBool(this->isSerialized);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -826,6 +842,7 @@
   swap(a.isRepeat, b.isRepeat);
   swap(a.acceptsDoubtful, b.acceptsDoubtful);
   swap(a.priority, b.priority);
+  swap(a.isSerialized, b.isSerialized);
   swap(a.__isset, b.__isset);
 }
 
@@ -846,6 +863,7 @@
   isRepeat = other12.isRepeat;
   acceptsDoubtful = other12.acceptsDoubtful;
   priority = other12.priority;
+  isSerialized = other12.isSerialized;
   __isset = other12.__isset;
 }
 Ticket::Ticket(Ticket&& other13) noexcept {
@@ -865,6 +883,7 @@
   isRepeat = other13.isRepeat;
   acceptsDoubtful = other13.acceptsDoubtful;
   priority = other13.priority;
+  isSerialized = other13.isSerialized;
   __isset = other13.__isset;
 }
 Ticket& Ticket::operator=(const Ticket& other14) {
@@ -884,6 +903,7 @@
   isRepeat = other14.isRepeat;
   acceptsDoubtful = other14.acceptsDoubtful;
   priority = other14.priority;
+  isSerialized = other14.isSerialized;
   __isset = other14.__isset;
   return *this;
 }
@@ -904,6 +924,7 @@
   isRepeat = other15.isRepeat;
   acceptsDoubtful = other15.acceptsDoubtful;
   priority = other15.priority;
+  isSerialized = other15.isSerialized;
   __isset = other15.__isset;
   return *this;
 }
@@ -926,6 +947,7 @@
   out << ", " << "isRepeat=" << to_string(isRepeat);
   out << ", " << "acceptsDoubtful=" << to_string(acceptsDoubtful);
   out << ", " << "priority=" << to_string(priority);
+  out << ", " << "isSerialized=" << to_string(isSerialized);
   out << ")";
 }
 
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -279,7 +279,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _Ticket__isset {
-  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), awaitsClaim(false), knownCrashes(false), onlyIfFree(false), isRepeat(false), acceptsDoubtful(false), priority(false) {}
+  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), awaitsClaim(false), knownCrashes(false), onlyIfFree(false), isRepeat(false), acceptsDoubtful(false), priority(false), isSerialized(false) {}
   bool attemptId :1;
   bool workspace :1;
   bool serviceName :1;
@@ -296,6 +296,7 @@
   bool isRepeat :1;
   bool acceptsDoubtful :1;
   bool priority :1;
+  bool isSerialized :1;
 } _Ticket__isset;
 
 class Ticket : public virtual ::apache::thrift::TBase {
@@ -321,7 +322,8 @@
            onlyIfFree(0),
            isRepeat(0),
            acceptsDoubtful(0),
-           priority(0) {
+           priority(0),
+           isSerialized(0) {
   }
 
   virtual ~Ticket() noexcept;
@@ -341,6 +343,7 @@
   bool isRepeat;
   bool acceptsDoubtful;
   int32_t priority;
+  bool isSerialized;
 
   _Ticket__isset __isset;
 
@@ -376,6 +379,8 @@
 
   void __set_priority(const int32_t val);
 
+  void __set_isSerialized(const bool val);
+
   bool operator == (const Ticket & rhs) const
   {
     if (!(attemptId == rhs.attemptId))
@@ -410,6 +415,8 @@
       return false;
     if (!(priority == rhs.priority))
       return false;
+    if (!(isSerialized == rhs.isSerialized))
+      return false;
     return true;
   }
   bool operator != (const Ticket &rhs) const {
--- a/src/libfleet/entry.cpp
+++ b/src/libfleet/entry.cpp
@@ -34,10 +34,6 @@
 /// A gate's report older than this says nothing any more.
 constexpr Micros LoadTerm = std::chrono::milliseconds(500);
 
-/// Refusals by gates that cost one message each, after which a request is
-/// given up.
-constexpr int MostFreeTries = 12;
-
 constexpr std::size_t MostKeyBytes = 255;
 constexpr Millis LongestTimeout = std::chrono::hours(24);
 constexpr Millis DefaultRetryAfter = std::chrono::seconds(1);
@@ -99,6 +95,7 @@
   std::shared_ptr<StreamMailbox> Box;
   bool AwaitsGrant = false;
   bool OnlyIfFree = false;
+  bool IsSerialized = false;
 
   Instant waitUntil() const { return Request->Deadline + VerdictGrace; }
 };
@@ -337,6 +334,7 @@
   attempt.Id = inquiry.Id + "/" + std::to_string(number);
   attempt.AwaitsGrant = plan.AwaitsGrant;
   attempt.OnlyIfFree = plan.OnlyIfFree;
+  attempt.IsSerialized = isSerialized;
   attempt.Box = std::make_shared<StreamMailbox>(Executor);
   for (std::size_t i : plan.Targets) {
     auto node = View->Nodes.find(all[i].Node);
@@ -414,6 +412,7 @@
   ticket.isRepeat = inquiry.Arrivals > 0;
   ticket.acceptsDoubtful = it.Gate.State != Standing::Healthy;
   ticket.priority = inquiry.Way.Policy.Priority;
+  ticket.isSerialized = attempt.IsSerialized;
   return ticket;
 }
 
@@ -598,6 +597,9 @@
 Error Entry::toError(Attempt &attempt, const wire::Failure &failure) const {
   attempt.Request->Crashes += failure.isCrash;
   attempt.Request->Arrivals += failure.hasReached;
+  // Another copy's crash counts for this one before the news comes.
+  if (errorKindFromWire(failure.kind) == ErrorKind::ContentSuspect)
+    attempt.Request->Crashes = std::max(attempt.Request->Crashes, 1);
   RunState run = failure.run == int(RunState::NotRun) ? RunState::NotRun
                                                       : RunState::Unknown;
   return {errorKindFromWire(failure.kind), run, failure.detail,
--- a/src/libfleet/gateservice.cpp
+++ b/src/libfleet/gateservice.cpp
@@ -113,6 +113,7 @@
   out.IsRepeat = in.isRepeat;
   out.AcceptsDoubtful = in.acceptsDoubtful;
   out.Priority = in.priority;
+  out.IsSerialized = in.isSerialized;
   return out;
 }
 
--- a/src/libhickoryglade/errorkind.cpp
+++ b/src/libhickoryglade/errorkind.cpp
@@ -10,7 +10,7 @@
 constexpr RunState NotRun = RunState::NotRun;
 constexpr RunState Unknown = RunState::Unknown;
 
-constexpr std::array<ErrorAnswer, 26> Answers{{
+constexpr std::array<ErrorAnswer, 27> Answers{{
     {ErrorKind::BadRequest, "bad_request", 400, NotRun, false,
      "The request is malformed"},
     {ErrorKind::HeadersTooLarge, "headers_too_large", 431, NotRun, false,
@@ -63,6 +63,8 @@
      "The endpoint fails and takes only trials"},
     {ErrorKind::RetriesExhausted, "retries_exhausted", 503, NotRun, true,
      "The service's endpoints see too many retries"},
+    {ErrorKind::ContentSuspect, "content_suspect", 503, NotRun, true,
+     "The content has crashed an endpoint and runs at one gate only"},
 }};
 
 } // namespace
--- a/src/libhickoryglade/errorkind.h
+++ b/src/libhickoryglade/errorkind.h
@@ -39,6 +39,7 @@
   RequestTimeout,
   EndpointDoubtful,
   RetriesExhausted,
+  ContentSuspect,
 };
 
 /// Row of the table from error kind to answer.
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -142,6 +142,19 @@
          QuarantineRule::Serialized;
 }
 
+/// A copy that was sent off before its entry knew of the crash must not run
+/// beside one that the others have been sent to.
+bool isOutOfPlace(const Gate &gate, const GateService &service,
+                  const Ticket &ticket, Instant now) {
+  return service.Gates > 1 && !ticket.IsSerialized &&
+         isSerialized(gate, ticket, now);
+}
+
+Error outOfPlace() {
+  return notRun(ErrorKind::ContentSuspect, "its copies meet at another gate",
+                Millis{0});
+}
+
 bool isSerializedBusy(const Gate &gate, GateService &service,
                       const Ticket &ticket, Instant now) {
   if (!isSerialized(gate, ticket, now))
@@ -202,6 +215,10 @@
               toMillis(remainingTerm(gate.Crashes, ticket->Fingerprint, now))));
       continue;
     }
+    if (isOutOfPlace(gate, service, *ticket, now)) {
+      refuse(actions, ticket->AttemptId, outOfPlace());
+      continue;
+    }
     if (ticket->Deadline < now + ticket->ExpectedCost) {
       refuse(actions, ticket->AttemptId,
              notRun(ErrorKind::Overloaded, "too late to finish in time",
@@ -684,6 +701,10 @@
                   Millis{0}));
     return actions;
   }
+  if (isOutOfPlace(gate, service, ticket, now)) {
+    refuse(actions, ticket.AttemptId, outOfPlace());
+    return actions;
+  }
   if (isOverRepeats(service, ticket, now)) {
     refuse(actions, ticket.AttemptId,
            notRun(ErrorKind::RetriesExhausted, "the budget of this gate",
@@ -731,7 +752,15 @@
     auto holder = std::ranges::find_if(endpoint.Holders, [&](const auto &it) {
       return it.Request.AttemptId == attempt;
     });
-    if (holder != endpoint.Holders.end() && !holder->IsStarted) {
+    bool isWaiting = holder != endpoint.Holders.end() && !holder->IsStarted;
+    const GateService &service = gate.Services[endpoint.Facts.Service];
+    if (isWaiting && isOutOfPlace(gate, service, holder->Request, now)) {
+      GateEndpoint *unused = nullptr;
+      release(gate, attempt, unused);
+      refuse(actions, attempt, outOfPlace());
+      return actions;
+    }
+    if (isWaiting) {
       start(gate, endpoint, *holder, now, actions);
       return actions;
     }
--- a/src/libhickoryglade/retry.cpp
+++ b/src/libhickoryglade/retry.cpp
@@ -46,7 +46,8 @@
 }
 
 bool isFreeRetry(ErrorKind kind) {
-  return kind == ErrorKind::SlotTaken || kind == ErrorKind::EndpointDoubtful;
+  return kind == ErrorKind::SlotTaken || kind == ErrorKind::EndpointDoubtful ||
+         kind == ErrorKind::ContentSuspect;
 }
 
 RetryAnswer decideRetry(const RetryQuestion &question, RetryBudget &budget) {
--- a/src/libhickoryglade/retry.h
+++ b/src/libhickoryglade/retry.h
@@ -48,6 +48,9 @@
 /// Attempts after which a request is given up.
 constexpr int MostAttempts = 4;
 
+/// Refusals that cost one message each, after which a request is given up.
+constexpr int MostFreeTries = 12;
+
 /// True for a refusal that costs one message and draws on no budget.
 bool isFreeRetry(ErrorKind kind);
 
--- a/src/libhickoryglade/ticket.h
+++ b/src/libhickoryglade/ticket.h
@@ -32,6 +32,9 @@
   bool IsRepeat = false;
   /// True if the entry knows that the endpoint is doubtful or on trial.
   bool AcceptsDoubtful = false;
+  /// True if its entry has sent it to the one gate at which all copies of
+  /// suspect content meet.
+  bool IsSerialized = false;
   /// Rank among requests that compete for a slot; 0 goes first.
   int Priority = 0;
 
--- a/tests/scenarios/test_scenarios.cpp
+++ b/tests/scenarios/test_scenarios.cpp
@@ -47,6 +47,68 @@
   return all;
 }
 
+/// A scenario of random faults that a seed decides.
+std::string mixOf(std::uint64_t seed) {
+  const char *kinds[] = {"cut", "pause", "stall", "leave", "log", "poison"};
+  hickoryglade::Random rng(seed);
+  auto pick = [&](std::uint64_t n) {
+    return int(hickoryglade::uniform(rng, n));
+  };
+  std::ostringstream out;
+  out << "seed " << seed << "\nnode a b c d\npolicy floor 3\n";
+  out << "policy router " << (seed % 2 ? "tickets" : "two_choices") << "\n";
+  const char *names[] = {"a", "b", "c", "d"};
+  for (int i = 0; i < 5; ++i)
+    out << "endpoint e" << i << " on " << names[i % 4] << "\n";
+  out << "at 1200 load " << 60 + pick(300) << " for 6000 work 25 long 2"
+      << (pick(2) ? " post" : "") << "\n";
+  std::string fromTo;
+  for (int i = 0; i < 3; ++i) {
+    std::string kind = kinds[pick(6)];
+    int begin = 1'300 + pick(4'000);
+    int end = begin + 100 + pick(3'000);
+    std::string a = names[pick(4)];
+    std::string b = names[pick(4)];
+    std::string e = "e" + std::to_string(pick(5));
+    out << "at " << begin << " ";
+    if (kind == "cut")
+      out << "cut " << a << " " << b << "\nat " << end << " heal " << a << " "
+          << b << "\n";
+    else if (kind == "pause")
+      out << "pause " << a << "\nat " << end << " resume " << a << "\n";
+    else if (kind == "stall")
+      out << "stall " << e << "\nat " << end << " recover " << e << "\n";
+    else if (kind == "leave")
+      out << "leave " << e << "\n";
+    else if (kind == "log")
+      out << "log away\nat " << end << " log back\n";
+    else
+      for (int k = 0; k < 4; ++k)
+        out << (k ? "at " + std::to_string(begin + k * 700) + " " : "")
+            << "request p" << i << k << " via " << names[pick(4)]
+            << " poison\n";
+  }
+  out << "at 2000 publish x a / 0 {\"floor\":3}\n"
+      << "at 2000 publish y b / 0 {\"floor\":2}\n"
+      << "run 20000\nexpect ejected at most 2\nexpect honest\n"
+      << "expect crashes at most 2\nexpect left quiet\n"
+      << "expect settings agree\n";
+  return out.str();
+}
+
+/// Seeds outside the usual range that have failed: a poisoned request crashed a
+/// third endpoint, since copies that waited at other gates ran beside the one
+/// to which all were sent; 11298 and 539 are of other causes, mended before.
+constexpr std::uint64_t FailedSeeds[] = {539,   4951,  11298, 13417,
+                                         32865, 51871, 71478};
+
+void requireKept(std::uint64_t seed) {
+  std::string mix = mixOf(seed);
+  ScenarioResult result = runScenario(mix, {});
+  INFO("seed " << seed << "\n" << mix << joined(result.Failures));
+  REQUIRE(result.Failures.empty());
+}
+
 } // namespace
 
 TEST_CASE("each scenario holds, and fails without its mechanism") {
@@ -76,59 +138,14 @@
 }
 
 TEST_CASE("random mixes of faults leave every promise kept") {
-  const char *kinds[] = {"cut", "pause", "stall", "leave", "log", "poison"};
   int runs = 1'500;
   if (const char *text = std::getenv("MIX_RUNS"))
     runs = std::atoi(text);
   std::uint64_t first = 1;
   if (const char *text = std::getenv("MIX_SEED"))
     first = std::strtoull(text, nullptr, 10);
-  for (std::uint64_t seed = first; seed < first + std::uint64_t(runs); ++seed) {
-    hickoryglade::Random rng(seed);
-    auto pick = [&](std::uint64_t n) {
-      return int(hickoryglade::uniform(rng, n));
-    };
-    std::ostringstream out;
-    out << "seed " << seed << "\nnode a b c d\npolicy floor 3\n";
-    out << "policy router " << (seed % 2 ? "tickets" : "two_choices") << "\n";
-    const char *names[] = {"a", "b", "c", "d"};
-    for (int i = 0; i < 5; ++i)
-      out << "endpoint e" << i << " on " << names[i % 4] << "\n";
-    out << "at 1200 load " << 60 + pick(300) << " for 6000 work 25 long 2"
-        << (pick(2) ? " post" : "") << "\n";
-    std::string fromTo;
-    for (int i = 0; i < 3; ++i) {
-      std::string kind = kinds[pick(6)];
-      int begin = 1'300 + pick(4'000);
-      int end = begin + 100 + pick(3'000);
-      std::string a = names[pick(4)];
-      std::string b = names[pick(4)];
-      std::string e = "e" + std::to_string(pick(5));
-      out << "at " << begin << " ";
-      if (kind == "cut")
-        out << "cut " << a << " " << b << "\nat " << end << " heal " << a << " "
-            << b << "\n";
-      else if (kind == "pause")
-        out << "pause " << a << "\nat " << end << " resume " << a << "\n";
-      else if (kind == "stall")
-        out << "stall " << e << "\nat " << end << " recover " << e << "\n";
-      else if (kind == "leave")
-        out << "leave " << e << "\n";
-      else if (kind == "log")
-        out << "log away\nat " << end << " log back\n";
-      else
-        for (int k = 0; k < 4; ++k)
-          out << (k ? "at " + std::to_string(begin + k * 700) + " " : "")
-              << "request p" << i << k << " via " << names[pick(4)]
-              << " poison\n";
-    }
-    out << "at 2000 publish x a / 0 {\"floor\":3}\n"
-        << "at 2000 publish y b / 0 {\"floor\":2}\n"
-        << "run 20000\nexpect ejected at most 2\nexpect honest\n"
-        << "expect crashes at most 2\nexpect left quiet\n"
-        << "expect settings agree\n";
-    ScenarioResult result = runScenario(out.str(), {});
-    INFO("seed " << seed << "\n" << out.str() << joined(result.Failures));
-    REQUIRE(result.Failures.empty());
-  }
+  for (std::uint64_t seed = first; seed < first + std::uint64_t(runs); ++seed)
+    requireKept(seed);
+  for (std::uint64_t seed : FailedSeeds)
+    requireKept(seed);
 }
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -34,6 +34,9 @@
   std::string Chosen;
   bool AwaitsGrant = false;
   bool OnlyIfFree = false;
+  bool IsSerialized = false;
+  /// Gates that the entry knows to be doubtful.
+  std::set<std::string> Doubtful;
   bool IsSettled = false;
   std::string Endpoint;
   bool HasResult = false;
@@ -78,6 +81,11 @@
                         int slots) {
   Endpoints[name] = {name, node, slots,          false, true, true,
                      1,    0,    Instant::max(), 0,     {}};
+  std::set<std::string> gates;
+  for (const auto &[endpoint, it] : Endpoints)
+    gates.insert(it.Node);
+  for (auto &[at, it] : Nodes)
+    it.Door.Services[Service].Gates = int(gates.size());
   auto announceNow = std::make_shared<std::function<void()>>();
   *announceNow = [this, name, announceNow] {
     RealEndpoint &it = Endpoints.at(name);
@@ -237,8 +245,11 @@
   attempt->Id = call->Id + "/" + std::to_string(call->Attempts);
   attempt->AwaitsGrant = plan.AwaitsGrant;
   attempt->OnlyIfFree = plan.OnlyIfFree;
+  attempt->IsSerialized = rule == QuarantineRule::Serialized;
   for (std::size_t i : plan.Targets) {
     attempt->Gates.insert(all[i].Node);
+    if (all[i].State != Standing::Healthy)
+      attempt->Doubtful.insert(all[i].Node);
   }
   for (const std::string &gate : std::set<std::string>(attempt->Gates)) {
     ++node.Outstanding[gate];
@@ -266,11 +277,13 @@
   ticket.KnownCrashes = has(Mechanism::Quarantine) ? call.Crashes : 0;
   ticket.AwaitsClaim = attempt.AwaitsGrant;
   ticket.OnlyIfFree = attempt.OnlyIfFree;
+  ticket.IsSerialized = attempt.IsSerialized;
   return ticket;
 }
 
 void World::offerAt(const AttemptPtr &attempt, const std::string &gate) {
   Ticket ticket = ticketFor(*attempt);
+  ticket.AcceptsDoubtful = attempt->Doubtful.contains(gate);
   send(attempt->Request->Entry, gate, [this, attempt, gate, ticket] {
     Node &node = Nodes.at(gate);
     node.Here[attempt->Id] = attempt;
@@ -491,12 +504,16 @@
   if (error.Kind != ErrorKind::SlotTaken && !attempt->Chosen.empty())
     call->Tried.insert(attempt->Chosen);
   call->HasMissed = call->HasMissed || error.Kind == ErrorKind::SlotTaken;
+  if (error.Kind == ErrorKind::ContentSuspect)
+    call->Crashes = std::max(call->Crashes, 1);
   call->MayHaveRun = call->MayHaveRun || error.Run == RunState::Unknown;
   bool isSafe = call->IsIdempotent || !has(Mechanism::Retry);
-  RetryAnswer answer = decideRetry(
-      {error, isSafe, call->Attempts, call->Deadline - Now, Micros(0)},
-      Nodes.at(call->Entry).Budget);
-  if (answer.Verdict == RetryVerdict::Retry)
+  call->FreeTries += isFreeRetry(error.Kind);
+  RetryAnswer answer =
+      decideRetry({error, isSafe, call->Attempts - call->FreeTries,
+                   call->Deadline - Now, Micros(0)},
+                  Nodes.at(call->Entry).Budget);
+  if (answer.Verdict == RetryVerdict::Retry && call->FreeTries < MostFreeTries)
     return tryOnce(call);
   giveUp(call, error);
 }
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -36,6 +36,8 @@
   std::uint64_t Fingerprint = 0;
 
   int Attempts = 0;
+  /// Attempts that gates turned away at the price of one message.
+  int FreeTries = 0;
   std::set<std::string> Tried;
   bool MayHaveRun = false;
   bool HasMissed = false;
