--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -554,12 +554,10 @@
       recover(endpoint, now, actions);
     return;
   case AttemptOutcome::ServerError:
-    endpoint.LastCompletion = now;
-    ++endpoint.ConsecutiveFailures;
-    return;
   case AttemptOutcome::Shed:
+    // The gate sends no more than the endpoint has slots, so that one which
+    // sheds had room.
     endpoint.LastCompletion = now;
-    // The gate sends no more than the endpoint has slots: it had room.
     ++endpoint.ConsecutiveFailures;
     return;
   case AttemptOutcome::Crashed:
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr Millis WaitStep{5};
-constexpr std::size_t LengthBytes = 4;
 
 struct Topic {
   std::vector<std::string> Records;
