gate: sheds count apart from failures; router: idempotent work spills to doubtful endpoints

Cause of the incident's dip (10 to 16 s): a service that shed half of its work was doubted as a whole, so that the few gates in good standing refused what the others had slots for (181 refusals for the expected wait).

--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -391,6 +391,7 @@
   if (!hasRested || !endpoint.Holders.empty())
     return;
   endpoint.ConsecutiveFailures = 0;
+  endpoint.ConsecutiveSheds = 0;
   endpoint.IsListening = true;
   endpoint.EjectedUntil.reset();
   endpoint.TrialAnswers = 0;
@@ -550,16 +551,18 @@
     endpoint.IsListening = true;
     ++endpoint.Completions;
     endpoint.ConsecutiveFailures = 0;
+    endpoint.ConsecutiveSheds = 0;
     if (endpoint.State != Standing::Draining)
       recover(endpoint, now, actions);
     return;
   case AttemptOutcome::ServerError:
-  case AttemptOutcome::Shed:
-    // The gate sends no more than the endpoint has slots, so that one which
-    // sheds had room.
     endpoint.LastCompletion = now;
     ++endpoint.ConsecutiveFailures;
     return;
+  case AttemptOutcome::Shed:
+    endpoint.LastCompletion = now;
+    ++endpoint.ConsecutiveSheds;
+    return;
   case AttemptOutcome::Crashed:
     blame(gate, endpoint, holder.Request.Fingerprint, now, actions);
     endpoint.IsListening = false;
@@ -595,6 +598,7 @@
   ++endpoint.Generation;
   endpoint.IsListening = true;
   endpoint.ConsecutiveFailures = 0;
+  endpoint.ConsecutiveSheds = 0;
   endpoint.Completions = 0;
   endpoint.LastCompletion = now;
   endpoint.EjectedUntil.reset();
--- a/src/libhickoryglade/gateendpoint.cpp
+++ b/src/libhickoryglade/gateendpoint.cpp
@@ -38,6 +38,7 @@
                             const ServicePolicy &policy, Instant now) {
   EndpointEvidence evidence;
   evidence.ConsecutiveFailures = endpoint.ConsecutiveFailures;
+  evidence.ConsecutiveSheds = endpoint.ConsecutiveSheds;
   evidence.IsListening = endpoint.IsListening;
   Instant idleSince = endpoint.LastCompletion;
   Instant oldestStart = now;
--- a/src/libhickoryglade/gateendpoint.h
+++ b/src/libhickoryglade/gateendpoint.h
@@ -38,6 +38,8 @@
   std::vector<DroppedRequest> Dropped;
   Instant LastCompletion;
   int ConsecutiveFailures = 0;
+  /// Refusals in a row by the endpoint though it had a slot free.
+  int ConsecutiveSheds = 0;
   /// False once nothing has been found listening at its address.
   bool IsListening = true;
   /// Answers since the endpoint's start.
--- a/src/libhickoryglade/healthpolicy.h
+++ b/src/libhickoryglade/healthpolicy.h
@@ -17,6 +17,8 @@
   Micros MostOverdue{0};
   Micros SinceCompletion{0};
   int ConsecutiveFailures = 0;
+  /// Refusals in a row though the endpoint had a slot free.
+  int ConsecutiveSheds = 0;
   /// False once nothing has been found listening at its address.
   bool IsListening = true;
 
--- a/src/libhickoryglade/routerpolicy.cpp
+++ b/src/libhickoryglade/routerpolicy.cpp
@@ -19,6 +19,21 @@
   return all;
 }
 
+/// Doubtful endpoints with free slots, if no healthy one has any.
+std::vector<std::size_t> spilled(std::span<const Candidate> candidates) {
+  std::vector<std::size_t> all;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const Candidate &it = candidates[i];
+    if (!it.IsPathUp || it.WasTried || knownFree(it) <= 0)
+      continue;
+    if (it.State == Standing::Healthy)
+      return {};
+    if (it.State == Standing::Suspect || it.State == Standing::Trial)
+      all.push_back(i);
+  }
+  return all;
+}
+
 bool suitsTrial(const RouteQuestion &question) {
   return question.IsIdempotent && !question.IsLong && !question.IsSerialized;
 }
@@ -32,6 +47,9 @@
     if (!trials.empty() && uniform(rng, std::uint64_t(question.TrialOdds)) == 0)
       return {trials[uniform(rng, trials.size())]};
   }
+  if (question.MaySpill && question.IsIdempotent && !question.IsSerialized)
+    if (auto all = spilled(candidates); !all.empty())
+      return all;
   constexpr std::array<Standing, 3> order = {
       Standing::Healthy, Standing::Suspect, Standing::Trial};
   for (bool wasTried : {false, true})
--- a/src/libhickoryglade/routerpolicy.h
+++ b/src/libhickoryglade/routerpolicy.h
@@ -44,6 +44,8 @@
   std::uint64_t Fingerprint = 0;
   /// One suitable request in this many goes to an endpoint on trial.
   int TrialOdds = 8;
+  /// Whether it may go to doubtful endpoints while no healthy one is free.
+  bool MaySpill = false;
 };
 
 /// Where to send a request.
--- a/src/libhickoryglade/servicepolicy.h
+++ b/src/libhickoryglade/servicepolicy.h
@@ -64,6 +64,9 @@
   Millis TrialPatience{86'400'000};
   /// One suitable request in this many goes to an endpoint on trial.
   int TrialOdds = 8;
+  /// Whether idempotent requests go to doubtful endpoints while no healthy one
+  /// has a slot free.
+  bool SpillsToDoubtful = false;
   /// Weight of the workspace in the fair sharing of a service.
   int Share = 1;
   /// How long a request that crashed endpoints stays quarantined.
--- a/src/libhickoryglade/settingsschema.cpp
+++ b/src/libhickoryglade/settingsschema.cpp
@@ -36,7 +36,9 @@
 };
 
 struct MethodListRule {};
-struct IdempotentRule {};
+struct BooleanRule {
+  void (*Apply)(ServicePolicy &, bool);
+};
 struct HostRule {};
 struct SplitRule {};
 struct PrefixRule {};
@@ -47,7 +49,7 @@
 struct KeyRule {
   std::string_view Key;
   SettingsLevel From;
-  std::variant<IntegerRule, PolicyNameRule, MethodListRule, IdempotentRule,
+  std::variant<IntegerRule, PolicyNameRule, MethodListRule, BooleanRule,
                HostRule, PrefixRule, WorkspaceRule, SplitRule,
                QuarantineReleaseRule>
       Rule;
@@ -75,7 +77,10 @@
       {"max_attempts", SettingsLevel::Fleet,
        IntegerRule{1, 100,
                    [](P &p, std::int64_t v) { p.MaxAttempts = int(v); }}},
-      {"idempotent", SettingsLevel::Fleet, IdempotentRule{}},
+      {"idempotent", SettingsLevel::Fleet,
+       BooleanRule{[](P &p, bool v) { p.Idempotent = v; }}},
+      {"spill_to_doubtful", SettingsLevel::Fleet,
+       BooleanRule{[](P &p, bool v) { p.SpillsToDoubtful = v; }}},
       {"max_header_bytes", SettingsLevel::Fleet,
        IntegerRule{256, 1024 * 1024,
                    [](P &p, std::int64_t v) { p.MaxHeaderBytes = v; }}},
@@ -214,7 +219,7 @@
              : "must be the name of a workspace";
 }
 
-std::string fault(const IdempotentRule &, const json &value) {
+std::string fault(const BooleanRule &, const json &value) {
   return value.is_boolean() ? "" : "must be true or false";
 }
 
@@ -314,8 +319,8 @@
       integer->Apply(base, it->get<std::int64_t>());
     if (const auto *name = std::get_if<PolicyNameRule>(&rule.Rule))
       name->Apply(base, it->get<std::string>());
-    if (std::holds_alternative<IdempotentRule>(rule.Rule))
-      base.Idempotent = it->get<bool>();
+    if (const auto *boolean = std::get_if<BooleanRule>(&rule.Rule))
+      boolean->Apply(base, it->get<bool>());
     if (std::holds_alternative<MethodListRule>(rule.Rule))
       base.IdempotentMethods = it->get<std::vector<std::string>>();
   }
