--- /dev/null
+++ b/src/libfleet/entryattempt.cpp
@@ -0,0 +1,250 @@
+#include "libfleet/entryattempt.h"
+
+#include "libhickoryglade/startledger.h"
+
+#include <algorithm>
+
+/// The part of an entry that sends attempts to gates and hears of them.
+
+namespace hickoryglade::fleet {
+
+namespace {
+
+/// A gate answers within the deadline it is given; an entry gives it this much
+/// less than the caller allows.
+constexpr Micros AnswerMargin = std::chrono::milliseconds(2);
+
+} // namespace
+
+std::string loadKey(const std::string &node, const std::string &service) {
+  return node + ' ' + service;
+}
+
+asio::awaitable<bool> Entry::openTarget(Attempt &attempt, std::size_t target) {
+  Attempt::Target &it = attempt.Targets[target];
+  it.Client =
+      co_await Links.connect(it.Gate.Node, it.Node, attempt.Request->Deadline);
+  if (!it.Client)
+    co_return false;
+  it.Stream = it.Client->open(attempt.Box, target);
+  it.IsOpen = true;
+  ++Loads[loadKey(it.Gate.Node, attempt.Request->Way.Service)].Outstanding;
+  co_return true;
+}
+
+wire::Ticket Entry::makeTicket(const Attempt &attempt,
+                               std::size_t target) const {
+  const Inquiry &inquiry = *attempt.Request;
+  const Attempt::Target &it = attempt.Targets[target];
+  wire::Ticket ticket;
+  ticket.attemptId = attempt.Id;
+  ticket.workspace = inquiry.Way.Workspace;
+  ticket.serviceName = inquiry.Way.Service;
+  ticket.gateBootId = it.Node.BootId;
+  ticket.timeoutMs = toMillis(inquiry.Deadline - AnswerMargin - now()).count();
+  ticket.linkAgeMs = it.Client->channel().ageMs();
+  ticket.expectedCostUs = inquiry.Cost.Expected.count();
+  ticket.isLong = inquiry.Cost.IsLong;
+  ticket.isIdempotent = inquiry.IsIdempotent;
+  ticket.fingerprint = std::int64_t(inquiry.Fingerprint);
+  ticket.knownCrashes = inquiry.Crashes;
+  ticket.onlyIfFree = attempt.OnlyIfFree;
+  ticket.awaitsClaim = attempt.AwaitsGrant;
+  ticket.isRepeat = inquiry.Arrivals > 0;
+  ticket.acceptsDoubtful = it.Gate.State != Standing::Healthy;
+  ticket.priority = inquiry.Way.Policy.Priority;
+  ticket.isSerialized = attempt.IsSerialized;
+  return ticket;
+}
+
+void Entry::sendCall(Attempt &attempt, std::size_t target) {
+  const HttpRequest &http = attempt.Request->Http;
+  Attempt::Target &it = attempt.Targets[target];
+  wire::Frame frame;
+  frame.stream = it.Stream;
+  frame.call.ticket = makeTicket(attempt, target);
+  frame.call.method = http.Method;
+  frame.call.target = http.Target;
+  for (const HttpHeader &header : http.Headers) {
+    if (isHopByHop(header.Name))
+      continue;
+    wire::Header out;
+    out.name = header.Name;
+    out.value = header.Value;
+    frame.call.headers.push_back(std::move(out));
+  }
+  frame.call.bodyBytes = std::int64_t(http.Content->size());
+  frame.__isset.call = true;
+  it.Client->channel().send(std::move(frame));
+  it.Client->channel().sendBody(it.Stream, http.Content);
+}
+
+/// Ends a stream that is still open, telling the gate to stop.
+void Entry::withdraw(Attempt &attempt, std::size_t target) {
+  Attempt::Target &it = attempt.Targets[target];
+  if (!it.IsOpen)
+    return;
+  it.IsOpen = false;
+  --Loads[loadKey(it.Gate.Node, attempt.Request->Way.Service)].Outstanding;
+  it.Client->forget(it.Stream);
+  wire::Frame frame;
+  frame.stream = it.Stream;
+  frame.__set_cancel({});
+  it.Client->channel().send(std::move(frame));
+}
+
+asio::awaitable<EntryResult> Entry::sendDirect(Attempt &attempt) {
+  bool isOpen = co_await openTarget(attempt, 0);
+  if (!isOpen)
+    co_return makeError(ErrorKind::NoEndpoint, "the gate cannot be reached",
+                        DefaultRetryAfter);
+  attempt.Request->LastGate = attempt.Targets[0].Gate.Node;
+  sendCall(attempt, 0);
+  co_return co_await awaitAnswer(attempt, 0);
+}
+
+asio::awaitable<EntryResult> Entry::leaveTickets(Attempt &attempt) {
+  std::size_t open = 0;
+  for (std::size_t i = 0; i < attempt.Targets.size(); ++i) {
+    bool isOpen = co_await openTarget(attempt, i);
+    if (!isOpen)
+      continue;
+    ++open;
+    Attempt::Target &it = attempt.Targets[i];
+    wire::Frame frame;
+    frame.stream = it.Stream;
+    frame.__set_ticket(makeTicket(attempt, i));
+    it.Client->channel().send(std::move(frame));
+  }
+  Error last = makeError(ErrorKind::NoEndpoint, "no gate can be reached",
+                         DefaultRetryAfter);
+  while (open > 0) {
+    std::optional<StreamEvent> event =
+        co_await attempt.Box->next(attempt.waitUntil());
+    if (!event)
+      co_return Error{ErrorKind::DeadlineExceeded, RunState::NotRun,
+                      "no slot became free in time", DefaultRetryAfter};
+    if (std::holds_alternative<CancelledEvent>(event->Content))
+      co_return Error{ErrorKind::Cancelled, RunState::NotRun, {}, {}};
+    if (std::holds_alternative<GrantEvent>(event->Content)) {
+      for (std::size_t i = 0; i < attempt.Targets.size(); ++i)
+        if (i != event->Tag)
+          withdraw(attempt, i);
+      attempt.Request->LastGate = attempt.Targets[event->Tag].Gate.Node;
+      sendCall(attempt, event->Tag);
+      co_return co_await awaitAnswer(attempt, event->Tag);
+    }
+    if (auto *failure = std::get_if<wire::Failure>(&event->Content)) {
+      last = toError(attempt, *failure);
+      if (last.Kind != ErrorKind::Overloaded)
+        attempt.Request->Tried.push_back(attempt.Targets[event->Tag].Gate.Node);
+      noteLoad(attempt.Targets[event->Tag].Gate.Node,
+               attempt.Request->Way.Service, failure->load);
+    }
+    withdraw(attempt, event->Tag);
+    --open;
+  }
+  co_return last;
+}
+
+asio::awaitable<EntryResult> Entry::awaitAnswer(Attempt &attempt,
+                                                std::size_t target) {
+  const std::string &service = attempt.Request->Way.Service;
+  const std::string &node = attempt.Targets[target].Gate.Node;
+  while (true) {
+    std::optional<StreamEvent> event =
+        co_await attempt.Box->next(attempt.waitUntil());
+    if (!event)
+      co_return makeError(ErrorKind::DeadlineExceeded,
+                          "no word from the gate in time", DefaultRetryAfter);
+    if (std::holds_alternative<CancelledEvent>(event->Content))
+      co_return makeError(ErrorKind::Cancelled);
+    if (event->Tag != target)
+      continue;
+    if (auto *answer = std::get_if<AnswerEvent>(&event->Content)) {
+      noteLoad(node, service, answer->Load);
+      Costs.observe(attempt.Request->Class, answer->RunTime);
+      co_return std::move(answer->Answer);
+    }
+    if (auto *failure = std::get_if<wire::Failure>(&event->Content)) {
+      noteLoad(node, service, failure->load);
+      co_return toError(attempt, *failure);
+    }
+    if (std::holds_alternative<RevokedEvent>(event->Content))
+      co_return makeError(ErrorKind::GateLost, "the gate holds no answer",
+                          DefaultRetryAfter);
+    if (!std::holds_alternative<LostEvent>(event->Content))
+      continue;
+    if (attempt.Request->IsIdempotent)
+      co_return makeError(ErrorKind::GateLost, "the link to the gate was lost");
+    co_return co_await resolve(attempt, target);
+  }
+}
+
+/// After a lost link, asks the gate over a fresh one what became of the
+/// attempt: it is fenced, or its answer follows.
+asio::awaitable<EntryResult> Entry::resolve(Attempt &attempt,
+                                            std::size_t target) {
+  Attempt::Target &it = attempt.Targets[target];
+  withdraw(attempt, target);
+  while (now() < attempt.Request->Deadline) {
+    if (attempt.Request->Scope->IsCancelled)
+      co_return makeError(ErrorKind::Cancelled);
+    bool isOpen = co_await openTarget(attempt, target);
+    if (!isOpen) {
+      asio::steady_timer pause(Executor, ResolvePause);
+      co_await pause.async_wait(asio::use_awaitable);
+      continue;
+    }
+    wire::Frame frame;
+    frame.stream = it.Stream;
+    frame.revoke.attemptId = attempt.Id;
+    frame.revoke.gateBootId = it.Node.BootId;
+    frame.revoke.timeoutMs =
+        toMillis(attempt.Request->Deadline - now()).count();
+    frame.__isset.revoke = true;
+    it.Client->channel().send(std::move(frame));
+    std::optional<StreamEvent> event =
+        co_await attempt.Box->next(attempt.waitUntil());
+    if (!event)
+      break;
+    if (auto *revoked = std::get_if<RevokedEvent>(&event->Content)) {
+      bool isFenced = revoked->State == int(StartState::Fenced);
+      co_return Error{ErrorKind::GateLost,
+                      isFenced ? RunState::NotRun : RunState::Unknown,
+                      isFenced ? "fenced before it started"
+                               : "the answer is no longer kept",
+                      DefaultRetryAfter};
+    }
+    if (auto *answer = std::get_if<AnswerEvent>(&event->Content))
+      co_return std::move(answer->Answer);
+    if (auto *failure = std::get_if<wire::Failure>(&event->Content))
+      co_return toError(attempt, *failure);
+    if (std::holds_alternative<CancelledEvent>(event->Content))
+      co_return makeError(ErrorKind::Cancelled);
+    withdraw(attempt, target);
+  }
+  co_return makeError(ErrorKind::GateLost, "the gate cannot be reached",
+                      DefaultRetryAfter);
+}
+
+void Entry::noteLoad(const std::string &node, const std::string &service,
+                     const wire::Load &load) {
+  GateLoadView &view = Loads[loadKey(node, service)];
+  view.Load = load;
+  view.At = now();
+}
+
+Error Entry::toError(Attempt &attempt, const wire::Failure &failure) const {
+  attempt.Request->Crashes += failure.isCrash;
+  attempt.Request->Arrivals += failure.hasReached;
+  // Another copy's crash counts for this one before the news comes.
+  if (errorKindFromWire(failure.kind) == ErrorKind::ContentSuspect)
+    attempt.Request->Crashes = std::max(attempt.Request->Crashes, 1);
+  RunState run = failure.run == int(RunState::NotRun) ? RunState::NotRun
+                                                      : RunState::Unknown;
+  return {errorKindFromWire(failure.kind), run, failure.detail,
+          Millis(failure.retryAfterMs)};
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/entryattempt.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "libfleet/entry.h"
+
+namespace hickoryglade::fleet {
+
+/// An entry waits this much longer than the caller for word of what became of
+/// the request.
+constexpr Micros VerdictGrace = std::chrono::milliseconds(30);
+
+/// Between tries to reach a gate that owes word of an attempt, and between
+/// looks for a gate that can take a request.
+constexpr Micros ResolvePause = std::chrono::milliseconds(20);
+
+/// Wait that a refused caller is told where nothing better is known.
+constexpr Millis DefaultRetryAfter = std::chrono::seconds(1);
+
+/// Key of a gate's load for a service.
+std::string loadKey(const std::string &node, const std::string &service);
+
+/// One try of a request: the gates asked, and the streams open to them.
+struct Entry::Attempt {
+  struct Target {
+    GateView Gate;
+    NodeView Node;
+    std::shared_ptr<GateClient> Client;
+    std::int64_t Stream = 0;
+    bool IsOpen = false;
+  };
+
+  Inquiry *Request = nullptr;
+  std::string Id;
+  std::vector<Target> Targets;
+  std::shared_ptr<StreamMailbox> Box;
+  bool AwaitsGrant = false;
+  bool OnlyIfFree = false;
+  bool IsSerialized = false;
+
+  Instant waitUntil() const { return Request->Deadline + VerdictGrace; }
+};
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libhickoryglade/gateadmission.cpp
@@ -0,0 +1,127 @@
+#include "libhickoryglade/gateadmission.h"
+
+#include "libhickoryglade/admissionpolicy.h"
+#include "libhickoryglade/gaterules.h"
+#include "libhickoryglade/registry.h"
+
+#include <algorithm>
+
+namespace hickoryglade {
+
+namespace {
+
+/// Time in which an endpoint that runs a crashing request is found crashed.
+constexpr Micros SettleTerm = std::chrono::milliseconds(100);
+
+/// Only work of the ticket's class stands in its way: short requests pass
+/// waiting long ones, long ones share the slots that they may hold.
+Micros slotTimeAhead(const Gate &gate, const GateService &service,
+                     const Ticket &ticket, Instant now) {
+  Micros running{0};
+  for (const auto &[name, endpoint] : gate.Endpoints) {
+    if (endpoint.Facts.Service != ticket.Service)
+      continue;
+    for (const SlotHolder &holder : endpoint.Holders)
+      if (holder.Request.IsLong == ticket.IsLong)
+        running += std::max(holder.Request.ExpectedCost - (now - holder.Since),
+                            Micros{0});
+  }
+  auto share = service.Shares.find(ticket.Workspace);
+  int weight = share == service.Shares.end() ? 1 : share->second;
+  return running +
+         service.Queue.costAhead(ticket.Workspace, weight, ticket.IsLong);
+}
+
+} // namespace
+
+Millis spreadRetry(Gate &gate, Micros wait) {
+  Micros base = std::max(wait, LeastRetryAfter);
+  auto spread = uniform(gate.Rng, std::uint64_t(base.count()) + 1);
+  return toMillis(base + Micros(spread));
+}
+
+void refuse(GateActions &actions, const std::string &attempt, Error reason) {
+  actions.push_back(RefuseAction{attempt, std::move(reason)});
+}
+
+Error notRun(ErrorKind kind, std::string detail, Millis retryAfter) {
+  return {kind, RunState::NotRun, std::move(detail), retryAfter};
+}
+
+bool isSerialized(const Gate &gate, const Ticket &ticket, Instant now) {
+  return ruleFor(gate.Crashes, ticket.Fingerprint, now, ticket.KnownCrashes) ==
+         QuarantineRule::Serialized;
+}
+
+bool isOutOfPlace(const Gate &gate, const GateService &service,
+                  const Ticket &ticket, Instant now) {
+  return service.Gates > 1 && !ticket.IsSerialized &&
+         isSerialized(gate, ticket, now);
+}
+
+Error outOfPlace() {
+  return notRun(ErrorKind::ContentSuspect, "its copies meet at another gate",
+                Millis{0});
+}
+
+bool isSerializedBusy(const Gate &gate, GateService &service,
+                      const Ticket &ticket, Instant now) {
+  if (!isSerialized(gate, ticket, now))
+    return false;
+  auto [settle, isNew] =
+      service.SettleUntil.try_emplace(ticket.Fingerprint, now + SettleTerm);
+  return now < settle->second ||
+         service.Serialized.contains(ticket.Fingerprint);
+}
+
+bool isOverRepeats(GateService &service, const Ticket &ticket, Instant now) {
+  const ServicePolicy &policy = service.Policy;
+  double allowance = double(policy.RetryAllowance) / std::max(service.Gates, 1);
+  return ticket.IsRepeat && !service.Repeats.allowsRepeat(
+                                policy.RetryBudgetPercent, allowance, now);
+}
+
+std::optional<Error> admissionFault(Gate &gate, GateService &service,
+                                    const Ticket &ticket, int slots,
+                                    Instant now) {
+  const auto *admission =
+      Registry<AdmissionPolicy>::instance().find(service.Policy.Admission);
+  if (!admission)
+    return std::nullopt;
+  Micros ahead = slotTimeAhead(gate, service, ticket, now);
+  AdmissionAnswer answer = admission->Admit(
+      {service.Queue.size(), std::size_t(service.Policy.QueueLimit), slots,
+       ahead, ticket.ExpectedCost, ticket.Deadline - now,
+       service.Policy.MaxWait});
+  if (answer.IsAdmitted)
+    return std::nullopt;
+  return notRun(ErrorKind::Overloaded,
+                "expected wait " +
+                    std::to_string(toMillis(answer.ExpectedWait).count()) +
+                    " ms",
+                spreadRetry(gate, answer.ExpectedWait));
+}
+
+std::optional<Error> offerFault(const Gate &gate, const Ticket &ticket,
+                                Instant now) {
+  if (gate.IsDraining)
+    return notRun(ErrorKind::ShuttingDown, "the node is leaving", Millis{0});
+  if (ticket.Deadline <= now)
+    return notRun(ErrorKind::DeadlineExceeded, "arrived after its deadline",
+                  toMillis(LeastRetryAfter));
+  if (gate.Ledger.stateOf(ticket.AttemptId) != StartState::Unseen)
+    return notRun(ErrorKind::WrongGeneration, "the attempt is fenced",
+                  Millis{0});
+  if (ruleFor(gate.Crashes, ticket.Fingerprint, now, ticket.KnownCrashes) ==
+      QuarantineRule::Refused)
+    return notRun(
+        ErrorKind::Quarantined, fingerprintName(ticket.Fingerprint),
+        toMillis(remainingTerm(gate.Crashes, ticket.Fingerprint, now)));
+  int slots = slotsInRotation(gate, ticket.Service, now);
+  if (slots == 0)
+    return notRun(ErrorKind::NoEndpoint, "no endpoint at this gate",
+                  toMillis(EmptyServiceRetry));
+  return std::nullopt;
+}
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/gatehealth.cpp
@@ -0,0 +1,213 @@
+#include "libhickoryglade/gatehealth.h"
+
+#include "libhickoryglade/gaterules.h"
+#include "libhickoryglade/registry.h"
+
+#include <algorithm>
+
+namespace hickoryglade {
+
+namespace {
+
+/// Time after a broken connection in which a restart counts as its cause.
+constexpr Micros DroppedMemory = std::chrono::seconds(10);
+
+/// Answers that end a trial of an endpoint that has relapsed.
+constexpr int AnswersAfterRelapse = 2;
+
+void fallIll(GateEndpoint &endpoint, const std::string &reason, bool isSick,
+             Instant now, GateActions &actions) {
+  if (endpoint.State == Standing::Trial)
+    ++endpoint.Relapses;
+  if (endpoint.RecoveredAt && now - *endpoint.RecoveredAt < RelapseMemory)
+    ++endpoint.Relapses;
+  endpoint.RecoveredAt.reset();
+  setStanding(endpoint, Standing::Suspect, reason, now, actions);
+  if (isSick)
+    actions.push_back(
+        EjectionAction{endpoint.Facts.Name, endpoint.Facts.Service, true});
+}
+
+void recover(GateEndpoint &endpoint, Instant now, GateActions &actions) {
+  if (endpoint.State == Standing::Healthy)
+    return;
+  ++endpoint.TrialAnswers;
+  bool isOnTrial = endpoint.State == Standing::Trial && endpoint.Relapses > 0;
+  if (isOnTrial && endpoint.TrialAnswers < AnswersAfterRelapse)
+    return;
+  endpoint.RecoveredAt = now;
+  setStanding(endpoint, Standing::Healthy, "completes work", now, actions);
+  actions.push_back(
+      EjectionAction{endpoint.Facts.Name, endpoint.Facts.Service, false});
+}
+
+/// Idempotent work of a stalled endpoint is handed back, so that the entry
+/// can run it elsewhere.
+void handBack(const GateEndpoint &endpoint, const ServicePolicy &policy,
+              Instant now, GateActions &actions) {
+  std::vector<std::string> given;
+  for (const SlotHolder &holder : endpoint.Holders)
+    if (holder.IsStarted && holder.Request.IsIdempotent &&
+        now - holder.Since > policy.StallAfter)
+      given.push_back(holder.Request.AttemptId);
+  for (const std::string &attempt : given)
+    actions.push_back(AbortAction{
+        attempt, makeError(ErrorKind::EndpointFailed, "the endpoint stalls")});
+}
+
+void blame(Gate &gate, const GateEndpoint &endpoint, std::uint64_t fingerprint,
+           Instant now, GateActions &actions) {
+  const std::string &service = endpoint.Facts.Service;
+  noteCrash(gate.Crashes, fingerprint, gate.Node,
+            now + gate.Services[service].Policy.QuarantineTerm);
+  actions.push_back(CrashAction{fingerprint, service});
+}
+
+/// A restart soon after connections broke was a crash.
+void blameDropped(Gate &gate, GateEndpoint &endpoint, Instant now,
+                  GateActions &actions) {
+  for (const DroppedRequest &it : endpoint.Dropped)
+    if (now - it.At < DroppedMemory)
+      blame(gate, endpoint, it.Fingerprint, now, actions);
+  endpoint.Dropped.clear();
+}
+
+/// A deadline that was long enough for such a request, during which the
+/// endpoint completed nothing else, speaks against the endpoint.
+bool isTellingTimeout(const GateEndpoint &endpoint, const SlotHolder &holder,
+                      Instant now) {
+  return endpoint.LastCompletion < holder.Since &&
+         now - holder.Since > OverdueFactor * holder.Request.ExpectedCost;
+}
+
+} // namespace
+
+void setStanding(GateEndpoint &endpoint, Standing state, std::string reason,
+                 Instant now, GateActions &actions) {
+  if (endpoint.State == state)
+    return;
+  endpoint.State = state;
+  endpoint.StateSince = now;
+  actions.push_back(
+      StandingAction{endpoint.Facts.Name, state, std::move(reason)});
+}
+
+void judge(Gate &gate, GateEndpoint &endpoint, Instant now,
+           GateActions &actions) {
+  const ServicePolicy &policy = gate.Services[endpoint.Facts.Service].Policy;
+  const auto *health = Registry<HealthPolicy>::instance().find(policy.Health);
+  if (!health)
+    return;
+  HealthJudgement judgement =
+      health->Judge(evidenceOf(endpoint, policy, now), policy);
+  if (judgement.Verdict == HealthVerdict::Well)
+    return;
+  bool isNews =
+      endpoint.State == Standing::Healthy || endpoint.State == Standing::Trial;
+  bool isSick = judgement.Verdict == HealthVerdict::Sick;
+  if (isNews)
+    fallIll(endpoint, judgement.Reason, isSick, now, actions);
+  else if (isSick && !isEjected(endpoint, now))
+    actions.push_back(
+        EjectionAction{endpoint.Facts.Name, endpoint.Facts.Service, true});
+  if (isSick)
+    handBack(endpoint, policy, now, actions);
+}
+
+void considerTrial(const Gate &gate, GateEndpoint &endpoint, Instant now,
+                   GateActions &actions) {
+  auto service = gate.Services.find(endpoint.Facts.Service);
+  static const ServicePolicy defaults;
+  const ServicePolicy &policy =
+      service == gate.Services.end() ? defaults : service->second.Policy;
+  bool isForgotten = endpoint.State == Standing::Trial &&
+                     endpoint.Holders.empty() &&
+                     now - endpoint.StateSince > policy.TrialPatience;
+  if (isForgotten)
+    setStanding(endpoint, Standing::Healthy, "no trial came", now, actions);
+  if (endpoint.State != Standing::Suspect &&
+      endpoint.State != Standing::Ejected)
+    return;
+  bool hasRested =
+      now - endpoint.StateSince >= restBeforeTrial(policy, endpoint.Relapses);
+  if (!hasRested || !endpoint.Holders.empty())
+    return;
+  endpoint.ConsecutiveFailures = 0;
+  endpoint.ConsecutiveSheds = 0;
+  endpoint.IsListening = true;
+  endpoint.EjectedUntil.reset();
+  endpoint.TrialAnswers = 0;
+  setStanding(endpoint, Standing::Trial, "has rested", now, actions);
+}
+
+void noteOutcome(Gate &gate, GateEndpoint &endpoint, const SlotHolder &holder,
+                 AttemptOutcome outcome, Instant now, GateActions &actions) {
+  switch (outcome) {
+  case AttemptOutcome::Answered:
+    endpoint.LastCompletion = now;
+    endpoint.IsListening = true;
+    ++endpoint.Completions;
+    endpoint.ConsecutiveFailures = 0;
+    endpoint.ConsecutiveSheds = 0;
+    if (endpoint.State != Standing::Draining)
+      recover(endpoint, now, actions);
+    return;
+  case AttemptOutcome::ServerError:
+    endpoint.LastCompletion = now;
+    ++endpoint.ConsecutiveFailures;
+    return;
+  case AttemptOutcome::Shed:
+    endpoint.LastCompletion = now;
+    ++endpoint.ConsecutiveSheds;
+    return;
+  case AttemptOutcome::Crashed:
+    blame(gate, endpoint, holder.Request.Fingerprint, now, actions);
+    endpoint.IsListening = false;
+    ++endpoint.ConsecutiveFailures;
+    return;
+  case AttemptOutcome::Unreachable:
+    endpoint.IsListening = false;
+    ++endpoint.ConsecutiveFailures;
+    return;
+  case AttemptOutcome::Broken:
+    std::erase_if(endpoint.Dropped, [&](const DroppedRequest &it) {
+      return now - it.At >= DroppedMemory;
+    });
+    endpoint.Dropped.push_back({holder.Request.Fingerprint, now});
+    ++endpoint.ConsecutiveFailures;
+    return;
+  case AttemptOutcome::Failed:
+    ++endpoint.ConsecutiveFailures;
+    return;
+  case AttemptOutcome::TimedOut:
+    if (isTellingTimeout(endpoint, holder, now))
+      ++endpoint.ConsecutiveFailures;
+    return;
+  case AttemptOutcome::Cancelled:
+    return;
+  }
+}
+
+void replaceIncarnation(Gate &gate, GateEndpoint &endpoint,
+                        GateActions &actions, Instant now) {
+  blameDropped(gate, endpoint, now, actions);
+  ++endpoint.Generation;
+  endpoint.IsListening = true;
+  endpoint.ConsecutiveFailures = 0;
+  endpoint.ConsecutiveSheds = 0;
+  endpoint.Completions = 0;
+  endpoint.LastCompletion = now;
+  endpoint.EjectedUntil.reset();
+  std::vector<std::string> orphans;
+  for (const SlotHolder &holder : endpoint.Holders)
+    if (holder.IsStarted)
+      orphans.push_back(holder.Request.AttemptId);
+  for (const std::string &attempt : orphans)
+    actions.push_back(AbortAction{
+        attempt, makeError(ErrorKind::EndpointFailed,
+                           "the endpoint was restarted while it ran")});
+  if (endpoint.State != Standing::Trial && endpoint.Relapses > 0)
+    setStanding(endpoint, Standing::Trial, "restarted", now, actions);
+}
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/gatequeue.cpp
@@ -0,0 +1,164 @@
+#include "libhickoryglade/gatequeue.h"
+
+#include "libhickoryglade/gateadmission.h"
+#include "libhickoryglade/gaterules.h"
+
+#include <algorithm>
+
+namespace hickoryglade {
+
+namespace {
+
+/// How long a granted slot waits for the body.
+constexpr Micros GrantTerm = std::chrono::milliseconds(250);
+
+/// Time after an attempt's deadline during which late copies are recognized.
+constexpr Micros LedgerMargin = std::chrono::seconds(60);
+
+} // namespace
+
+Instant forgetAt(const Ticket &ticket) {
+  return ticket.Deadline + LedgerMargin;
+}
+
+void start(Gate &gate, GateEndpoint &endpoint, SlotHolder &holder, Instant now,
+           GateActions &actions) {
+  const Ticket &ticket = holder.Request;
+  holder.IsStarted = true;
+  holder.Since = now;
+  if (gate.Ledger.tryStart(ticket.AttemptId, forgetAt(ticket))) {
+    gate.Services[ticket.Service].Repeats.note(ticket.IsRepeat, now);
+    actions.push_back(StartAction{ticket.AttemptId, endpoint.Facts.Name});
+    return;
+  }
+  refuse(
+      actions, ticket.AttemptId,
+      notRun(ErrorKind::WrongGeneration, "the attempt is fenced", Millis{0}));
+}
+
+void assign(Gate &gate, GateService &service, GateEndpoint &endpoint,
+            const Ticket &ticket, Instant now, GateActions &actions) {
+  endpoint.Holders.push_back({ticket, now, false});
+  gate.Held[ticket.AttemptId] = endpoint.Facts.Name;
+  if (isSerialized(gate, ticket, now))
+    service.Serialized.insert(ticket.Fingerprint);
+  if (ticket.AwaitsClaim)
+    actions.push_back(GrantAction{ticket.AttemptId, endpoint.Facts.Name});
+  else
+    start(gate, endpoint, endpoint.Holders.back(), now, actions);
+}
+
+void dispatch(Gate &gate, const std::string &name, Instant now,
+              GateActions &actions) {
+  GateService &service = gate.Services[name];
+  while (service.Queue.size() > 0 && now >= gate.HoldUntil) {
+    GateEndpoint *endpoint = nullptr;
+    auto ticket = service.Queue.pop([&](const Ticket &it) {
+      if (isSerializedBusy(gate, service, it, now))
+        return false;
+      endpoint = chooseEndpoint(gate, service, it, now);
+      return endpoint != nullptr;
+    });
+    if (!ticket)
+      return;
+    if (ruleFor(gate.Crashes, ticket->Fingerprint, now, ticket->KnownCrashes) ==
+        QuarantineRule::Refused) {
+      refuse(
+          actions, ticket->AttemptId,
+          notRun(
+              ErrorKind::Quarantined, fingerprintName(ticket->Fingerprint),
+              toMillis(remainingTerm(gate.Crashes, ticket->Fingerprint, now))));
+      continue;
+    }
+    if (isOutOfPlace(gate, service, *ticket, now)) {
+      refuse(actions, ticket->AttemptId, outOfPlace());
+      continue;
+    }
+    if (ticket->Deadline < now + ticket->ExpectedCost) {
+      refuse(actions, ticket->AttemptId,
+             notRun(ErrorKind::Overloaded, "too late to finish in time",
+                    spreadRetry(gate, service.Policy.MaxWait)));
+      continue;
+    }
+    assign(gate, service, *endpoint, *ticket, now, actions);
+  }
+}
+
+std::optional<SlotHolder> release(Gate &gate, const std::string &attempt,
+                                  GateEndpoint *&endpoint) {
+  auto held = gate.Held.find(attempt);
+  if (held == gate.Held.end())
+    return std::nullopt;
+  auto it = gate.Endpoints.find(held->second);
+  gate.Held.erase(held);
+  if (it == gate.Endpoints.end())
+    return std::nullopt;
+  endpoint = &it->second;
+  auto slot = std::ranges::find_if(endpoint->Holders, [&](const auto &h) {
+    return h.Request.AttemptId == attempt;
+  });
+  if (slot == endpoint->Holders.end())
+    return std::nullopt;
+  SlotHolder holder = std::move(*slot);
+  endpoint->Holders.erase(slot);
+  gate.Services[holder.Request.Service].Serialized.erase(
+      holder.Request.Fingerprint);
+  return holder;
+}
+
+void expireHolders(Gate &gate, GateEndpoint &endpoint, Instant now,
+                   GateActions &actions) {
+  std::vector<std::string> lapsed;
+  std::vector<std::string> late;
+  for (const SlotHolder &holder : endpoint.Holders) {
+    if (!holder.IsStarted && now - holder.Since > GrantTerm)
+      lapsed.push_back(holder.Request.AttemptId);
+    if (holder.IsStarted && holder.Request.Deadline <= now)
+      late.push_back(holder.Request.AttemptId);
+  }
+  for (const std::string &attempt : lapsed) {
+    GateEndpoint *unused = nullptr;
+    auto holder = release(gate, attempt, unused);
+    if (holder)
+      gate.Ledger.revoke(attempt, forgetAt(holder->Request));
+    refuse(actions, attempt,
+           notRun(ErrorKind::GrantLapsed, "the body did not arrive in time",
+                  Millis{0}));
+  }
+  for (const std::string &attempt : late)
+    actions.push_back(
+        AbortAction{attempt, makeError(ErrorKind::DeadlineExceeded,
+                                       "the endpoint did not answer in time")});
+}
+
+void expireQueue(GateService &service, Instant now, GateActions &actions) {
+  for (const Ticket &ticket : service.Queue.takeExpired(now))
+    refuse(actions, ticket.AttemptId,
+           notRun(ErrorKind::DeadlineExceeded, "the deadline passed in queue",
+                  toMillis(LeastRetryAfter)));
+}
+
+void emptyQueue(Gate &gate, const std::string &name, Instant now,
+                GateActions &actions) {
+  if (!gate.IsDraining && slotsInRotation(gate, name, now) > 0)
+    return;
+  for (const Ticket &ticket : gate.Services[name].Queue.takeAll())
+    refuse(actions, ticket.AttemptId,
+           notRun(ErrorKind::NoEndpoint, "no endpoint left at this gate",
+                  toMillis(EmptyServiceRetry)));
+}
+
+void handBackWaiting(Gate &gate, const std::string &name,
+                     GateActions &actions) {
+  GateService &service = gate.Services[name];
+  if (service.Queue.size() == 0)
+    return;
+  auto unawares = service.Queue.takeWhere(
+      [&](const Ticket &it) { return isOnlyUnawares(gate, service, it); });
+  for (const Ticket &ticket : unawares)
+    refuse(actions, ticket.AttemptId,
+           notRun(ErrorKind::EndpointDoubtful, "the endpoint has failed",
+                  Millis{0}));
+}
+
+} // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/gaterules.cpp
@@ -0,0 +1,112 @@
+#include "libhickoryglade/gaterules.h"
+
+#include <algorithm>
+
+namespace hickoryglade {
+
+namespace {
+
+/// A long request takes a slot beyond the cap only where it leaves one free
+/// and no short request waits.
+bool mayHoldLong(const GateEndpoint &endpoint, const GateService &service,
+                 Instant now) {
+  int held = longHeld(endpoint, now, service.Policy.LongAfter);
+  if (held < longCap(endpoint, service.Policy))
+    return true;
+  return freeSlots(endpoint) > 1 && !service.Queue.hasShort();
+}
+
+} // namespace
+
+bool isAnnounced(const GateEndpoint &endpoint, Instant now) {
+  return now - endpoint.LastHeard <= endpoint.AnnouncementLimit;
+}
+
+bool isEjected(const GateEndpoint &endpoint, Instant now) {
+  return endpoint.EjectedUntil && now < *endpoint.EjectedUntil;
+}
+
+bool takesWork(const GateEndpoint &endpoint, Instant now) {
+  if (endpoint.State == Standing::Draining || !isAnnounced(endpoint, now) ||
+      isEjected(endpoint, now))
+    return false;
+  int slots = freeSlots(endpoint);
+  return endpoint.State == Standing::Trial
+             ? slots > 0 && endpoint.Holders.empty()
+             : slots > 0;
+}
+
+int longCap(const GateEndpoint &endpoint, const ServicePolicy &policy) {
+  return std::max(1, endpoint.Facts.Slots * policy.LongSlotsPercent / 100);
+}
+
+bool isUnawares(const GateEndpoint &endpoint, const GateService &service,
+                const Ticket &ticket) {
+  bool isDoubtful =
+      endpoint.State == Standing::Suspect || endpoint.State == Standing::Trial;
+  return isDoubtful && service.Gates > 1 && !ticket.AcceptsDoubtful;
+}
+
+bool mayTake(const GateEndpoint &endpoint, const GateService &service,
+             const Ticket &ticket, Instant now) {
+  if (!takesWork(endpoint, now) || isUnawares(endpoint, service, ticket))
+    return false;
+  bool isTrial = endpoint.State == Standing::Trial;
+  if (isTrial && (ticket.IsLong || !ticket.IsIdempotent))
+    return false;
+  return !ticket.IsLong || mayHoldLong(endpoint, service, now);
+}
+
+GateEndpoint *chooseEndpoint(Gate &gate, const GateService &service,
+                             const Ticket &ticket, Instant now) {
+  GateEndpoint *best = nullptr;
+  auto rank = [](const GateEndpoint &it) {
+    return std::pair(it.State == Standing::Suspect, -freeSlots(it));
+  };
+  for (auto &[name, endpoint] : gate.Endpoints) {
+    if (endpoint.Facts.Service != ticket.Service ||
+        !mayTake(endpoint, service, ticket, now))
+      continue;
+    if (!best || rank(endpoint) < rank(*best))
+      best = &endpoint;
+  }
+  return best;
+}
+
+int slotsForClass(const Gate &gate, const GateService &service,
+                  const Ticket &ticket, Instant now) {
+  int slots = 0;
+  for (const auto &[name, it] : gate.Endpoints)
+    if (it.Facts.Service == ticket.Service && it.State != Standing::Draining &&
+        isAnnounced(it, now) && !isEjected(it, now))
+      slots += ticket.IsLong ? longCap(it, service.Policy) : it.Facts.Slots;
+  return slots;
+}
+
+int slotsInRotation(const Gate &gate, const std::string &service, Instant now) {
+  int slots = 0;
+  for (const auto &[name, it] : gate.Endpoints)
+    if (it.Facts.Service == service && it.State != Standing::Draining &&
+        isAnnounced(it, now) && !isEjected(it, now))
+      slots += it.Facts.Slots;
+  return slots;
+}
+
+bool isOnlyTrials(const Gate &gate, const std::string &service) {
+  return std::ranges::all_of(gate.Endpoints, [&](const auto &it) {
+    return it.second.Facts.Service != service ||
+           it.second.State == Standing::Trial ||
+           it.second.State == Standing::Draining;
+  });
+}
+
+bool isOnlyUnawares(const Gate &gate, const GateService &service,
+                    const Ticket &ticket) {
+  return std::ranges::all_of(gate.Endpoints, [&](const auto &it) {
+    return it.second.Facts.Service != ticket.Service ||
+           it.second.State == Standing::Draining ||
+           isUnawares(it.second, service, ticket);
+  });
+}
+
+} // namespace hickoryglade
