--- a/src/libfleet/gateservice.cpp
+++ b/src/libfleet/gateservice.cpp
@@ -443,7 +443,7 @@
   for (const auto &[name, service] : view->Services) {
     Kernel.Services[name].Policy = service.Policy;
     Kernel.Services[name].Shares = service.Shares;
-    Kernel.Services[name].Gates = int(service.Gates.size());
+    noteGates(Kernel.Services[name], int(service.Gates.size()));
   }
   for (const auto &[fingerprint, record] : view->Crashes.Records)
     mergeCrash(Kernel.Crashes, fingerprint, record);
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -342,6 +342,10 @@
   return load;
 }
 
+void noteGates(GateService &service, int gates) {
+  service.Gates = std::max(service.Gates, gates);
+}
+
 bool isIdle(const Gate &gate) {
   return std::ranges::all_of(
              gate.Endpoints,
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -56,7 +56,8 @@
   ServicePolicy Policy;
   FairQueue Queue;
   RepeatBudget Repeats;
-  /// Gates over which the service's allowance of retries is shared out.
+  /// Gates over which the service's allowance of retries is shared out: the
+  /// most that have been known, since a node that is cut off knows too few.
   int Gates = 1;
   /// Shares of the workspaces that use the service.
   std::map<std::string, int> Shares;
@@ -139,6 +140,9 @@
 
 GateLoad loadOf(const Gate &gate, const std::string &service, Instant now);
 
+/// Takes note of how many gates a service has now.
+void noteGates(GateService &service, int gates);
+
 /// True if no request waits or runs.
 bool isIdle(const Gate &gate);
 
--- a/tests/kernel/test_doubt.cpp
+++ b/tests/kernel/test_doubt.cpp
@@ -207,6 +207,23 @@
   CHECK(send("later", true, 12'000));
 }
 
+TEST_CASE("a gate that is cut off does not take a larger part of the retries") {
+  Gate gate = strictGate();
+  GateService &service = gate.Services["w/s"];
+  service.Policy.RetryBudgetPercent = 0;
+  service.Policy.RetryAllowance = 8;
+  noteGates(service, 1);
+  CHECK(service.Gates == 4);
+  int started = 0;
+  for (int i = 0; i < 8; ++i) {
+    Ticket it = ticket("again-" + std::to_string(i));
+    it.IsRepeat = true;
+    started += isStarted(offer(gate, it, at(0)));
+    complete(gate, it.AttemptId, AttemptOutcome::Answered, at(0));
+  }
+  CHECK(started == 2);
+}
+
 TEST_CASE("late announcements do not bring an endpoint back") {
   Gate gate;
   announce(gate, endpoint("e", 100, 5), at(0));
