--- a/src/libfleet/entry.cpp
+++ b/src/libfleet/entry.cpp
@@ -197,6 +197,10 @@
 asio::awaitable<EntryResult> Entry::perform(Inquiry &inquiry) {
   RetryBudget &budget = Budgets[inquiry.Way.Service];
   budget.noteFresh(inquiry.Way.Policy.RetryBudgetPercent);
+  RetryBudget &errors =
+      ErrorBudgets.try_emplace(inquiry.Way.Service, makeErrorBudget())
+          .first->second;
+  errors.noteFresh(ErrorRetryPercent);
   int runs = 0;
   int freeTries = 0;
   std::optional<HttpAnswer> failure;
@@ -204,6 +208,9 @@
     EntryResult result = co_await tryOnce(inquiry, number);
     if (isFinalAnswer(result, inquiry.IsIdempotent))
       co_return result;
+    bool isReport = std::holds_alternative<HttpAnswer>(result);
+    if (isReport && !errors.tryTake())
+      co_return result;
     if (auto *answer = std::get_if<HttpAnswer>(&result)) {
       failure = std::move(*answer);
       ++inquiry.Arrivals;
--- a/src/libfleet/entry.h
+++ b/src/libfleet/entry.h
@@ -116,6 +116,8 @@
   CostModel Costs;
   Splitter Splits;
   std::map<std::string, RetryBudget> Budgets;
+  /// For answers that report an endpoint's error.
+  std::map<std::string, RetryBudget> ErrorBudgets;
   Random Rng;
   std::uint64_t Requests = 0;
   std::size_t InFlight = 0;
--- a/src/libhickoryglade/retry.cpp
+++ b/src/libhickoryglade/retry.cpp
@@ -32,6 +32,12 @@
   Tokens = std::min(Most, Tokens + percent / Percent);
 }
 
+RetryBudget makeErrorBudget() {
+  constexpr double reserve = 1;
+  constexpr double most = 2;
+  return {reserve, most};
+}
+
 bool RetryBudget::tryTake() {
   if (Tokens < 1)
     return false;
--- a/src/libhickoryglade/retry.h
+++ b/src/libhickoryglade/retry.h
@@ -11,15 +11,28 @@
 /// quiet times.
 class RetryBudget {
 public:
+  RetryBudget() = default;
+  /// Starts with a reserve of retries and never holds more than a number.
+  RetryBudget(double reserve, double most) : Most(most), Tokens(reserve) {}
+
   void noteFresh(int percent);
   bool tryTake();
 
 private:
-  static constexpr double Reserve = 10;
-  static constexpr double Most = 100;
-  double Tokens = Reserve;
+  static constexpr double UsualReserve = 10;
+  static constexpr double UsualMost = 100;
+  double Most = UsualMost;
+  double Tokens = UsualReserve;
 };
 
+/// Share of fresh requests whose answer may be an endpoint's report of an error
+/// and is tried again. Where an endpoint fails because a service that it calls
+/// fails, another try makes all its calls again.
+constexpr int ErrorRetryPercent = 3;
+
+/// Budget for such retries at one entry and service.
+RetryBudget makeErrorBudget();
+
 enum class RetryVerdict { Retry, GiveUp };
 
 /// What an entry knows when an attempt has failed.
--- a/tests/kernel/test_doubt.cpp
+++ b/tests/kernel/test_doubt.cpp
@@ -224,6 +224,19 @@
   CHECK(started == 2);
 }
 
+// The load that this answers: a service fails because another one that it calls
+// sheds; each retry would make all the calls again.
+TEST_CASE("few reports of an error are tried again") {
+  RetryBudget errors = makeErrorBudget();
+  int retries = 0;
+  for (int i = 0; i < 100; ++i) {
+    errors.noteFresh(ErrorRetryPercent);
+    retries += errors.tryTake();
+  }
+  CHECK(retries <= 4);
+  CHECK(retries >= 3);
+}
+
 TEST_CASE("late announcements do not bring an endpoint back") {
   Gate gate;
   announce(gate, endpoint("e", 100, 5), at(0));
