--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -105,10 +105,14 @@
   1: string attemptId
   2: i64 gateBootId
   3: i64 timeoutMs
+  // Node that is to be asked by the receiver; none if the receiver itself is.
+  4: string askedNode
 }
 
 struct Revoked {
   1: i32 state
+  // The receiver could not reach the node that it was to ask.
+  2: bool isUnreachable
 }
 
 enum KeyOperation { RESERVE = 0, COPY = 1, COMPLETE = 2, LOOKUP = 3, RELEASE = 4, VOUCH = 5 }
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -2084,6 +2084,10 @@
 void Revoke::__set_timeoutMs(const int64_t val) {
   this->timeoutMs = val;
 }
+
+void Revoke::__set_askedNode(const std::string& val) {
+  this->askedNode = val;
+}
 std::ostream& operator<<(std::ostream& out, const Revoke& obj)
 {
   obj.printTo(out);
@@ -2136,6 +2140,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->askedNode);
+          this->__isset.askedNode = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2165,6 +2177,10 @@
   xfer += oprot->writeI64(this->timeoutMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("askedNode", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->askedNode);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2175,6 +2191,7 @@
   swap(a.attemptId, b.attemptId);
   swap(a.gateBootId, b.gateBootId);
   swap(a.timeoutMs, b.timeoutMs);
+  swap(a.askedNode, b.askedNode);
   swap(a.__isset, b.__isset);
 }
 
@@ -2182,18 +2199,21 @@
   attemptId = other56.attemptId;
   gateBootId = other56.gateBootId;
   timeoutMs = other56.timeoutMs;
+  askedNode = other56.askedNode;
   __isset = other56.__isset;
 }
 Revoke::Revoke(Revoke&& other57) noexcept {
   attemptId = std::move(other57.attemptId);
   gateBootId = other57.gateBootId;
   timeoutMs = other57.timeoutMs;
+  askedNode = std::move(other57.askedNode);
   __isset = other57.__isset;
 }
 Revoke& Revoke::operator=(const Revoke& other58) {
   attemptId = other58.attemptId;
   gateBootId = other58.gateBootId;
   timeoutMs = other58.timeoutMs;
+  askedNode = other58.askedNode;
   __isset = other58.__isset;
   return *this;
 }
@@ -2201,6 +2221,7 @@
   attemptId = std::move(other59.attemptId);
   gateBootId = other59.gateBootId;
   timeoutMs = other59.timeoutMs;
+  askedNode = std::move(other59.askedNode);
   __isset = other59.__isset;
   return *this;
 }
@@ -2210,6 +2231,7 @@
   out << "attemptId=" << to_string(attemptId);
   out << ", " << "gateBootId=" << to_string(gateBootId);
   out << ", " << "timeoutMs=" << to_string(timeoutMs);
+  out << ", " << "askedNode=" << to_string(askedNode);
   out << ")";
 }
 
@@ -2221,6 +2243,10 @@
 void Revoked::__set_state(const int32_t val) {
   this->state = val;
 }
+
+void Revoked::__set_isUnreachable(const bool val) {
+  this->isUnreachable = val;
+}
 std::ostream& operator<<(std::ostream& out, const Revoked& obj)
 {
   obj.printTo(out);
@@ -2257,6 +2283,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isUnreachable);
+          this->__isset.isUnreachable = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2278,6 +2312,10 @@
   xfer += oprot->writeI32(this->state);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("isUnreachable", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->isUnreachable);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2286,24 +2324,29 @@
 void swap(Revoked &a, Revoked &b) {
   using ::std::swap;
   swap(a.state, b.state);
+  swap(a.isUnreachable, b.isUnreachable);
   swap(a.__isset, b.__isset);
 }
 
 Revoked::Revoked(const Revoked& other60) noexcept {
   state = other60.state;
+  isUnreachable = other60.isUnreachable;
   __isset = other60.__isset;
 }
 Revoked::Revoked(Revoked&& other61) noexcept {
   state = other61.state;
+  isUnreachable = other61.isUnreachable;
   __isset = other61.__isset;
 }
 Revoked& Revoked::operator=(const Revoked& other62) noexcept {
   state = other62.state;
+  isUnreachable = other62.isUnreachable;
   __isset = other62.__isset;
   return *this;
 }
 Revoked& Revoked::operator=(Revoked&& other63) noexcept {
   state = other63.state;
+  isUnreachable = other63.isUnreachable;
   __isset = other63.__isset;
   return *this;
 }
@@ -2311,6 +2354,7 @@
   using ::apache::thrift::to_string;
   out << "Revoked(";
   out << "state=" << to_string(state);
+  out << ", " << "isUnreachable=" << to_string(isUnreachable);
   out << ")";
 }
 
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -860,10 +860,11 @@
 std::ostream& operator<<(std::ostream& out, const Cancel& obj);
 
 typedef struct _Revoke__isset {
-  _Revoke__isset() : attemptId(false), gateBootId(false), timeoutMs(false) {}
+  _Revoke__isset() : attemptId(false), gateBootId(false), timeoutMs(false), askedNode(false) {}
   bool attemptId :1;
   bool gateBootId :1;
   bool timeoutMs :1;
+  bool askedNode :1;
 } _Revoke__isset;
 
 class Revoke : public virtual ::apache::thrift::TBase {
@@ -876,13 +877,15 @@
   Revoke() noexcept
          : attemptId(),
            gateBootId(0),
-           timeoutMs(0) {
+           timeoutMs(0),
+           askedNode() {
   }
 
   virtual ~Revoke() noexcept;
   std::string attemptId;
   int64_t gateBootId;
   int64_t timeoutMs;
+  std::string askedNode;
 
   _Revoke__isset __isset;
 
@@ -892,6 +895,8 @@
 
   void __set_timeoutMs(const int64_t val);
 
+  void __set_askedNode(const std::string& val);
+
   bool operator == (const Revoke & rhs) const
   {
     if (!(attemptId == rhs.attemptId))
@@ -900,6 +905,8 @@
       return false;
     if (!(timeoutMs == rhs.timeoutMs))
       return false;
+    if (!(askedNode == rhs.askedNode))
+      return false;
     return true;
   }
   bool operator != (const Revoke &rhs) const {
@@ -919,8 +926,9 @@
 std::ostream& operator<<(std::ostream& out, const Revoke& obj);
 
 typedef struct _Revoked__isset {
-  _Revoked__isset() : state(false) {}
+  _Revoked__isset() : state(false), isUnreachable(false) {}
   bool state :1;
+  bool isUnreachable :1;
 } _Revoked__isset;
 
 class Revoked : public virtual ::apache::thrift::TBase {
@@ -931,20 +939,26 @@
   Revoked& operator=(const Revoked&) noexcept;
   Revoked& operator=(Revoked&&) noexcept;
   Revoked() noexcept
-          : state(0) {
+          : state(0),
+            isUnreachable(0) {
   }
 
   virtual ~Revoked() noexcept;
   int32_t state;
+  bool isUnreachable;
 
   _Revoked__isset __isset;
 
   void __set_state(const int32_t val);
 
+  void __set_isUnreachable(const bool val);
+
   bool operator == (const Revoked & rhs) const
   {
     if (!(state == rhs.state))
       return false;
+    if (!(isUnreachable == rhs.isUnreachable))
+      return false;
     return true;
   }
   bool operator != (const Revoked &rhs) const {
--- a/src/hickorygladed/main.cpp
+++ b/src/hickorygladed/main.cpp
@@ -1,5 +1,5 @@
-#include "libfleet/logging.h"
-#include "libfleet/node.h"
+#include "libfleet/node/node.h"
+#include "libfleet/reporting/logging.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/libfleet/address.cpp
+++ b/src/libfleet/base/address.cpp
@@ -1,4 +1,4 @@
-#include "libfleet/address.h"
+#include "libfleet/base/address.h"
 
 #include <boost/asio/ip/address_v4.hpp>
 
--- a/src/libfleet/clock.cpp
+++ b/src/libfleet/base/clock.cpp
@@ -1,4 +1,4 @@
-#include "libfleet/clock.h"
+#include "libfleet/base/clock.h"
 
 #include <ctime>
 
--- a/src/libfleet/mailbox.h
+++ b/src/libfleet/base/mailbox.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "libfleet/asio.h"
-#include "libfleet/clock.h"
+#include "libfleet/base/asio.h"
+#include "libfleet/base/clock.h"
 
 #include <deque>
 #include <optional>
--- a/src/libfleet/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -1,10 +1,10 @@
-#include "libfleet/entry.h"
+#include "libfleet/entry/entry.h"
 
-#include "libfleet/entryattempt.h"
-#include "libfleet/keyedcall.h"
-#include "libfleet/logging.h"
-#include "libfleet/metrics.h"
-#include "libfleet/wireconvert.h"
+#include "libfleet/entry/entryattempt.h"
+#include "libfleet/keys/keyedcall.h"
+#include "libfleet/peers/wireconvert.h"
+#include "libfleet/reporting/logging.h"
+#include "libfleet/reporting/metrics.h"
 #include "libhickoryglade/hash.h"
 #include "libhickoryglade/registry.h"
 
--- a/src/libfleet/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "libfleet/callscope.h"
-#include "libfleet/httpdialect.h"
-#include "libfleet/nodesettings.h"
-#include "libfleet/peerlinks.h"
+#include "libfleet/http/callscope.h"
+#include "libfleet/http/httpdialect.h"
+#include "libfleet/node/nodesettings.h"
+#include "libfleet/peers/peerlinks.h"
 #include "libhickoryglade/costmodel.h"
 #include "libhickoryglade/retry.h"
 #include "libhickoryglade/splitter.h"
@@ -83,6 +83,11 @@
   asio::awaitable<EntryResult> awaitAnswer(Attempt &attempt,
                                            std::size_t target);
   asio::awaitable<EntryResult> resolve(Attempt &attempt, std::size_t target);
+  std::optional<EntryResult> verdictOf(Attempt &attempt,
+                                       StreamEvent &event) const;
+  asio::awaitable<bool> askGate(Attempt &attempt, std::size_t target);
+  asio::awaitable<bool> askThroughPeer(Attempt &attempt, std::size_t target);
+  std::string pickHelper(const Attempt &attempt, std::size_t target);
   asio::awaitable<bool> openTarget(Attempt &attempt, std::size_t target);
 
   std::vector<Candidate> candidates(const Inquiry &inquiry, Instant now);
--- a/src/libfleet/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -1,7 +1,10 @@
-#include "libfleet/entryattempt.h"
+#include "libfleet/entry/entryattempt.h"
 
+#include "libfleet/reporting/logging.h"
 #include "libhickoryglade/startledger.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 
 /// The part of an entry that sends attempts to gates and hears of them.
@@ -16,6 +19,14 @@
 
 } // namespace
 
+wire::Revoke Entry::Attempt::question(std::size_t target) const {
+  wire::Revoke revoke;
+  revoke.attemptId = Id;
+  revoke.gateBootId = Targets[target].Node.BootId;
+  revoke.timeoutMs = toMillis(Request->Deadline - now()).count();
+  return revoke;
+}
+
 std::string loadKey(const std::string &node, const std::string &service) {
   return node + ' ' + service;
 }
@@ -181,53 +192,120 @@
   }
 }
 
-/// After a lost link, asks the gate over a fresh one what became of the
-/// attempt: it is fenced, or its answer follows.
+/// After a lost link, asks the gate over a fresh one, or through another node
+/// that may still reach it, what became of the attempt: it is fenced, or its
+/// answer follows.
 asio::awaitable<EntryResult> Entry::resolve(Attempt &attempt,
                                             std::size_t target) {
-  Attempt::Target &it = attempt.Targets[target];
   withdraw(attempt, target);
-  while (now() < attempt.Request->Deadline) {
+  std::optional<EntryResult> verdict;
+  while (!verdict && now() < attempt.Request->Deadline) {
     if (attempt.Request->Scope->IsCancelled)
       co_return makeError(ErrorKind::Cancelled);
-    bool isOpen = co_await openTarget(attempt, target);
-    if (!isOpen) {
+    bool isAsked = co_await askGate(attempt, target);
+    if (!isAsked)
+      isAsked = co_await askThroughPeer(attempt, target);
+    if (!isAsked) {
       asio::steady_timer pause(Executor, ResolvePause);
       co_await pause.async_wait(asio::use_awaitable);
       continue;
     }
-    wire::Frame frame;
-    frame.stream = it.Stream;
-    frame.revoke.attemptId = attempt.Id;
-    frame.revoke.gateBootId = it.Node.BootId;
-    frame.revoke.timeoutMs =
-        toMillis(attempt.Request->Deadline - now()).count();
-    frame.__isset.revoke = true;
-    it.Client->channel().send(std::move(frame));
     std::optional<StreamEvent> event =
         co_await attempt.Box->next(attempt.waitUntil());
     if (!event)
       break;
-    if (auto *revoked = std::get_if<RevokedEvent>(&event->Content)) {
-      bool isFenced = revoked->State == int(StartState::Fenced);
-      co_return Error{ErrorKind::GateLost,
-                      isFenced ? RunState::NotRun : RunState::Unknown,
-                      isFenced ? "fenced before it started"
-                               : "the answer is no longer kept",
-                      DefaultRetryAfter};
-    }
-    if (auto *answer = std::get_if<AnswerEvent>(&event->Content))
-      co_return std::move(answer->Answer);
-    if (auto *failure = std::get_if<wire::Failure>(&event->Content))
-      co_return toError(attempt, *failure);
-    if (std::holds_alternative<CancelledEvent>(event->Content))
-      co_return makeError(ErrorKind::Cancelled);
+    verdict = verdictOf(attempt, *event);
     withdraw(attempt, target);
   }
+  for (const Attempt::Errand &it : attempt.Errands)
+    if (it.Client)
+      it.Client->forget(it.Stream);
+  if (verdict)
+    co_return std::move(*verdict);
   co_return makeError(ErrorKind::GateLost, "the gate cannot be reached",
                       DefaultRetryAfter);
 }
 
+/// What a gate's word means for the attempt; nothing if it has to be asked
+/// again.
+std::optional<EntryResult> Entry::verdictOf(Attempt &attempt,
+                                            StreamEvent &event) const {
+  if (auto *revoked = std::get_if<RevokedEvent>(&event.Content)) {
+    if (revoked->IsUnreachable)
+      return std::nullopt;
+    bool isFenced = revoked->State == int(StartState::Fenced);
+    return Error{
+        ErrorKind::GateLost, isFenced ? RunState::NotRun : RunState::Unknown,
+        isFenced ? "fenced before it started" : "the answer is no longer kept",
+        DefaultRetryAfter};
+  }
+  if (auto *answer = std::get_if<AnswerEvent>(&event.Content))
+    return std::move(answer->Answer);
+  if (auto *failure = std::get_if<wire::Failure>(&event.Content))
+    return toError(attempt, *failure);
+  if (std::holds_alternative<CancelledEvent>(event.Content))
+    return makeError(ErrorKind::Cancelled);
+  return std::nullopt;
+}
+
+asio::awaitable<bool> Entry::askGate(Attempt &attempt, std::size_t target) {
+  bool isOpen = co_await openTarget(attempt, target);
+  if (!isOpen)
+    co_return false;
+  Attempt::Target &it = attempt.Targets[target];
+  wire::Frame frame;
+  frame.stream = it.Stream;
+  frame.revoke = attempt.question(target);
+  frame.__isset.revoke = true;
+  it.Client->channel().send(std::move(frame));
+  co_return true;
+}
+
+/// Paths between nodes may be cut one by one: each node is sent once.
+asio::awaitable<bool> Entry::askThroughPeer(Attempt &attempt,
+                                            std::size_t target) {
+  std::string helper = pickHelper(attempt, target);
+  auto view = View->Nodes.find(helper);
+  if (view == View->Nodes.end())
+    co_return false;
+  NodeView at = view->second;
+  attempt.Errands.push_back({helper, nullptr, 0});
+  auto client = co_await Links.connect(helper, at, attempt.Request->Deadline);
+  logEvent(LogLevel::Info, "gate_asked_through_peer",
+           {{"request", attempt.Request->Id},
+            {"attempt", attempt.Id},
+            {"gate", attempt.Targets[target].Gate.Node},
+            {"through", helper},
+            {"reached", client != nullptr}});
+  if (!client)
+    co_return false;
+  Attempt::Errand &errand = attempt.Errands.back();
+  errand.Client = client;
+  errand.Stream = client->open(attempt.Box, target);
+  wire::Frame frame;
+  frame.stream = errand.Stream;
+  frame.revoke = attempt.question(target);
+  frame.revoke.askedNode = attempt.Targets[target].Gate.Node;
+  frame.__isset.revoke = true;
+  client->channel().send(std::move(frame));
+  co_return true;
+}
+
+std::string Entry::pickHelper(const Attempt &attempt, std::size_t target) {
+  std::vector<std::string> all;
+  for (const auto &[node, view] : View->Nodes) {
+    bool isUsed =
+        std::ranges::find(attempt.Errands, node, &Attempt::Errand::Node) !=
+        attempt.Errands.end();
+    bool isEnd = node == Node || node == attempt.Targets[target].Gate.Node;
+    if (!isEnd && !isUsed && Links.isPathUp(node, now()))
+      all.push_back(node);
+  }
+  if (all.empty())
+    return {};
+  return all[uniform(Rng, all.size())];
+}
+
 void Entry::noteLoad(const std::string &node, const std::string &service,
                      const wire::Load &load) {
   GateLoadView &view = Loads[loadKey(node, service)];
--- a/src/libfleet/entryattempt.h
+++ b/src/libfleet/entry/entryattempt.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "libfleet/entry.h"
+#include "libfleet/entry/entry.h"
 
 namespace hickoryglade::fleet {
 
@@ -28,14 +28,26 @@
     bool IsOpen = false;
   };
 
+  /// A stream to a node that asks the gate for this one.
+  struct Errand {
+    std::string Node;
+    std::shared_ptr<GateClient> Client;
+    std::int64_t Stream = 0;
+  };
+
   Inquiry *Request = nullptr;
   std::string Id;
   std::vector<Target> Targets;
+  /// Nodes that have been sent to ask what became of the attempt.
+  std::vector<Errand> Errands;
   std::shared_ptr<StreamMailbox> Box;
   bool AwaitsGrant = false;
   bool OnlyIfFree = false;
   bool IsSerialized = false;
 
+  /// Asks a gate what became of the attempt.
+  wire::Revoke question(std::size_t target) const;
+
   Instant waitUntil() const { return Request->Deadline + VerdictGrace; }
 };
 
--- a/src/libfleet/endpointclient.cpp
+++ b/src/libfleet/gate/endpointclient.cpp
@@ -1,7 +1,7 @@
-#include "libfleet/endpointclient.h"
+#include "libfleet/gate/endpointclient.h"
 
-#include "libfleet/address.h"
-#include "libfleet/clock.h"
+#include "libfleet/base/address.h"
+#include "libfleet/base/clock.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
--- a/src/libfleet/endpointclient.h
+++ b/src/libfleet/gate/endpointclient.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "libfleet/asio.h"
-#include "libfleet/httpdialect.h"
+#include "libfleet/base/asio.h"
+#include "libfleet/http/httpdialect.h"
 #include "libhickoryglade/gate.h"
 
 #include <functional>
--- a/src/libfleet/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -1,8 +1,8 @@
-#include "libfleet/gateservice.h"
+#include "libfleet/gate/gateservice.h"
 
-#include "libfleet/gateclient.h"
-#include "libfleet/logging.h"
-#include "libfleet/metrics.h"
+#include "libfleet/peers/gateclient.h"
+#include "libfleet/reporting/logging.h"
+#include "libfleet/reporting/metrics.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/libfleet/gateservice.h
+++ b/src/libfleet/gate/gateservice.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "libfleet/endpointclient.h"
-#include "libfleet/fleetview.h"
-#include "libfleet/framechannel.h"
-#include "libfleet/nodesettings.h"
+#include "libfleet/gate/endpointclient.h"
+#include "libfleet/node/fleetview.h"
+#include "libfleet/node/nodesettings.h"
+#include "libfleet/peers/framechannel.h"
 #include "libhickoryglade/gate.h"
 #include "libhickoryglade/memberrecord.h"
 
--- a/src/libfleet/httpcaller.cpp
+++ b/src/libfleet/http/httpcaller.cpp
@@ -1,6 +1,6 @@
-#include "libfleet/httpcaller.h"
+#include "libfleet/http/httpcaller.h"
 
-#include "libfleet/address.h"
+#include "libfleet/base/address.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
--- a/src/libfleet/httpdialect.cpp
+++ b/src/libfleet/http/httpdialect.cpp
@@ -1,4 +1,4 @@
-#include "libfleet/httpdialect.h"
+#include "libfleet/http/httpdialect.h"
 
 #include <boost/beast/core/string.hpp>
 
--- a/src/libfleet/httpdialect.h
+++ b/src/libfleet/http/httpdialect.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "libfleet/httpmessage.h"
+#include "libfleet/http/httpmessage.h"
 #include "libhickoryglade/instant.h"
 
 #include <cstdint>
--- a/src/libfleet/httpfront.cpp
+++ b/src/libfleet/http/httpfront.cpp
@@ -1,8 +1,8 @@
-#include "libfleet/httpfront.h"
+#include "libfleet/http/httpfront.h"
 
-#include "libfleet/address.h"
-#include "libfleet/clock.h"
-#include "libfleet/logging.h"
+#include "libfleet/base/address.h"
+#include "libfleet/base/clock.h"
+#include "libfleet/reporting/logging.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
--- a/src/libfleet/httpfront.h
+++ b/src/libfleet/http/httpfront.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "libfleet/asio.h"
-#include "libfleet/callscope.h"
-#include "libfleet/httpmessage.h"
+#include "libfleet/base/asio.h"
+#include "libfleet/http/callscope.h"
+#include "libfleet/http/httpmessage.h"
 
 #include <absl/status/status.h>
 
--- a/src/libfleet/httpmessage.cpp
+++ b/src/libfleet/http/httpmessage.cpp
@@ -1,4 +1,4 @@
-#include "libfleet/httpmessage.h"
+#include "libfleet/http/httpmessage.h"
 
 #include <boost/beast/core/string.hpp>
 
--- a/src/libfleet/keyedcall.cpp
+++ b/src/libfleet/keys/keyedcall.cpp
@@ -1,6 +1,6 @@
-#include "libfleet/keyedcall.h"
+#include "libfleet/keys/keyedcall.h"
 
-#include "libfleet/logging.h"
+#include "libfleet/reporting/logging.h"
 #include "libhickoryglade/keyplacement.h"
 
 #include <nlohmann/json.hpp>
--- a/src/libfleet/keyedcall.h
+++ b/src/libfleet/keys/keyedcall.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "libfleet/entry.h"
+#include "libfleet/entry/entry.h"
 #include "libhickoryglade/keytable.h"
 
 #include <functional>
--- a/src/libfleet/keyservice.cpp
+++ b/src/libfleet/keys/keyservice.cpp
@@ -1,7 +1,7 @@
-#include "libfleet/keyservice.h"
+#include "libfleet/keys/keyservice.h"
 
-#include "libfleet/gateclient.h"
-#include "libfleet/logging.h"
+#include "libfleet/peers/gateclient.h"
+#include "libfleet/reporting/logging.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/libfleet/keyservice.h
+++ b/src/libfleet/keys/keyservice.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "libfleet/fleetview.h"
-#include "libfleet/framechannel.h"
-#include "libfleet/peerlinks.h"
+#include "libfleet/node/fleetview.h"
+#include "libfleet/peers/framechannel.h"
+#include "libfleet/peers/peerlinks.h"
 #include "libhickoryglade/keyplacement.h"
 #include "libhickoryglade/keytable.h"
 
--- a/src/libfleet/leaseservice.cpp
+++ b/src/libfleet/log/leaseservice.cpp
@@ -1,8 +1,8 @@
-#include "libfleet/leaseservice.h"
+#include "libfleet/log/leaseservice.h"
 
-#include "libfleet/clock.h"
-#include "libfleet/logging.h"
-#include "libfleet/metrics.h"
+#include "libfleet/base/clock.h"
+#include "libfleet/reporting/logging.h"
+#include "libfleet/reporting/metrics.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/libfleet/leaseservice.h
+++ b/src/libfleet/log/leaseservice.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "libfleet/asio.h"
-#include "libfleet/logclient.h"
+#include "libfleet/base/asio.h"
+#include "libfleet/log/logclient.h"
 #include "libhickoryglade/leasepolicy.h"
 
 #include <deque>
--- a/src/libfleet/logclient.cpp
+++ b/src/libfleet/log/logclient.cpp
@@ -1,4 +1,4 @@
-#include "libfleet/logclient.h"
+#include "libfleet/log/logclient.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/libfleet/logclient.h
+++ b/src/libfleet/log/logclient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "libfleet/httpcaller.h"
+#include "libfleet/http/httpcaller.h"
 #include "libhickoryglade/instant.h"
 
 #include <cstdint>
--- a/src/libfleet/adminfront.cpp
+++ b/src/libfleet/node/adminfront.cpp
@@ -1,10 +1,10 @@
-#include "libfleet/adminfront.h"
+#include "libfleet/node/adminfront.h"
 
-#include "libfleet/address.h"
-#include "libfleet/clock.h"
-#include "libfleet/control.h"
-#include "libfleet/logging.h"
-#include "libfleet/metrics.h"
+#include "libfleet/base/address.h"
+#include "libfleet/base/clock.h"
+#include "libfleet/node/control.h"
+#include "libfleet/reporting/logging.h"
+#include "libfleet/reporting/metrics.h"
 #include "libhickoryglade/routetable.h"
 
 #include <nlohmann/json.hpp>
--- a/src/libfleet/adminfront.h
+++ b/src/libfleet/node/adminfront.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "libfleet/httpfront.h"
-#include "libfleet/platformadapter.h"
+#include "libfleet/http/httpfront.h"
+#include "libfleet/node/platformadapter.h"
 #include "libhickoryglade/announcement.h"
 
 #include <functional>
--- a/src/libfleet/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -1,9 +1,9 @@
-#include "libfleet/control.h"
+#include "libfleet/node/control.h"
 
-#include "libfleet/clock.h"
-#include "libfleet/logging.h"
-#include "libfleet/metrics.h"
-#include "libfleet/wireconvert.h"
+#include "libfleet/base/clock.h"
+#include "libfleet/peers/wireconvert.h"
+#include "libfleet/reporting/logging.h"
+#include "libfleet/reporting/metrics.h"
 #include "libhickoryglade/hash.h"
 #include "libhickoryglade/keytable.h"
 
--- a/src/libfleet/control.h
+++ b/src/libfleet/node/control.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "libfleet/fleetview.h"
-#include "libfleet/leaseservice.h"
-#include "libfleet/membershipservice.h"
-#include "libfleet/nodesettings.h"
-#include "libfleet/peerlinks.h"
-#include "libfleet/platformadapter.h"
-#include "libfleet/settingsservice.h"
+#include "libfleet/log/leaseservice.h"
+#include "libfleet/node/fleetview.h"
+#include "libfleet/node/nodesettings.h"
+#include "libfleet/node/platformadapter.h"
+#include "libfleet/peers/membershipservice.h"
+#include "libfleet/peers/peerlinks.h"
+#include "libfleet/settings/settingsservice.h"
 
 #include "libhickoryglade/gateaction.h"
 
--- a/src/libfleet/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -1,18 +1,19 @@
-#include "libfleet/node.h"
-
-#include "libfleet/adminfront.h"
-#include "libfleet/clock.h"
-#include "libfleet/control.h"
-#include "libfleet/entry.h"
-#include "libfleet/gateservice.h"
-#include "libfleet/httpfront.h"
-#include "libfleet/keyservice.h"
-#include "libfleet/linkserver.h"
-#include "libfleet/localchannel.h"
-#include "libfleet/logging.h"
-#include "libfleet/metrics.h"
-#include "libfleet/platformadapter.h"
-#include "libfleet/wireconvert.h"
+#include "libfleet/node/node.h"
+
+#include "libfleet/base/clock.h"
+#include "libfleet/entry/entry.h"
+#include "libfleet/gate/gateservice.h"
+#include "libfleet/http/httpfront.h"
+#include "libfleet/keys/keyservice.h"
+#include "libfleet/node/adminfront.h"
+#include "libfleet/node/control.h"
+#include "libfleet/node/platformadapter.h"
+#include "libfleet/peers/linkserver.h"
+#include "libfleet/peers/localchannel.h"
+#include "libfleet/peers/revokerelay.h"
+#include "libfleet/peers/wireconvert.h"
+#include "libfleet/reporting/logging.h"
+#include "libfleet/reporting/metrics.h"
 #include "libhickoryglade/registry.h"
 
 #include <nlohmann/json.hpp>
@@ -107,6 +108,7 @@
   std::unique_ptr<GateService> Gate;
   std::vector<std::unique_ptr<Entry>> Entries;
   std::unique_ptr<KeyService> Keys;
+  std::unique_ptr<RevokeRelay> Errands;
   std::map<std::string, Instant> Ejected;
   std::unique_ptr<LinkServer> Server;
   std::unique_ptr<HttpFront> Callers;
@@ -178,6 +180,7 @@
   }
   Keys = std::make_unique<KeyService>(
       gateThread, LeaseHolder{Facts.Node, BootId}, Entries[0]->links());
+  Errands = std::make_unique<RevokeRelay>(gateThread, Entries[0]->links());
   Server = std::make_unique<LinkServer>(
       gateThread, Facts.FleetAddress,
       makeHello(Facts.Node, BootId, Facts.DataCentre),
@@ -256,6 +259,8 @@
     return vouch(from, frame);
   if (frame.__isset.keyRequest)
     return Keys->takeFrame(from, frame);
+  if (frame.__isset.revoke && !frame.revoke.askedNode.empty())
+    return Errands->take(from, frame);
   if (!frame.__isset.snapshotRequest)
     return Gate->takeFrame(from, std::move(frame));
   asio::post(ControlLoop.Io, [this, from, stream = frame.stream] {
@@ -313,6 +318,7 @@
   asio::post(Traffic[0]->Io, [this, view] {
     Gate->applyView(view);
     Keys->applyView(view);
+    Errands->applyView(view);
   });
   for (std::size_t i = 0; i < Entries.size(); ++i)
     asio::post(Traffic[i]->Io,
--- a/src/libfleet/node.h
+++ b/src/libfleet/node/node.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "libfleet/nodesettings.h"
+#include "libfleet/node/nodesettings.h"
 
 #include <absl/status/status.h>
 
--- a/src/libfleet/nodesettings.cpp
+++ b/src/libfleet/node/nodesettings.cpp
@@ -1,7 +1,7 @@
-#include "libfleet/nodesettings.h"
+#include "libfleet/node/nodesettings.h"
 
-#include "libfleet/address.h"
-#include "libfleet/platformadapter.h"
+#include "libfleet/base/address.h"
+#include "libfleet/node/platformadapter.h"
 #include "libhickoryglade/registry.h"
 
 #include <nlohmann/json.hpp>
--- a/src/libfleet/platformadapter.h
+++ b/src/libfleet/node/platformadapter.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "libfleet/httpdialect.h"
-#include "libfleet/nodedirectory.h"
-#include "libfleet/nodesettings.h"
-#include "libfleet/settingssource.h"
+#include "libfleet/http/httpdialect.h"
+#include "libfleet/node/nodesettings.h"
+#include "libfleet/peers/nodedirectory.h"
+#include "libfleet/settings/settingssource.h"
 #include "libhickoryglade/announcement.h"
 
 #include <functional>
--- a/src/libfleet/framecodec.cpp
+++ b/src/libfleet/peers/framecodec.cpp
@@ -1,4 +1,4 @@
-#include "libfleet/framecodec.h"
+#include "libfleet/peers/framecodec.h"
 
 #include "fleet_types.h"
 
--- a/src/libfleet/gateclient.cpp
+++ b/src/libfleet/peers/gateclient.cpp
@@ -1,4 +1,4 @@
-#include "libfleet/gateclient.h"
+#include "libfleet/peers/gateclient.h"
 
 #include <algorithm>
 #include <iterator>
@@ -42,7 +42,7 @@
   if (frame.__isset.failure)
     put(std::move(frame.failure));
   else if (frame.__isset.revoked)
-    put(RevokedEvent{frame.revoked.state});
+    put(RevokedEvent{frame.revoked.state, frame.revoked.isUnreachable});
   else if (frame.__isset.keyReply)
     put(std::move(frame.keyReply));
   else if (frame.__isset.snapshot)
--- a/src/libfleet/gateclient.h
+++ b/src/libfleet/peers/gateclient.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "libfleet/framechannel.h"
-#include "libfleet/mailbox.h"
+#include "libfleet/base/mailbox.h"
+#include "libfleet/peers/framechannel.h"
 
 #include "fleet_types.h"
 
@@ -26,6 +26,8 @@
 
 struct RevokedEvent {
   int State = 0;
+  /// The node that carried the question could not reach the gate.
+  bool IsUnreachable = false;
 };
 
 /// The channel closed before the stream was finished.
--- a/src/libfleet/link.cpp
+++ b/src/libfleet/peers/link.cpp
@@ -1,8 +1,8 @@
-#include "libfleet/link.h"
+#include "libfleet/peers/link.h"
 
-#include "libfleet/clock.h"
-#include "libfleet/framecodec.h"
-#include "libfleet/logging.h"
+#include "libfleet/base/clock.h"
+#include "libfleet/peers/framecodec.h"
+#include "libfleet/reporting/logging.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/libfleet/link.h
+++ b/src/libfleet/peers/link.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "libfleet/asio.h"
-#include "libfleet/framechannel.h"
+#include "libfleet/base/asio.h"
+#include "libfleet/peers/framechannel.h"
 #include "libhickoryglade/instant.h"
 
 #include "fleet_types.h"
--- a/src/libfleet/linkserver.cpp
+++ b/src/libfleet/peers/linkserver.cpp
@@ -1,6 +1,6 @@
-#include "libfleet/linkserver.h"
+#include "libfleet/peers/linkserver.h"
 
-#include "libfleet/address.h"
+#include "libfleet/base/address.h"
 
 namespace hickoryglade::fleet {
 
--- a/src/libfleet/linkserver.h
+++ b/src/libfleet/peers/linkserver.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "libfleet/link.h"
+#include "libfleet/peers/link.h"
 
 #include <absl/status/status.h>
 
--- a/src/libfleet/localchannel.cpp
+++ b/src/libfleet/peers/localchannel.cpp
@@ -1,4 +1,4 @@
-#include "libfleet/localchannel.h"
+#include "libfleet/peers/localchannel.h"
 
 namespace hickoryglade::fleet {
 
--- a/src/libfleet/localchannel.h
+++ b/src/libfleet/peers/localchannel.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "libfleet/asio.h"
-#include "libfleet/clock.h"
-#include "libfleet/framechannel.h"
+#include "libfleet/base/asio.h"
+#include "libfleet/base/clock.h"
+#include "libfleet/peers/framechannel.h"
 
 #include "fleet_types.h"
 
--- a/src/libfleet/membershipservice.cpp
+++ b/src/libfleet/peers/membershipservice.cpp
@@ -1,10 +1,10 @@
-#include "libfleet/membershipservice.h"
+#include "libfleet/peers/membershipservice.h"
 
-#include "libfleet/address.h"
-#include "libfleet/clock.h"
-#include "libfleet/framecodec.h"
-#include "libfleet/logging.h"
-#include "libfleet/wireconvert.h"
+#include "libfleet/base/address.h"
+#include "libfleet/base/clock.h"
+#include "libfleet/peers/framecodec.h"
+#include "libfleet/peers/wireconvert.h"
+#include "libfleet/reporting/logging.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/libfleet/peerlinks.cpp
+++ b/src/libfleet/peers/peerlinks.cpp
@@ -1,7 +1,7 @@
-#include "libfleet/peerlinks.h"
+#include "libfleet/peers/peerlinks.h"
 
-#include "libfleet/address.h"
-#include "libfleet/logging.h"
+#include "libfleet/base/address.h"
+#include "libfleet/reporting/logging.h"
 
 #include <algorithm>
 
--- a/src/libfleet/peerlinks.h
+++ b/src/libfleet/peers/peerlinks.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "libfleet/fleetview.h"
-#include "libfleet/gateclient.h"
-#include "libfleet/link.h"
+#include "libfleet/node/fleetview.h"
+#include "libfleet/peers/gateclient.h"
+#include "libfleet/peers/link.h"
 
 #include <map>
 #include <memory>
--- /dev/null
+++ b/src/libfleet/peers/revokerelay.cpp
@@ -0,0 +1,94 @@
+#include "libfleet/peers/revokerelay.h"
+
+#include "libfleet/base/clock.h"
+#include "libfleet/peers/peerlinks.h"
+#include "libfleet/reporting/logging.h"
+
+#include <nlohmann/json.hpp>
+
+namespace hickoryglade::fleet {
+
+namespace {
+
+/// The frame that hands on a gate's word; a lost path is told as such.
+wire::Frame frameFor(const StreamEvent &event) {
+  wire::Frame frame;
+  if (const auto *answer = std::get_if<AnswerEvent>(&event.Content)) {
+    frame.answer.status = answer->Answer.Status;
+    frame.answer.headers = toWire(answer->Answer.Headers);
+    frame.answer.bodyBytes = std::int64_t(answer->Answer.Content->size());
+    frame.answer.endpoint = answer->Endpoint;
+    frame.answer.load = answer->Load;
+    frame.answer.runUs = answer->RunTime.count();
+    frame.__isset.answer = true;
+  } else if (const auto *failure = std::get_if<wire::Failure>(&event.Content)) {
+    frame.__set_failure(*failure);
+  } else {
+    const auto *revoked = std::get_if<RevokedEvent>(&event.Content);
+    frame.revoked.state = revoked ? revoked->State : 0;
+    frame.revoked.isUnreachable = !revoked || revoked->IsUnreachable;
+    frame.__isset.revoked = true;
+  }
+  return frame;
+}
+
+} // namespace
+
+RevokeRelay::RevokeRelay(asio::any_io_executor ex, PeerLinks &links)
+    : Executor(std::move(ex)), Links(links) {}
+
+void RevokeRelay::take(const std::shared_ptr<FrameChannel> &from,
+                       const wire::Frame &frame) {
+  asio::co_spawn(Executor, carry(from, frame.stream, frame.revoke),
+                 asio::detached);
+}
+
+asio::awaitable<void> RevokeRelay::carry(std::weak_ptr<FrameChannel> from,
+                                         std::int64_t stream,
+                                         wire::Revoke question) {
+  std::string attempt = question.attemptId;
+  std::string gate = question.askedNode;
+  std::optional<StreamEvent> event = co_await ask(std::move(question));
+  StreamEvent word = event ? std::move(*event) : StreamEvent{0, LostEvent{}};
+  wire::Frame frame = frameFor(word);
+  logEvent(
+      LogLevel::Info, "gate_asked_for_peer",
+      {{"request", attempt.substr(0, attempt.rfind('/'))},
+       {"attempt", attempt},
+       {"gate", gate},
+       {"reached", !(frame.__isset.revoked && frame.revoked.isUnreachable)}});
+  frame.stream = stream;
+  auto channel = from.lock();
+  if (!channel || !channel->isOpen())
+    co_return;
+  bool hasBody = frame.__isset.answer;
+  channel->send(std::move(frame));
+  if (hasBody)
+    channel->sendBody(stream,
+                      std::get<AnswerEvent>(word.Content).Answer.Content);
+}
+
+/// Nothing if the gate cannot be reached or says nothing in time.
+asio::awaitable<std::optional<StreamEvent>>
+RevokeRelay::ask(wire::Revoke question) {
+  Instant until = now() + Millis(question.timeoutMs);
+  auto gate = View->Nodes.find(question.askedNode);
+  if (gate == View->Nodes.end())
+    co_return std::nullopt;
+  NodeView view = gate->second;
+  auto client = co_await Links.connect(question.askedNode, view, until);
+  if (!client)
+    co_return std::nullopt;
+  auto box = std::make_shared<StreamMailbox>(Executor);
+  wire::Frame frame;
+  frame.stream = client->open(box, 0);
+  std::int64_t stream = frame.stream;
+  question.askedNode.clear();
+  frame.__set_revoke(question);
+  client->channel().send(std::move(frame));
+  std::optional<StreamEvent> event = co_await box->next(until);
+  client->forget(stream);
+  co_return event;
+}
+
+} // namespace hickoryglade::fleet
--- /dev/null
+++ b/src/libfleet/peers/revokerelay.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "libfleet/base/asio.h"
+#include "libfleet/node/fleetview.h"
+#include "libfleet/peers/framechannel.h"
+#include "libfleet/peers/gateclient.h"
+
+#include "fleet_types.h"
+
+#include <memory>
+
+namespace hickoryglade::fleet {
+
+class PeerLinks;
+
+/// Asks gates what became of attempts, for nodes that have lost their own path
+/// to them.
+class RevokeRelay {
+public:
+  RevokeRelay(asio::any_io_executor ex, PeerLinks &links);
+
+  void applyView(FleetViewPtr view) { View = std::move(view); }
+
+  void take(const std::shared_ptr<FrameChannel> &from,
+            const wire::Frame &frame);
+
+private:
+  asio::awaitable<void> carry(std::weak_ptr<FrameChannel> from,
+                              std::int64_t stream, wire::Revoke question);
+  asio::awaitable<std::optional<StreamEvent>> ask(wire::Revoke question);
+
+  asio::any_io_executor Executor;
+  PeerLinks &Links;
+  FleetViewPtr View = std::make_shared<const FleetView>();
+};
+
+} // namespace hickoryglade::fleet
--- a/src/libfleet/wireconvert.cpp
+++ b/src/libfleet/peers/wireconvert.cpp
@@ -1,4 +1,4 @@
-#include "libfleet/wireconvert.h"
+#include "libfleet/peers/wireconvert.h"
 
 #include <algorithm>
 
--- a/src/libfleet/logbudget.cpp
+++ b/src/libfleet/reporting/logbudget.cpp
@@ -1,4 +1,4 @@
-#include "libfleet/logbudget.h"
+#include "libfleet/reporting/logbudget.h"
 
 #include <utility>
 
--- a/src/libfleet/logging.cpp
+++ b/src/libfleet/reporting/logging.cpp
@@ -1,6 +1,6 @@
-#include "libfleet/logging.h"
+#include "libfleet/reporting/logging.h"
 
-#include "libfleet/logbudget.h"
+#include "libfleet/reporting/logbudget.h"
 
 #include <nlohmann/json.hpp>
 #include <spdlog/sinks/base_sink.h>
--- a/src/libfleet/metrics.cpp
+++ b/src/libfleet/reporting/metrics.cpp
@@ -1,4 +1,4 @@
-#include "libfleet/metrics.h"
+#include "libfleet/reporting/metrics.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
--- a/src/libfleet/settingsservice.cpp
+++ b/src/libfleet/settings/settingsservice.cpp
@@ -1,8 +1,8 @@
-#include "libfleet/settingsservice.h"
+#include "libfleet/settings/settingsservice.h"
 
-#include "libfleet/clock.h"
-#include "libfleet/logging.h"
-#include "libfleet/metrics.h"
+#include "libfleet/base/clock.h"
+#include "libfleet/reporting/logging.h"
+#include "libfleet/reporting/metrics.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/libfleet/settingsservice.h
+++ b/src/libfleet/settings/settingsservice.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "libfleet/asio.h"
-#include "libfleet/logclient.h"
-#include "libfleet/settingssource.h"
+#include "libfleet/base/asio.h"
+#include "libfleet/log/logclient.h"
+#include "libfleet/settings/settingssource.h"
 #include "libhickoryglade/settingslog.h"
 
 #include <functional>
--- a/src/libfleet/settingssource.h
+++ b/src/libfleet/settings/settingssource.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "libfleet/asio.h"
+#include "libfleet/base/asio.h"
 #include "libhickoryglade/settingslog.h"
 
 #include <optional>
--- a/tests/bench/loadtool.cpp
+++ b/tests/bench/loadtool.cpp
@@ -1,7 +1,7 @@
 #include "platform/platformfleet.h"
 #include "process/testfleet.h"
 
-#include "libfleet/asio.h"
+#include "libfleet/base/asio.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
--- a/tests/logs/test_logs.cpp
+++ b/tests/logs/test_logs.cpp
@@ -1,5 +1,5 @@
 #include "hickorygladectl/logstory.h"
-#include "libfleet/logbudget.h"
+#include "libfleet/reporting/logbudget.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/process/httpcall.cpp
+++ b/tests/process/httpcall.cpp
@@ -1,7 +1,7 @@
 #include "process/httpcall.h"
 
-#include "libfleet/address.h"
-#include "libfleet/asio.h"
+#include "libfleet/base/address.h"
+#include "libfleet/base/asio.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
--- a/tests/process/test_promises.cpp
+++ b/tests/process/test_promises.cpp
@@ -132,6 +132,28 @@
   }
 }
 
+TEST_CASE("work cut off from its entry is answered through a third node",
+          "[third]") {
+  TestFleet fleet;
+  fleet.startLog();
+  fleet.startNode("origin");
+  fleet.startNode("gate", true);
+  fleet.startNode("helper");
+  fleet.startEndpoint("e", "gate");
+  fleet.publishDefaults();
+  fleet.awaitReady();
+  REQUIRE(fleet.call("origin", {"GET", "/", {}, ""}).Status == 200);
+  REQUIRE(fleet.call("helper", {"GET", "/", {}, ""}).Status == 200);
+  HttpReply reply;
+  std::jthread caller(
+      [&] { reply = fleet.call("origin", taggedWork("third", 1'200), 4'000); });
+  pauseFor(300);
+  fleet.controlRelay("gate", {{"cut_node", "origin"}});
+  caller.join();
+  CHECK(reply.Status == 200);
+  CHECK(fleet.runsOf("third") == 1);
+}
+
 TEST_CASE("a resent key meets the first run through any entry", "[keys]") {
   TestFleet fleet;
   startThree(fleet);
--- a/tests/standins/relay.cpp
+++ b/tests/standins/relay.cpp
@@ -1,5 +1,5 @@
-#include "libfleet/address.h"
-#include "libfleet/clock.h"
+#include "libfleet/base/address.h"
+#include "libfleet/base/clock.h"
 #include "standins/standinserver.h"
 
 #include <boost/asio/write.hpp>
@@ -11,7 +11,9 @@
 
 /// Stands between two processes on TCP and UDP and delays, freezes or closes
 /// what passes, each direction apart, as POST /control on another address
-/// says: {"delay_ms", "freeze_in", "freeze_out", "silence", "close"}.
+/// says: {"delay_ms", "freeze_in", "freeze_out", "silence", "close",
+/// "cut_node"}. A cut node's connections, which are known by its name in their
+/// first bytes, go silent, and so do those that it opens later.
 
 namespace hickoryglade::standins {
 
@@ -29,6 +31,7 @@
   bool FreezeIn = false;
   /// From the process behind the relay.
   bool FreezeOut = false;
+  std::string CutNode;
 };
 
 /// One relayed connection.
@@ -40,6 +43,8 @@
   tcp::socket Server;
   /// Frozen for good, as if something between the ends had lost track.
   bool IsSilent = false;
+  /// What the client has sent first.
+  std::string FirstBytes;
 
   void close() {
     error_code ec;
@@ -67,8 +72,10 @@
       Now.DelayMs = in.value("delay_ms", Now.DelayMs);
       Now.FreezeIn = in.value("freeze_in", Now.FreezeIn);
       Now.FreezeOut = in.value("freeze_out", Now.FreezeOut);
+      Now.CutNode = in.value("cut_node", Now.CutNode);
       for (const auto &pair : Pairs) {
         pair->IsSilent = pair->IsSilent || in.value("silence", false);
+        silenceIfCut(*pair);
         if (in.value("close", false))
           pair->close();
       }
@@ -110,6 +117,12 @@
     Pairs.remove(pair);
   }
 
+  void silenceIfCut(Pair &pair) const {
+    bool isCut = !Now.CutNode.empty() &&
+                 pair.FirstBytes.find(Now.CutNode) != std::string::npos;
+    pair.IsSilent = pair.IsSilent || isCut;
+  }
+
   /// Passes bytes one way, in order, each piece after the delay.
   asio::awaitable<void> pump(std::shared_ptr<Pair> pair, tcp::socket &from,
                              tcp::socket &to, const bool &isFrozen) {
@@ -120,6 +133,10 @@
           asio::buffer(buf), asio::redirect_error(asio::use_awaitable, ec));
       if (ec)
         break;
+      if (&from == &pair->Client && pair->FirstBytes.empty()) {
+        pair->FirstBytes.assign(buf.data(), n);
+        silenceIfCut(*pair);
+      }
       if (Now.DelayMs > 0)
         co_await sleepFor(Millis(Now.DelayMs));
       while ((isFrozen || pair->IsSilent) && to.is_open())
--- a/tests/standins/standinserver.cpp
+++ b/tests/standins/standinserver.cpp
@@ -1,7 +1,7 @@
 #include "standins/standinserver.h"
 
-#include "libfleet/address.h"
-#include "libfleet/clock.h"
+#include "libfleet/base/address.h"
+#include "libfleet/base/clock.h"
 
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/write.hpp>
--- a/tests/standins/standinserver.h
+++ b/tests/standins/standinserver.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "libfleet/asio.h"
-#include "libfleet/httpmessage.h"
+#include "libfleet/base/asio.h"
+#include "libfleet/http/httpmessage.h"
 #include "libhickoryglade/instant.h"
 
 #include <functional>
