--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -27,7 +27,6 @@
 
 constexpr std::size_t MostKeyBytes = 255;
 constexpr Millis LongestTimeout = std::chrono::hours(24);
-constexpr std::uint64_t RetrySpreadMs = 1'000;
 
 std::optional<Millis> parseTimeout(const std::string &text) {
   std::int64_t ms = 0;
@@ -47,15 +46,6 @@
   return hash;
 }
 
-/// A caller that is to come back needs time for the work itself then.
-Millis usefulWait(Millis wait, Millis timeLeft) {
-  constexpr int part = 4;
-  constexpr Millis least{20};
-  if (timeLeft <= least * part)
-    return wait;
-  return std::clamp(wait, least, timeLeft / part);
-}
-
 /// An endpoint's report of a failure is worth another try where that is safe.
 bool isFinalAnswer(const EntryResult &result, bool isIdempotent) {
   constexpr int leastServerError = 500;
@@ -378,10 +368,7 @@
                {"kind", row.Name},        {"run", toString(error.Run)},
                {"request_id", id}};
   if (row.IsRetryable && error.Run == RunState::NotRun) {
-    Millis wait = error.RetryAfter.count() > 0
-                      ? error.RetryAfter
-                      : DefaultRetryAfter + Millis(uniform(Rng, RetrySpreadMs));
-    wait = usefulWait(wait, toMillis(timeLeft));
+    Millis wait = retryAdvice(error.RetryAfter, toMillis(timeLeft), Rng);
     body["retry_after_ms"] = wait.count();
     answer.Headers.push_back({"Retry-After", formatRetryAfter(Dialect, wait)});
   }
--- a/src/libfleet/entry/entryattempt.h
+++ b/src/libfleet/entry/entryattempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libfleet/entry/entry.h"
+#include "libhickoryglade/retry.h"
 
 namespace hickoryglade::fleet {
 
@@ -12,9 +13,6 @@
 /// looks for a gate that can take a request.
 constexpr Micros ResolvePause = std::chrono::milliseconds(20);
 
-/// Wait that a refused caller is told where nothing better is known.
-constexpr Millis DefaultRetryAfter = std::chrono::seconds(1);
-
 /// Key of a gate's load for a service.
 std::string loadKey(const std::string &node, const std::string &service);
 
--- a/src/libhickoryglade/admissionpolicy.h
+++ b/src/libhickoryglade/admissionpolicy.h
@@ -19,6 +19,8 @@
   Micros TimeLeft{0};
   /// Longest wait that the settings allow.
   Micros MaxWait{0};
+  /// Time within which an answer has its full value.
+  Micros TargetLatency{0};
 };
 
 struct AdmissionAnswer {
--- a/src/libhickoryglade/fairqueue.cpp
+++ b/src/libhickoryglade/fairqueue.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-void FairQueue::push(Ticket ticket, int share) {
+void FairQueue::push(Ticket ticket, int share, QueueOrder order) {
   double level = floorService();
   auto [it, isNew] = Lanes.try_emplace(ticket.Workspace);
   Lane &lane = it->second;
@@ -24,8 +24,9 @@
     lane.Service = level;
   lane.Share = std::max(share, 1);
   lane.Waiting[ticket.IsLong] += costOf(ticket);
-  auto place = std::ranges::upper_bound(lane.Tickets, ticket.Priority, {},
-                                        &Ticket::Priority);
+  auto place = std::ranges::find_if(lane.Tickets, [&](const Ticket &other) {
+    return overtakes(order, ticket, other);
+  });
   lane.Tickets.insert(place, std::move(ticket));
   ++Count;
 }
@@ -67,7 +68,8 @@
 }
 
 std::vector<Ticket> FairQueue::takeExpired(Instant now) {
-  return takeWhere([&](const Ticket &it) { return it.Deadline <= now; });
+  return takeWhere(
+      [&](const Ticket &it) { return it.Deadline <= now + it.ExpectedCost; });
 }
 
 std::vector<Ticket>
@@ -98,10 +100,16 @@
   return all;
 }
 
-Micros FairQueue::costAhead(const std::string &workspace, int share,
-                            bool isLong) const {
+Micros FairQueue::costAhead(const Ticket &ticket, int share,
+                            QueueOrder order) const {
+  const std::string &workspace = ticket.Workspace;
+  bool isLong = ticket.IsLong;
   auto own = Lanes.find(workspace);
-  Micros ownCost = own == Lanes.end() ? Micros{0} : own->second.Waiting[isLong];
+  Micros ownCost{0};
+  if (own != Lanes.end())
+    for (const Ticket &it : own->second.Tickets)
+      if (it.IsLong == isLong && !overtakes(order, ticket, it))
+        ownCost += costOf(it);
   double ownLevel = double(ownCost.count()) / std::max(share, 1);
   return std::accumulate(
       Lanes.begin(), Lanes.end(), ownCost, [&](Micros sum, const auto &it) {
--- a/src/libhickoryglade/fairqueue.h
+++ b/src/libhickoryglade/fairqueue.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "libhickoryglade/ticket.h"
+#include "libhickoryglade/queueorder.h"
 
 #include <array>
 #include <deque>
@@ -16,7 +16,7 @@
 /// workspaces by start-time fair queueing over slot time.
 class FairQueue {
 public:
-  void push(Ticket ticket, int share);
+  void push(Ticket ticket, int share, QueueOrder order);
 
   /// Takes the next ticket that may run; a workspace that has received less
   /// slot time per share goes first.
@@ -33,9 +33,9 @@
 
   std::vector<Ticket> takeAll();
 
-  /// Slot time of the waiting tickets of a class that would run before a new
-  /// one of this workspace.
-  Micros costAhead(const std::string &workspace, int share, bool isLong) const;
+  /// Slot time of the waiting tickets of its class that would run before a new
+  /// one.
+  Micros costAhead(const Ticket &ticket, int share, QueueOrder order) const;
 
   std::size_t size() const { return Count; }
   bool hasShort() const;
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -175,13 +175,17 @@
     return actions;
   }
   int slots = slotsForClass(gate, service, ticket, now);
-  if (auto fault = admissionFault(gate, service, ticket, slots, now)) {
+  Ticket waiting = ticket;
+  waiting.WaitingSince = now;
+  if (auto fault = admissionFault(gate, service, waiting, slots, now)) {
     refuse(actions, ticket.AttemptId, std::move(*fault));
     return actions;
   }
   gate.Ledger.noteWaiting(ticket.AttemptId, forgetAt(ticket));
   auto share = service.Shares.find(ticket.Workspace);
-  service.Queue.push(ticket, share == service.Shares.end() ? 1 : share->second);
+  service.Queue.push(std::move(waiting),
+                     share == service.Shares.end() ? 1 : share->second,
+                     service.Policy.Order);
   dispatch(gate, ticket.Service, now, actions);
   return actions;
 }
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -7,6 +7,7 @@
 #include "libhickoryglade/random.h"
 #include "libhickoryglade/repeatbudget.h"
 #include "libhickoryglade/startledger.h"
+#include "libhickoryglade/waitforecast.h"
 
 #include <functional>
 #include <map>
@@ -56,6 +57,7 @@
   ServicePolicy Policy;
   FairQueue Queue;
   RepeatBudget Repeats;
+  WaitForecast Waits;
   /// Gates over which the service's allowance of retries is shared out: the
   /// most that have been known, since a node that is cut off knows too few.
   int Gates = 1;
--- a/src/libhickoryglade/gateadmission.cpp
+++ b/src/libhickoryglade/gateadmission.cpp
@@ -29,7 +29,7 @@
   auto share = service.Shares.find(ticket.Workspace);
   int weight = share == service.Shares.end() ? 1 : share->second;
   return running +
-         service.Queue.costAhead(ticket.Workspace, weight, ticket.IsLong);
+         service.Queue.costAhead(ticket, weight, service.Policy.Order);
 }
 
 } // namespace
@@ -82,17 +82,18 @@
 }
 
 std::optional<Error> admissionFault(Gate &gate, GateService &service,
-                                    const Ticket &ticket, int slots,
-                                    Instant now) {
+                                    Ticket &ticket, int slots, Instant now) {
   const auto *admission =
       Registry<AdmissionPolicy>::instance().find(service.Policy.Admission);
   if (!admission)
     return std::nullopt;
   Micros ahead = slotTimeAhead(gate, service, ticket, now);
+  ticket.PromisedWait = ahead / std::max(slots, 1);
   AdmissionAnswer answer = admission->Admit(
       {service.Queue.size(), std::size_t(service.Policy.QueueLimit), slots,
-       ahead, ticket.ExpectedCost, ticket.Deadline - now,
-       service.Policy.MaxWait});
+       service.Waits.correct(ticket.Priority, ahead, now), ticket.ExpectedCost,
+       ticket.Deadline - now, service.Policy.MaxWait,
+       service.Policy.TargetLatency});
   if (answer.IsAdmitted)
     return std::nullopt;
   return notRun(ErrorKind::Overloaded,
--- a/src/libhickoryglade/gateadmission.h
+++ b/src/libhickoryglade/gateadmission.h
@@ -37,10 +37,10 @@
 /// True for a repeat beyond this gate's part of the fleet's bound.
 bool isOverRepeats(GateService &service, const Ticket &ticket, Instant now);
 
-/// Asks the admission policy; nothing if the request may wait.
+/// Asks the admission policy; nothing if the request may wait. Enters the wait
+/// that the queue promises into the ticket.
 std::optional<Error> admissionFault(Gate &gate, GateService &service,
-                                    const Ticket &ticket, int slots,
-                                    Instant now);
+                                    Ticket &ticket, int slots, Instant now);
 
 /// Reasons to refuse a request before any slot is looked for.
 std::optional<Error> offerFault(const Gate &gate, const Ticket &ticket,
--- a/src/libhickoryglade/gatequeue.cpp
+++ b/src/libhickoryglade/gatequeue.cpp
@@ -15,6 +15,12 @@
 /// Time after an attempt's deadline during which late copies are recognized.
 constexpr Micros LedgerMargin = std::chrono::seconds(60);
 
+/// Waits count whether they ended with a slot or in vain.
+void noteWait(GateService &service, const Ticket &ticket, Instant now) {
+  service.Waits.note(ticket.Priority, ticket.PromisedWait,
+                     now - ticket.WaitingSince, now);
+}
+
 } // namespace
 
 Instant forgetAt(const Ticket &ticket) {
@@ -61,6 +67,7 @@
     });
     if (!ticket)
       return;
+    noteWait(service, *ticket, now);
     if (ruleFor(gate.Crashes, ticket->Fingerprint, now, ticket->KnownCrashes) ==
         QuarantineRule::Refused) {
       refuse(
@@ -132,10 +139,12 @@
 }
 
 void expireQueue(GateService &service, Instant now, GateActions &actions) {
-  for (const Ticket &ticket : service.Queue.takeExpired(now))
+  for (const Ticket &ticket : service.Queue.takeExpired(now)) {
+    noteWait(service, ticket, now);
     refuse(actions, ticket.AttemptId,
-           notRun(ErrorKind::DeadlineExceeded, "the deadline passed in queue",
+           notRun(ErrorKind::DeadlineExceeded, "no slot became free in time",
                   toMillis(LeastRetryAfter)));
+  }
 }
 
 void emptyQueue(Gate &gate, const std::string &name, Instant now,
--- a/src/libhickoryglade/retry.cpp
+++ b/src/libhickoryglade/retry.cpp
@@ -56,6 +56,18 @@
          kind == ErrorKind::ContentSuspect;
 }
 
+Millis retryAdvice(Millis named, Millis timeLeft, Random &rng) {
+  constexpr std::uint64_t spreadMs = 1'000;
+  constexpr int part = 4;
+  constexpr Millis least{20};
+  Millis wait = named.count() > 0
+                    ? named
+                    : DefaultRetryAfter + Millis(uniform(rng, spreadMs));
+  if (timeLeft <= least * part)
+    return wait;
+  return std::clamp(wait, least, timeLeft / part);
+}
+
 RetryAnswer decideRetry(const RetryQuestion &question, RetryBudget &budget) {
   if (isFinal(question.Failure.Kind))
     return {RetryVerdict::GiveUp, "another attempt would fail alike"};
--- a/src/libhickoryglade/retry.h
+++ b/src/libhickoryglade/retry.h
@@ -2,6 +2,7 @@
 
 #include "libhickoryglade/errorkind.h"
 #include "libhickoryglade/instant.h"
+#include "libhickoryglade/random.h"
 
 #include <string_view>
 
@@ -58,6 +59,13 @@
 /// run counts too.
 Error finalError(Error last, bool mayHaveRun);
 
+/// Wait that a refused caller is told where nothing better is known.
+constexpr Millis DefaultRetryAfter = std::chrono::seconds(1);
+
+/// When a refused caller is to come back: as the refusal says, spread where it
+/// says nothing, and early enough to leave time for the work itself.
+Millis retryAdvice(Millis named, Millis timeLeft, Random &rng);
+
 /// Attempts after which a request is given up.
 constexpr int MostAttempts = 4;
 
--- a/src/libhickoryglade/servicepolicy.h
+++ b/src/libhickoryglade/servicepolicy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libhickoryglade/instant.h"
+#include "libhickoryglade/queueorder.h"
 
 #include <cstdint>
 #include <optional>
@@ -39,6 +40,7 @@
   std::string Router = "tickets";
   std::string Admission = "deadline";
   std::string Health = "peer_comparison";
+  QueueOrder Order = QueueOrder::Priority;
   /// Share of a service's slots that long requests may hold while short ones
   /// wait.
   int LongSlotsPercent = 34;
--- a/src/libhickoryglade/settingsschema.cpp
+++ b/src/libhickoryglade/settingsschema.cpp
@@ -145,6 +145,9 @@
        PolicyNameRule{
            [] { return Registry<AdmissionPolicy>::instance().names(); },
            [](P &p, std::string v) { p.Admission = std::move(v); }}},
+      {"queue_order", SettingsLevel::Fleet,
+       PolicyNameRule{queueOrderNames,
+                      [](P &p, std::string v) { p.Order = queueOrderOf(v); }}},
       {"health", SettingsLevel::Fleet,
        PolicyNameRule{[] { return Registry<HealthPolicy>::instance().names(); },
                       [](P &p, std::string v) { p.Health = std::move(v); }}},
--- a/src/libhickoryglade/ticket.h
+++ b/src/libhickoryglade/ticket.h
@@ -38,6 +38,10 @@
   /// Rank among requests that compete for a slot; 0 goes first.
   int Priority = 0;
 
+  /// Set by the gate when it lets the request wait.
+  Instant WaitingSince;
+  Micros PromisedWait{0};
+
   bool operator==(const Ticket &) const = default;
 };
 
--- /dev/null
+++ b/src/libhickoryglade/waitforecast.cpp
@@ -0,0 +1,41 @@
+#include "libhickoryglade/waitforecast.h"
+
+#include <algorithm>
+
+namespace hickoryglade {
+
+namespace {
+
+/// Shorter waits say nothing about the ratio.
+constexpr Micros LeastWait = std::chrono::milliseconds(10);
+
+/// Weight of the latest wait; most of the ratio is from the last ten.
+constexpr double LatestWeight = 0.2;
+
+/// A queue that stands still longer than this is beyond forecasting.
+constexpr double MostRatio = 50;
+
+/// What was seen longer ago than this says nothing any more.
+constexpr Micros Memory = std::chrono::seconds(2);
+
+} // namespace
+
+void WaitForecast::note(int rank, Micros promised, Micros waited, Instant now) {
+  Ratio &ratio = Ratios[rank];
+  if (now - ratio.At > Memory)
+    ratio.Value = 1;
+  ratio.At = now;
+  double seen = double(std::max(waited, LeastWait).count()) /
+                double(std::max(promised, LeastWait).count());
+  ratio.Value += (std::min(seen, MostRatio) - ratio.Value) * LatestWeight;
+}
+
+Micros WaitForecast::correct(int rank, Micros promised, Instant now) const {
+  auto it = Ratios.find(rank);
+  if (it == Ratios.end() || now - it->second.At > Memory)
+    return promised;
+  return Micros(
+      Micros::rep(double(promised.count()) * std::max(it->second.Value, 1.0)));
+}
+
+} // namespace hickoryglade
--- /dev/null
+++ b/tests/world/crest.cpp
@@ -0,0 +1,148 @@
+#include "world/crest.h"
+
+#include <algorithm>
+#include <functional>
+#include <numeric>
+#include <random>
+
+namespace hickoryglade::world {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int Nodes = 8;
+constexpr int Slots = 3;
+constexpr seconds Settling{1};
+constexpr seconds Warming{4};
+constexpr seconds Lasting{20};
+constexpr seconds Ending{5};
+
+double msOf(Micros time) { return double(time.count()) / 1'000; }
+
+double quantile(std::vector<double> values, double q) {
+  if (values.empty())
+    return 0;
+  std::ranges::sort(values);
+  return values[std::size_t(q * double(values.size() - 1))];
+}
+
+class Play {
+public:
+  Play(const Crest &crest, std::uint64_t seed)
+      : Form(crest), It(seed), Begin(It.now() + Settling),
+        Rise(Begin + Warming), Fall(Rise + Lasting), End(Fall + Ending) {
+    for (int i = 0; i < Nodes; ++i) {
+      std::string number = std::to_string(i);
+      It.addNode("n" + number);
+      It.addEndpoint("e" + number, "n" + number, Slots);
+    }
+    It.setPolicy(crest.Policy);
+    for (const CrestKind &kind : crest.Kinds)
+      TotalWeight += kind.Weight;
+    for (const CrestKind &kind : crest.Kinds)
+      MeanWorkMs += double(kind.WorkMs) * kind.Weight / TotalWeight;
+  }
+
+  std::vector<CrestFigures> run() {
+    It.runUntil(Begin);
+    arrive();
+    It.runUntil(End + seconds(5));
+    std::vector<CrestFigures> all;
+    std::ranges::transform(Form.Kinds, std::back_inserter(all),
+                           [this](const CrestKind &it) { return measure(it); });
+    return all;
+  }
+
+private:
+  void arrive() {
+    if (It.now() >= End)
+      return;
+    bool isCrest = It.now() >= Rise && It.now() < Fall;
+    double load = isCrest ? Form.CrestLoad : Form.Load;
+    double perMicro = load * Nodes * Slots / MeanWorkMs / 1'000;
+    std::exponential_distribution<double> gap(perMicro);
+    Micros wait(1 + std::int64_t(gap(It.rng())));
+    It.at(It.now() + wait, [this] { arrive(); });
+    Call call;
+    const CrestKind &kind = pickKind();
+    call.Id = std::to_string(++Count);
+    call.Entry = "n" + std::to_string(uniform(It.rng(), Nodes));
+    call.Class = kind.Name;
+    call.Priority = kind.Priority;
+    call.Fingerprint = std::uint64_t(Count);
+    auto percent = std::int64_t(50 + uniform(It.rng(), 101));
+    call.Work = Micros(percent * kind.WorkMs * 10);
+    call.Deadline = It.now() + milliseconds(kind.TimeoutMs);
+    It.call(call);
+  }
+
+  const CrestKind &pickKind() {
+    auto left = int(uniform(It.rng(), std::uint64_t(TotalWeight)));
+    for (const CrestKind &kind : Form.Kinds) {
+      left -= kind.Weight;
+      if (left < 0)
+        return kind;
+    }
+    return Form.Kinds.back();
+  }
+
+  CrestFigures measure(const CrestKind &kind) const {
+    CrestFigures out;
+    out.Kind = kind.Name;
+    std::vector<double> refusals;
+    for (const auto &call : It.calls()) {
+      bool isCounted =
+          call->Class == kind.Name && call->Start >= Rise && call->Start < Fall;
+      if (!isCounted)
+        continue;
+      ++out.Requests;
+      Micros took = call->End - call->Start;
+      bool isAnswered = call->Outcome == Told::Answered;
+      out.Answered += isAnswered;
+      out.InTarget += isAnswered && took <= milliseconds(kind.TargetMs);
+      out.Wasted += !isAnswered && call->Runs > 0;
+      if (call->Outcome != Told::NotRun)
+        continue;
+      refusals.push_back(msOf(took));
+      bool isEarly = call->RetryAfter > Millis(0) &&
+                     call->RetryAfter < Millis(kind.TimeoutMs);
+      out.Paying += isEarly;
+    }
+    double n = std::max(out.Requests, 1);
+    double refused = std::max<double>(double(refusals.size()), 1);
+    out.Paying /= refused;
+    out.Answered /= n;
+    out.InTarget /= n;
+    out.Wasted /= n;
+    out.Refused = double(refusals.size()) / n;
+    out.RefusalMs50 = quantile(refusals, 0.5);
+    out.RefusalMs99 = quantile(refusals, 0.99);
+    return out;
+  }
+
+  const Crest &Form;
+  World It;
+  Instant Begin;
+  Instant Rise;
+  Instant Fall;
+  Instant End;
+  int TotalWeight = 0;
+  double MeanWorkMs = 0;
+  int Count = 0;
+};
+
+} // namespace
+
+std::vector<CrestFigures> playCrest(const Crest &crest, std::uint64_t seed) {
+  return Play(crest, seed).run();
+}
+
+std::vector<CrestKind> usualKinds() {
+  return {{"order", 0, 500, 1'200, 130, 2},
+          {"charge", 1, 800, 2'000, 190, 5},
+          {"view", 2, 800, 1'500, 250, 2}};
+}
+
+} // namespace hickoryglade::world
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -267,13 +267,13 @@
   ticket.Workspace = call.Workspace;
   ticket.Service = Service;
   ticket.Deadline = call.Deadline;
-  CostClass cls{call.IsLong ? "long" : "short", "GET", 0};
   CostEstimate cost =
-      Nodes.at(call.Entry).Costs.estimate(cls, Policy.LongAfter);
+      Nodes.at(call.Entry).Costs.estimate(call.costClass(), Policy.LongAfter);
   ticket.ExpectedCost = cost.Expected;
   ticket.IsLong = cost.IsLong;
   ticket.IsIdempotent = call.IsIdempotent;
   ticket.Fingerprint = call.Fingerprint;
+  ticket.Priority = call.Priority;
   ticket.KnownCrashes = has(Mechanism::Quarantine) ? call.Crashes : 0;
   ticket.AwaitsClaim = attempt.AwaitsGrant;
   ticket.OnlyIfFree = attempt.OnlyIfFree;
@@ -473,9 +473,7 @@
          entry.LoadAt[gate] = Now;
          attempt->Request->Crashes += isCrash;
          if (isAnswer && attempt->Request->Runs == 1)
-           entry.Costs.observe(
-               {attempt->Request->IsLong ? "long" : "short", "GET", 0},
-               runTime);
+           entry.Costs.observe(attempt->Request->costClass(), runTime);
          settle(attempt, attempt->Result, attempt->ResultError);
        });
   carryOut(node, actions);
@@ -520,6 +518,9 @@
 
 void World::giveUp(const std::shared_ptr<Call> &call, const Error &error) {
   bool isUnknown = finalError(error, call->MayHaveRun).Run == RunState::Unknown;
+  if (call->Outcome == Told::Nothing)
+    call->RetryAfter = retryAdvice(error.RetryAfter,
+                                   toMillis(call->Deadline - Now), AdviceRng);
   finish(call, isUnknown ? Told::Unknown : Told::NotRun, error.Kind);
 }
 
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -27,6 +27,9 @@
   std::string Id;
   std::string Entry;
   std::string Workspace = "w";
+  /// Names a kind of request whose costs are alike.
+  std::string Class;
+  int Priority = 0;
   Instant Start;
   Instant Deadline;
   Micros Work{0};
@@ -46,7 +49,13 @@
   Instant FirstRun;
   Told Outcome = Told::Nothing;
   ErrorKind Kind = ErrorKind::Internal;
+  Millis RetryAfter{0};
   Instant End;
+
+  CostClass costClass() const {
+    std::string name = IsLong ? "long" : "short";
+    return {Class.empty() ? name : Class, "GET", 0};
+  }
 };
 
 /// An endpoint as it really is, not as anyone believes.
@@ -164,6 +173,8 @@
   bool isOpen(const std::string &a, const std::string &b) const;
 
   Random Rng;
+  /// Apart from the world's own, so that advice changes no session.
+  Random AdviceRng{1};
   Instant Now{std::chrono::seconds(10)};
   std::multimap<Instant, std::function<void()>> Queue;
   std::map<std::string, Node> Nodes;
