--- a/src/hickorygladectl/commands.cpp
+++ b/src/hickorygladectl/commands.cpp
@@ -157,9 +157,16 @@
     std::cout << report.dump() << std::endl;
     return;
   }
-  std::cout << "settings up to offset " << report["settings_next"] << ", log "
+  std::cout << "settings up to version " << report["settings_next"]
+            << ", in force for " << report["settings_in_force_ms"]
+            << " ms; their source is "
             << (report["log_reachable"].get<bool>() ? "reachable" : "away")
-            << "\n";
+            << ", heard " << report["source_heard_ms"] << " ms ago\n";
+  for (const json &it : report["own_endpoints"])
+    std::cout << "own " << textOf(it["name"]) << "  " << textOf(it["service"])
+              << "  " << it["busy"] << " of " << it["slots"] << " slots busy  "
+              << textOf(it["standing"]) << " for " << it["for_ms"]
+              << " ms: " << textOf(it["reason"]) << "\n";
   for (const json &member : report["members"]) {
     std::cout << textOf(member["node"]) << "  " << textOf(member["state"])
               << (member["leaving"].get<bool>() ? " leaving" : "") << "  "
--- a/src/hickorygladed/main.cpp
+++ b/src/hickorygladed/main.cpp
@@ -18,7 +18,8 @@
 
 constexpr int ExitUsage = 2;
 
-constexpr const char *Usage = R"(Usage: hickorygladed --settings FILE [--check]
+constexpr const char *Usage =
+    R"(Usage: hickorygladed --settings FILE [--check | --print-settings]
 
 Runs one node of a hickoryglade fleet until SIGTERM or SIGINT, then finishes
 what is in flight and exits. SIGHUP reads the settings again: the log level and
@@ -26,6 +27,8 @@
 
   -s, --settings FILE  settings of this node, JSON with comments
   -c, --check          check the settings and exit
+  -p, --print-settings print the settings in force, defaults included, as JSON
+                       and exit
   -h, --help           print this help and exit
   -V, --version        print the version and exit
 
@@ -36,6 +39,7 @@
 struct Options {
   std::string SettingsFile;
   bool IsCheck = false;
+  bool IsPrint = false;
 };
 
 /// Gives an exit status if the program should end at once.
@@ -43,12 +47,13 @@
   const option longOptions[] = {
       {"settings", required_argument, nullptr, 's'},
       {"check", no_argument, nullptr, 'c'},
+      {"print-settings", no_argument, nullptr, 'p'},
       {"help", no_argument, nullptr, 'h'},
       {"version", no_argument, nullptr, 'V'},
       {nullptr, 0, nullptr, 0},
   };
   int it = 0;
-  while ((it = getopt_long(argc, argv, "s:chV", longOptions, nullptr)) != -1) {
+  while ((it = getopt_long(argc, argv, "s:cphV", longOptions, nullptr)) != -1) {
     switch (it) {
     case 's':
       options.SettingsFile = optarg;
@@ -56,6 +61,9 @@
     case 'c':
       options.IsCheck = true;
       break;
+    case 'p':
+      options.IsPrint = true;
+      break;
     case 'h':
       std::cout << Usage;
       return 0;
@@ -132,6 +140,11 @@
     std::cout << options.SettingsFile << ": ok\n";
     return 0;
   }
+  if (options.IsPrint) {
+    constexpr int indent = 2;
+    std::cout << fleet::toJson(*settings).dump(indent) << "\n";
+    return 0;
+  }
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -44,6 +44,7 @@
   bool IsDone = false;
   std::string Endpoint;
   std::shared_ptr<ExchangeHandle> Handle = std::make_shared<ExchangeHandle>();
+  Instant ArrivedAt = now();
 };
 
 GateService::GateService(asio::any_io_executor ex, const NodeSettings &settings,
@@ -329,11 +330,15 @@
   if (!Dialect.ExpectedEndpointHeader.empty())
     request.Headers.push_back({Dialect.ExpectedEndpointHeader, endpoint});
   Instant start = now();
+  Counters.observeStage(exchange->Request.Service, Stage::Queued,
+                        start - exchange->ArrivedAt);
   EndpointCall call{it->second.Facts.Address, std::move(request),
                     exchange->Request.IsIdempotent, exchange->Request.Deadline};
   EndpointResult result =
       co_await Client.exchange(std::move(call), exchange->Handle);
   result.RunTime = now() - start;
+  Counters.observeStage(exchange->Request.Service, Stage::AtEndpoint,
+                        result.RunTime);
   finish(exchange, std::move(result));
 }
 
@@ -452,6 +457,21 @@
 
 void GateService::drainNow() { carryOut(drain(Kernel, now())); }
 
+nlohmann::json GateService::report() const {
+  auto all = nlohmann::json::array();
+  for (const auto &[name, it] : Kernel.Endpoints)
+    all.push_back({{"name", name},
+                   {"service", it.Facts.Service},
+                   {"address", it.Facts.Address},
+                   {"slots", it.Facts.Slots},
+                   {"busy", it.Holders.size()},
+                   {"standing", toString(it.State)},
+                   {"reason", it.StateReason},
+                   {"for_ms", toMillis(now() - it.StateSince).count()},
+                   {"heard_ms", toMillis(now() - it.LastHeard).count()}});
+  return all;
+}
+
 void GateService::publishEndpoints() {
   std::vector<EndpointRecord> records;
   for (const auto &[name, it] : Kernel.Endpoints) {
--- a/src/libfleet/gate/gateservice.h
+++ b/src/libfleet/gate/gateservice.h
@@ -9,6 +9,8 @@
 
 #include "fleet_types.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -45,6 +47,10 @@
   void applyEjection(const std::string &endpoint, std::optional<Instant> until);
   void applyView(const FleetViewPtr &view);
   void drainNow();
+
+  /// The endpoints of this node, with the reasons for their standing.
+  nlohmann::json report() const;
+
   bool idle() const { return isIdle(Kernel) && Exchanges.empty(); }
 
 private:
--- a/src/libfleet/node/adminfront.cpp
+++ b/src/libfleet/node/adminfront.cpp
@@ -138,10 +138,10 @@
       200, {{"generation", *generation}, {"heartbeat_ms", HeartbeatMs}});
 }
 
-HttpAnswer metricsAnswer(const Metrics &metrics) {
+HttpAnswer metricsAnswer(const Metrics &metrics, const NodeGauges &node) {
   HttpAnswer answer;
   answer.Headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
-  answer.Content = std::make_shared<const std::string>(metrics.text());
+  answer.Content = std::make_shared<const std::string>(metrics.text(node));
   return answer;
 }
 
@@ -162,13 +162,14 @@
     co_return co_await announce(request);
   if (target.starts_with("/v1/endpoints/") && request.Method == "DELETE")
     co_return withdraw(target);
-  if (target == "/metrics" && request.Method == "GET")
-    co_return metricsAnswer(Counters);
-  co_return co_await asio::co_spawn(Io, serveOperator(std::move(request)),
-                                    asio::use_awaitable);
+  json endpoints = Handlers.ReportGate();
+  co_return co_await asio::co_spawn(
+      Io, serveOperator(std::move(request), std::move(endpoints)),
+      asio::use_awaitable);
 }
 
-asio::awaitable<HttpAnswer> AdminFront::serveOperator(HttpRequest request) {
+asio::awaitable<HttpAnswer> AdminFront::serveOperator(HttpRequest request,
+                                                      json endpoints) {
   const std::string &target = request.Target;
   bool isGet = request.Method == "GET";
   if (target == "/v1/changes" && request.Method == "POST")
@@ -176,10 +177,27 @@
   if (target.starts_with(SettingsPath) && isGet)
     co_return settings(target);
   if (target == "/v1/status" && isGet)
-    co_return jsonAnswer(200, Owner.report());
+    co_return jsonAnswer(200, status(std::move(endpoints)));
+  if (target == "/metrics" && isGet)
+    co_return metricsAnswer(Counters, Owner.gauges());
   co_return fault(404, "no such resource");
 }
 
+asio::awaitable<HttpAnswer> AdminFront::serveMetrics(HttpRequest request) {
+  bool isAsked = request.Target == "/metrics" && request.Method == "GET";
+  if (!isAsked)
+    co_return fault(404, "no such resource");
+  co_return co_await asio::co_spawn(
+      Io, serveOperator(std::move(request), json::array()),
+      asio::use_awaitable);
+}
+
+json AdminFront::status(json endpoints) const {
+  json all = Owner.report();
+  all["own_endpoints"] = std::move(endpoints);
+  return all;
+}
+
 asio::awaitable<HttpAnswer> AdminFront::announce(const HttpRequest &request) {
   std::string reason;
   std::optional<Announcement> facts =
--- a/src/libfleet/node/adminfront.h
+++ b/src/libfleet/node/adminfront.h
@@ -4,6 +4,8 @@
 #include "libfleet/node/platformadapter.h"
 #include "libhickoryglade/announcement.h"
 
+#include <nlohmann/json.hpp>
+
 #include <functional>
 #include <memory>
 #include <optional>
@@ -27,6 +29,8 @@
     std::function<void(std::string)> OnWithdraw;
     /// As OnWithdraw, and tells once it is done.
     std::function<asio::awaitable<bool>(std::string)> OnDepart;
+    /// The endpoints of this node, with the reasons for their standing.
+    std::function<nlohmann::json()> ReportGate;
     /// Reads messages in the platform's words; may be empty.
     std::function<EndpointMessage(const HttpRequest &)> ParseMessage;
   };
@@ -36,11 +40,16 @@
 
   asio::awaitable<HttpAnswer> serve(HttpRequest request);
 
+  /// Takes questions for metrics only.
+  asio::awaitable<HttpAnswer> serveMetrics(HttpRequest request);
+
 private:
-  asio::awaitable<HttpAnswer> serveOperator(HttpRequest request);
+  asio::awaitable<HttpAnswer> serveOperator(HttpRequest request,
+                                            nlohmann::json endpoints);
   asio::awaitable<HttpAnswer> announce(const HttpRequest &request);
   asio::awaitable<HttpAnswer> takeMessage(EndpointMessage message);
   asio::awaitable<HttpAnswer> change(const HttpRequest &request);
+  nlohmann::json status(nlohmann::json endpoints) const;
   HttpAnswer withdraw(const std::string &target);
   HttpAnswer settings(const std::string &target) const;
 
--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -441,11 +441,25 @@
   for (const auto &[name, service] : view->Services)
     view->Root.MaxBodyBytes =
         std::max(view->Root.MaxBodyBytes, service.Policy.MaxBodyBytes);
-  Counters.setMembers(double(view->Nodes.size()));
   View = view;
   Handlers.OnView(View);
 }
 
+NodeGauges Control::gauges() const {
+  NodeGauges out;
+  for (MemberState it :
+       {MemberState::Alive, MemberState::Suspect, MemberState::Dead})
+    out.MembersByState[std::string(toString(it))] = 0;
+  for (const auto &[node, member] : Members.state().Members)
+    ++out.MembersByState[std::string(toString(member.State))];
+  out.SettingsVersion = double(Settings.state().Next);
+  out.SettingsInForce = now() - Settings.takenAt();
+  out.SinceSourceHeard = now() - Settings.heardAt();
+  out.IsSourceReachable = Settings.isLogReachable();
+  out.GossipBytes = double(Members.bytesSent());
+  return out;
+}
+
 nlohmann::json Control::report() const {
   json members = json::array();
   for (const auto &[node, member] : Members.state().Members)
@@ -464,15 +478,18 @@
       ejections.push_back({{"service", subject.Service},
                            {"endpoint", subject.Name},
                            {"holder", lease.Holder.Node}});
-  return {{"keepers", std::move(keepers)},
-          {"ejections", std::move(ejections)},
-          {"node", Facts.Node},
-          {"settings_next", Settings.state().Next},
-          {"gossip_bytes_sent", Members.bytesSent()},
-          {"settings_loaded", Settings.isLoaded()},
-          {"log_reachable", Settings.isLogReachable()},
-          {"members", std::move(members)},
-          {"quarantine", std::move(crashes)}};
+  return {
+      {"keepers", std::move(keepers)},
+      {"ejections", std::move(ejections)},
+      {"node", Facts.Node},
+      {"settings_next", Settings.state().Next},
+      {"gossip_bytes_sent", Members.bytesSent()},
+      {"settings_loaded", Settings.isLoaded()},
+      {"settings_in_force_ms", toMillis(now() - Settings.takenAt()).count()},
+      {"source_heard_ms", toMillis(now() - Settings.heardAt()).count()},
+      {"log_reachable", Settings.isLogReachable()},
+      {"members", std::move(members)},
+      {"quarantine", std::move(crashes)}};
 }
 
 } // namespace hickoryglade::fleet
--- a/src/libfleet/node/control.h
+++ b/src/libfleet/node/control.h
@@ -6,6 +6,7 @@
 #include "libfleet/node/platformadapter.h"
 #include "libfleet/peers/membershipservice.h"
 #include "libfleet/peers/peerlinks.h"
+#include "libfleet/reporting/metrics.h"
 #include "libfleet/settings/settingsservice.h"
 
 #include "libhickoryglade/gateaction.h"
@@ -18,8 +19,6 @@
 
 namespace hickoryglade::fleet {
 
-class Metrics;
-
 /// Owns what a node knows of the fleet, on the control thread: members,
 /// settings, crashes. Hands the traffic threads a view at each change.
 class Control {
@@ -57,6 +56,8 @@
   /// What operators are told.
   nlohmann::json report() const;
 
+  NodeGauges gauges() const;
+
   /// Answer to a peer that asks for the settings.
   wire::Snapshot snapshot() const;
 
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -85,6 +85,7 @@
   explicit Parts(NodeSettings settings);
 
   absl::Status start();
+  void startMetrics();
   bool stop();
   bool reload(const NodeSettings &settings);
   void applyView(const FleetViewPtr &view);
@@ -115,6 +116,7 @@
   std::unique_ptr<AdminFront> Admin;
   std::unique_ptr<HttpFront> AdminHttp;
   std::unique_ptr<HttpFront> ReadyHttp;
+  std::unique_ptr<HttpFront> MetricsHttp;
   const PlatformAdapter *Platform = nullptr;
   HttpDialect Dialect = ownDialect();
   std::atomic<bool> IsReady = false;
@@ -199,6 +201,7 @@
   adminEvents.OnDepart = [this](std::string name) {
     return depart(std::move(name));
   };
+  adminEvents.ReportGate = [this] { return Gate->report(); };
   if (Platform)
     adminEvents.ParseMessage = Platform->ParseEndpointMessage;
   Admin = std::make_unique<AdminFront>(control, *Brain, Counters,
@@ -211,6 +214,16 @@
        false}};
   AdminHttp = std::make_unique<HttpFront>(gateThread, Facts.AdminAddress,
                                           std::move(adminLanes), faultAnswer);
+  if (!Facts.MetricsAddress.empty())
+    MetricsHttp = std::make_unique<HttpFront>(
+        gateThread, Facts.MetricsAddress,
+        std::vector<HttpFront::Lane>{
+            {gateThread,
+             [this](HttpRequest request, std::shared_ptr<CallScope>) {
+               return Admin->serveMetrics(std::move(request));
+             },
+             false}},
+        faultAnswer);
   if (Facts.ReadyAddress.empty())
     return;
   std::vector<HttpFront::Lane> readyLanes{
@@ -338,6 +351,7 @@
   if (!status.ok())
     return status;
   AdminHttp->start();
+  startMetrics();
   if (Facts.AcceptsBeforeReady)
     Callers->start();
   if (ReadyHttp)
@@ -356,6 +370,18 @@
   return absl::OkStatus();
 }
 
+/// A node without metrics still serves.
+void Node::Parts::startMetrics() {
+  if (!MetricsHttp)
+    return;
+  absl::Status status = MetricsHttp->listen();
+  if (status.ok())
+    MetricsHttp->start();
+  else
+    logEvent(LogLevel::Error, "metrics_unavailable",
+             {{"reason", std::string(status.message())}});
+}
+
 bool Node::Parts::isQuiet() {
   bool isGateQuiet = Traffic[0]->call([this] { return Gate->idle(); });
   std::size_t inFlight = 0;
--- a/src/libfleet/node/nodesettings.cpp
+++ b/src/libfleet/node/nodesettings.cpp
@@ -128,6 +128,7 @@
   reader.readAddress("fleet", settings.FleetAddress, true);
   reader.readAddress("admin", settings.AdminAddress, true);
   reader.readAddress("ready", settings.ReadyAddress, false);
+  reader.readAddress("metrics", settings.MetricsAddress, false);
   reader.reportUnknown();
 }
 
@@ -205,6 +206,40 @@
 
 } // namespace
 
+json toJson(const NodeSettings &settings) {
+  json out = {{"node", settings.Node},
+              {"data_centre", settings.DataCentre},
+              {"advertise", settings.AdvertisedAddress},
+              {"seeds", settings.Seeds},
+              {"traffic_threads", settings.TrafficThreads},
+              {"drain_limit_ms", settings.DrainLimit.count()},
+              {"linger_ms", settings.Linger.count()},
+              {"announcement_limit_ms", settings.AnnouncementLimit.count()},
+              {"service", settings.Service},
+              {"accept_before_ready", settings.AcceptsBeforeReady},
+              {"log_level", settings.LogLevel},
+              {"listen",
+               {{"http", settings.HttpAddress},
+                {"fleet", settings.FleetAddress},
+                {"admin", settings.AdminAddress}}}};
+  if (!settings.ReadyAddress.empty())
+    out["listen"]["ready"] = settings.ReadyAddress;
+  if (!settings.MetricsAddress.empty())
+    out["listen"]["metrics"] = settings.MetricsAddress;
+  if (settings.Service.empty())
+    out.erase("service");
+  if (settings.Platform.empty())
+    out["log"] = {{"address", settings.LogAddress},
+                  {"prefix", settings.StreamPrefix},
+                  {"retention_ms", settings.LogRetention.count()}};
+  else
+    out["platform"] = {{"adapter", settings.Platform},
+                       {"address", settings.PlatformAddress},
+                       {"bounds", settings.PlatformBounds},
+                       {"root_defaults", settings.RootDefaults}};
+  return out;
+}
+
 NodeSettingsResult parseNodeSettings(const std::string &text) {
   NodeSettingsResult result;
   json root;
--- a/src/libfleet/node/nodesettings.h
+++ b/src/libfleet/node/nodesettings.h
@@ -24,6 +24,8 @@
   std::string AdminAddress;
   /// Where the platform asks whether the node takes callers; none if empty.
   std::string ReadyAddress;
+  /// Where metrics are read, besides the admin address; none if empty.
+  std::string MetricsAddress;
   /// Service whose endpoints run on this VM; endpoints are told it as the
   /// origin of requests.
   std::string Service;
@@ -58,6 +60,9 @@
   bool operator==(const NodeSettings &) const = default;
 };
 
+/// The settings as a file would name them, those left out included.
+nlohmann::json toJson(const NodeSettings &settings);
+
 struct NodeSettingsResult {
   NodeSettings Settings;
   std::vector<SettingsFault> Faults;
--- a/src/libfleet/reporting/metrics.cpp
+++ b/src/libfleet/reporting/metrics.cpp
@@ -6,6 +6,8 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <sys/resource.h>
+
 namespace hickoryglade::fleet {
 
 namespace {
@@ -25,6 +27,15 @@
       {});
 }
 
+double secondsOf(Micros time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+double secondsOf(const timeval &time) {
+  constexpr double microsPerSecond = 1e6;
+  return double(time.tv_sec) + double(time.tv_usec) / microsPerSecond;
+}
+
 } // namespace
 
 struct Metrics::Families {
@@ -45,10 +56,29 @@
                     .Name("hickoryglade_request_seconds")
                     .Help("Time from a request to its answer by service")
                     .Register(registry)),
-        Members(gauge(registry, "hickoryglade_members",
-                      "Members that are not known to be dead")),
-        SettingsNext(gauge(registry, "hickoryglade_settings_next_offset",
-                           "Offset up to which settings are in force")) {}
+        Stages(prometheus::BuildHistogram()
+                   .Name("hickoryglade_stage_seconds")
+                   .Help("Time of a request at a gate by service and stage")
+                   .Register(registry)),
+        Members(prometheus::BuildGauge()
+                    .Name("hickoryglade_members")
+                    .Help("Members by state")
+                    .Register(registry)),
+        SettingsVersion(gauge(registry, "hickoryglade_settings_version",
+                              "Version up to which settings are in force")),
+        SettingsInForce(gauge(registry,
+                              "hickoryglade_settings_in_force_seconds",
+                              "Time since the settings in force were taken")),
+        SourceHeard(gauge(registry, "hickoryglade_settings_heard_seconds",
+                          "Time since the settings' source last answered")),
+        SourceUp(gauge(registry, "hickoryglade_settings_source_up",
+                       "1 if the settings' source answered the last call")),
+        GossipBytes(gauge(registry, "hickoryglade_gossip_sent_bytes",
+                          "Bytes of membership messages sent since the start")),
+        ProcessorTime(gauge(registry, "process_cpu_seconds_total",
+                            "Processor time of the process")),
+        Memory(gauge(registry, "process_max_resident_memory_bytes",
+                     "Peak of the process's resident memory")) {}
 
   prometheus::Family<prometheus::Counter> &Answers;
   prometheus::Family<prometheus::Counter> &Errors;
@@ -57,8 +87,15 @@
   prometheus::Family<prometheus::Counter> &Settings;
   prometheus::Family<prometheus::Counter> &LogFailures;
   prometheus::Family<prometheus::Histogram> &Latency;
-  prometheus::Gauge &Members;
-  prometheus::Gauge &SettingsNext;
+  prometheus::Family<prometheus::Histogram> &Stages;
+  prometheus::Family<prometheus::Gauge> &Members;
+  prometheus::Gauge &SettingsVersion;
+  prometheus::Gauge &SettingsInForce;
+  prometheus::Gauge &SourceHeard;
+  prometheus::Gauge &SourceUp;
+  prometheus::Gauge &GossipBytes;
+  prometheus::Gauge &ProcessorTime;
+  prometheus::Gauge &Memory;
 };
 
 Metrics::Metrics()
@@ -74,6 +111,13 @@
   All->Latency.Add({{"service", service}}, LatencyBuckets).Observe(seconds);
 }
 
+void Metrics::observeStage(const std::string &service, Stage stage,
+                           Micros time) {
+  const char *name = stage == Stage::Queued ? "queued" : "endpoint";
+  All->Stages.Add({{"service", service}, {"stage", name}}, LatencyBuckets)
+      .Observe(secondsOf(time));
+}
+
 void Metrics::countError(const std::string &kind) {
   All->Errors.Add({{"kind", kind}}).Increment();
 }
@@ -94,11 +138,20 @@
   All->LogFailures.Add({{"call", what}}).Increment();
 }
 
-void Metrics::setMembers(double alive) { All->Members.Set(alive); }
-
-void Metrics::setSettingsNext(double offset) { All->SettingsNext.Set(offset); }
-
-std::string Metrics::text() const {
+std::string Metrics::text(const NodeGauges &node) const {
+  for (const auto &[state, n] : node.MembersByState)
+    All->Members.Add({{"state", state}}).Set(n);
+  All->SettingsVersion.Set(node.SettingsVersion);
+  All->SettingsInForce.Set(secondsOf(node.SettingsInForce));
+  All->SourceHeard.Set(secondsOf(node.SinceSourceHeard));
+  All->SourceUp.Set(node.IsSourceReachable ? 1 : 0);
+  All->GossipBytes.Set(node.GossipBytes);
+  rusage used{};
+  if (getrusage(RUSAGE_SELF, &used) == 0) {
+    constexpr double bytesPerUnit = 1'024;
+    All->ProcessorTime.Set(secondsOf(used.ru_utime) + secondsOf(used.ru_stime));
+    All->Memory.Set(double(used.ru_maxrss) * bytesPerUnit);
+  }
   return prometheus::TextSerializer().Serialize(Registry->Collect());
 }
 
--- a/src/libfleet/reporting/metrics.h
+++ b/src/libfleet/reporting/metrics.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "libhickoryglade/instant.h"
+
+#include <map>
 #include <memory>
 #include <string>
 
@@ -12,6 +15,19 @@
 
 namespace hickoryglade::fleet {
 
+/// Parts of a request's time at a gate.
+enum class Stage { Queued, AtEndpoint };
+
+/// What a node knows of itself at the time of a scrape.
+struct NodeGauges {
+  std::map<std::string, int> MembersByState;
+  double SettingsVersion = 0;
+  Micros SettingsInForce{0};
+  Micros SinceSourceHeard{0};
+  bool IsSourceReachable = false;
+  double GossipBytes = 0;
+};
+
 /// What a node counts. Safe to use from every thread.
 class Metrics {
 public:
@@ -21,16 +37,15 @@
   Metrics &operator=(const Metrics &) = delete;
 
   void countAnswer(const std::string &service, int status, double seconds);
+  void observeStage(const std::string &service, Stage stage, Micros time);
   void countError(const std::string &kind);
   void countRetry(const std::string &reason);
   void countStanding(const std::string &standing);
   void countSettings(const std::string &outcome);
   void countLogFailure(const std::string &what);
-  void setMembers(double alive);
-  void setSettingsNext(double offset);
 
-  /// Prometheus text format.
-  std::string text() const;
+  /// Prometheus text format, with figures of the process as they are now.
+  std::string text(const NodeGauges &node) const;
 
 private:
   struct Families;
--- a/src/libfleet/settings/settingsservice.cpp
+++ b/src/libfleet/settings/settingsservice.cpp
@@ -46,6 +46,21 @@
   asio::co_spawn(Io, refresh(), asio::detached);
 }
 
+void SettingsService::noteReachable(bool isReachable) {
+  IsReachable = isReachable;
+  if (isReachable)
+    HeardAt = now();
+}
+
+/// Notes when the version in force changed.
+void SettingsService::reportChange() {
+  if (ReportedNext != Folded.Next) {
+    ReportedNext = Folded.Next;
+    TakenAt = now();
+  }
+  Handlers.OnChange();
+}
+
 asio::awaitable<void> SettingsService::pause(Millis wait) {
   asio::steady_timer timer(Io, wait);
   co_await timer.async_wait(asio::use_awaitable);
@@ -57,8 +72,8 @@
   while (true) {
     Millis wait = Loaded ? PollWait : Millis(0);
     ReadResult result = co_await Reader.read(Folded.Next, wait);
-    IsReachable =
-        result.Status == LogStatus::Done || result.Status == LogStatus::Expired;
+    noteReachable(result.Status == LogStatus::Done ||
+                  result.Status == LogStatus::Expired);
     if (result.Status == LogStatus::Done) {
       backoff = FirstBackoff;
       FirstKept = result.First;
@@ -66,7 +81,7 @@
       Loaded = true;
       fold(result.Records);
       if (isFirst)
-        Handlers.OnChange();
+        reportChange();
       continue;
     }
     if (result.Status == LogStatus::Expired) {
@@ -91,7 +106,7 @@
       logEvent(LogLevel::Warn,
                update.IsReachable ? "store_regained" : "store_lost",
                {{"settings_next", Folded.Next}});
-    IsReachable = update.IsReachable;
+    noteReachable(update.IsReachable);
     takeDocument(update);
     if (IsReachable && Loaded) {
       backoff = FirstBackoff;
@@ -118,11 +133,10 @@
     return;
   Loaded = true;
   Counters.countSettings("accepted");
-  Counters.setSettingsNext(double(Folded.Next));
   logEvent(LogLevel::Info, "settings_taken",
            {{"version", update.Document->Version},
             {"values", update.Document->Values.size()}});
-  Handlers.OnChange();
+  reportChange();
 }
 
 /// Records have expired before this node read them: peers may know them.
@@ -155,8 +169,7 @@
   }
   if (records.empty())
     return;
-  Counters.setSettingsNext(double(Folded.Next));
-  Handlers.OnChange();
+  reportChange();
 }
 
 void SettingsService::merge(const SettingsState &peer) {
@@ -164,7 +177,7 @@
   bool isFirst = !Loaded;
   Loaded = true;
   if (isChanged || isFirst)
-    Handlers.OnChange();
+    reportChange();
 }
 
 asio::awaitable<std::optional<ChangeVerdict>>
--- a/src/libfleet/settings/settingsservice.h
+++ b/src/libfleet/settings/settingsservice.h
@@ -40,6 +40,11 @@
   bool isLoaded() const { return Loaded; }
   bool isLogReachable() const { return IsReachable; }
 
+  /// When the source of settings last answered.
+  Instant heardAt() const { return HeardAt; }
+  /// When the version in force was taken.
+  Instant takenAt() const { return TakenAt; }
+
   /// Takes over what a peer knows.
   void merge(const SettingsState &peer);
 
@@ -55,6 +60,8 @@
   asio::awaitable<void> refresh();
   RecordPlace oldestSafe() const;
   asio::awaitable<void> pause(Millis wait);
+  void noteReachable(bool isReachable);
+  void reportChange();
   void fold(const std::vector<LogRecord> &records);
   asio::awaitable<void> takeExpired(std::int64_t first);
 
@@ -70,6 +77,9 @@
   std::int64_t FirstKept = 0;
   bool Loaded = false;
   bool IsReachable = false;
+  Instant HeardAt;
+  Instant TakenAt;
+  std::int64_t ReportedNext = -1;
 };
 
 } // namespace hickoryglade::fleet
--- a/src/libhickoryglade/gateendpoint.h
+++ b/src/libhickoryglade/gateendpoint.h
@@ -34,6 +34,8 @@
   /// Silence after which the endpoint is taken for gone.
   Micros AnnouncementLimit = std::chrono::milliseconds(1'900);
   Standing State = Standing::Healthy;
+  /// Why the standing is what it is.
+  std::string StateReason = "announced";
   std::vector<SlotHolder> Holders;
   std::vector<DroppedRequest> Dropped;
   Instant LastCompletion;
--- a/src/libhickoryglade/gatehealth.cpp
+++ b/src/libhickoryglade/gatehealth.cpp
@@ -88,6 +88,7 @@
     return;
   endpoint.State = state;
   endpoint.StateSince = now;
+  endpoint.StateReason = reason;
   actions.push_back(
       StandingAction{endpoint.Facts.Name, state, std::move(reason)});
 }
--- a/tests/bench/loadtool.cpp
+++ b/tests/bench/loadtool.cpp
@@ -19,7 +19,7 @@
 /// Measures real processes on loopback: added latency against a direct call,
 /// control cost by size of the fleet, cost of nodes on a platform that get no
 /// requests.
-///   loadtool latency | control NODES | idle NODES
+///   loadtool latency | logs | control NODES | idle NODES
 
 namespace {
 
@@ -128,6 +128,38 @@
   return 0;
 }
 
+/// Processor time a request at a node that is entry and gate, in microseconds.
+double costOfRequest(const std::string &logLevel) {
+  TestFleet fleet;
+  fleet.setLogLevel(logLevel);
+  fleet.startLog();
+  for (const char *node : {"n1", "n2"})
+    fleet.startNode(node);
+  fleet.startEndpoint("e1", "n1");
+  fleet.publishDefaults();
+  fleet.awaitReady();
+  timeCalls(fleet.node("n1").Http, 500);
+  double before = cpuMs(fleet.process("n1").id());
+  timeCalls(fleet.node("n1").Http, Requests);
+  return (cpuMs(fleet.process("n1").id()) - before) * 1'000 / Requests;
+}
+
+/// Four lines a request with logs at info, none at error.
+int measureLogs() {
+  constexpr int Rounds = 5;
+  std::vector<double> with;
+  std::vector<double> without;
+  for (int i = 0; i < Rounds; ++i) {
+    with.push_back(costOfRequest("info"));
+    without.push_back(costOfRequest("error"));
+  }
+  double high = quantile(with, 0.5);
+  double low = quantile(without, 0.5);
+  std::printf("cpu per request: %.1f us with logs, %.1f us without: %.1f%%\n",
+              high, low, (high - low) / high * 100);
+  return 0;
+}
+
 int measureControl(int nodes) {
   TestFleet fleet;
   fleet.startLog();
@@ -195,8 +227,10 @@
     return measureLatency();
   if (what == "control" && argc > 2)
     return measureControl(std::atoi(argv[2]));
+  if (what == "logs")
+    return measureLogs();
   if (what == "idle" && argc > 2)
     return measureIdle(std::atoi(argv[2]));
-  std::cerr << "Usage: loadtool latency | control NODES | idle NODES\n";
+  std::cerr << "Usage: loadtool latency | logs | control NODES | idle NODES\n";
   return 2;
 }
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -1,3 +1,4 @@
+#include "libfleet/node/nodesettings.h"
 #include "libhickoryglade/random.h"
 #include "libhickoryglade/routetable.h"
 #include "platform/bounds.h"
@@ -155,6 +156,20 @@
   CHECK(std::holds_alternative<std::monostate>(parseEndpointMessage(other)));
 }
 
+TEST_CASE("settings that are printed are read again as they were") {
+  const std::string text = R"({"node": "n1", "data_centre": "dc-1",
+    "listen": {"http": "127.0.0.1:1", "fleet": "127.0.0.1:2",
+               "admin": "127.0.0.1:3", "metrics": "127.0.0.1:4"},
+    "log": {"address": "127.0.0.1:5"}, "linger_ms": 77})";
+  fleet::NodeSettingsResult read = fleet::parseNodeSettings(text);
+  REQUIRE(read.Faults.empty());
+  fleet::NodeSettingsResult again =
+      fleet::parseNodeSettings(fleet::toJson(read.Settings).dump());
+  CHECK(again.Faults.empty());
+  CHECK(again.Settings == read.Settings);
+  CHECK(again.Settings.MetricsAddress == "127.0.0.1:4");
+}
+
 TEST_CASE("records keep their keys and values") {
   std::string bytes = std::string(16, '\0') + encodeRecord({"k", "value"}) +
                       encodeRecord({"gone", ""});
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -224,3 +224,31 @@
   CHECK(fleet.process("n2").wait() == 0);
   CHECK(servedOf(fleet, 10) == 10);
 }
+
+TEST_CASE("status and metrics say what a node knows and why", "[platform]") {
+  PlatformFleet fleet;
+  startAll(fleet);
+  fleet.controlServer("n1", {{"fault", "reset"}});
+  for (int i = 0; i < 6; ++i)
+    fleet.call("n1", "GET", "/safe/x");
+  auto ask = [&](const std::string &target) {
+    return callOnce(fleet.node("n1").Admin, {"GET", target, {}, ""}, CallLimit);
+  };
+  json status = json::parse(ask("/v1/status").Body, nullptr, false);
+  REQUIRE(status.is_object());
+  CHECK(status["log_reachable"] == true);
+  CHECK(status["settings_in_force_ms"].get<std::int64_t>() > 0);
+  CHECK(status["source_heard_ms"].get<std::int64_t>() < 60'000);
+  REQUIRE(status["own_endpoints"].size() == 1);
+  CHECK(status["own_endpoints"][0]["standing"] != "healthy");
+  CHECK(status["own_endpoints"][0]["reason"].get<std::string>().size() > 5);
+  std::string metrics = ask("/metrics").Body;
+  for (const char *name :
+       {"hickoryglade_stage_seconds_bucket",
+        "hickoryglade_settings_source_up 1",
+        "hickoryglade_settings_in_force_seconds", "process_cpu_seconds_total",
+        "hickoryglade_members{state=\"alive\"} 3"}) {
+    INFO(name);
+    CHECK(metrics.find(name) != std::string::npos);
+  }
+}
--- a/tests/process/testfleet.cpp
+++ b/tests/process/testfleet.cpp
@@ -72,6 +72,7 @@
     seeds.push_back(addresses.Advertised);
   json settings = {
       {"node", name},
+      {"log_level", LogLevel},
       {"data_centre", "dc-1"},
       {"listen", {{"http", at.Http}, {"fleet", at.Fleet}, {"admin", at.Admin}}},
       {"advertise", at.Advertised},
--- a/tests/process/testfleet.h
+++ b/tests/process/testfleet.h
@@ -27,6 +27,9 @@
     std::string RelayControl;
   };
 
+  /// Level of the logs of nodes that are started from now on.
+  void setLogLevel(const std::string &level) { LogLevel = level; }
+
   void startLog();
   void startNode(const std::string &name, bool hasRelay = false);
   void startEndpoint(const std::string &name, const std::string &node,
@@ -77,6 +80,7 @@
   std::map<std::string, NodeAddresses> Nodes;
   std::map<std::string, std::string> Endpoints;
   FreeAddresses Addresses;
+  std::string LogLevel = "info";
 };
 
 /// A POST of non-idempotent work that is counted under a tag.
