--- a/src/libfleet/reporting/metrics.cpp
+++ b/src/libfleet/reporting/metrics.cpp
@@ -6,6 +6,9 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <map>
+#include <mutex>
+
 #include <sys/resource.h>
 
 namespace hickoryglade::fleet {
@@ -36,6 +39,14 @@
   return double(time.tv_sec) + double(time.tv_usec) / microsPerSecond;
 }
 
+/// The series of one service, looked up by their labels only once.
+struct ServiceSeries {
+  std::map<int, prometheus::Counter *> Answers;
+  prometheus::Histogram *Latency = nullptr;
+  prometheus::Histogram *Queued = nullptr;
+  prometheus::Histogram *AtEndpoint = nullptr;
+};
+
 } // namespace
 
 struct Metrics::Families {
@@ -80,6 +91,21 @@
         Memory(gauge(registry, "process_max_resident_memory_bytes",
                      "Peak of the process's resident memory")) {}
 
+  ServiceSeries &seriesOf(const std::string &service) {
+    auto [it, isNew] = Series.try_emplace(service);
+    if (isNew) {
+      ServiceSeries &series = it->second;
+      series.Latency = &Latency.Add({{"service", service}}, LatencyBuckets);
+      series.Queued = &Stages.Add({{"service", service}, {"stage", "queued"}},
+                                  LatencyBuckets);
+      series.AtEndpoint = &Stages.Add(
+          {{"service", service}, {"stage", "endpoint"}}, LatencyBuckets);
+    }
+    return it->second;
+  }
+
+  std::mutex Lock;
+  std::map<std::string, ServiceSeries> Series;
   prometheus::Family<prometheus::Counter> &Answers;
   prometheus::Family<prometheus::Counter> &Errors;
   prometheus::Family<prometheus::Counter> &Retries;
@@ -106,16 +132,22 @@
 
 void Metrics::countAnswer(const std::string &service, int status,
                           double seconds) {
-  All->Answers.Add({{"service", service}, {"status", std::to_string(status)}})
-      .Increment();
-  All->Latency.Add({{"service", service}}, LatencyBuckets).Observe(seconds);
+  std::lock_guard lock(All->Lock);
+  ServiceSeries &series = All->seriesOf(service);
+  prometheus::Counter *&answers = series.Answers[status];
+  if (!answers)
+    answers = &All->Answers.Add(
+        {{"service", service}, {"status", std::to_string(status)}});
+  answers->Increment();
+  series.Latency->Observe(seconds);
 }
 
 void Metrics::observeStage(const std::string &service, Stage stage,
                            Micros time) {
-  const char *name = stage == Stage::Queued ? "queued" : "endpoint";
-  All->Stages.Add({{"service", service}, {"stage", name}}, LatencyBuckets)
-      .Observe(secondsOf(time));
+  std::lock_guard lock(All->Lock);
+  ServiceSeries &series = All->seriesOf(service);
+  (stage == Stage::Queued ? series.Queued : series.AtEndpoint)
+      ->Observe(secondsOf(time));
 }
 
 void Metrics::countError(const std::string &kind) {
