gate: work spills only to doubtful endpoints that answer; one answer among failures does not clear one

Single answers among failures cleared such an endpoint for the next request. The gate now keeps the share of failures among an endpoint's latest outcomes. Kernel tests of both rules; they fail without them (rules absent: compile and behaviour).

--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -49,6 +49,9 @@
   17: i32 priority
   // Sent to the one gate at which all copies of suspect content meet.
   18: bool isSerialized
+  // Sent to a doubtful endpoint because those in good standing have no slot
+  // free.
+  19: bool isSpill
 }
 
 struct Grant {
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -570,6 +570,10 @@
 void Ticket::__set_isSerialized(const bool val) {
   this->isSerialized = val;
 }
+
+void Ticket::__set_isSpill(const bool val) {
+  this->isSpill = val;
+}
 std::ostream& operator<<(std::ostream& out, const Ticket& obj)
 {
   obj.printTo(out);
@@ -734,6 +738,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isSpill);
+          this->__isset.isSpill = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -819,6 +831,10 @@
   xfer += oprot->writeBool(this->isSerialized);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("isSpill", ::apache::thrift::protocol::T_BOOL, 19);
+  xfer += oprot->writeBool(this->isSpill);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -843,6 +859,7 @@
   swap(a.acceptsDoubtful, b.acceptsDoubtful);
   swap(a.priority, b.priority);
   swap(a.isSerialized, b.isSerialized);
+  swap(a.isSpill, b.isSpill);
   swap(a.__isset, b.__isset);
 }
 
@@ -864,6 +881,7 @@
   acceptsDoubtful = other12.acceptsDoubtful;
   priority = other12.priority;
   isSerialized = other12.isSerialized;
+  isSpill = other12.isSpill;
   __isset = other12.__isset;
 }
 Ticket::Ticket(Ticket&& other13) noexcept {
@@ -884,6 +902,7 @@
   acceptsDoubtful = other13.acceptsDoubtful;
   priority = other13.priority;
   isSerialized = other13.isSerialized;
+  isSpill = other13.isSpill;
   __isset = other13.__isset;
 }
 Ticket& Ticket::operator=(const Ticket& other14) {
@@ -904,6 +923,7 @@
   acceptsDoubtful = other14.acceptsDoubtful;
   priority = other14.priority;
   isSerialized = other14.isSerialized;
+  isSpill = other14.isSpill;
   __isset = other14.__isset;
   return *this;
 }
@@ -925,6 +945,7 @@
   acceptsDoubtful = other15.acceptsDoubtful;
   priority = other15.priority;
   isSerialized = other15.isSerialized;
+  isSpill = other15.isSpill;
   __isset = other15.__isset;
   return *this;
 }
@@ -948,6 +969,7 @@
   out << ", " << "acceptsDoubtful=" << to_string(acceptsDoubtful);
   out << ", " << "priority=" << to_string(priority);
   out << ", " << "isSerialized=" << to_string(isSerialized);
+  out << ", " << "isSpill=" << to_string(isSpill);
   out << ")";
 }
 
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -279,7 +279,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _Ticket__isset {
-  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), awaitsClaim(false), knownCrashes(false), onlyIfFree(false), isRepeat(false), acceptsDoubtful(false), priority(false), isSerialized(false) {}
+  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), awaitsClaim(false), knownCrashes(false), onlyIfFree(false), isRepeat(false), acceptsDoubtful(false), priority(false), isSerialized(false), isSpill(false) {}
   bool attemptId :1;
   bool workspace :1;
   bool serviceName :1;
@@ -297,6 +297,7 @@
   bool acceptsDoubtful :1;
   bool priority :1;
   bool isSerialized :1;
+  bool isSpill :1;
 } _Ticket__isset;
 
 class Ticket : public virtual ::apache::thrift::TBase {
@@ -323,7 +324,8 @@
            isRepeat(0),
            acceptsDoubtful(0),
            priority(0),
-           isSerialized(0) {
+           isSerialized(0),
+           isSpill(0) {
   }
 
   virtual ~Ticket() noexcept;
@@ -344,6 +346,7 @@
   bool acceptsDoubtful;
   int32_t priority;
   bool isSerialized;
+  bool isSpill;
 
   _Ticket__isset __isset;
 
@@ -381,6 +384,8 @@
 
   void __set_isSerialized(const bool val);
 
+  void __set_isSpill(const bool val);
+
   bool operator == (const Ticket & rhs) const
   {
     if (!(attemptId == rhs.attemptId))
@@ -417,6 +422,8 @@
       return false;
     if (!(isSerialized == rhs.isSerialized))
       return false;
+    if (!(isSpill == rhs.isSpill))
+      return false;
     return true;
   }
   bool operator != (const Ticket &rhs) const {
--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -308,6 +308,7 @@
   attempt.Id = inquiry.Id + "/" + std::to_string(number);
   attempt.AwaitsGrant = plan.AwaitsGrant;
   attempt.OnlyIfFree = plan.OnlyIfFree;
+  attempt.IsSpill = isSpill(all, plan);
   attempt.IsSerialized = isSerialized;
   attempt.Box = std::make_shared<StreamMailbox>(Executor);
   for (std::size_t i : plan.Targets) {
--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -60,6 +60,7 @@
   ticket.fingerprint = std::int64_t(inquiry.Fingerprint);
   ticket.knownCrashes = inquiry.Crashes;
   ticket.onlyIfFree = attempt.OnlyIfFree;
+  ticket.isSpill = attempt.IsSpill;
   ticket.awaitsClaim = attempt.AwaitsGrant;
   ticket.isRepeat = inquiry.Arrivals > 0;
   ticket.acceptsDoubtful = it.Gate.State != Standing::Healthy;
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -113,6 +113,7 @@
   out.AwaitsClaim = in.awaitsClaim;
   out.IsRepeat = in.isRepeat;
   out.AcceptsDoubtful = in.acceptsDoubtful;
+  out.IsSpill = in.isSpill;
   out.Priority = in.priority;
   out.IsSerialized = in.isSerialized;
   return out;
--- a/src/libhickoryglade/gateendpoint.h
+++ b/src/libhickoryglade/gateendpoint.h
@@ -40,6 +40,8 @@
   std::vector<DroppedRequest> Dropped;
   Instant LastCompletion;
   int ConsecutiveFailures = 0;
+  /// Share of failures among the latest outcomes.
+  double FailureShare = 0;
   /// Refusals in a row by the endpoint though it had a slot free.
   int ConsecutiveSheds = 0;
   /// False once nothing has been found listening at its address.
@@ -57,6 +59,10 @@
   std::optional<Instant> EjectedUntil;
 };
 
+/// Share of failures above which a doubtful endpoint gets trials only, while
+/// there are others in good standing, and one answer does not clear it.
+constexpr double MostFailureShare = 0.5;
+
 /// A request is overdue once it has taken this many times what entries have
 /// seen such requests take anywhere.
 constexpr int OverdueFactor = 6;
--- a/src/libhickoryglade/gatehealth.cpp
+++ b/src/libhickoryglade/gatehealth.cpp
@@ -15,6 +15,9 @@
 /// Answers that end a trial of an endpoint that has relapsed.
 constexpr int AnswersAfterRelapse = 2;
 
+/// Two failures in a row make more than half of the share.
+constexpr double LatestOutcomeWeight = 0.3;
+
 void fallIll(GateEndpoint &endpoint, const std::string &reason, bool isSick,
              Instant now, GateActions &actions) {
   if (endpoint.State == Standing::Trial)
@@ -35,12 +38,28 @@
   bool isOnTrial = endpoint.State == Standing::Trial && endpoint.Relapses > 0;
   if (isOnTrial && endpoint.TrialAnswers < AnswersAfterRelapse)
     return;
+  // Endpoints that fail most of their work answer some of it.
+  bool isStillFailing = endpoint.State == Standing::Suspect &&
+                        endpoint.FailureShare > MostFailureShare;
+  if (isStillFailing)
+    return;
+  endpoint.FailureShare = 0;
   endpoint.RecoveredAt = now;
   setStanding(endpoint, Standing::Healthy, "completes work", now, actions);
   actions.push_back(
       EjectionAction{endpoint.Facts.Name, endpoint.Facts.Service, false});
 }
 
+void noteShare(GateEndpoint &endpoint, bool isFailure) {
+  endpoint.FailureShare +=
+      ((isFailure ? 1.0 : 0.0) - endpoint.FailureShare) * LatestOutcomeWeight;
+}
+
+void countFailure(GateEndpoint &endpoint) {
+  ++endpoint.ConsecutiveFailures;
+  noteShare(endpoint, true);
+}
+
 /// Idempotent work of a stalled endpoint is handed back, so that the entry
 /// can run it elsewhere.
 void handBack(const GateEndpoint &endpoint, const ServicePolicy &policy,
@@ -150,12 +169,13 @@
     ++endpoint.Completions;
     endpoint.ConsecutiveFailures = 0;
     endpoint.ConsecutiveSheds = 0;
+    noteShare(endpoint, false);
     if (endpoint.State != Standing::Draining)
       recover(endpoint, now, actions);
     return;
   case AttemptOutcome::ServerError:
     endpoint.LastCompletion = now;
-    ++endpoint.ConsecutiveFailures;
+    countFailure(endpoint);
     return;
   case AttemptOutcome::Shed:
     endpoint.LastCompletion = now;
@@ -164,25 +184,25 @@
   case AttemptOutcome::Crashed:
     blame(gate, endpoint, holder.Request.Fingerprint, now, actions);
     endpoint.IsListening = false;
-    ++endpoint.ConsecutiveFailures;
+    countFailure(endpoint);
     return;
   case AttemptOutcome::Unreachable:
     endpoint.IsListening = false;
-    ++endpoint.ConsecutiveFailures;
+    countFailure(endpoint);
     return;
   case AttemptOutcome::Broken:
     std::erase_if(endpoint.Dropped, [&](const DroppedRequest &it) {
       return now - it.At >= DroppedMemory;
     });
     endpoint.Dropped.push_back({holder.Request.Fingerprint, now});
-    ++endpoint.ConsecutiveFailures;
+    countFailure(endpoint);
     return;
   case AttemptOutcome::Failed:
-    ++endpoint.ConsecutiveFailures;
+    countFailure(endpoint);
     return;
   case AttemptOutcome::TimedOut:
     if (isTellingTimeout(endpoint, holder, now))
-      ++endpoint.ConsecutiveFailures;
+      countFailure(endpoint);
     return;
   case AttemptOutcome::Cancelled:
     return;
@@ -196,6 +216,7 @@
   endpoint.IsListening = true;
   endpoint.ConsecutiveFailures = 0;
   endpoint.ConsecutiveSheds = 0;
+  endpoint.FailureShare = 0;
   endpoint.Completions = 0;
   endpoint.LastCompletion = now;
   endpoint.EjectedUntil.reset();
--- a/src/libhickoryglade/gaterules.cpp
+++ b/src/libhickoryglade/gaterules.cpp
@@ -44,7 +44,11 @@
                 const Ticket &ticket) {
   bool isDoubtful =
       endpoint.State == Standing::Suspect || endpoint.State == Standing::Trial;
-  return isDoubtful && service.Gates > 1 && !ticket.AcceptsDoubtful;
+  if (!isDoubtful || service.Gates <= 1)
+    return false;
+  bool isFailing = endpoint.State == Standing::Suspect &&
+                   endpoint.FailureShare > MostFailureShare;
+  return !ticket.AcceptsDoubtful || (ticket.IsSpill && isFailing);
 }
 
 bool mayTake(const GateEndpoint &endpoint, const GateService &service,
--- a/src/libhickoryglade/routerpolicy.cpp
+++ b/src/libhickoryglade/routerpolicy.cpp
@@ -59,6 +59,15 @@
   return {};
 }
 
+bool isSpill(std::span<const Candidate> candidates, const RoutePlan &plan) {
+  bool isDoubtful = std::ranges::any_of(plan.Targets, [&](std::size_t i) {
+    return candidates[i].State == Standing::Suspect;
+  });
+  return isDoubtful && std::ranges::any_of(candidates, [](const auto &it) {
+           return it.IsPathUp && !it.WasTried && it.State == Standing::Healthy;
+         });
+}
+
 RoutePlan planSerialized(std::span<const Candidate> candidates,
                          std::uint64_t fingerprint) {
   auto it = std::ranges::max_element(candidates, {}, [&](const auto &c) {
--- a/src/libhickoryglade/routerpolicy.h
+++ b/src/libhickoryglade/routerpolicy.h
@@ -63,6 +63,10 @@
   bool operator==(const RoutePlan &) const = default;
 };
 
+/// True if a plan goes to doubtful endpoints though some in good standing have
+/// not been tried.
+bool isSpill(std::span<const Candidate> candidates, const RoutePlan &plan);
+
 /// Chooses gates. Registered under the names that settings use.
 struct RouterPolicy {
   RoutePlan (*Plan)(std::span<const Candidate> candidates,
--- a/src/libhickoryglade/ticket.h
+++ b/src/libhickoryglade/ticket.h
@@ -32,6 +32,8 @@
   bool IsRepeat = false;
   /// True if the entry knows that the endpoint is doubtful or on trial.
   bool AcceptsDoubtful = false;
+  /// True if it comes because endpoints in good standing have no slot free.
+  bool IsSpill = false;
   /// True if its entry has sent it to the one gate at which all copies of
   /// suspect content meet.
   bool IsSerialized = false;
--- a/tests/kernel/test_doubt.cpp
+++ b/tests/kernel/test_doubt.cpp
@@ -94,6 +94,37 @@
   CHECK(refusal(actions) == ErrorKind::EndpointDoubtful);
 }
 
+TEST_CASE("work spills to an endpoint that answers, not to one that fails") {
+  Gate gate = strictGate();
+  failOnce(gate, 10);
+  Ticket spill = ticket("1");
+  spill.AcceptsDoubtful = true;
+  spill.IsSpill = true;
+  REQUIRE(isStarted(offer(gate, spill, at(20))));
+  complete(gate, "1", AttemptOutcome::Broken, at(30));
+  spill.AttemptId = "2";
+  CHECK(refusal(offer(gate, spill, at(40))) == ErrorKind::EndpointDoubtful);
+  Ticket last = ticket("3");
+  last.AcceptsDoubtful = true;
+  CHECK(isStarted(offer(gate, last, at(50))));
+}
+
+TEST_CASE("one answer among failures does not clear an endpoint") {
+  Gate gate = strictGate();
+  for (int ms : {10, 15, 20, 25, 30})
+    failOnce(gate, ms);
+  Ticket it = ticket("1");
+  it.AcceptsDoubtful = true;
+  REQUIRE(isStarted(offer(gate, it, at(40))));
+  complete(gate, "1", AttemptOutcome::Answered, at(50));
+  CHECK(standingOf(gate) == Standing::Suspect);
+  Gate other = strictGate();
+  failOnce(other, 10);
+  REQUIRE(isStarted(offer(other, it, at(40))));
+  complete(other, "1", AttemptOutcome::Answered, at(50));
+  CHECK(standingOf(other) == Standing::Healthy);
+}
+
 TEST_CASE("after a rest, idempotent work tries a doubtful endpoint") {
   Gate gate = strictGate();
   failOnce(gate, 0);
--- a/tests/world/world.cpp
+++ b/tests/world/world.cpp
@@ -34,6 +34,7 @@
   std::string Chosen;
   bool AwaitsGrant = false;
   bool OnlyIfFree = false;
+  bool IsSpill = false;
   bool IsSerialized = false;
   /// Gates that the entry knows to be doubtful.
   std::set<std::string> Doubtful;
@@ -245,6 +246,7 @@
   attempt->Id = call->Id + "/" + std::to_string(call->Attempts);
   attempt->AwaitsGrant = plan.AwaitsGrant;
   attempt->OnlyIfFree = plan.OnlyIfFree;
+  attempt->IsSpill = isSpill(all, plan);
   attempt->IsSerialized = rule == QuarantineRule::Serialized;
   for (std::size_t i : plan.Targets) {
     attempt->Gates.insert(all[i].Node);
@@ -277,6 +279,7 @@
   ticket.KnownCrashes = has(Mechanism::Quarantine) ? call.Crashes : 0;
   ticket.AwaitsClaim = attempt.AwaitsGrant;
   ticket.OnlyIfFree = attempt.OnlyIfFree;
+  ticket.IsSpill = attempt.IsSpill;
   ticket.IsSerialized = attempt.IsSerialized;
   return ticket;
 }
