--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -89,8 +89,7 @@
 
 Control::Control(asio::io_context &io, const NodeSettings &settings,
                  std::int64_t bootId, Metrics &metrics, Events events)
-    : Io(io), Facts(settings), BootId(bootId), Counters(metrics),
-      Handlers(std::move(events)),
+    : Io(io), Facts(settings), BootId(bootId), Handlers(std::move(events)),
       Links(io.get_executor(),
             makeHello(settings.Node, bootId, settings.DataCentre)),
       Members(io, settings.FleetAddress,
--- a/src/libfleet/node/control.h
+++ b/src/libfleet/node/control.h
@@ -83,7 +83,6 @@
   asio::io_context &Io;
   NodeSettings Facts;
   std::int64_t BootId;
-  Metrics &Counters;
   Events Handlers;
   PeerLinks Links;
   MembershipService Members;
