--- a/src/libfleet/settings/settingsservice.cpp
+++ b/src/libfleet/settings/settingsservice.cpp
@@ -173,7 +173,8 @@
 }
 
 void SettingsService::merge(const SettingsState &peer) {
-  bool isChanged = mergeSnapshot(Folded, peer);
+  bool isChanged =
+      Source ? takeSnapshot(Folded, peer) : mergeSnapshot(Folded, peer);
   bool isFirst = !Loaded;
   Loaded = true;
   if (isChanged || isFirst)
--- a/src/libhickoryglade/settingslog.cpp
+++ b/src/libhickoryglade/settingslog.cpp
@@ -196,6 +196,19 @@
   return isChanged;
 }
 
+bool takeSnapshot(SettingsState &state, const SettingsState &peer) {
+  if (peer.Next <= state.Next)
+    return false;
+  state.Next = peer.Next;
+  // A peer that has started since knows nothing of values dropped before.
+  for (auto &[path, node] : state.Tree.Nodes)
+    if (!node.Value.is_null() && !peer.Tree.Nodes.contains(path))
+      node = {nullptr, peer.Next - 1};
+  for (const auto &[path, node] : peer.Tree.Nodes)
+    state.Tree.Nodes[path] = node;
+  return true;
+}
+
 std::vector<SettingsFault> checkDocument(const SettingsDocument &document) {
   std::vector<SettingsFault> faults;
   for (const auto &[path, value] : document.Values)
--- a/tests/kernel/test_documents.cpp
+++ b/tests/kernel/test_documents.cpp
@@ -54,6 +54,20 @@
   CHECK_FALSE(replaceTree(behind, document(6, "a")));
 }
 
+TEST_CASE("a peer that has just started drops what its document has dropped") {
+  SettingsState behind;
+  replaceTree(behind, document(4, "a"));
+  SettingsState fresh;
+  replaceTree(fresh, document(11, "b"));
+  CHECK(takeSnapshot(behind, fresh));
+  CHECK(serviceAt(behind) == "w/b");
+  CHECK(RouteTable(behind.Tree).size() == 1);
+  SettingsState old;
+  replaceTree(old, document(4, "a"));
+  CHECK_FALSE(takeSnapshot(behind, old));
+  CHECK(serviceAt(behind) == "w/b");
+}
+
 TEST_CASE("a document with any bad value is refused") {
   SettingsDocument bad = document(1, "a");
   bad.Values["/"]["timeout_ms"] = "long";
