--- /dev/null
+++ b/tests/world/worldattempt.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "world/world.h"
+
+#include <set>
+#include <string>
+
+namespace hickoryglade::world {
+
+/// Qualified name of the one service.
+inline const std::string Service = "w/s";
+
+/// One try of a call, as its entry sees it.
+struct World::Attempt {
+  std::shared_ptr<Call> Request;
+  std::string Id;
+  /// Gates at which a ticket or the request itself waits.
+  std::set<std::string> Gates;
+  /// The gate that has the body.
+  std::string Chosen;
+  bool AwaitsGrant = false;
+  bool OnlyIfFree = false;
+  bool IsSpill = false;
+  bool IsSerialized = false;
+  /// Gates that the entry knows to be doubtful.
+  std::set<std::string> Doubtful;
+  bool IsSettled = false;
+  std::string Endpoint;
+  bool HasResult = false;
+  Told Result = Told::Nothing;
+  Error ResultError;
+};
+
+} // namespace hickoryglade::world
--- /dev/null
+++ b/tests/world/worldentry.cpp
@@ -0,0 +1,254 @@
+#include "world/worldattempt.h"
+
+#include "libhickoryglade/registry.h"
+
+#include <algorithm>
+
+/// The world's entries: they choose gates, send calls, and settle what became
+/// of them.
+
+namespace hickoryglade::world {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Micros SilenceLimit = milliseconds(700);
+constexpr Micros ResolvePeriod = milliseconds(100);
+constexpr Micros Grace = milliseconds(30);
+constexpr Micros LoadTerm = milliseconds(500);
+
+} // namespace
+
+std::vector<Candidate> World::candidates(Node &node, const Call &call) {
+  std::vector<Candidate> all;
+  for (const auto &[name, other] : Nodes) {
+    Candidate it;
+    it.Node = name;
+    bool isAny = false;
+    int best = 9;
+    for (const auto &[endpoint, real] : Endpoints) {
+      if (real.Node != name)
+        continue;
+      auto belief = node.Beliefs.find(endpoint);
+      if (belief == node.Beliefs.end() || belief->second == Standing::Draining)
+        continue;
+      isAny = true;
+      it.Slots += real.Slots;
+      constexpr int Ranks[] = {0, 2, 3, 1, 4};
+      int rank = Ranks[int(belief->second)];
+      if (rank < best) {
+        best = rank;
+        it.State = belief->second;
+      }
+    }
+    if (!isAny)
+      continue;
+    it.IsLocal = name == node.Name;
+    it.WasTried = call.Tried.contains(name);
+    it.IsPathUp = Now >= node.DownUntil[name];
+    it.Outstanding = node.Outstanding[name];
+    bool isFresh = Now - node.LoadAt[name] < LoadTerm;
+    it.FreeSlots = isFresh ? node.Loads[name].FreeSlots
+                           : std::max(it.Slots - it.Outstanding, 0);
+    it.Queued = isFresh ? node.Loads[name].Queued : 0;
+    all.push_back(it);
+  }
+  return all;
+}
+
+std::shared_ptr<Call> World::call(Call request) {
+  auto it = std::make_shared<Call>(std::move(request));
+  it->Start = Now;
+  Calls.push_back(it);
+  Node &node = Nodes.at(it->Entry);
+  node.Budget.noteFresh(Policy.RetryBudgetPercent);
+  at(it->Deadline + Grace, [this, it] {
+    if (it->Outcome == Told::Nothing)
+      finish(it, Told::Unknown, ErrorKind::DeadlineExceeded);
+  });
+  deliver(it->Entry, [this, it] { tryOnce(it); });
+  return it;
+}
+
+void World::finish(const std::shared_ptr<Call> &call, Told told,
+                   ErrorKind kind) {
+  if (call->Outcome != Told::Nothing)
+    return;
+  call->Outcome = told;
+  call->Kind = kind;
+  call->End = Now;
+}
+
+void World::tryOnce(const std::shared_ptr<Call> &call) {
+  if (call->Outcome != Told::Nothing)
+    return;
+  Node &node = Nodes.at(call->Entry);
+  ++call->Attempts;
+  int known = has(Mechanism::Quarantine) ? call->Crashes : 0;
+  QuarantineRule rule =
+      ruleFor(node.Door.Crashes, call->Fingerprint, Now, known);
+  if (rule == QuarantineRule::Refused)
+    return giveUp(call, makeError(ErrorKind::Quarantined));
+  std::vector<Candidate> all = candidates(node, *call);
+  const auto *router = Registry<RouterPolicy>::instance().find(Policy.Router);
+  RoutePlan plan =
+      router->Plan(all,
+                   {call->IsLong, call->IsIdempotent, call->HasMissed,
+                    rule == QuarantineRule::Serialized, call->Fingerprint},
+                   node.Door.Rng);
+  if (plan.Targets.empty())
+    return giveUp(call, makeError(ErrorKind::NoEndpoint));
+  auto attempt = std::make_shared<Attempt>();
+  attempt->Request = call;
+  attempt->Id = call->Id + "/" + std::to_string(call->Attempts);
+  attempt->AwaitsGrant = plan.AwaitsGrant;
+  attempt->OnlyIfFree = plan.OnlyIfFree;
+  attempt->IsSpill = isSpill(all, plan);
+  attempt->IsSerialized = rule == QuarantineRule::Serialized;
+  for (std::size_t i : plan.Targets) {
+    attempt->Gates.insert(all[i].Node);
+    if (all[i].State != Standing::Healthy)
+      attempt->Doubtful.insert(all[i].Node);
+  }
+  for (const std::string &gate : std::set<std::string>(attempt->Gates)) {
+    ++node.Outstanding[gate];
+    if (!plan.AwaitsGrant)
+      attempt->Chosen = gate;
+    offerAt(attempt, gate);
+  }
+  at(Now + SilenceLimit, [this, attempt] { watch(attempt); });
+}
+
+Ticket World::ticketFor(const Attempt &attempt) const {
+  const Call &call = *attempt.Request;
+  Ticket ticket;
+  ticket.AttemptId = attempt.Id;
+  ticket.Workspace = call.Workspace;
+  ticket.Service = Service;
+  ticket.Deadline = call.Deadline;
+  CostEstimate cost =
+      Nodes.at(call.Entry).Costs.estimate(call.costClass(), Policy.LongAfter);
+  ticket.ExpectedCost = cost.Expected;
+  ticket.IsLong = cost.IsLong;
+  ticket.IsIdempotent = call.IsIdempotent;
+  ticket.Fingerprint = call.Fingerprint;
+  ticket.Priority = call.Priority;
+  ticket.KnownCrashes = has(Mechanism::Quarantine) ? call.Crashes : 0;
+  ticket.AwaitsClaim = attempt.AwaitsGrant;
+  ticket.OnlyIfFree = attempt.OnlyIfFree;
+  ticket.IsSpill = attempt.IsSpill;
+  ticket.IsSerialized = attempt.IsSerialized;
+  return ticket;
+}
+
+void World::offerAt(const AttemptPtr &attempt, const std::string &gate) {
+  Ticket ticket = ticketFor(*attempt);
+  ticket.AcceptsDoubtful = attempt->Doubtful.contains(gate);
+  send(attempt->Request->Entry, gate, [this, attempt, gate, ticket] {
+    Node &node = Nodes.at(gate);
+    node.Here[attempt->Id] = attempt;
+    carryOut(node, offer(node.Door, ticket, Now));
+  });
+}
+
+void World::claimAt(const AttemptPtr &attempt, const std::string &gate) {
+  send(attempt->Request->Entry, gate, [this, attempt, gate] {
+    Node &node = Nodes.at(gate);
+    carryOut(node, claim(node.Door, attempt->Id, Now));
+  });
+}
+
+void World::withdrawFrom(const AttemptPtr &attempt, const std::string &gate) {
+  if (attempt->Gates.erase(gate) == 0)
+    return;
+  --Nodes.at(attempt->Request->Entry).Outstanding[gate];
+}
+
+void World::refused(const AttemptPtr &attempt, const std::string &gate,
+                    const Error &error) {
+  if (attempt->IsSettled)
+    return;
+  bool isChosen = attempt->Chosen == gate;
+  withdrawFrom(attempt, gate);
+  if (isChosen || (attempt->Chosen.empty() && attempt->Gates.empty()))
+    settle(attempt,
+           error.Run == RunState::NotRun ? Told::NotRun : Told::Unknown, error);
+}
+
+void World::settle(const AttemptPtr &attempt, Told told, const Error &error) {
+  if (attempt->IsSettled)
+    return;
+  attempt->IsSettled = true;
+  for (const std::string &gate : std::set<std::string>(attempt->Gates))
+    withdrawFrom(attempt, gate);
+  const std::shared_ptr<Call> &call = attempt->Request;
+  if (told == Told::Answered)
+    return finish(call, told, ErrorKind::Internal);
+  if (error.Kind != ErrorKind::SlotTaken && !attempt->Chosen.empty())
+    call->Tried.insert(attempt->Chosen);
+  call->HasMissed = call->HasMissed || error.Kind == ErrorKind::SlotTaken;
+  if (error.Kind == ErrorKind::ContentSuspect)
+    call->Crashes = std::max(call->Crashes, 1);
+  call->MayHaveRun = call->MayHaveRun || error.Run == RunState::Unknown;
+  bool isSafe = call->IsIdempotent || !has(Mechanism::Retry);
+  call->FreeTries += isFreeRetry(error.Kind);
+  RetryAnswer answer =
+      decideRetry({error, isSafe, call->Attempts - call->FreeTries,
+                   call->Deadline - Now, Micros(0)},
+                  Nodes.at(call->Entry).Budget);
+  if (answer.Verdict == RetryVerdict::Retry && call->FreeTries < MostFreeTries)
+    return tryOnce(call);
+  giveUp(call, error);
+}
+
+void World::giveUp(const std::shared_ptr<Call> &call, const Error &error) {
+  bool isUnknown = finalError(error, call->MayHaveRun).Run == RunState::Unknown;
+  if (call->Outcome == Told::Nothing)
+    call->RetryAfter = retryAdvice(error.RetryAfter,
+                                   toMillis(call->Deadline - Now), AdviceRng);
+  finish(call, isUnknown ? Told::Unknown : Told::NotRun, error.Kind);
+}
+
+/// A silent link: the entry asks over a fresh one what became of its attempt.
+void World::watch(const AttemptPtr &attempt) {
+  const std::shared_ptr<Call> &call = attempt->Request;
+  if (attempt->IsSettled || call->Outcome != Told::Nothing)
+    return;
+  std::string entry = call->Entry;
+  std::string gate =
+      attempt->Chosen.empty() ? *attempt->Gates.begin() : attempt->Chosen;
+  bool isSilent = !isOpen(entry, gate) || !isOpen(gate, entry);
+  Node &own = Nodes.at(entry);
+  if (isSilent) {
+    own.DownUntil[gate] = Now + milliseconds(500);
+    if (!has(Mechanism::Fence))
+      return settle(attempt, Told::NotRun,
+                    {ErrorKind::GateLost, RunState::NotRun, {}, {}});
+    if (attempt->Chosen.empty()) {
+      withdrawFrom(attempt, gate);
+      if (attempt->Gates.empty())
+        return settle(attempt, Told::NotRun,
+                      {ErrorKind::GateLost, RunState::NotRun, {}, {}});
+    }
+  } else if (!attempt->Chosen.empty()) {
+    send(entry, gate, [this, attempt, gate, entry] {
+      Node &home = Nodes.at(gate);
+      GateActions actions;
+      StartState state =
+          revoke(home.Door, attempt->Id, Now + seconds(60), Now, actions);
+      carryOut(home, actions);
+      send(gate, entry, [this, attempt, state] {
+        if (state == StartState::Fenced)
+          settle(attempt, Told::NotRun,
+                 {ErrorKind::GateLost, RunState::NotRun, {}, {}});
+        if (state == StartState::Finished)
+          settle(attempt, attempt->Result, attempt->ResultError);
+      });
+    });
+  }
+  at(Now + ResolvePeriod, [this, attempt] { watch(attempt); });
+}
+
+} // namespace hickoryglade::world
--- /dev/null
+++ b/tests/world/worldgate.cpp
@@ -0,0 +1,195 @@
+#include "world/worldattempt.h"
+
+#include "libhickoryglade/registry.h"
+
+#include <algorithm>
+
+/// The world's gates: what the kernel asks for is carried out at the endpoints.
+
+namespace hickoryglade::world {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Micros RestartTime = milliseconds(1'500);
+
+} // namespace
+
+void World::carryOut(Node &node, const GateActions &actions) {
+  for (const GateAction &it : actions)
+    carryOutOne(node, it);
+}
+
+void World::carryOutOne(Node &node, const GateAction &action) {
+  auto find = [&](const std::string &id) {
+    auto it = node.Here.find(id);
+    return it == node.Here.end() ? nullptr : it->second;
+  };
+  if (const auto *start = std::get_if<StartAction>(&action)) {
+    if (AttemptPtr it = find(start->AttemptId))
+      startWork(node, it, start->Endpoint);
+  } else if (const auto *grant = std::get_if<GrantAction>(&action)) {
+    AttemptPtr it = find(grant->AttemptId);
+    std::string gate = node.Name;
+    if (it)
+      send(gate, it->Request->Entry, [this, it, gate] {
+        bool isLate = it->IsSettled || !it->Chosen.empty();
+        if (isLate) {
+          send(it->Request->Entry, gate, [this, it, gate] {
+            Node &home = Nodes.at(gate);
+            carryOut(home, cancel(home.Door, it->Id, Now));
+          });
+          return;
+        }
+        it->Chosen = gate;
+        for (const std::string &other : std::set<std::string>(it->Gates))
+          if (other != gate) {
+            withdrawFrom(it, other);
+            send(it->Request->Entry, other, [this, it, other] {
+              Node &home = Nodes.at(other);
+              carryOut(home, cancel(home.Door, it->Id, Now));
+            });
+          }
+        claimAt(it, gate);
+      });
+  } else if (const auto *refusal = std::get_if<RefuseAction>(&action)) {
+    AttemptPtr it = find(refusal->AttemptId);
+    std::string gate = node.Name;
+    GateLoad load = loadOf(node.Door, Service, Now);
+    if (it)
+      send(gate, it->Request->Entry,
+           [this, it, gate, load, reason = refusal->Reason] {
+             Node &entry = Nodes.at(it->Request->Entry);
+             entry.Loads[gate] = load;
+             entry.LoadAt[gate] = Now;
+             refused(it, gate, reason);
+           });
+  } else if (const auto *abort = std::get_if<AbortAction>(&action)) {
+    if (AttemptPtr it = find(abort->AttemptId)) {
+      AttemptOutcome outcome = abort->Reason.Kind == ErrorKind::DeadlineExceeded
+                                   ? AttemptOutcome::TimedOut
+                                   : AttemptOutcome::Failed;
+      endWork(node, it, it->Endpoint, outcome);
+    }
+  } else if (const auto *standing = std::get_if<StandingAction>(&action)) {
+    note(standing->Endpoint + " " + std::string(toString(standing->State)) +
+         ": " + standing->Reason);
+  } else if (const auto *ejection = std::get_if<EjectionAction>(&action)) {
+    if (ejection->IsWanted)
+      node.Ejecting.insert(ejection->Endpoint);
+    else
+      node.Ejecting.erase(ejection->Endpoint);
+  } else if (const auto *crashed = std::get_if<CrashAction>(&action)) {
+    if (!has(Mechanism::Quarantine)) {
+      node.Door.Crashes.Records.clear();
+      return;
+    }
+    spreadCrash(node.Name, crashed->Fingerprint,
+                node.Door.Crashes.Records[crashed->Fingerprint]);
+  }
+}
+
+/// Who hears news passes it on.
+void World::spreadCrash(const std::string &from, std::uint64_t fingerprint,
+                        const CrashRecord &record) {
+  for (const auto &[name, other] : Nodes)
+    if (name != from)
+      send(from, name, [this, name, fingerprint, record] {
+        if (mergeCrash(Nodes.at(name).Door.Crashes, fingerprint, record))
+          spreadCrash(name, fingerprint, record);
+      });
+}
+
+void World::startWork(Node &node, const AttemptPtr &attempt,
+                      const std::string &name) {
+  RealEndpoint &endpoint = Endpoints.at(name);
+  attempt->Endpoint = name;
+  const std::shared_ptr<Call> &call = attempt->Request;
+  if (!endpoint.IsUp)
+    return endWork(node, attempt, name, AttemptOutcome::Unreachable);
+  if (call->Runs++ == 0)
+    call->FirstRun = Now;
+  endpoint.Running[attempt->Id] = node.Name;
+  if (Now - endpoint.LeftAt > seconds(2) && endpoint.LeftAt != Instant::max())
+    ++endpoint.StartsAfterLeaving;
+  if (call->IsPoison) {
+    at(Now + milliseconds(2), [this, name] { crash(Endpoints.at(name)); });
+    return;
+  }
+  auto done = std::make_shared<std::function<void()>>();
+  int incarnation = endpoint.Incarnation;
+  *done = [this, attempt, name, incarnation, done] {
+    RealEndpoint &it = Endpoints.at(name);
+    if (!it.Running.contains(attempt->Id) || it.Incarnation != incarnation)
+      return;
+    if (it.IsStalled)
+      return at(Now + milliseconds(20), *done);
+    std::string home = it.Running.at(attempt->Id);
+    deliver(home, [this, attempt, name, home] {
+      endWork(Nodes.at(home), attempt, name, AttemptOutcome::Answered);
+    });
+  };
+  at(Now + call->Work, *done);
+}
+
+void World::crash(RealEndpoint &endpoint) {
+  if (!endpoint.IsUp)
+    return;
+  endpoint.IsUp = false;
+  ++endpoint.Crashes;
+  ++endpoint.Incarnation;
+  note(endpoint.Name + " crashed");
+  auto running = std::move(endpoint.Running);
+  endpoint.Running.clear();
+  for (const auto &[id, home] : running)
+    deliver(home, [this, id = id, home = home, name = endpoint.Name] {
+      Node &node = Nodes.at(home);
+      auto it = node.Here.find(id);
+      if (it != node.Here.end())
+        endWork(node, it->second, name, AttemptOutcome::Crashed);
+    });
+  at(Now + RestartTime,
+     [this, name = endpoint.Name] { Endpoints.at(name).IsUp = true; });
+}
+
+void World::endWork(Node &node, const AttemptPtr &attempt,
+                    const std::string &name, AttemptOutcome outcome) {
+  if (attempt->HasResult)
+    return;
+  attempt->HasResult = true;
+  auto real = Endpoints.find(name);
+  if (real != Endpoints.end())
+    real->second.Running.erase(attempt->Id);
+  bool isAnswer = outcome == AttemptOutcome::Answered;
+  bool neverRan = outcome == AttemptOutcome::Unreachable &&
+                  real != Endpoints.end() && !real->second.IsUp;
+  attempt->Result = isAnswer   ? Told::Answered
+                    : neverRan ? Told::NotRun
+                               : Told::Unknown;
+  attempt->ResultError = {outcome == AttemptOutcome::TimedOut
+                              ? ErrorKind::DeadlineExceeded
+                              : ErrorKind::EndpointFailed,
+                          neverRan ? RunState::NotRun : RunState::Unknown,
+                          {},
+                          {}};
+  GateActions actions = complete(node.Door, attempt->Id, outcome, Now);
+  GateLoad load = loadOf(node.Door, Service, Now);
+  Micros runTime = Now - attempt->Request->FirstRun;
+  bool isCrash = outcome == AttemptOutcome::Crashed;
+  std::string gate = node.Name;
+  send(gate, attempt->Request->Entry,
+       [this, attempt, gate, load, isAnswer, runTime, isCrash] {
+         Node &entry = Nodes.at(attempt->Request->Entry);
+         entry.Loads[gate] = load;
+         entry.LoadAt[gate] = Now;
+         attempt->Request->Crashes += isCrash;
+         if (isAnswer && attempt->Request->Runs == 1)
+           entry.Costs.observe(attempt->Request->costClass(), runTime);
+         settle(attempt, attempt->Result, attempt->ResultError);
+       });
+  carryOut(node, actions);
+}
+
+} // namespace hickoryglade::world
