--- a/tests/bench/cresttable.cpp
+++ b/tests/bench/overloadtable.cpp
@@ -1,11 +1,11 @@
-#include "world/crest.h"
+#include "world/overload.h"
 
 #include <cstdio>
 #include <cstdlib>
 
-/// Compares ways to place, order and refuse requests at a crest, on virtual
+/// Compares ways to place, order and refuse requests at an overload, on virtual
 /// time: the same arrivals from one seed for each way.
-///   cresttable [SEED]
+///   overloadtable [SEED]
 
 namespace {
 
@@ -41,15 +41,15 @@
               "wasted");
   for (double load : {1.2, 2.0, 4.0})
     for (const Way &way : Ways) {
-      Crest crest;
-      crest.Kinds = usualKinds();
-      crest.CrestLoad = load;
-      crest.Policy.Router = way.Router;
-      crest.Policy.Order = way.Order;
-      crest.Policy.Admission = way.Admission;
-      crest.Policy.LongSlotsPercent = 100;
-      crest.Policy.TargetLatency = Millis(800);
-      for (const CrestFigures &it : playCrest(crest, seed))
+      Overload overload;
+      overload.Kinds = usualKinds();
+      overload.PeakLoad = load;
+      overload.Policy.Router = way.Router;
+      overload.Policy.Order = way.Order;
+      overload.Policy.Admission = way.Admission;
+      overload.Policy.LongSlotsPercent = 100;
+      overload.Policy.TargetLatency = Millis(800);
+      for (const OverloadFigures &it : playOverload(overload, seed))
         std::printf("%-9.1f %-41s %-7s %8.3f %8.3f %8.3f %8.1f %8.1f %8.3f\n",
                     load, way.Name, it.Kind.c_str(), it.InTarget, it.Answered,
                     it.Refused, it.RefusalMs50, it.RefusalMs99, it.Wasted);
--- a/tests/scenarios/test_crest.cpp
+++ b/tests/scenarios/test_overload.cpp
@@ -1,4 +1,4 @@
-#include "world/crest.h"
+#include "world/overload.h"
 
 #include <catch2/catch.hpp>
 
@@ -9,66 +9,69 @@
 
 namespace {
 
-/// Share of a kind's requests that a less urgent kind may be ahead.
+/// Share of requests by which a less urgent kind may be answered more often.
 constexpr double OrderSlack = 0.05;
 
-/// Part of its target latency within which a caller is to hear of a refusal.
+/// A refusal is prompt within the target latency divided by this.
 constexpr double PromptPart = 8;
 
-Crest crestOf(double load) {
-  Crest crest;
-  crest.Kinds = usualKinds();
-  crest.CrestLoad = load;
-  crest.Policy.LongSlotsPercent = 100;
-  return crest;
+Overload overloadOf(double load) {
+  Overload overload;
+  overload.Kinds = usualKinds();
+  overload.PeakLoad = load;
+  overload.Policy.LongSlotsPercent = 100;
+  return overload;
 }
 
 std::string loadName(double load) { return "load " + std::to_string(load); }
 
 } // namespace
 
-TEST_CASE("at a crest no kind is served behind a less urgent one", "[crest]") {
+TEST_CASE("under overload no kind is served less often than a less urgent one",
+          "[overload]") {
   for (double load : {1.2, 2.0, 4.0})
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
       INFO(loadName(load) << " seed " << seed);
-      std::vector<CrestFigures> all = playCrest(crestOf(load), seed);
+      std::vector<OverloadFigures> all = playOverload(overloadOf(load), seed);
       for (std::size_t i = 1; i < all.size(); ++i)
         CHECK(all[i - 1].Answered >= all[i].Answered - OrderSlack);
     }
 }
 
-TEST_CASE("urgent work that fits into the slots is served through a crest",
-          "[crest]") {
+TEST_CASE("urgent work that fits into the slots is served under overload",
+          "[overload]") {
   // The urgent kind offers 15% of the work: at twice the capacity that is less
   // than a third of the slots.
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
     INFO("seed " << seed);
-    std::vector<CrestFigures> all = playCrest(crestOf(2.0), seed);
+    std::vector<OverloadFigures> all = playOverload(overloadOf(2.0), seed);
     CHECK(all[0].InTarget >= 0.95);
   }
 }
 
-TEST_CASE("refusals at a crest are prompt and say when to come back",
-          "[crest]") {
+TEST_CASE(
+    "most refusals under overload come at once, all say when to come back",
+    "[overload]") {
   for (double load : {2.0, 4.0})
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
       INFO(loadName(load) << " seed " << seed);
-      std::vector<CrestKind> kinds = usualKinds();
-      std::vector<CrestFigures> all = playCrest(crestOf(load), seed);
+      std::vector<RequestKind> kinds = usualKinds();
+      std::vector<OverloadFigures> all = playOverload(overloadOf(load), seed);
       for (std::size_t i = 0; i < all.size(); ++i) {
         INFO(all[i].Kind);
         if (all[i].Refused == 0)
           continue;
         CHECK(all[i].RefusalMs50 <= kinds[i].TargetMs / PromptPart);
-        CHECK(all[i].Paying == 1);
+        CHECK(all[i].UsefulAdvice == 1);
       }
     }
 }
 
-TEST_CASE("slots at a crest go to requests that are answered", "[crest]") {
+TEST_CASE("slots under overload go to requests that are answered",
+          "[overload]") {
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
     INFO("seed " << seed);
-    for (const CrestFigures &it : playCrest(crestOf(4.0), seed))
+    for (const OverloadFigures &it : playOverload(overloadOf(4.0), seed))
       CHECK(it.Wasted <= 0.01);
   }
 }
--- a/tests/world/crest.cpp
+++ b/tests/world/overload.cpp
@@ -1,4 +1,4 @@
-#include "world/crest.h"
+#include "world/overload.h"
 
 #include <algorithm>
 #include <functional>
@@ -30,28 +30,29 @@
 
 class Play {
 public:
-  Play(const Crest &crest, std::uint64_t seed)
-      : Form(crest), It(seed), Begin(It.now() + Settling),
+  Play(const Overload &overload, std::uint64_t seed)
+      : Form(overload), It(seed), Begin(It.now() + Settling),
         Rise(Begin + Warming), Fall(Rise + Lasting), End(Fall + Ending) {
     for (int i = 0; i < Nodes; ++i) {
       std::string number = std::to_string(i);
       It.addNode("n" + number);
       It.addEndpoint("e" + number, "n" + number, Slots);
     }
-    It.setPolicy(crest.Policy);
-    for (const CrestKind &kind : crest.Kinds)
+    It.setPolicy(overload.Policy);
+    for (const RequestKind &kind : overload.Kinds)
       TotalWeight += kind.Weight;
-    for (const CrestKind &kind : crest.Kinds)
+    for (const RequestKind &kind : overload.Kinds)
       MeanWorkMs += double(kind.WorkMs) * kind.Weight / TotalWeight;
   }
 
-  std::vector<CrestFigures> run() {
+  std::vector<OverloadFigures> run() {
     It.runUntil(Begin);
     arrive();
     It.runUntil(End + seconds(5));
-    std::vector<CrestFigures> all;
-    std::ranges::transform(Form.Kinds, std::back_inserter(all),
-                           [this](const CrestKind &it) { return measure(it); });
+    std::vector<OverloadFigures> all;
+    std::ranges::transform(
+        Form.Kinds, std::back_inserter(all),
+        [this](const RequestKind &it) { return measure(it); });
     return all;
   }
 
@@ -59,14 +60,14 @@
   void arrive() {
     if (It.now() >= End)
       return;
-    bool isCrest = It.now() >= Rise && It.now() < Fall;
-    double load = isCrest ? Form.CrestLoad : Form.Load;
+    bool isPeak = It.now() >= Rise && It.now() < Fall;
+    double load = isPeak ? Form.PeakLoad : Form.Load;
     double perMicro = load * Nodes * Slots / MeanWorkMs / 1'000;
     std::exponential_distribution<double> gap(perMicro);
     Micros wait(1 + std::int64_t(gap(It.rng())));
     It.at(It.now() + wait, [this] { arrive(); });
     Call call;
-    const CrestKind &kind = pickKind();
+    const RequestKind &kind = pickKind();
     call.Id = std::to_string(++Count);
     call.Entry = "n" + std::to_string(uniform(It.rng(), Nodes));
     call.Class = kind.Name;
@@ -78,9 +79,9 @@
     It.call(call);
   }
 
-  const CrestKind &pickKind() {
+  const RequestKind &pickKind() {
     auto left = int(uniform(It.rng(), std::uint64_t(TotalWeight)));
-    for (const CrestKind &kind : Form.Kinds) {
+    for (const RequestKind &kind : Form.Kinds) {
       left -= kind.Weight;
       if (left < 0)
         return kind;
@@ -88,8 +89,8 @@
     return Form.Kinds.back();
   }
 
-  CrestFigures measure(const CrestKind &kind) const {
-    CrestFigures out;
+  OverloadFigures measure(const RequestKind &kind) const {
+    OverloadFigures out;
     out.Kind = kind.Name;
     std::vector<double> refusals;
     for (const auto &call : It.calls()) {
@@ -108,11 +109,11 @@
       refusals.push_back(msOf(took));
       bool isEarly = call->RetryAfter > Millis(0) &&
                      call->RetryAfter < Millis(kind.TimeoutMs);
-      out.Paying += isEarly;
+      out.UsefulAdvice += isEarly;
     }
     double n = std::max(out.Requests, 1);
     double refused = std::max<double>(double(refusals.size()), 1);
-    out.Paying /= refused;
+    out.UsefulAdvice /= refused;
     out.Answered /= n;
     out.InTarget /= n;
     out.Wasted /= n;
@@ -122,7 +123,7 @@
     return out;
   }
 
-  const Crest &Form;
+  const Overload &Form;
   World It;
   Instant Begin;
   Instant Rise;
@@ -135,11 +136,12 @@
 
 } // namespace
 
-std::vector<CrestFigures> playCrest(const Crest &crest, std::uint64_t seed) {
-  return Play(crest, seed).run();
+std::vector<OverloadFigures> playOverload(const Overload &overload,
+                                          std::uint64_t seed) {
+  return Play(overload, seed).run();
 }
 
-std::vector<CrestKind> usualKinds() {
+std::vector<RequestKind> usualKinds() {
   return {{"order", 0, 500, 1'200, 130, 2},
           {"charge", 1, 800, 2'000, 190, 5},
           {"view", 2, 800, 1'500, 250, 2}};
--- a/tests/world/crest.h
+++ b/tests/world/overload.h
@@ -7,9 +7,9 @@
 
 namespace hickoryglade::world {
 
-/// A kind of request in a crest; work is spread evenly from half to one and a
-/// half times its mean.
-struct CrestKind {
+/// A kind of request in an overload; work is spread evenly from half to one and
+/// a half times its mean.
+struct RequestKind {
   std::string Name;
   int Priority = 0;
   int TargetMs = 0;
@@ -21,16 +21,16 @@
 
 /// Several kinds of requests compete for the slots of one service, at a load
 /// that rises beyond its capacity and falls again.
-struct Crest {
-  std::vector<CrestKind> Kinds;
-  /// Offered work as a share of capacity, outside and inside the crest.
+struct Overload {
+  std::vector<RequestKind> Kinds;
+  /// Offered work as a share of capacity, outside and inside the overload.
   double Load = 0.6;
-  double CrestLoad = 2.0;
+  double PeakLoad = 2.0;
   ServicePolicy Policy;
 };
 
-/// What callers of one kind got during the crest, as shares of its requests.
-struct CrestFigures {
+/// What callers of one kind got during the overload, as shares of its requests.
+struct OverloadFigures {
   std::string Kind;
   int Requests = 0;
   double InTarget = 0;
@@ -40,18 +40,19 @@
   double RefusalMs50 = 0;
   double RefusalMs99 = 0;
   /// Refusals that name a time to come back, within the caller's own time.
-  double Paying = 0;
+  double UsefulAdvice = 0;
   /// Requests that ran and whose callers got no answer.
   double Wasted = 0;
 
-  bool operator==(const CrestFigures &) const = default;
+  bool operator==(const OverloadFigures &) const = default;
 };
 
 /// Figures by kind, in the order of the kinds; the same for the same seed.
-std::vector<CrestFigures> playCrest(const Crest &crest, std::uint64_t seed);
+std::vector<OverloadFigures> playOverload(const Overload &overload,
+                                          std::uint64_t seed);
 
 /// Three kinds like those of a service that sells: urgent and short, usual,
 /// and slow ones that can wait.
-std::vector<CrestKind> usualKinds();
+std::vector<RequestKind> usualKinds();
 
 } // namespace hickoryglade::world
