fleet: one function takes an address, one makes the frame of an answer

They stood twice, in front and link server, and in gate and relay. No change of behaviour; status names an endpoint's last announcement announced_ms_ago.

--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -385,15 +385,9 @@
   auto channel = ref.Channel.lock();
   if (!channel || !channel->isOpen())
     return;
-  wire::Frame frame;
+  wire::Frame frame =
+      toFrame(*result.Answer, endpoint, wireLoad(service), result.RunTime);
   frame.stream = ref.Stream;
-  frame.answer.status = result.Answer->Status;
-  frame.answer.headers = toWire(result.Answer->Headers);
-  frame.answer.bodyBytes = std::int64_t(result.Answer->Content->size());
-  frame.answer.endpoint = endpoint;
-  frame.answer.load = wireLoad(service);
-  frame.answer.runUs = result.RunTime.count();
-  frame.__isset.answer = true;
   channel->send(std::move(frame));
   channel->sendBody(ref.Stream, result.Answer->Content);
 }
@@ -461,15 +455,16 @@
 nlohmann::json GateService::report() const {
   auto all = nlohmann::json::array();
   for (const auto &[name, it] : Kernel.Endpoints)
-    all.push_back({{"name", name},
-                   {"service", it.Facts.Service},
-                   {"address", it.Facts.Address},
-                   {"slots", it.Facts.Slots},
-                   {"busy", it.Holders.size()},
-                   {"standing", toString(it.State)},
-                   {"reason", it.StateReason},
-                   {"for_ms", toMillis(now() - it.StateSince).count()},
-                   {"heard_ms", toMillis(now() - it.LastHeard).count()}});
+    all.push_back(
+        {{"name", name},
+         {"service", it.Facts.Service},
+         {"address", it.Facts.Address},
+         {"slots", it.Facts.Slots},
+         {"busy", it.Holders.size()},
+         {"standing", toString(it.State)},
+         {"reason", it.StateReason},
+         {"for_ms", toMillis(now() - it.StateSince).count()},
+         {"announced_ms_ago", toMillis(now() - it.LastHeard).count()}});
   return all;
 }
 
--- a/src/libfleet/http/httpfront.cpp
+++ b/src/libfleet/http/httpfront.cpp
@@ -1,7 +1,7 @@
 #include "libfleet/http/httpfront.h"
 
-#include "libfleet/base/address.h"
 #include "libfleet/base/clock.h"
+#include "libfleet/base/listening.h"
 #include "libfleet/reporting/logging.h"
 
 #include <boost/beast/core.hpp>
@@ -222,22 +222,7 @@
       Lanes(std::move(lanes)), OnFault(std::move(onFault)),
       IsStopping(std::make_shared<std::atomic<bool>>(false)) {}
 
-absl::Status HttpFront::listen() {
-  std::optional<fleet::Address> parsed = parseAddress(Address);
-  if (!parsed)
-    return absl::InvalidArgumentError("not an address: " + Address);
-  tcp::endpoint at(asio::ip::make_address(parsed->Ip), parsed->Port);
-  error_code ec;
-  Acceptor.open(at.protocol(), ec);
-  if (!ec)
-    Acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-  if (!ec)
-    Acceptor.bind(at, ec);
-  if (ec)
-    return absl::UnavailableError("cannot listen on " + Address + ": " +
-                                  ec.message());
-  return absl::OkStatus();
-}
+absl::Status HttpFront::listen() { return takeAddress(Acceptor, Address); }
 
 void HttpFront::start() {
   error_code ec;
--- a/src/libfleet/peers/gateclient.cpp
+++ b/src/libfleet/peers/gateclient.cpp
@@ -100,6 +100,19 @@
     OnStreamCount(Streams.size());
 }
 
+wire::Frame toFrame(const HttpAnswer &answer, const std::string &endpoint,
+                    const wire::Load &load, Micros runTime) {
+  wire::Frame frame;
+  frame.answer.status = answer.Status;
+  frame.answer.headers = toWire(answer.Headers);
+  frame.answer.bodyBytes = std::int64_t(answer.Content->size());
+  frame.answer.endpoint = endpoint;
+  frame.answer.load = load;
+  frame.answer.runUs = runTime.count();
+  frame.__isset.answer = true;
+  return frame;
+}
+
 std::vector<HttpHeader> fromWire(const std::vector<wire::Header> &headers) {
   std::vector<HttpHeader> all;
   std::ranges::transform(headers, std::back_inserter(all),
--- a/src/libfleet/peers/gateclient.h
+++ b/src/libfleet/peers/gateclient.h
@@ -86,6 +86,10 @@
   std::int64_t NextStream = 1;
 };
 
+/// The frame that begins an answer; its body follows apart.
+wire::Frame toFrame(const HttpAnswer &answer, const std::string &endpoint,
+                    const wire::Load &load, Micros runTime);
+
 std::vector<HttpHeader> fromWire(const std::vector<wire::Header> &headers);
 std::vector<wire::Header> toWire(const std::vector<HttpHeader> &headers);
 
--- a/src/libfleet/peers/linkserver.cpp
+++ b/src/libfleet/peers/linkserver.cpp
@@ -1,6 +1,6 @@
 #include "libfleet/peers/linkserver.h"
 
-#include "libfleet/base/address.h"
+#include "libfleet/base/listening.h"
 
 namespace hickoryglade::fleet {
 
@@ -10,18 +10,11 @@
       Handler(std::move(handler)), Acceptor(ex) {}
 
 absl::Status LinkServer::start() {
-  std::optional<fleet::Address> parsed = parseAddress(Address);
-  if (!parsed)
-    return absl::InvalidArgumentError("not an address: " + Address);
-  tcp::endpoint at(asio::ip::make_address(parsed->Ip), parsed->Port);
+  absl::Status status = takeAddress(Acceptor, Address);
+  if (!status.ok())
+    return status;
   error_code ec;
-  Acceptor.open(at.protocol(), ec);
-  if (!ec)
-    Acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
-  if (!ec)
-    Acceptor.bind(at, ec);
-  if (!ec)
-    Acceptor.listen(asio::socket_base::max_listen_connections, ec);
+  Acceptor.listen(asio::socket_base::max_listen_connections, ec);
   if (ec)
     return absl::UnavailableError("cannot listen on " + Address + ": " +
                                   ec.message());
--- a/src/libfleet/peers/revokerelay.cpp
+++ b/src/libfleet/peers/revokerelay.cpp
@@ -10,18 +10,13 @@
 
 namespace {
 
-/// The frame that hands on a gate's word; a lost path is told as such.
+/// The frame that passes a gate's reply on, or says that there is none.
 wire::Frame frameFor(const StreamEvent &event) {
+  if (const auto *answer = std::get_if<AnswerEvent>(&event.Content))
+    return toFrame(answer->Answer, answer->Endpoint, answer->Load,
+                   answer->RunTime);
   wire::Frame frame;
-  if (const auto *answer = std::get_if<AnswerEvent>(&event.Content)) {
-    frame.answer.status = answer->Answer.Status;
-    frame.answer.headers = toWire(answer->Answer.Headers);
-    frame.answer.bodyBytes = std::int64_t(answer->Answer.Content->size());
-    frame.answer.endpoint = answer->Endpoint;
-    frame.answer.load = answer->Load;
-    frame.answer.runUs = answer->RunTime.count();
-    frame.__isset.answer = true;
-  } else if (const auto *failure = std::get_if<wire::Failure>(&event.Content)) {
+  if (const auto *failure = std::get_if<wire::Failure>(&event.Content)) {
     frame.__set_failure(*failure);
   } else {
     const auto *revoked = std::get_if<RevokedEvent>(&event.Content);
@@ -49,8 +44,8 @@
   std::string attempt = question.attemptId;
   std::string gate = question.askedNode;
   std::optional<StreamEvent> event = co_await ask(std::move(question));
-  StreamEvent word = event ? std::move(*event) : StreamEvent{0, LostEvent{}};
-  wire::Frame frame = frameFor(word);
+  StreamEvent reply = event ? std::move(*event) : StreamEvent{0, LostEvent{}};
+  wire::Frame frame = frameFor(reply);
   logEvent(
       LogLevel::Info, "gate_asked_for_peer",
       {{"request", attempt.substr(0, attempt.rfind('/'))},
@@ -65,7 +60,7 @@
   channel->send(std::move(frame));
   if (hasBody)
     channel->sendBody(stream,
-                      std::get<AnswerEvent>(word.Content).Answer.Content);
+                      std::get<AnswerEvent>(reply.Content).Answer.Content);
 }
 
 /// Nothing if the gate cannot be reached or says nothing in time.
