--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -218,7 +218,7 @@
     verdict = verdictOf(attempt, *event);
     withdraw(attempt, target);
   }
-  for (const Attempt::Errand &it : attempt.Errands)
+  for (const Attempt::RelayedQuestion &it : attempt.Relayed)
     if (it.Client)
       it.Client->forget(it.Stream);
   if (verdict)
@@ -227,7 +227,7 @@
                       DefaultRetryAfter);
 }
 
-/// What a gate's word means for the attempt; nothing if it has to be asked
+/// What a gate's reply means for the attempt; nothing if it has to be asked
 /// again.
 std::optional<EntryResult> Entry::verdictOf(Attempt &attempt,
                                             StreamEvent &event) const {
@@ -262,7 +262,7 @@
   co_return true;
 }
 
-/// Paths between nodes may be cut one by one: each node is sent once.
+/// Paths between nodes may be cut one by one: each node is asked once.
 asio::awaitable<bool> Entry::askThroughPeer(Attempt &attempt,
                                             std::size_t target) {
   std::string helper = pickHelper(attempt, target);
@@ -270,7 +270,7 @@
   if (view == View->Nodes.end())
     co_return false;
   NodeView at = view->second;
-  attempt.Errands.push_back({helper, nullptr, 0});
+  attempt.Relayed.push_back({helper, nullptr, 0});
   auto client = co_await Links.connect(helper, at, attempt.Request->Deadline);
   logEvent(LogLevel::Info, "gate_asked_through_peer",
            {{"request", attempt.Request->Id},
@@ -280,11 +280,11 @@
             {"reached", client != nullptr}});
   if (!client)
     co_return false;
-  Attempt::Errand &errand = attempt.Errands.back();
-  errand.Client = client;
-  errand.Stream = client->open(attempt.Box, target);
+  Attempt::RelayedQuestion &question = attempt.Relayed.back();
+  question.Client = client;
+  question.Stream = client->open(attempt.Box, target);
   wire::Frame frame;
-  frame.stream = errand.Stream;
+  frame.stream = question.Stream;
   frame.revoke = attempt.question(target);
   frame.revoke.askedNode = attempt.Targets[target].Gate.Node;
   frame.__isset.revoke = true;
@@ -295,9 +295,9 @@
 std::string Entry::pickHelper(const Attempt &attempt, std::size_t target) {
   std::vector<std::string> all;
   for (const auto &[node, view] : View->Nodes) {
-    bool isUsed =
-        std::ranges::find(attempt.Errands, node, &Attempt::Errand::Node) !=
-        attempt.Errands.end();
+    bool isUsed = std::ranges::find(attempt.Relayed, node,
+                                    &Attempt::RelayedQuestion::Node) !=
+                  attempt.Relayed.end();
     bool isEnd = node == Node || node == attempt.Targets[target].Gate.Node;
     if (!isEnd && !isUsed && Links.isPathUp(node, now()))
       all.push_back(node);
--- a/src/libfleet/entry/entryattempt.h
+++ b/src/libfleet/entry/entryattempt.h
@@ -26,8 +26,8 @@
     bool IsOpen = false;
   };
 
-  /// A stream to a node that asks the gate for this one.
-  struct Errand {
+  /// A question to the gate that another node passes on.
+  struct RelayedQuestion {
     std::string Node;
     std::shared_ptr<GateClient> Client;
     std::int64_t Stream = 0;
@@ -36,8 +36,8 @@
   Inquiry *Request = nullptr;
   std::string Id;
   std::vector<Target> Targets;
-  /// Nodes that have been sent to ask what became of the attempt.
-  std::vector<Errand> Errands;
+  /// Questions through other nodes about what became of the attempt.
+  std::vector<RelayedQuestion> Relayed;
   std::shared_ptr<StreamMailbox> Box;
   bool AwaitsGrant = false;
   bool OnlyIfFree = false;
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -109,7 +109,7 @@
   std::unique_ptr<GateService> Gate;
   std::vector<std::unique_ptr<Entry>> Entries;
   std::unique_ptr<KeyService> Keys;
-  std::unique_ptr<RevokeRelay> Errands;
+  std::unique_ptr<RevokeRelay> Relay;
   std::map<std::string, Instant> Ejected;
   std::unique_ptr<LinkServer> Server;
   std::unique_ptr<HttpFront> Callers;
@@ -182,7 +182,7 @@
   }
   Keys = std::make_unique<KeyService>(
       gateThread, LeaseHolder{Facts.Node, BootId}, Entries[0]->links());
-  Errands = std::make_unique<RevokeRelay>(gateThread, Entries[0]->links());
+  Relay = std::make_unique<RevokeRelay>(gateThread, Entries[0]->links());
   Server = std::make_unique<LinkServer>(
       gateThread, Facts.FleetAddress,
       makeHello(Facts.Node, BootId, Facts.DataCentre),
@@ -273,7 +273,7 @@
   if (frame.__isset.keyRequest)
     return Keys->takeFrame(from, frame);
   if (frame.__isset.revoke && !frame.revoke.askedNode.empty())
-    return Errands->take(from, frame);
+    return Relay->take(from, frame);
   if (!frame.__isset.snapshotRequest)
     return Gate->takeFrame(from, std::move(frame));
   asio::post(ControlLoop.Io, [this, from, stream = frame.stream] {
@@ -331,7 +331,7 @@
   asio::post(Traffic[0]->Io, [this, view] {
     Gate->applyView(view);
     Keys->applyView(view);
-    Errands->applyView(view);
+    Relay->applyView(view);
   });
   for (std::size_t i = 0; i < Entries.size(); ++i)
     asio::post(Traffic[i]->Io,
