--- a/src/hickorygladectl/commands.cpp
+++ b/src/hickorygladectl/commands.cpp
@@ -161,7 +161,7 @@
             << ", in force for " << report["settings_in_force_ms"]
             << " ms; their source is "
             << (report["log_reachable"].get<bool>() ? "reachable" : "away")
-            << ", heard " << report["source_heard_ms"] << " ms ago\n";
+            << ", last answered " << report["source_age_ms"] << " ms ago\n";
   for (const json &it : report["own_endpoints"])
     std::cout << "own " << textOf(it["name"]) << "  " << textOf(it["service"])
               << "  " << it["busy"] << " of " << it["slots"] << " slots busy  "
--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -453,7 +453,7 @@
     ++out.MembersByState[std::string(toString(member.State))];
   out.SettingsVersion = double(Settings.state().Next);
   out.SettingsInForce = now() - Settings.takenAt();
-  out.SinceSourceHeard = now() - Settings.heardAt();
+  out.SourceAge = now() - Settings.heardAt();
   out.IsSourceReachable = Settings.isLogReachable();
   out.GossipBytes = double(Members.bytesSent());
   return out;
@@ -485,7 +485,7 @@
       {"gossip_bytes_sent", Members.bytesSent()},
       {"settings_loaded", Settings.isLoaded()},
       {"settings_in_force_ms", toMillis(now() - Settings.takenAt()).count()},
-      {"source_heard_ms", toMillis(now() - Settings.heardAt()).count()},
+      {"source_age_ms", toMillis(now() - Settings.heardAt()).count()},
       {"log_reachable", Settings.isLogReachable()},
       {"members", std::move(members)},
       {"quarantine", std::move(crashes)}};
--- a/src/libfleet/reporting/metrics.cpp
+++ b/src/libfleet/reporting/metrics.cpp
@@ -6,6 +6,7 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <map>
 #include <mutex>
 
@@ -30,6 +31,16 @@
       {});
 }
 
+prometheus::Counter &counter(prometheus::Registry &registry, const char *name,
+                             const char *help) {
+  return counterFamily(registry, name, help).Add({});
+}
+
+/// Sets a counter that is counted elsewhere; it never falls.
+void raiseTo(prometheus::Counter &counter, double value) {
+  counter.Increment(std::max(value - counter.Value(), 0.0));
+}
+
 double secondsOf(Micros time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -80,14 +91,14 @@
         SettingsInForce(gauge(registry,
                               "hickoryglade_settings_in_force_seconds",
                               "Time since the settings in force were taken")),
-        SourceHeard(gauge(registry, "hickoryglade_settings_heard_seconds",
-                          "Time since the settings' source last answered")),
+        SourceAge(gauge(registry, "hickoryglade_settings_source_age_seconds",
+                        "Time since the settings' source last answered")),
         SourceUp(gauge(registry, "hickoryglade_settings_source_up",
                        "1 if the settings' source answered the last call")),
-        GossipBytes(gauge(registry, "hickoryglade_gossip_sent_bytes",
-                          "Bytes of membership messages sent since the start")),
-        ProcessorTime(gauge(registry, "process_cpu_seconds_total",
-                            "Processor time of the process")),
+        GossipBytes(counter(registry, "hickoryglade_gossip_sent_bytes_total",
+                            "Bytes of membership messages sent")),
+        ProcessorTime(counter(registry, "process_cpu_seconds_total",
+                              "Processor time of the process")),
         Memory(gauge(registry, "process_max_resident_memory_bytes",
                      "Peak of the process's resident memory")) {}
 
@@ -117,10 +128,10 @@
   prometheus::Family<prometheus::Gauge> &Members;
   prometheus::Gauge &SettingsVersion;
   prometheus::Gauge &SettingsInForce;
-  prometheus::Gauge &SourceHeard;
+  prometheus::Gauge &SourceAge;
   prometheus::Gauge &SourceUp;
-  prometheus::Gauge &GossipBytes;
-  prometheus::Gauge &ProcessorTime;
+  prometheus::Counter &GossipBytes;
+  prometheus::Counter &ProcessorTime;
   prometheus::Gauge &Memory;
 };
 
@@ -175,13 +186,14 @@
     All->Members.Add({{"state", state}}).Set(n);
   All->SettingsVersion.Set(node.SettingsVersion);
   All->SettingsInForce.Set(secondsOf(node.SettingsInForce));
-  All->SourceHeard.Set(secondsOf(node.SinceSourceHeard));
+  All->SourceAge.Set(secondsOf(node.SourceAge));
   All->SourceUp.Set(node.IsSourceReachable ? 1 : 0);
-  All->GossipBytes.Set(node.GossipBytes);
+  raiseTo(All->GossipBytes, node.GossipBytes);
   rusage used{};
   if (getrusage(RUSAGE_SELF, &used) == 0) {
     constexpr double bytesPerUnit = 1'024;
-    All->ProcessorTime.Set(secondsOf(used.ru_utime) + secondsOf(used.ru_stime));
+    raiseTo(All->ProcessorTime,
+            secondsOf(used.ru_utime) + secondsOf(used.ru_stime));
     All->Memory.Set(double(used.ru_maxrss) * bytesPerUnit);
   }
   return prometheus::TextSerializer().Serialize(Registry->Collect());
--- a/src/libfleet/reporting/metrics.h
+++ b/src/libfleet/reporting/metrics.h
@@ -23,7 +23,7 @@
   std::map<std::string, int> MembersByState;
   double SettingsVersion = 0;
   Micros SettingsInForce{0};
-  Micros SinceSourceHeard{0};
+  Micros SourceAge{0};
   bool IsSourceReachable = false;
   double GossipBytes = 0;
 };
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -238,7 +238,7 @@
   REQUIRE(status.is_object());
   CHECK(status["log_reachable"] == true);
   CHECK(status["settings_in_force_ms"].get<std::int64_t>() > 0);
-  CHECK(status["source_heard_ms"].get<std::int64_t>() < 60'000);
+  CHECK(status["source_age_ms"].get<std::int64_t>() < 60'000);
   REQUIRE(status["own_endpoints"].size() == 1);
   CHECK(status["own_endpoints"][0]["standing"] != "healthy");
   CHECK(status["own_endpoints"][0]["reason"].get<std::string>().size() > 5);
