--- a/src/libhickoryglade/membership.cpp
+++ b/src/libhickoryglade/membership.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+/// The usual period of SWIM; links in use notice losses sooner by themselves.
 constexpr Micros ProbePeriod = std::chrono::seconds(1);
 constexpr Micros DirectTimeout = std::chrono::milliseconds(200);
 constexpr Micros ProbeTimeout = std::chrono::milliseconds(450);
--- a/src/libhickoryglade/retry.cpp
+++ b/src/libhickoryglade/retry.cpp
@@ -57,8 +57,11 @@
 }
 
 Millis retryAdvice(Millis named, Millis timeLeft, Random &rng) {
+  // As long as the usual wait, so that callers do not come back together.
   constexpr std::uint64_t spreadMs = 1'000;
+  // Leaves three quarters of the caller's time for the work.
   constexpr int part = 4;
+  // Some round trips between a caller and the fleet (8 ms one way).
   constexpr Millis least{20};
   Millis wait = named.count() > 0
                     ? named
--- a/src/libhickoryglade/waitforecast.cpp
+++ b/src/libhickoryglade/waitforecast.cpp
@@ -12,7 +12,7 @@
 /// Weight of the latest wait; most of the ratio is from the last ten.
 constexpr double LatestWeight = 0.2;
 
-/// A queue that stands still longer than this is beyond forecasting.
+/// Bounds the ratio, which grows without end while a queue stands still.
 constexpr double MostRatio = 50;
 
 /// What was seen longer ago than this says nothing any more.
