--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -52,6 +52,13 @@
   // Sent to a doubtful endpoint because those in good standing have no slot
   // free.
   19: bool isSpill
+  // Time left in which an answer has its full value to the caller; 0 if the
+  // sender does not say.
+  20: i64 targetMs
+  // No other endpoint may be tried after this one.
+  21: bool isLastTry
+  // Longest wait for a slot; 0 if only the gate's own rules bound it.
+  22: i64 maxWaitMs
 }
 
 struct Grant {
@@ -76,6 +83,9 @@
   1: i32 freeSlots
   2: i32 queued
   3: i32 slots
+  // Best standing of the gate's endpoints of the service, plus one; 0 if the
+  // sender does not say.
+  4: i32 standing
 }
 
 struct Answer {
@@ -184,6 +194,14 @@
   2: i32 state
 }
 
+// Passing standings of a node's endpoints; those not named are healthy.
+struct StandingReport {
+  1: string node
+  2: i64 bootId
+  3: i64 sequence
+  4: map<string, i32> states
+}
+
 enum GossipKind { PING = 0, ACK = 1, PING_REQUEST = 2, SYNC = 3, UPDATES = 4 }
 
 // Datagram of the membership protocol.
@@ -200,6 +218,9 @@
   8: list<QuarantineRecord> quarantines
   // Version of the sender's settings, where they come as whole documents.
   9: optional i64 settingsNext
+  10: optional StandingReport standings
+  // The sender follows the source of settings and has its newest version.
+  11: bool isSettingsFresh
 }
 
 struct SettingsEntry {
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -574,6 +574,18 @@
 void Ticket::__set_isSpill(const bool val) {
   this->isSpill = val;
 }
+
+void Ticket::__set_targetMs(const int64_t val) {
+  this->targetMs = val;
+}
+
+void Ticket::__set_isLastTry(const bool val) {
+  this->isLastTry = val;
+}
+
+void Ticket::__set_maxWaitMs(const int64_t val) {
+  this->maxWaitMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const Ticket& obj)
 {
   obj.printTo(out);
@@ -746,6 +758,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->targetMs);
+          this->__isset.targetMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isLastTry);
+          this->__isset.isLastTry = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->maxWaitMs);
+          this->__isset.maxWaitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -835,6 +871,18 @@
   xfer += oprot->writeBool(this->isSpill);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("targetMs", ::apache::thrift::protocol::T_I64, 20);
+  xfer += oprot->writeI64(this->targetMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isLastTry", ::apache::thrift::protocol::T_BOOL, 21);
+  xfer += oprot->writeBool(this->isLastTry);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("maxWaitMs", ::apache::thrift::protocol::T_I64, 22);
+  xfer += oprot->writeI64(this->maxWaitMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -860,6 +908,9 @@
   swap(a.priority, b.priority);
   swap(a.isSerialized, b.isSerialized);
   swap(a.isSpill, b.isSpill);
+  swap(a.targetMs, b.targetMs);
+  swap(a.isLastTry, b.isLastTry);
+  swap(a.maxWaitMs, b.maxWaitMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -882,6 +933,9 @@
   priority = other12.priority;
   isSerialized = other12.isSerialized;
   isSpill = other12.isSpill;
+  targetMs = other12.targetMs;
+  isLastTry = other12.isLastTry;
+  maxWaitMs = other12.maxWaitMs;
   __isset = other12.__isset;
 }
 Ticket::Ticket(Ticket&& other13) noexcept {
@@ -903,6 +957,9 @@
   priority = other13.priority;
   isSerialized = other13.isSerialized;
   isSpill = other13.isSpill;
+  targetMs = other13.targetMs;
+  isLastTry = other13.isLastTry;
+  maxWaitMs = other13.maxWaitMs;
   __isset = other13.__isset;
 }
 Ticket& Ticket::operator=(const Ticket& other14) {
@@ -924,6 +981,9 @@
   priority = other14.priority;
   isSerialized = other14.isSerialized;
   isSpill = other14.isSpill;
+  targetMs = other14.targetMs;
+  isLastTry = other14.isLastTry;
+  maxWaitMs = other14.maxWaitMs;
   __isset = other14.__isset;
   return *this;
 }
@@ -946,6 +1006,9 @@
   priority = other15.priority;
   isSerialized = other15.isSerialized;
   isSpill = other15.isSpill;
+  targetMs = other15.targetMs;
+  isLastTry = other15.isLastTry;
+  maxWaitMs = other15.maxWaitMs;
   __isset = other15.__isset;
   return *this;
 }
@@ -970,6 +1033,9 @@
   out << ", " << "priority=" << to_string(priority);
   out << ", " << "isSerialized=" << to_string(isSerialized);
   out << ", " << "isSpill=" << to_string(isSpill);
+  out << ", " << "targetMs=" << to_string(targetMs);
+  out << ", " << "isLastTry=" << to_string(isLastTry);
+  out << ", " << "maxWaitMs=" << to_string(maxWaitMs);
   out << ")";
 }
 
@@ -1400,6 +1466,10 @@
 void Load::__set_slots(const int32_t val) {
   this->slots = val;
 }
+
+void Load::__set_standing(const int32_t val) {
+  this->standing = val;
+}
 std::ostream& operator<<(std::ostream& out, const Load& obj)
 {
   obj.printTo(out);
@@ -1452,6 +1522,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->standing);
+          this->__isset.standing = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1481,6 +1559,10 @@
   xfer += oprot->writeI32(this->slots);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("standing", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->standing);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1491,6 +1573,7 @@
   swap(a.freeSlots, b.freeSlots);
   swap(a.queued, b.queued);
   swap(a.slots, b.slots);
+  swap(a.standing, b.standing);
   swap(a.__isset, b.__isset);
 }
 
@@ -1498,18 +1581,21 @@
   freeSlots = other34.freeSlots;
   queued = other34.queued;
   slots = other34.slots;
+  standing = other34.standing;
   __isset = other34.__isset;
 }
 Load::Load(Load&& other35) noexcept {
   freeSlots = other35.freeSlots;
   queued = other35.queued;
   slots = other35.slots;
+  standing = other35.standing;
   __isset = other35.__isset;
 }
 Load& Load::operator=(const Load& other36) noexcept {
   freeSlots = other36.freeSlots;
   queued = other36.queued;
   slots = other36.slots;
+  standing = other36.standing;
   __isset = other36.__isset;
   return *this;
 }
@@ -1517,6 +1603,7 @@
   freeSlots = other37.freeSlots;
   queued = other37.queued;
   slots = other37.slots;
+  standing = other37.standing;
   __isset = other37.__isset;
   return *this;
 }
@@ -1526,6 +1613,7 @@
   out << "freeSlots=" << to_string(freeSlots);
   out << ", " << "queued=" << to_string(queued);
   out << ", " << "slots=" << to_string(slots);
+  out << ", " << "standing=" << to_string(standing);
   out << ")";
 }
 
@@ -3875,6 +3963,197 @@
 }
 
 
+StandingReport::~StandingReport() noexcept {
+}
+
+
+void StandingReport::__set_node(const std::string& val) {
+  this->node = val;
+}
+
+void StandingReport::__set_bootId(const int64_t val) {
+  this->bootId = val;
+}
+
+void StandingReport::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void StandingReport::__set_states(const std::map<std::string, int32_t> & val) {
+  this->states = val;
+}
+std::ostream& operator<<(std::ostream& out, const StandingReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StandingReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->node);
+          this->__isset.node = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bootId);
+          this->__isset.bootId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_MAP) {
+          {
+            this->states.clear();
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _ktype118;
+            ::apache::thrift::protocol::TType _vtype119;
+            xfer += iprot->readMapBegin(_ktype118, _vtype119, _size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
+            {
+              std::string _key122;
+              xfer += iprot->readString(_key122);
+              int32_t& _val123 = this->states[_key122];
+              xfer += iprot->readI32(_val123);
+            }
+            xfer += iprot->readMapEnd();
+          }
+          this->__isset.states = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StandingReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StandingReport");
+
+  xfer += oprot->writeFieldBegin("node", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->node);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bootId", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->bootId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_MAP, 4);
+  {
+    xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->states.size()));
+    std::map<std::string, int32_t> ::const_iterator _iter124;
+    for (_iter124 = this->states.begin(); _iter124 != this->states.end(); ++_iter124)
+    {
+      xfer += oprot->writeString(_iter124->first);
+      xfer += oprot->writeI32(_iter124->second);
+    }
+    xfer += oprot->writeMapEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StandingReport &a, StandingReport &b) {
+  using ::std::swap;
+  swap(a.node, b.node);
+  swap(a.bootId, b.bootId);
+  swap(a.sequence, b.sequence);
+  swap(a.states, b.states);
+  swap(a.__isset, b.__isset);
+}
+
+StandingReport::StandingReport(const StandingReport& other125) {
+  node = other125.node;
+  bootId = other125.bootId;
+  sequence = other125.sequence;
+  states = other125.states;
+  __isset = other125.__isset;
+}
+StandingReport::StandingReport(StandingReport&& other126) noexcept {
+  node = std::move(other126.node);
+  bootId = other126.bootId;
+  sequence = other126.sequence;
+  states = std::move(other126.states);
+  __isset = other126.__isset;
+}
+StandingReport& StandingReport::operator=(const StandingReport& other127) {
+  node = other127.node;
+  bootId = other127.bootId;
+  sequence = other127.sequence;
+  states = other127.states;
+  __isset = other127.__isset;
+  return *this;
+}
+StandingReport& StandingReport::operator=(StandingReport&& other128) noexcept {
+  node = std::move(other128.node);
+  bootId = other128.bootId;
+  sequence = other128.sequence;
+  states = std::move(other128.states);
+  __isset = other128.__isset;
+  return *this;
+}
+void StandingReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StandingReport(";
+  out << "node=" << to_string(node);
+  out << ", " << "bootId=" << to_string(bootId);
+  out << ", " << "sequence=" << to_string(sequence);
+  out << ", " << "states=" << to_string(states);
+  out << ")";
+}
+
+
 Gossip::~Gossip() noexcept {
 }
 
@@ -3915,6 +4194,15 @@
   this->settingsNext = val;
 __isset.settingsNext = true;
 }
+
+void Gossip::__set_standings(const StandingReport& val) {
+  this->standings = val;
+__isset.standings = true;
+}
+
+void Gossip::__set_isSettingsFresh(const bool val) {
+  this->isSettingsFresh = val;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -3945,9 +4233,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast117;
-          xfer += iprot->readI32(ecast117);
-          this->kind = static_cast<GossipKind::type>(ecast117);
+          int32_t ecast129;
+          xfer += iprot->readI32(ecast129);
+          this->kind = static_cast<GossipKind::type>(ecast129);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3989,14 +4277,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size118;
-            ::apache::thrift::protocol::TType _etype121;
-            xfer += iprot->readListBegin(_etype121, _size118);
-            this->updates.resize(_size118);
-            uint32_t _i122;
-            for (_i122 = 0; _i122 < _size118; ++_i122)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->updates.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += this->updates[_i122].read(iprot);
+              xfer += this->updates[_i134].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4009,14 +4297,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size123;
-            ::apache::thrift::protocol::TType _etype126;
-            xfer += iprot->readListBegin(_etype126, _size123);
-            this->buckets.resize(_size123);
-            uint32_t _i127;
-            for (_i127 = 0; _i127 < _size123; ++_i127)
+            uint32_t _size135;
+            ::apache::thrift::protocol::TType _etype138;
+            xfer += iprot->readListBegin(_etype138, _size135);
+            this->buckets.resize(_size135);
+            uint32_t _i139;
+            for (_i139 = 0; _i139 < _size135; ++_i139)
             {
-              xfer += iprot->readI64(this->buckets[_i127]);
+              xfer += iprot->readI64(this->buckets[_i139]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4029,14 +4317,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size128;
-            ::apache::thrift::protocol::TType _etype131;
-            xfer += iprot->readListBegin(_etype131, _size128);
-            this->quarantines.resize(_size128);
-            uint32_t _i132;
-            for (_i132 = 0; _i132 < _size128; ++_i132)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->quarantines.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += this->quarantines[_i132].read(iprot);
+              xfer += this->quarantines[_i144].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4053,6 +4341,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->standings.read(iprot);
+          this->__isset.standings = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isSettingsFresh);
+          this->__isset.isSettingsFresh = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4093,10 +4397,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<MemberUpdate> ::const_iterator _iter133;
-    for (_iter133 = this->updates.begin(); _iter133 != this->updates.end(); ++_iter133)
+    std::vector<MemberUpdate> ::const_iterator _iter145;
+    for (_iter145 = this->updates.begin(); _iter145 != this->updates.end(); ++_iter145)
     {
-      xfer += (*_iter133).write(oprot);
+      xfer += (*_iter145).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4105,10 +4409,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int64_t> ::const_iterator _iter134;
-    for (_iter134 = this->buckets.begin(); _iter134 != this->buckets.end(); ++_iter134)
+    std::vector<int64_t> ::const_iterator _iter146;
+    for (_iter146 = this->buckets.begin(); _iter146 != this->buckets.end(); ++_iter146)
     {
-      xfer += oprot->writeI64((*_iter134));
+      xfer += oprot->writeI64((*_iter146));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4117,10 +4421,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter135;
-    for (_iter135 = this->quarantines.begin(); _iter135 != this->quarantines.end(); ++_iter135)
+    std::vector<QuarantineRecord> ::const_iterator _iter147;
+    for (_iter147 = this->quarantines.begin(); _iter147 != this->quarantines.end(); ++_iter147)
     {
-      xfer += (*_iter135).write(oprot);
+      xfer += (*_iter147).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4131,6 +4435,15 @@
     xfer += oprot->writeI64(this->settingsNext);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.standings) {
+    xfer += oprot->writeFieldBegin("standings", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->standings.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("isSettingsFresh", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->isSettingsFresh);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4147,57 +4460,67 @@
   swap(a.buckets, b.buckets);
   swap(a.quarantines, b.quarantines);
   swap(a.settingsNext, b.settingsNext);
+  swap(a.standings, b.standings);
+  swap(a.isSettingsFresh, b.isSettingsFresh);
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other136) {
-  kind = other136.kind;
-  sender = other136.sender;
-  senderAddress = other136.senderAddress;
-  sequence = other136.sequence;
-  target = other136.target;
-  updates = other136.updates;
-  buckets = other136.buckets;
-  quarantines = other136.quarantines;
-  settingsNext = other136.settingsNext;
-  __isset = other136.__isset;
-}
-Gossip::Gossip(Gossip&& other137) noexcept {
-  kind = other137.kind;
-  sender = std::move(other137.sender);
-  senderAddress = std::move(other137.senderAddress);
-  sequence = other137.sequence;
-  target = std::move(other137.target);
-  updates = std::move(other137.updates);
-  buckets = std::move(other137.buckets);
-  quarantines = std::move(other137.quarantines);
-  settingsNext = other137.settingsNext;
-  __isset = other137.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other138) {
-  kind = other138.kind;
-  sender = other138.sender;
-  senderAddress = other138.senderAddress;
-  sequence = other138.sequence;
-  target = other138.target;
-  updates = other138.updates;
-  buckets = other138.buckets;
-  quarantines = other138.quarantines;
-  settingsNext = other138.settingsNext;
-  __isset = other138.__isset;
+Gossip::Gossip(const Gossip& other148) {
+  kind = other148.kind;
+  sender = other148.sender;
+  senderAddress = other148.senderAddress;
+  sequence = other148.sequence;
+  target = other148.target;
+  updates = other148.updates;
+  buckets = other148.buckets;
+  quarantines = other148.quarantines;
+  settingsNext = other148.settingsNext;
+  standings = other148.standings;
+  isSettingsFresh = other148.isSettingsFresh;
+  __isset = other148.__isset;
+}
+Gossip::Gossip(Gossip&& other149) noexcept {
+  kind = other149.kind;
+  sender = std::move(other149.sender);
+  senderAddress = std::move(other149.senderAddress);
+  sequence = other149.sequence;
+  target = std::move(other149.target);
+  updates = std::move(other149.updates);
+  buckets = std::move(other149.buckets);
+  quarantines = std::move(other149.quarantines);
+  settingsNext = other149.settingsNext;
+  standings = std::move(other149.standings);
+  isSettingsFresh = other149.isSettingsFresh;
+  __isset = other149.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other150) {
+  kind = other150.kind;
+  sender = other150.sender;
+  senderAddress = other150.senderAddress;
+  sequence = other150.sequence;
+  target = other150.target;
+  updates = other150.updates;
+  buckets = other150.buckets;
+  quarantines = other150.quarantines;
+  settingsNext = other150.settingsNext;
+  standings = other150.standings;
+  isSettingsFresh = other150.isSettingsFresh;
+  __isset = other150.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other139) noexcept {
-  kind = other139.kind;
-  sender = std::move(other139.sender);
-  senderAddress = std::move(other139.senderAddress);
-  sequence = other139.sequence;
-  target = std::move(other139.target);
-  updates = std::move(other139.updates);
-  buckets = std::move(other139.buckets);
-  quarantines = std::move(other139.quarantines);
-  settingsNext = other139.settingsNext;
-  __isset = other139.__isset;
+Gossip& Gossip::operator=(Gossip&& other151) noexcept {
+  kind = other151.kind;
+  sender = std::move(other151.sender);
+  senderAddress = std::move(other151.senderAddress);
+  sequence = other151.sequence;
+  target = std::move(other151.target);
+  updates = std::move(other151.updates);
+  buckets = std::move(other151.buckets);
+  quarantines = std::move(other151.quarantines);
+  settingsNext = other151.settingsNext;
+  standings = std::move(other151.standings);
+  isSettingsFresh = other151.isSettingsFresh;
+  __isset = other151.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -4212,6 +4535,8 @@
   out << ", " << "buckets=" << to_string(buckets);
   out << ", " << "quarantines=" << to_string(quarantines);
   out << ", " << "settingsNext="; (__isset.settingsNext ? (out << to_string(settingsNext)) : (out << "<null>"));
+  out << ", " << "standings="; (__isset.standings ? (out << to_string(standings)) : (out << "<null>"));
+  out << ", " << "isSettingsFresh=" << to_string(isSettingsFresh);
   out << ")";
 }
 
@@ -4359,38 +4684,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SettingsEntry::SettingsEntry(const SettingsEntry& other140) {
-  path = other140.path;
-  value = other140.value;
-  revision = other140.revision;
-  writtenOffset = other140.writtenOffset;
-  writtenAtMs = other140.writtenAtMs;
-  __isset = other140.__isset;
-}
-SettingsEntry::SettingsEntry(SettingsEntry&& other141) noexcept {
-  path = std::move(other141.path);
-  value = std::move(other141.value);
-  revision = other141.revision;
-  writtenOffset = other141.writtenOffset;
-  writtenAtMs = other141.writtenAtMs;
-  __isset = other141.__isset;
-}
-SettingsEntry& SettingsEntry::operator=(const SettingsEntry& other142) {
-  path = other142.path;
-  value = other142.value;
-  revision = other142.revision;
-  writtenOffset = other142.writtenOffset;
-  writtenAtMs = other142.writtenAtMs;
-  __isset = other142.__isset;
+SettingsEntry::SettingsEntry(const SettingsEntry& other152) {
+  path = other152.path;
+  value = other152.value;
+  revision = other152.revision;
+  writtenOffset = other152.writtenOffset;
+  writtenAtMs = other152.writtenAtMs;
+  __isset = other152.__isset;
+}
+SettingsEntry::SettingsEntry(SettingsEntry&& other153) noexcept {
+  path = std::move(other153.path);
+  value = std::move(other153.value);
+  revision = other153.revision;
+  writtenOffset = other153.writtenOffset;
+  writtenAtMs = other153.writtenAtMs;
+  __isset = other153.__isset;
+}
+SettingsEntry& SettingsEntry::operator=(const SettingsEntry& other154) {
+  path = other154.path;
+  value = other154.value;
+  revision = other154.revision;
+  writtenOffset = other154.writtenOffset;
+  writtenAtMs = other154.writtenAtMs;
+  __isset = other154.__isset;
   return *this;
 }
-SettingsEntry& SettingsEntry::operator=(SettingsEntry&& other143) noexcept {
-  path = std::move(other143.path);
-  value = std::move(other143.value);
-  revision = other143.revision;
-  writtenOffset = other143.writtenOffset;
-  writtenAtMs = other143.writtenAtMs;
-  __isset = other143.__isset;
+SettingsEntry& SettingsEntry::operator=(SettingsEntry&& other155) noexcept {
+  path = std::move(other155.path);
+  value = std::move(other155.value);
+  revision = other155.revision;
+  writtenOffset = other155.writtenOffset;
+  writtenAtMs = other155.writtenAtMs;
+  __isset = other155.__isset;
   return *this;
 }
 void SettingsEntry::printTo(std::ostream& out) const {
@@ -4531,34 +4856,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VerdictRecord::VerdictRecord(const VerdictRecord& other144) {
-  changeId = other144.changeId;
-  path = other144.path;
-  outcome = other144.outcome;
-  revision = other144.revision;
-  __isset = other144.__isset;
-}
-VerdictRecord::VerdictRecord(VerdictRecord&& other145) noexcept {
-  changeId = std::move(other145.changeId);
-  path = std::move(other145.path);
-  outcome = other145.outcome;
-  revision = other145.revision;
-  __isset = other145.__isset;
-}
-VerdictRecord& VerdictRecord::operator=(const VerdictRecord& other146) {
-  changeId = other146.changeId;
-  path = other146.path;
-  outcome = other146.outcome;
-  revision = other146.revision;
-  __isset = other146.__isset;
+VerdictRecord::VerdictRecord(const VerdictRecord& other156) {
+  changeId = other156.changeId;
+  path = other156.path;
+  outcome = other156.outcome;
+  revision = other156.revision;
+  __isset = other156.__isset;
+}
+VerdictRecord::VerdictRecord(VerdictRecord&& other157) noexcept {
+  changeId = std::move(other157.changeId);
+  path = std::move(other157.path);
+  outcome = other157.outcome;
+  revision = other157.revision;
+  __isset = other157.__isset;
+}
+VerdictRecord& VerdictRecord::operator=(const VerdictRecord& other158) {
+  changeId = other158.changeId;
+  path = other158.path;
+  outcome = other158.outcome;
+  revision = other158.revision;
+  __isset = other158.__isset;
   return *this;
 }
-VerdictRecord& VerdictRecord::operator=(VerdictRecord&& other147) noexcept {
-  changeId = std::move(other147.changeId);
-  path = std::move(other147.path);
-  outcome = other147.outcome;
-  revision = other147.revision;
-  __isset = other147.__isset;
+VerdictRecord& VerdictRecord::operator=(VerdictRecord&& other159) noexcept {
+  changeId = std::move(other159.changeId);
+  path = std::move(other159.path);
+  outcome = other159.outcome;
+  revision = other159.revision;
+  __isset = other159.__isset;
   return *this;
 }
 void VerdictRecord::printTo(std::ostream& out) const {
@@ -4626,18 +4951,18 @@
   (void) b;
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other148) noexcept {
-  (void) other148;
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other160) noexcept {
+  (void) other160;
 }
-SnapshotRequest::SnapshotRequest(SnapshotRequest&& other149) noexcept {
-  (void) other149;
+SnapshotRequest::SnapshotRequest(SnapshotRequest&& other161) noexcept {
+  (void) other161;
 }
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other150) noexcept {
-  (void) other150;
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other162) noexcept {
+  (void) other162;
   return *this;
 }
-SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other151) noexcept {
-  (void) other151;
+SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other163) noexcept {
+  (void) other163;
   return *this;
 }
 void SnapshotRequest::printTo(std::ostream& out) const {
@@ -4702,14 +5027,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size152;
-            ::apache::thrift::protocol::TType _etype155;
-            xfer += iprot->readListBegin(_etype155, _size152);
-            this->entries.resize(_size152);
-            uint32_t _i156;
-            for (_i156 = 0; _i156 < _size152; ++_i156)
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->entries.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
             {
-              xfer += this->entries[_i156].read(iprot);
+              xfer += this->entries[_i168].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4722,14 +5047,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->verdicts.clear();
-            uint32_t _size157;
-            ::apache::thrift::protocol::TType _etype160;
-            xfer += iprot->readListBegin(_etype160, _size157);
-            this->verdicts.resize(_size157);
-            uint32_t _i161;
-            for (_i161 = 0; _i161 < _size157; ++_i161)
+            uint32_t _size169;
+            ::apache::thrift::protocol::TType _etype172;
+            xfer += iprot->readListBegin(_etype172, _size169);
+            this->verdicts.resize(_size169);
+            uint32_t _i173;
+            for (_i173 = 0; _i173 < _size169; ++_i173)
             {
-              xfer += this->verdicts[_i161].read(iprot);
+              xfer += this->verdicts[_i173].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4762,10 +5087,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<SettingsEntry> ::const_iterator _iter162;
-    for (_iter162 = this->entries.begin(); _iter162 != this->entries.end(); ++_iter162)
+    std::vector<SettingsEntry> ::const_iterator _iter174;
+    for (_iter174 = this->entries.begin(); _iter174 != this->entries.end(); ++_iter174)
     {
-      xfer += (*_iter162).write(oprot);
+      xfer += (*_iter174).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4774,10 +5099,10 @@
   xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
-    std::vector<VerdictRecord> ::const_iterator _iter163;
-    for (_iter163 = this->verdicts.begin(); _iter163 != this->verdicts.end(); ++_iter163)
+    std::vector<VerdictRecord> ::const_iterator _iter175;
+    for (_iter175 = this->verdicts.begin(); _iter175 != this->verdicts.end(); ++_iter175)
     {
-      xfer += (*_iter163).write(oprot);
+      xfer += (*_iter175).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4796,30 +5121,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Snapshot::Snapshot(const Snapshot& other164) {
-  settingsOffset = other164.settingsOffset;
-  entries = other164.entries;
-  verdicts = other164.verdicts;
-  __isset = other164.__isset;
+Snapshot::Snapshot(const Snapshot& other176) {
+  settingsOffset = other176.settingsOffset;
+  entries = other176.entries;
+  verdicts = other176.verdicts;
+  __isset = other176.__isset;
 }
-Snapshot::Snapshot(Snapshot&& other165) noexcept {
-  settingsOffset = other165.settingsOffset;
-  entries = std::move(other165.entries);
-  verdicts = std::move(other165.verdicts);
-  __isset = other165.__isset;
+Snapshot::Snapshot(Snapshot&& other177) noexcept {
+  settingsOffset = other177.settingsOffset;
+  entries = std::move(other177.entries);
+  verdicts = std::move(other177.verdicts);
+  __isset = other177.__isset;
 }
-Snapshot& Snapshot::operator=(const Snapshot& other166) {
-  settingsOffset = other166.settingsOffset;
-  entries = other166.entries;
-  verdicts = other166.verdicts;
-  __isset = other166.__isset;
+Snapshot& Snapshot::operator=(const Snapshot& other178) {
+  settingsOffset = other178.settingsOffset;
+  entries = other178.entries;
+  verdicts = other178.verdicts;
+  __isset = other178.__isset;
   return *this;
 }
-Snapshot& Snapshot::operator=(Snapshot&& other167) noexcept {
-  settingsOffset = other167.settingsOffset;
-  entries = std::move(other167.entries);
-  verdicts = std::move(other167.verdicts);
-  __isset = other167.__isset;
+Snapshot& Snapshot::operator=(Snapshot&& other179) noexcept {
+  settingsOffset = other179.settingsOffset;
+  entries = std::move(other179.entries);
+  verdicts = std::move(other179.verdicts);
+  __isset = other179.__isset;
   return *this;
 }
 void Snapshot::printTo(std::ostream& out) const {
@@ -5211,86 +5536,86 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other168) {
-  stream = other168.stream;
-  hello = other168.hello;
-  heartbeat = other168.heartbeat;
-  ticket = other168.ticket;
-  grant = other168.grant;
-  call = other168.call;
-  data = other168.data;
-  answer = other168.answer;
-  failure = other168.failure;
-  cancel = other168.cancel;
-  revoke = other168.revoke;
-  revoked = other168.revoked;
-  keyRequest = other168.keyRequest;
-  keyReply = other168.keyReply;
-  gossip = other168.gossip;
-  snapshotRequest = other168.snapshotRequest;
-  snapshot = other168.snapshot;
-  __isset = other168.__isset;
-}
-Frame::Frame(Frame&& other169) noexcept {
-  stream = other169.stream;
-  hello = std::move(other169.hello);
-  heartbeat = std::move(other169.heartbeat);
-  ticket = std::move(other169.ticket);
-  grant = std::move(other169.grant);
-  call = std::move(other169.call);
-  data = std::move(other169.data);
-  answer = std::move(other169.answer);
-  failure = std::move(other169.failure);
-  cancel = std::move(other169.cancel);
-  revoke = std::move(other169.revoke);
-  revoked = std::move(other169.revoked);
-  keyRequest = std::move(other169.keyRequest);
-  keyReply = std::move(other169.keyReply);
-  gossip = std::move(other169.gossip);
-  snapshotRequest = std::move(other169.snapshotRequest);
-  snapshot = std::move(other169.snapshot);
-  __isset = other169.__isset;
-}
-Frame& Frame::operator=(const Frame& other170) {
-  stream = other170.stream;
-  hello = other170.hello;
-  heartbeat = other170.heartbeat;
-  ticket = other170.ticket;
-  grant = other170.grant;
-  call = other170.call;
-  data = other170.data;
-  answer = other170.answer;
-  failure = other170.failure;
-  cancel = other170.cancel;
-  revoke = other170.revoke;
-  revoked = other170.revoked;
-  keyRequest = other170.keyRequest;
-  keyReply = other170.keyReply;
-  gossip = other170.gossip;
-  snapshotRequest = other170.snapshotRequest;
-  snapshot = other170.snapshot;
-  __isset = other170.__isset;
+Frame::Frame(const Frame& other180) {
+  stream = other180.stream;
+  hello = other180.hello;
+  heartbeat = other180.heartbeat;
+  ticket = other180.ticket;
+  grant = other180.grant;
+  call = other180.call;
+  data = other180.data;
+  answer = other180.answer;
+  failure = other180.failure;
+  cancel = other180.cancel;
+  revoke = other180.revoke;
+  revoked = other180.revoked;
+  keyRequest = other180.keyRequest;
+  keyReply = other180.keyReply;
+  gossip = other180.gossip;
+  snapshotRequest = other180.snapshotRequest;
+  snapshot = other180.snapshot;
+  __isset = other180.__isset;
+}
+Frame::Frame(Frame&& other181) noexcept {
+  stream = other181.stream;
+  hello = std::move(other181.hello);
+  heartbeat = std::move(other181.heartbeat);
+  ticket = std::move(other181.ticket);
+  grant = std::move(other181.grant);
+  call = std::move(other181.call);
+  data = std::move(other181.data);
+  answer = std::move(other181.answer);
+  failure = std::move(other181.failure);
+  cancel = std::move(other181.cancel);
+  revoke = std::move(other181.revoke);
+  revoked = std::move(other181.revoked);
+  keyRequest = std::move(other181.keyRequest);
+  keyReply = std::move(other181.keyReply);
+  gossip = std::move(other181.gossip);
+  snapshotRequest = std::move(other181.snapshotRequest);
+  snapshot = std::move(other181.snapshot);
+  __isset = other181.__isset;
+}
+Frame& Frame::operator=(const Frame& other182) {
+  stream = other182.stream;
+  hello = other182.hello;
+  heartbeat = other182.heartbeat;
+  ticket = other182.ticket;
+  grant = other182.grant;
+  call = other182.call;
+  data = other182.data;
+  answer = other182.answer;
+  failure = other182.failure;
+  cancel = other182.cancel;
+  revoke = other182.revoke;
+  revoked = other182.revoked;
+  keyRequest = other182.keyRequest;
+  keyReply = other182.keyReply;
+  gossip = other182.gossip;
+  snapshotRequest = other182.snapshotRequest;
+  snapshot = other182.snapshot;
+  __isset = other182.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other171) noexcept {
-  stream = other171.stream;
-  hello = std::move(other171.hello);
-  heartbeat = std::move(other171.heartbeat);
-  ticket = std::move(other171.ticket);
-  grant = std::move(other171.grant);
-  call = std::move(other171.call);
-  data = std::move(other171.data);
-  answer = std::move(other171.answer);
-  failure = std::move(other171.failure);
-  cancel = std::move(other171.cancel);
-  revoke = std::move(other171.revoke);
-  revoked = std::move(other171.revoked);
-  keyRequest = std::move(other171.keyRequest);
-  keyReply = std::move(other171.keyReply);
-  gossip = std::move(other171.gossip);
-  snapshotRequest = std::move(other171.snapshotRequest);
-  snapshot = std::move(other171.snapshot);
-  __isset = other171.__isset;
+Frame& Frame::operator=(Frame&& other183) noexcept {
+  stream = other183.stream;
+  hello = std::move(other183.hello);
+  heartbeat = std::move(other183.heartbeat);
+  ticket = std::move(other183.ticket);
+  grant = std::move(other183.grant);
+  call = std::move(other183.call);
+  data = std::move(other183.data);
+  answer = std::move(other183.answer);
+  failure = std::move(other183.failure);
+  cancel = std::move(other183.cancel);
+  revoke = std::move(other183.revoke);
+  revoked = std::move(other183.revoked);
+  keyRequest = std::move(other183.keyRequest);
+  keyReply = std::move(other183.keyReply);
+  gossip = std::move(other183.gossip);
+  snapshotRequest = std::move(other183.snapshotRequest);
+  snapshot = std::move(other183.snapshot);
+  __isset = other183.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -96,6 +96,8 @@
 
 class MemberUpdate;
 
+class StandingReport;
+
 class Gossip;
 
 class SettingsEntry;
@@ -279,7 +281,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _Ticket__isset {
-  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), awaitsClaim(false), knownCrashes(false), onlyIfFree(false), isRepeat(false), acceptsDoubtful(false), priority(false), isSerialized(false), isSpill(false) {}
+  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), awaitsClaim(false), knownCrashes(false), onlyIfFree(false), isRepeat(false), acceptsDoubtful(false), priority(false), isSerialized(false), isSpill(false), targetMs(false), isLastTry(false), maxWaitMs(false) {}
   bool attemptId :1;
   bool workspace :1;
   bool serviceName :1;
@@ -298,6 +300,9 @@
   bool priority :1;
   bool isSerialized :1;
   bool isSpill :1;
+  bool targetMs :1;
+  bool isLastTry :1;
+  bool maxWaitMs :1;
 } _Ticket__isset;
 
 class Ticket : public virtual ::apache::thrift::TBase {
@@ -325,7 +330,10 @@
            acceptsDoubtful(0),
            priority(0),
            isSerialized(0),
-           isSpill(0) {
+           isSpill(0),
+           targetMs(0),
+           isLastTry(0),
+           maxWaitMs(0) {
   }
 
   virtual ~Ticket() noexcept;
@@ -347,6 +355,9 @@
   int32_t priority;
   bool isSerialized;
   bool isSpill;
+  int64_t targetMs;
+  bool isLastTry;
+  int64_t maxWaitMs;
 
   _Ticket__isset __isset;
 
@@ -386,6 +397,12 @@
 
   void __set_isSpill(const bool val);
 
+  void __set_targetMs(const int64_t val);
+
+  void __set_isLastTry(const bool val);
+
+  void __set_maxWaitMs(const int64_t val);
+
   bool operator == (const Ticket & rhs) const
   {
     if (!(attemptId == rhs.attemptId))
@@ -424,6 +441,12 @@
       return false;
     if (!(isSpill == rhs.isSpill))
       return false;
+    if (!(targetMs == rhs.targetMs))
+      return false;
+    if (!(isLastTry == rhs.isLastTry))
+      return false;
+    if (!(maxWaitMs == rhs.maxWaitMs))
+      return false;
     return true;
   }
   bool operator != (const Ticket &rhs) const {
@@ -604,10 +627,11 @@
 std::ostream& operator<<(std::ostream& out, const Data& obj);
 
 typedef struct _Load__isset {
-  _Load__isset() : freeSlots(false), queued(false), slots(false) {}
+  _Load__isset() : freeSlots(false), queued(false), slots(false), standing(false) {}
   bool freeSlots :1;
   bool queued :1;
   bool slots :1;
+  bool standing :1;
 } _Load__isset;
 
 class Load : public virtual ::apache::thrift::TBase {
@@ -620,13 +644,15 @@
   Load() noexcept
        : freeSlots(0),
          queued(0),
-         slots(0) {
+         slots(0),
+         standing(0) {
   }
 
   virtual ~Load() noexcept;
   int32_t freeSlots;
   int32_t queued;
   int32_t slots;
+  int32_t standing;
 
   _Load__isset __isset;
 
@@ -636,6 +662,8 @@
 
   void __set_slots(const int32_t val);
 
+  void __set_standing(const int32_t val);
+
   bool operator == (const Load & rhs) const
   {
     if (!(freeSlots == rhs.freeSlots))
@@ -644,6 +672,8 @@
       return false;
     if (!(slots == rhs.slots))
       return false;
+    if (!(standing == rhs.standing))
+      return false;
     return true;
   }
   bool operator != (const Load &rhs) const {
@@ -1541,8 +1571,73 @@
 
 std::ostream& operator<<(std::ostream& out, const MemberUpdate& obj);
 
+typedef struct _StandingReport__isset {
+  _StandingReport__isset() : node(false), bootId(false), sequence(false), states(false) {}
+  bool node :1;
+  bool bootId :1;
+  bool sequence :1;
+  bool states :1;
+} _StandingReport__isset;
+
+class StandingReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  StandingReport(const StandingReport&);
+  StandingReport(StandingReport&&) noexcept;
+  StandingReport& operator=(const StandingReport&);
+  StandingReport& operator=(StandingReport&&) noexcept;
+  StandingReport() noexcept
+                 : node(),
+                   bootId(0),
+                   sequence(0) {
+  }
+
+  virtual ~StandingReport() noexcept;
+  std::string node;
+  int64_t bootId;
+  int64_t sequence;
+  std::map<std::string, int32_t>  states;
+
+  _StandingReport__isset __isset;
+
+  void __set_node(const std::string& val);
+
+  void __set_bootId(const int64_t val);
+
+  void __set_sequence(const int64_t val);
+
+  void __set_states(const std::map<std::string, int32_t> & val);
+
+  bool operator == (const StandingReport & rhs) const
+  {
+    if (!(node == rhs.node))
+      return false;
+    if (!(bootId == rhs.bootId))
+      return false;
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(states == rhs.states))
+      return false;
+    return true;
+  }
+  bool operator != (const StandingReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StandingReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StandingReport &a, StandingReport &b);
+
+std::ostream& operator<<(std::ostream& out, const StandingReport& obj);
+
 typedef struct _Gossip__isset {
-  _Gossip__isset() : kind(false), sender(false), senderAddress(false), sequence(false), target(false), updates(false), buckets(false), quarantines(false), settingsNext(false) {}
+  _Gossip__isset() : kind(false), sender(false), senderAddress(false), sequence(false), target(false), updates(false), buckets(false), quarantines(false), settingsNext(false), standings(false), isSettingsFresh(false) {}
   bool kind :1;
   bool sender :1;
   bool senderAddress :1;
@@ -1552,6 +1647,8 @@
   bool buckets :1;
   bool quarantines :1;
   bool settingsNext :1;
+  bool standings :1;
+  bool isSettingsFresh :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -1567,7 +1664,8 @@
            senderAddress(),
            sequence(0),
            target(),
-           settingsNext(0) {
+           settingsNext(0),
+           isSettingsFresh(0) {
   }
 
   virtual ~Gossip() noexcept;
@@ -1584,6 +1682,8 @@
   std::vector<int64_t>  buckets;
   std::vector<QuarantineRecord>  quarantines;
   int64_t settingsNext;
+  StandingReport standings;
+  bool isSettingsFresh;
 
   _Gossip__isset __isset;
 
@@ -1605,6 +1705,10 @@
 
   void __set_settingsNext(const int64_t val);
 
+  void __set_standings(const StandingReport& val);
+
+  void __set_isSettingsFresh(const bool val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1627,6 +1731,12 @@
       return false;
     else if (__isset.settingsNext && !(settingsNext == rhs.settingsNext))
       return false;
+    if (__isset.standings != rhs.__isset.standings)
+      return false;
+    else if (__isset.standings && !(standings == rhs.standings))
+      return false;
+    if (!(isSettingsFresh == rhs.isSettingsFresh))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/src/hickorygladectl/commands.cpp
+++ b/src/hickorygladectl/commands.cpp
@@ -162,6 +162,10 @@
             << " ms; their source is "
             << (report["log_reachable"].get<bool>() ? "reachable" : "away")
             << ", last answered " << report["source_age_ms"] << " ms ago\n";
+  if (const json &it = report["settings_refused"]; it.is_object())
+    std::cout << "refused version " << it["version"] << " " << it["ms_ago"]
+              << " ms ago: " << it["where"].get<std::string>() << " "
+              << it["reason"].get<std::string>() << "\n";
   for (const json &it : report["own_endpoints"])
     std::cout << "own " << textOf(it["name"]) << "  " << textOf(it["service"])
               << "  " << it["busy"] << " of " << it["slots"] << " slots busy  "
--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -25,6 +25,14 @@
 /// A gate's report older than this says nothing any more.
 constexpr Micros LoadTerm = std::chrono::milliseconds(500);
 
+/// Part of its target latency that a class of requests is taken to need until
+/// one has been seen: operators set targets to a few times the usual run time.
+constexpr int UnseenCostPart = 3;
+
+/// How long a gate's word on its endpoint's standing counts: a doubtful endpoint
+/// rests for about as long.
+constexpr Micros ReportedStandingTerm = std::chrono::seconds(1);
+
 constexpr std::size_t MostKeyBytes = 255;
 constexpr Millis LongestTimeout = std::chrono::hours(24);
 
@@ -61,7 +69,7 @@
     : Executor(ex), Node(settings.Node), DataCentre(settings.DataCentre),
       Service(settings.Service), HasKeepers(settings.Platform.empty()),
       BootId(bootId), Worker(worker), Dialect(dialect), Counters(metrics),
-      Links(ex, makeHello(Node, bootId, DataCentre)),
+      Links(ex, makeHello(Node, bootId, DataCentre), metrics.traffic()),
       Rng(std::uint64_t(bootId) + worker) {}
 
 void Entry::applyView(FleetViewPtr view) { View = std::move(view); }
@@ -158,9 +166,13 @@
   inquiry.Way = *route;
   inquiry.Way.Service = Splits.choose(*route, Rng);
   inquiry.Deadline = now() + timeout;
+  inquiry.Target = now() + policy.TargetLatency;
   inquiry.Fingerprint = fingerprintOf(request, inquiry.Way.Service);
   inquiry.Class = {route->Path, request.Method, std::uint64_t(bytes)};
   inquiry.Cost = Costs.estimate(inquiry.Class, policy.LongAfter);
+  bool isUnseen = inquiry.Cost.Expected == Micros{0};
+  if (isUnseen && policy.TargetLatency < policy.Timeout)
+    inquiry.Cost.Expected = policy.TargetLatency / UnseenCostPart;
   inquiry.IsIdempotent = policy.isIdempotent(request.Method);
   inquiry.IdempotencyKey = headerValue(request.Headers, "Idempotency-Key");
   if (inquiry.IdempotencyKey.size() > MostKeyBytes)
@@ -191,7 +203,6 @@
       ErrorBudgets.try_emplace(inquiry.Way.Service, makeErrorBudget())
           .first->second;
   errors.noteFresh(ErrorRetryPercent);
-  int runs = 0;
   int freeTries = 0;
   std::optional<HttpAnswer> failure;
   for (int number = 1;; ++number) {
@@ -208,17 +219,17 @@
                          "answered " + std::to_string(failure->Status));
     }
     const Error &error = std::get<Error>(result);
-    inquiry.HasMissed = inquiry.HasMissed || error.Kind == ErrorKind::SlotTaken;
+    inquiry.RoomRefusals += error.Kind == ErrorKind::SlotTaken;
     bool hasFailed = error.Kind != ErrorKind::SlotTaken;
     freeTries += isFreeRetry(error.Kind);
     if (hasFailed && !inquiry.LastGate.empty())
       inquiry.Tried.push_back(std::exchange(inquiry.LastGate, {}));
-    runs += error.Run == RunState::Unknown;
+    inquiry.Runs += error.Run == RunState::Unknown;
     if (error.Run == RunState::Unknown && inquiry.Arrivals == 0)
       inquiry.Arrivals = 1;
     RetryAnswer answer =
         decideRetry({error, inquiry.IsIdempotent, number - freeTries,
-                     inquiry.Deadline - now(), inquiry.Cost.Expected, runs,
+                     inquiry.Deadline - now(), inquiry.Cost.Expected, inquiry.Runs,
                      inquiry.Way.Policy.MaxAttempts},
                     budget);
     Counters.countRetry(std::string(answer.Reason));
@@ -234,10 +245,23 @@
       continue;
     if (failure)
       co_return std::move(*failure);
-    co_return finalError(error, runs > 0);
+    co_return finalError(error, inquiry.Runs > 0);
   }
 }
 
+/// Members of other data centres do not hear of passing standings; what a gate
+/// said of itself a moment ago goes before.
+Standing Entry::standingOf(const GateView &gate, const GateLoadView &load,
+                           Instant now) {
+  bool isTold = load.Load.standing > 0 &&
+                load.Load.standing <= 1 + int(Standing::Draining);
+  bool isFresh = load.At != Instant{} && now - load.At < ReportedStandingTerm;
+  bool isRecord = gate.State == Standing::Draining ||
+                  gate.State == Standing::Ejected;
+  return isTold && isFresh && !isRecord ? Standing(load.Load.standing - 1)
+                                        : gate.State;
+}
+
 std::vector<Candidate> Entry::candidates(const Inquiry &inquiry, Instant now) {
   const std::string &service = inquiry.Way.Service;
   std::vector<Candidate> all;
@@ -259,6 +283,7 @@
     it.WasTried =
         std::ranges::find(inquiry.Tried, gate.Node) != inquiry.Tried.end();
     const GateLoadView &load = Loads[loadKey(gate.Node, service)];
+    it.State = standingOf(gate, load, now);
     bool isFresh = now - load.At < LoadTerm && load.At != Instant{};
     it.FreeSlots = isFresh ? load.Load.freeSlots
                            : std::max(gate.Slots - load.Outstanding, 0);
@@ -278,11 +303,12 @@
   Instant until = std::min(now() + CandidatePatience, inquiry.Deadline);
   RouteQuestion question{inquiry.Cost.IsLong,
                          inquiry.IsIdempotent,
-                         inquiry.HasMissed,
+                         inquiry.RoomRefusals > 0,
                          isSerialized,
                          inquiry.Fingerprint,
                          inquiry.Way.Policy.TrialOdds,
-                         inquiry.Way.Policy.SpillsToDoubtful};
+                         inquiry.Way.Policy.SpillsToDoubtful,
+                         inquiry.RoomRefusals};
   while (true) {
     all = candidates(inquiry, now());
     RoutePlan plan = router->Plan(all, question, Rng);
@@ -308,14 +334,18 @@
   attempt.Id = inquiry.Id + "/" + std::to_string(number);
   attempt.AwaitsGrant = plan.AwaitsGrant;
   attempt.OnlyIfFree = plan.OnlyIfFree;
+  attempt.IsWaitBounded = plan.IsWaitBounded;
   attempt.IsSpill = isSpill(all, plan);
   attempt.IsSerialized = isSerialized;
   attempt.Box = std::make_shared<StreamMailbox>(Executor);
   for (std::size_t i : plan.Targets) {
     auto node = View->Nodes.find(all[i].Node);
     const auto &gates = View->Services.at(inquiry.Way.Service).Gates;
-    if (node != View->Nodes.end())
-      attempt.Targets.push_back({gates[i], node->second, nullptr, 0, false});
+    if (node == View->Nodes.end())
+      continue;
+    GateView gate = gates[i];
+    gate.State = all[i].State;
+    attempt.Targets.push_back({gate, node->second, nullptr, 0, false});
   }
   logRoute(inquiry, number, attempt, plan);
   if (attempt.Targets.empty())
@@ -333,6 +363,10 @@
   inquiry.Scope->OnCancel = nullptr;
   for (std::size_t i = 0; i < attempt.Targets.size(); ++i)
     withdraw(attempt, i);
+  // Another data centre may have room.
+  auto *error = std::get_if<Error>(&result);
+  if (error && attempt.IsWaitBounded && error->Kind == ErrorKind::Overloaded)
+    error->Kind = ErrorKind::SlotTaken;
   co_return result;
 }
 
@@ -351,6 +385,7 @@
             {"route", inquiry.Way.Path},
             {"service", inquiry.Way.Service},
             {"settings_revision", View->SettingsNext},
+            {"priority", inquiry.Way.Policy.Priority},
             {"left_ms", toMillis(inquiry.Deadline - now()).count()},
             {"candidates",
              view == View->Services.end() ? 0 : view->second.Gates.size()},
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -25,6 +25,8 @@
   HttpRequest Http;
   Route Way;
   Instant Deadline;
+  /// Until when an answer has its full value.
+  Instant Target;
   std::uint64_t Fingerprint = 0;
   CostClass Class;
   CostEstimate Cost;
@@ -34,8 +36,10 @@
   int Crashes = 0;
   /// Attempts that an endpoint has seen.
   int Arrivals = 0;
-  /// A slot that was thought free was not.
-  bool HasMissed = false;
+  /// Attempts that an endpoint may have run.
+  int Runs = 0;
+  /// Times that gates have refused it for want of room.
+  int RoomRefusals = 0;
   /// Gate of the latest attempt that reached one.
   std::string LastGate;
   /// Gates that have refused or failed it.
@@ -90,6 +94,8 @@
   std::string pickHelper(const Attempt &attempt, std::size_t target);
   asio::awaitable<bool> openTarget(Attempt &attempt, std::size_t target);
 
+  static Standing standingOf(const GateView &gate, const GateLoadView &load,
+                             Instant now);
   std::vector<Candidate> candidates(const Inquiry &inquiry, Instant now);
   wire::Ticket makeTicket(const Attempt &attempt, std::size_t target) const;
   void sendCall(Attempt &attempt, std::size_t target);
--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -54,6 +54,8 @@
   ticket.gateBootId = it.Node.BootId;
   ticket.timeoutMs = toMillis(inquiry.Deadline - AnswerMargin - now()).count();
   ticket.linkAgeMs = it.Client->channel().ageMs();
+  ticket.targetMs = std::max<std::int64_t>(
+      toMillis(inquiry.Target - AnswerMargin - now()).count(), 1);
   ticket.expectedCostUs = inquiry.Cost.Expected.count();
   ticket.isLong = inquiry.Cost.IsLong;
   ticket.isIdempotent = inquiry.IsIdempotent;
@@ -64,6 +66,9 @@
   ticket.awaitsClaim = attempt.AwaitsGrant;
   ticket.isRepeat = inquiry.Arrivals > 0;
   ticket.acceptsDoubtful = it.Gate.State != Standing::Healthy;
+  if (attempt.IsWaitBounded)
+    ticket.maxWaitMs = inquiry.Way.Policy.NearWait.count();
+  ticket.isLastTry = inquiry.Runs + 1 >= inquiry.Way.Policy.MaxAttempts;
   ticket.priority = inquiry.Way.Policy.Priority;
   ticket.isSerialized = attempt.IsSerialized;
   return ticket;
--- a/src/libfleet/entry/entryattempt.h
+++ b/src/libfleet/entry/entryattempt.h
@@ -41,6 +41,7 @@
   std::shared_ptr<StreamMailbox> Box;
   bool AwaitsGrant = false;
   bool OnlyIfFree = false;
+  bool IsWaitBounded = false;
   bool IsSpill = false;
   bool IsSerialized = false;
 
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -104,6 +104,8 @@
   out.Workspace = in.workspace;
   out.Service = in.serviceName;
   out.Deadline = now() + Millis(in.timeoutMs - late);
+  if (in.targetMs > 0)
+    out.Target = now() + Millis(in.targetMs - late);
   out.ExpectedCost = Micros(in.expectedCostUs);
   out.IsLong = in.isLong;
   out.IsIdempotent = in.isIdempotent;
@@ -115,6 +117,9 @@
   out.AcceptsDoubtful = in.acceptsDoubtful;
   out.IsSpill = in.isSpill;
   out.Priority = in.priority;
+  out.IsLastTry = in.isLastTry;
+  if (in.maxWaitMs > 0)
+    out.MaxWait = Millis(in.maxWaitMs);
   out.IsSerialized = in.isSerialized;
   return out;
 }
@@ -420,6 +425,7 @@
   out.freeSlots = load.FreeSlots;
   out.queued = load.Queued;
   out.slots = load.Slots;
+  out.standing = load.Best ? 1 + int(*load.Best) : 0;
   return out;
 }
 
--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -28,6 +28,22 @@
 /// only those left behind ask their peers.
 constexpr Millis CatchUpDelay = std::chrono::milliseconds(300);
 
+/// Those for whom others read ask at a time within this, so that they do not
+/// all ask the first to know.
+constexpr std::uint64_t FollowSpreadMs = 120;
+
+/// Between a reader's words to its data centre that it follows the source of
+/// settings, and how long each counts. Two may be lost before others read for
+/// themselves, which leaves most of the 2 s in which a change must be in force.
+constexpr Micros BeatPeriod = std::chrono::milliseconds(500);
+constexpr Micros FreshTerm = std::chrono::milliseconds(1'200);
+
+/// Members of the data centre that a node tells of settings it has taken.
+constexpr std::size_t SettingsFanOut = 3;
+
+/// Keeps the log's volume far below that of requests.
+constexpr Micros TrafficLogPeriod = std::chrono::seconds(10);
+
 /// Between tries to reach the directory, and between looks into it while no
 /// other node is known.
 constexpr Millis DirectoryPause = std::chrono::milliseconds(500);
@@ -44,23 +60,6 @@
   return record;
 }
 
-/// Better standings first, so that a gate counts as its best endpoint.
-int rankOf(Standing state) {
-  switch (state) {
-  case Standing::Healthy:
-    return 0;
-  case Standing::Trial:
-    return 1;
-  case Standing::Suspect:
-    return 2;
-  case Standing::Ejected:
-    return 3;
-  case Standing::Draining:
-    return 4;
-  }
-  return 4;
-}
-
 json endpointJson(const EndpointRecord &it) {
   return {{"name", it.Name},
           {"service", it.Service},
@@ -91,8 +90,9 @@
                  std::int64_t bootId, Metrics &metrics, Events events)
     : Io(io), Facts(settings), BootId(bootId), Handlers(std::move(events)),
       Links(io.get_executor(),
-            makeHello(settings.Node, bootId, settings.DataCentre)),
-      Members(io, settings.FleetAddress,
+            makeHello(settings.Node, bootId, settings.DataCentre),
+            metrics.traffic()),
+      Members(io, settings.FleetAddress, metrics.traffic(),
               makeMembership(makeRecord(settings, bootId), settings.Seeds,
                              std::uint64_t(bootId), now()),
               {[this] { scheduleRebuild(); },
@@ -100,18 +100,36 @@
                  if (mergeCrash(Crashes, fingerprint, record))
                    scheduleRebuild();
                },
-               [this] { followPeers(); }}),
+               [this] { followPeers(); },
+               [this](const StandingReport &report) {
+                 bool wasEmpty = Standings.Entries.empty();
+                 if (takeReport(Standings, report, now()))
+                   scheduleRebuild();
+                 if (wasEmpty)
+                   repeatStandings();
+               },
+               [this](std::int64_t next) {
+                 // One that is behind reads for itself if it cannot catch up.
+                 if (next >= Settings.state().Next && !isBehind())
+                   FreshUntil = now() + FreshTerm;
+               }}),
       Settings(io, settings.LogAddress, settings.StreamPrefix + ".settings",
                settings.LogRetention, metrics,
                {[this] {
                   describe(false);
+                  spreadSettings();
                   scheduleRebuild();
                 },
                 [this] { return fetchSnapshot(); },
-                [this](const std::string &what) { return refreshRank(what); }}),
+                [this](const std::string &what) { return refreshRank(what); },
+                [this] { return awaitTurn(); }}),
       Leases(io, settings.LogAddress, settings.StreamPrefix + ".leases",
              {settings.Node, bootId}, metrics, leaseEvents()),
-      RebuildTimer(io) {}
+      RebuildTimer(io), StandingTimer(io), BeatTimer(io),
+      Traffic(metrics.traffic()), TrafficTimer(io) {
+  OwnStandings.Node = settings.Node;
+  OwnStandings.BootId = bootId;
+}
 
 LeaseService::Events Control::leaseEvents() {
   LeaseService::Events events;
@@ -220,11 +238,14 @@
   if (!status.ok())
     return status;
   Settings.start();
+  if (Directory && Facts.SettingsReaders > 0)
+    beatSettings();
   if (Directory)
     asio::co_spawn(Io, findNodes(), asio::detached);
   else
     Leases.start();
   scheduleRebuild();
+  logTraffic();
   asio::co_spawn(Io, awaitReady(), asio::detached);
   return absl::OkStatus();
 }
@@ -233,6 +254,9 @@
   MemberRecord record = makeRecord(Facts, BootId);
   record.IsLeaving = IsLeaving;
   record.Endpoints = Endpoints;
+  if (Facts.KeepsStandingsNear)
+    for (EndpointRecord &it : record.Endpoints)
+      it.State = isPassing(it.State) ? Standing::Healthy : it.State;
   // Documents would change the records of all members at once; their version
   // goes along with other messages.
   if (Directory)
@@ -246,9 +270,44 @@
 void Control::setEndpoints(std::vector<EndpointRecord> endpoints) {
   Endpoints = std::move(endpoints);
   describe(true);
+  if (Facts.KeepsStandingsNear)
+    reportStandings();
   scheduleRebuild();
 }
 
+void Control::reportStandings() {
+  std::map<std::string, Standing> states;
+  for (const EndpointRecord &it : Endpoints)
+    if (isPassing(it.State))
+      states[it.Name] = it.State;
+  if (states == OwnStandings.States)
+    return;
+  OwnStandings.States = std::move(states);
+  ++OwnStandings.Sequence;
+  takeReport(Standings, OwnStandings, now());
+  Members.spreadStandings(OwnStandings);
+  repeatStandings();
+}
+
+/// Goes on while an endpoint's standing is a passing one, or another node's
+/// report may lapse.
+void Control::repeatStandings() {
+  StandingTimer.expires_after(StandingRepeat);
+  StandingTimer.async_wait([this](const error_code &ec) {
+    if (ec)
+      return;
+    if (!OwnStandings.States.empty()) {
+      ++OwnStandings.Sequence;
+      takeReport(Standings, OwnStandings, now());
+      Members.spreadStandings(OwnStandings);
+    }
+    if (expireReports(Standings, now()))
+      scheduleRebuild();
+    if (!Standings.Entries.empty())
+      repeatStandings();
+  });
+}
+
 void Control::noteCrash(std::uint64_t fingerprint, const CrashRecord &record) {
   if (mergeCrash(Crashes, fingerprint, record))
     scheduleRebuild();
@@ -269,19 +328,75 @@
   asio::co_spawn(Io, catchUp(), asio::detached);
 }
 
+bool Control::isReader() const {
+  return Facts.SettingsReaders == 0 ||
+         rankInDataCentre(Members.state()) <
+             std::size_t(Facts.SettingsReaders);
+}
+
+/// Waits while a reader's word that the settings are the newest counts. At the
+/// start nobody knows yet who the readers are.
+asio::awaitable<void> Control::awaitTurn() {
+  bool isStart = FreshUntil == Instant{};
+  if (isStart)
+    FreshUntil = now() + FreshTerm;
+  asio::steady_timer timer(Io);
+  while (now() < FreshUntil && (isStart || !isReader())) {
+    isStart = false;
+    timer.expires_at(toSteady(FreshUntil));
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+}
+
+/// While this node reads the source of settings, tells its data centre so.
+void Control::beatSettings() {
+  BeatTimer.expires_after(BeatPeriod);
+  BeatTimer.async_wait([this](const error_code &ec) {
+    if (ec || IsLeaving)
+      return;
+    if (isReader() && Settings.isLogReachable() && Settings.isLoaded() &&
+        !isBehind())
+      Members.spreadSettings(peers(Members.state()).size(), true);
+    beatSettings();
+  });
+}
+
+void Control::spreadSettings() {
+  std::int64_t next = Settings.state().Next;
+  if (Facts.SettingsReaders == 0 || next <= SpreadNext)
+    return;
+  SpreadNext = next;
+  bool isFresh = isReader() && Settings.isLogReachable();
+  Members.spreadSettings(
+      isFresh ? peers(Members.state()).size() : SettingsFanOut, isFresh);
+}
+
 bool Control::isBehind() const {
   return Members.state().Newest.Next > Settings.state().Next;
 }
 
+/// Members that have the newest settings, those of the own data centre if there
+/// are any.
+std::vector<std::string> Control::newestHolders() const {
+  std::vector<std::string> all = Members.state().Newest.Addresses;
+  std::vector<std::string> near;
+  for (const Member *peer : nearPeers(Members.state()))
+    if (std::ranges::find(all, peer->Record.FleetAddress) != all.end())
+      near.push_back(peer->Record.FleetAddress);
+  return near.empty() ? all : near;
+}
+
 asio::awaitable<void> Control::catchUp() {
   asio::steady_timer timer(Io);
   while (isBehind()) {
-    timer.expires_after(CatchUpDelay);
+    Millis delay = CatchUpDelay;
+    if (!isReader())
+      delay = Millis(std::uint64_t(wallMicros()) % FollowSpreadMs);
+    timer.expires_after(delay);
     co_await timer.async_wait(asio::use_awaitable);
     if (!isBehind())
       break;
-    std::vector<std::string> newest = {Members.state().Newest.Address};
-    bool hasAnswer = co_await fetchSnapshotFrom(std::move(newest));
+    bool hasAnswer = co_await fetchSnapshotFrom(newestHolders(), 1);
     if (!hasAnswer)
       hasAnswer = co_await fetchSnapshot();
     logEvent(LogLevel::Info, "settings_from_peer",
@@ -307,13 +422,15 @@
     addresses.push_back(peer->Record.FleetAddress);
   if (addresses.empty())
     addresses = Facts.Seeds;
-  co_return co_await fetchSnapshotFrom(std::move(addresses));
+  co_return co_await fetchSnapshotFrom(std::move(addresses),
+                                       MostSnapshotPeers);
 }
 
 asio::awaitable<bool>
-Control::fetchSnapshotFrom(std::vector<std::string> addresses) {
+Control::fetchSnapshotFrom(std::vector<std::string> addresses,
+                           std::size_t most) {
   std::ranges::shuffle(addresses, Random(std::uint64_t(wallMicros())));
-  addresses.resize(std::min(addresses.size(), MostSnapshotPeers));
+  addresses.resize(std::min(addresses.size(), most));
   bool hasAnswer = false;
   for (const std::string &address : addresses) {
     if (address == Facts.AdvertisedAddress)
@@ -390,16 +507,19 @@
   for (const EndpointRecord &endpoint : record.Endpoints) {
     if (endpoint.State == Standing::Draining)
       continue;
+    Standing standing =
+        passingStanding(Standings, record.Node, record.BootId, endpoint.Name)
+            .value_or(endpoint.State);
     std::vector<GateView> &gates = view.Services[endpoint.Service].Gates;
     auto gate = std::ranges::find(gates, record.Node, &GateView::Node);
     if (gate == gates.end()) {
       gates.push_back({record.Node, record.BootId, record.DataCentre,
-                       endpoint.Slots, endpoint.State});
+                       endpoint.Slots, standing});
       continue;
     }
     gate->Slots += endpoint.Slots;
-    if (rankOf(endpoint.State) < rankOf(gate->State))
-      gate->State = endpoint.State;
+    if (rankOf(standing) < rankOf(gate->State))
+      gate->State = standing;
   }
 }
 
@@ -455,10 +575,37 @@
   out.SettingsInForce = now() - Settings.takenAt();
   out.SourceAge = now() - Settings.heardAt();
   out.IsSourceReachable = Settings.isLogReachable();
-  out.GossipBytes = double(Members.bytesSent());
   return out;
 }
 
+/// Bytes of membership messages sent.
+std::uint64_t Control::gossipBytes() const {
+  return Traffic.bytes(TrafficCause::Membership, false) +
+         Traffic.bytes(TrafficCause::Membership, true);
+}
+
+/// A line now and then that says where bytes go; none while nothing is sent.
+void Control::logTraffic() {
+  TrafficTimer.expires_after(TrafficLogPeriod);
+  TrafficTimer.async_wait([this](const error_code &ec) {
+    if (ec)
+      return;
+    json far = json::object();
+    json near = json::object();
+    for (std::size_t i = 0; i < TrafficCauses; ++i) {
+      auto cause = static_cast<TrafficCause>(i);
+      std::string name(toString(cause));
+      if (std::uint64_t n = Traffic.bytes(cause, true))
+        far[name] = n;
+      if (std::uint64_t n = Traffic.bytes(cause, false))
+        near[name] = n;
+    }
+    logEvent(LogLevel::Info, "traffic",
+             {{"far_bytes", std::move(far)}, {"near_bytes", std::move(near)}});
+    logTraffic();
+  });
+}
+
 nlohmann::json Control::report() const {
   json members = json::array();
   for (const auto &[node, member] : Members.state().Members)
@@ -477,12 +624,20 @@
       ejections.push_back({{"service", subject.Service},
                            {"endpoint", subject.Name},
                            {"holder", lease.Holder.Node}});
+  json refused;
+  if (const auto &it = Settings.refused())
+    refused = {{"version", it->Version},
+               {"where", it->Faults.front().Where},
+               {"reason", it->Faults.front().Reason},
+               {"faults", it->Faults.size()},
+               {"ms_ago", toMillis(now() - it->At).count()}};
   return {
+      {"settings_refused", std::move(refused)},
       {"keepers", std::move(keepers)},
       {"ejections", std::move(ejections)},
       {"node", Facts.Node},
       {"settings_next", Settings.state().Next},
-      {"gossip_bytes_sent", Members.bytesSent()},
+      {"gossip_bytes_sent", gossipBytes()},
       {"settings_loaded", Settings.isLoaded()},
       {"settings_in_force_ms", toMillis(now() - Settings.takenAt()).count()},
       {"source_age_ms", toMillis(now() - Settings.heardAt()).count()},
--- a/src/libfleet/node/control.h
+++ b/src/libfleet/node/control.h
@@ -63,7 +63,11 @@
 
 private:
   asio::awaitable<bool> fetchSnapshot();
-  asio::awaitable<bool> fetchSnapshotFrom(std::vector<std::string> addresses);
+  asio::awaitable<bool> fetchSnapshotFrom(std::vector<std::string> addresses,
+                                          std::size_t most);
+  void spreadSettings();
+  std::uint64_t gossipBytes() const;
+  void logTraffic();
   asio::awaitable<bool> askVoucher(std::string node);
   LeaseService::Events leaseEvents();
   std::vector<LedgerMember> ledgerMembers() const;
@@ -71,7 +75,13 @@
   LeaseRecord describeEjection(const LeaseSubject &subject) const;
   std::size_t refreshRank(const std::string &what) const;
   void describe(bool isUrgent);
+  void reportStandings();
+  void repeatStandings();
   void followPeers();
+  bool isReader() const;
+  void beatSettings();
+  asio::awaitable<void> awaitTurn();
+  std::vector<std::string> newestHolders() const;
   bool isBehind() const;
   asio::awaitable<void> catchUp();
   void scheduleRebuild();
@@ -94,6 +104,15 @@
   bool IsLeaving = false;
   bool IsCatchingUp = false;
   std::vector<EndpointRecord> Endpoints;
+  StandingReport OwnStandings;
+  StandingBoard Standings;
+  asio::steady_timer StandingTimer;
+  asio::steady_timer BeatTimer;
+  /// Until when the settings are known to be the newest by others' word.
+  Instant FreshUntil;
+  TrafficCounters &Traffic;
+  asio::steady_timer TrafficTimer;
+  std::int64_t SpreadNext = 0;
   Quarantine Crashes;
   std::shared_ptr<const RouteTable> Routes;
   std::int64_t RoutesNext = -1;
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -185,7 +185,7 @@
   Relay = std::make_unique<RevokeRelay>(gateThread, Entries[0]->links());
   Server = std::make_unique<LinkServer>(
       gateThread, Facts.FleetAddress,
-      makeHello(Facts.Node, BootId, Facts.DataCentre),
+      makeHello(Facts.Node, BootId, Facts.DataCentre), Counters.traffic(),
       [this](const std::shared_ptr<FrameChannel> &from, wire::Frame frame) {
         takeFrame(from, std::move(frame));
       });
--- a/src/libfleet/node/nodesettings.cpp
+++ b/src/libfleet/node/nodesettings.cpp
@@ -16,6 +16,7 @@
 using nlohmann::json;
 
 constexpr int MostTrafficThreads = 64;
+constexpr int MostSettingsReaders = 1'000;
 constexpr int LeastRetentionMs = 1'000;
 constexpr int MostRetentionMs = 2'000'000'000;
 constexpr int MostDrainMs = 3'600'000;
@@ -181,6 +182,9 @@
   settings.AnnouncementLimit = Millis(announcementMs);
   reader.readString("service", settings.Service, false);
   reader.readBoolean("accept_before_ready", settings.AcceptsBeforeReady);
+  reader.readInteger("settings_readers", settings.SettingsReaders, 0,
+                     MostSettingsReaders);
+  reader.readBoolean("keep_standings_near", settings.KeepsStandingsNear);
   reader.readString("log_level", settings.LogLevel, false);
   if (std::ranges::find(LogLevels, settings.LogLevel) == LogLevels.end())
     reader.fault("log_level", "must be debug, info, warn or error");
@@ -217,6 +221,8 @@
               {"announcement_limit_ms", settings.AnnouncementLimit.count()},
               {"service", settings.Service},
               {"accept_before_ready", settings.AcceptsBeforeReady},
+              {"settings_readers", settings.SettingsReaders},
+              {"keep_standings_near", settings.KeepsStandingsNear},
               {"log_level", settings.LogLevel},
               {"listen",
                {{"http", settings.HttpAddress},
--- a/src/libfleet/node/nodesettings.h
+++ b/src/libfleet/node/nodesettings.h
@@ -57,6 +57,13 @@
   /// 2 s of its leaving if it announces itself every second.
   Millis AnnouncementLimit{1'900};
 
+  /// Nodes of each data centre that read the platform's settings documents for
+  /// the others; 0 if each node reads for itself.
+  int SettingsReaders = 0;
+  /// Whether passing standings of endpoints are told to the own data centre
+  /// only; other nodes learn them from replies.
+  bool KeepsStandingsNear = false;
+
   bool operator==(const NodeSettings &) const = default;
 };
 
--- a/src/libfleet/peers/link.cpp
+++ b/src/libfleet/peers/link.cpp
@@ -27,11 +27,31 @@
 /// A peer that does not read is cut off before it fills the memory.
 constexpr std::size_t MostQueuedFrames = 100'000;
 
+TrafficCause causeOf(const wire::Frame &frame) {
+  const auto &has = frame.__isset;
+  if (has.call)
+    return TrafficCause::Requests;
+  if (has.answer)
+    return TrafficCause::Answers;
+  if (has.ticket || has.grant || has.cancel)
+    return TrafficCause::Tickets;
+  if (has.failure)
+    return TrafficCause::Refusals;
+  if (has.revoke || has.revoked)
+    return TrafficCause::Questions;
+  if (has.snapshot || has.snapshotRequest)
+    return TrafficCause::Settings;
+  if (has.keyRequest || has.keyReply)
+    return TrafficCause::Keys;
+  return TrafficCause::Links;
+}
+
 } // namespace
 
-Link::Link(tcp::socket socket, wire::Hello own, Events events)
+Link::Link(tcp::socket socket, wire::Hello own, TrafficCounters &traffic,
+           TrafficCause bodies, Events events)
     : Socket(std::move(socket)), Timer(Socket.get_executor()),
-      Own(std::move(own)), Handlers(std::move(events)), OpenedAt(now()),
+      Own(std::move(own)), Traffic(traffic), BodyCause(bodies), Handlers(std::move(events)), OpenedAt(now()),
       LastHeard(OpenedAt) {}
 
 void Link::start() {
@@ -45,6 +65,11 @@
   beat();
 }
 
+/// Until the peer has said where it is, it is taken to be far.
+bool Link::isFar() const {
+  return !Peer || Peer->dataCentre != Own.dataCentre;
+}
+
 void Link::close(std::string_view reason) {
   if (!Open)
     return;
@@ -75,6 +100,7 @@
   if (Urgent.size() >= MostQueuedFrames)
     return close("the peer does not read");
   Urgent.push_back(encodeFrame(frame));
+  Traffic.note(causeOf(frame), isFar(), Urgent.back().size());
   if (!IsWriting)
     writeNext();
 }
@@ -108,7 +134,9 @@
   frame.stream = it.Stream;
   frame.data.bytes = it.Content->substr(it.Sent, n);
   frame.__isset.data = true;
-  Writing += encodeFrame(frame);
+  std::string bytes = encodeFrame(frame);
+  Traffic.note(BodyCause, isFar(), bytes.size());
+  Writing += bytes;
   it.Sent += n;
   if (it.Sent < it.Content->size())
     Bodies.push_back(std::move(it));
--- a/src/libfleet/peers/link.h
+++ b/src/libfleet/peers/link.h
@@ -2,6 +2,7 @@
 
 #include "libfleet/base/asio.h"
 #include "libfleet/peers/framechannel.h"
+#include "libfleet/reporting/trafficcounters.h"
 #include "libhickoryglade/instant.h"
 
 #include "fleet_types.h"
@@ -26,7 +27,9 @@
     std::function<void(const std::shared_ptr<Link> &)> OnClose;
   };
 
-  Link(tcp::socket socket, wire::Hello own, Events events);
+  /// Bodies count as requests or answers, depending on which end this is.
+  Link(tcp::socket socket, wire::Hello own, TrafficCounters &traffic,
+       TrafficCause bodies, Events events);
 
   /// Sends the hello and begins to read.
   void start();
@@ -58,9 +61,13 @@
   bool gather();
   void beat();
 
+  bool isFar() const;
+
   tcp::socket Socket;
   asio::steady_timer Timer;
   wire::Hello Own;
+  TrafficCounters &Traffic;
+  TrafficCause BodyCause;
   Events Handlers;
   std::optional<wire::Hello> Peer;
   std::array<char, 4> Prefix{};
--- a/src/libfleet/peers/linkserver.cpp
+++ b/src/libfleet/peers/linkserver.cpp
@@ -5,9 +5,10 @@
 namespace hickoryglade::fleet {
 
 LinkServer::LinkServer(asio::any_io_executor ex, std::string address,
-                       wire::Hello own, FrameHandler handler)
+                       wire::Hello own, TrafficCounters &traffic,
+                       FrameHandler handler)
     : Executor(ex), Address(std::move(address)), Own(std::move(own)),
-      Handler(std::move(handler)), Acceptor(ex) {}
+      Traffic(traffic), Handler(std::move(handler)), Acceptor(ex) {}
 
 absl::Status LinkServer::start() {
   absl::Status status = takeAddress(Acceptor, Address);
@@ -47,7 +48,8 @@
             Links.erase(link);
           };
           auto link =
-              std::make_shared<Link>(std::move(socket), Own, std::move(events));
+              std::make_shared<Link>(std::move(socket), Own, Traffic,
+                                     TrafficCause::Answers, std::move(events));
           Links.insert(link);
           link->start();
         }
--- a/src/libfleet/peers/linkserver.h
+++ b/src/libfleet/peers/linkserver.h
@@ -18,7 +18,7 @@
       std::function<void(const std::shared_ptr<FrameChannel> &, wire::Frame)>;
 
   LinkServer(asio::any_io_executor ex, std::string address, wire::Hello own,
-             FrameHandler handler);
+             TrafficCounters &traffic, FrameHandler handler);
 
   absl::Status start();
   void stop();
@@ -29,6 +29,7 @@
   asio::any_io_executor Executor;
   std::string Address;
   wire::Hello Own;
+  TrafficCounters &Traffic;
   FrameHandler Handler;
   tcp::acceptor Acceptor;
   std::set<std::shared_ptr<Link>> Links;
--- a/src/libfleet/peers/membershipservice.cpp
+++ b/src/libfleet/peers/membershipservice.cpp
@@ -34,9 +34,10 @@
 
 MembershipService::MembershipService(asio::io_context &io,
                                      std::string listenAddress,
+                                     TrafficCounters &traffic,
                                      Membership initial, Events events)
     : Socket(io), Timer(io), ListenAddress(std::move(listenAddress)),
-      Kernel(std::move(initial)), Handlers(std::move(events)) {}
+      Traffic(traffic), Kernel(std::move(initial)), Handlers(std::move(events)) {}
 
 absl::Status MembershipService::start() {
   std::optional<udp::endpoint> at = toEndpoint(ListenAddress);
@@ -56,8 +57,9 @@
 }
 
 void MembershipService::describe(const MemberRecord &record, bool isUrgent) {
+  std::int64_t before = Kernel.Revision;
   describeSelf(Kernel, record);
-  if (isUrgent)
+  if (isUrgent && Kernel.Revision != before)
     send(spreadNow(Kernel, UrgentFanOut));
   reportChange();
 }
@@ -73,13 +75,39 @@
   sendCrash(fingerprint, record, peers(Kernel).size());
 }
 
-void MembershipService::sendCrash(std::uint64_t fingerprint,
-                                  const CrashRecord &record,
-                                  std::size_t fanOut) {
+wire::Gossip MembershipService::ownGossip() const {
   wire::Gossip gossip;
   gossip.kind = wire::GossipKind::UPDATES;
   gossip.sender = Kernel.Self;
   gossip.senderAddress = Kernel.Members.at(Kernel.Self).Record.FleetAddress;
+  if (Kernel.SettingsNext > 0)
+    gossip.__set_settingsNext(Kernel.SettingsNext);
+  return gossip;
+}
+
+void MembershipService::spreadStandings(const StandingReport &report) {
+  wire::Gossip gossip = ownGossip();
+  gossip.__set_standings(toWire(report));
+  std::string bytes = encodeGossip(gossip);
+  for (const Member *peer : nearPeers(Kernel))
+    sendBytes(peer->Record.FleetAddress, bytes, TrafficCause::Standings);
+}
+
+void MembershipService::spreadSettings(std::size_t fanOut, bool isFresh) {
+  wire::Gossip gossip = ownGossip();
+  gossip.isSettingsFresh = isFresh;
+  std::string bytes = encodeGossip(gossip);
+  std::vector<const Member *> targets = nearPeers(Kernel);
+  std::ranges::shuffle(targets, Kernel.Rng);
+  targets.resize(std::min(targets.size(), fanOut));
+  for (const Member *target : targets)
+    sendBytes(target->Record.FleetAddress, bytes, TrafficCause::Settings);
+}
+
+void MembershipService::sendCrash(std::uint64_t fingerprint,
+                                  const CrashRecord &record,
+                                  std::size_t fanOut) {
+  wire::Gossip gossip = ownGossip();
   wire::QuarantineRecord it;
   it.fingerprint = std::int64_t(fingerprint);
   it.crashes.insert(record.ByNode.begin(), record.ByNode.end());
@@ -120,6 +148,11 @@
   if (Kernel.Newest.Next > newest && Handlers.OnNewerSettings)
     Handlers.OnNewerSettings();
   takeCrashes(*gossip);
+  if (gossip->isSettingsFresh && Handlers.OnFreshSettings)
+    Handlers.OnFreshSettings(message->SettingsNext);
+  if (gossip->__isset.standings)
+    if (auto report = fromWire(gossip->standings))
+      Handlers.OnStandings(*report);
   reportChange();
 }
 
@@ -142,15 +175,26 @@
 }
 
 void MembershipService::sendBytes(const std::string &address,
-                                  const std::string &bytes) {
+                                  const std::string &bytes,
+                                  TrafficCause cause) {
   std::optional<udp::endpoint> to = toEndpoint(address);
   if (!to)
     return;
   error_code ec;
-  BytesSent += bytes.size();
+  // Standings and settings are told to the own data centre only.
+  bool isBroad = cause == TrafficCause::Membership;
+  Traffic.note(cause, isBroad && isFar(address), bytes.size());
   Socket.send_to(asio::buffer(bytes), *to, 0, ec);
 }
 
+bool MembershipService::isFar(const std::string &address) const {
+  const std::string &own = Kernel.Members.at(Kernel.Self).Record.DataCentre;
+  return std::ranges::none_of(Kernel.Members, [&](const auto &it) {
+    const MemberRecord &record = it.second.Record;
+    return record.DataCentre == own && record.FleetAddress == address;
+  });
+}
+
 void MembershipService::scheduleTick() {
   Instant due = std::max(nextDue(Kernel), now() + LeastTickGap);
   Timer.expires_at(toSteady(due));
--- a/src/libfleet/peers/membershipservice.h
+++ b/src/libfleet/peers/membershipservice.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "libfleet/base/asio.h"
+#include "libfleet/reporting/trafficcounters.h"
 #include "libhickoryglade/membership.h"
 #include "libhickoryglade/quarantine.h"
+#include "libhickoryglade/standingboard.h"
 
 #include <absl/status/status.h>
 
@@ -25,15 +27,18 @@
     std::function<void(std::uint64_t, CrashRecord)> OnCrash;
     /// Another node has said that it has newer settings than before.
     std::function<void()> OnNewerSettings;
+    std::function<void(const StandingReport &)> OnStandings;
+    /// A node that follows the source of settings has this version.
+    std::function<void(std::int64_t next)> OnFreshSettings;
   };
 
   MembershipService(asio::io_context &io, std::string listenAddress,
-                    Membership initial, Events events);
+                    TrafficCounters &traffic, Membership initial,
+                    Events events);
 
   absl::Status start();
 
   const Membership &state() const { return Kernel; }
-  std::uint64_t bytesSent() const { return BytesSent; }
 
   /// Changes the own record and tells others at once.
   void describe(const MemberRecord &record, bool isUrgent);
@@ -47,24 +52,34 @@
   /// Tells all members of a crash record.
   void spreadCrash(std::uint64_t fingerprint, const CrashRecord &record);
 
+  /// Tells the members of this node's data centre.
+  void spreadStandings(const StandingReport &report);
+
+  /// Tells members of this node's data centre, some or all, which version of
+  /// the settings it has.
+  void spreadSettings(std::size_t fanOut, bool isFresh);
+
 private:
+  wire::Gossip ownGossip() const;
   void receiveNext();
   void take(std::size_t n);
   void sendCrash(std::uint64_t fingerprint, const CrashRecord &record,
                  std::size_t fanOut);
   void takeCrashes(const wire::Gossip &gossip);
   void send(const std::vector<OutgoingGossip> &messages);
-  void sendBytes(const std::string &address, const std::string &bytes);
+  void sendBytes(const std::string &address, const std::string &bytes,
+                 TrafficCause cause = TrafficCause::Membership);
+  bool isFar(const std::string &address) const;
   void scheduleTick();
   void reportChange();
 
   udp::socket Socket;
   asio::steady_timer Timer;
   std::string ListenAddress;
+  TrafficCounters &Traffic;
   Membership Kernel;
   Events Handlers;
   Quarantine Known;
-  std::uint64_t BytesSent = 0;
   std::int64_t ReportedRevision = -1;
   udp::endpoint Sender;
   std::array<char, 65'536> Buffer{};
--- a/src/libfleet/peers/peerlinks.cpp
+++ b/src/libfleet/peers/peerlinks.cpp
@@ -21,8 +21,9 @@
 
 } // namespace
 
-PeerLinks::PeerLinks(asio::any_io_executor ex, wire::Hello own)
-    : Executor(std::move(ex)), Own(std::move(own)) {}
+PeerLinks::PeerLinks(asio::any_io_executor ex, wire::Hello own,
+                     TrafficCounters &traffic)
+    : Executor(std::move(ex)), Own(std::move(own)), Traffic(traffic) {}
 
 void PeerLinks::setLocal(std::string node, std::shared_ptr<GateClient> client) {
   LocalNode = std::move(node);
@@ -81,7 +82,8 @@
   }
   auto slot = std::make_shared<GateClient *>(nullptr);
   peer.Connection =
-      std::make_shared<Link>(std::move(*socket), Own, eventsFor(node, slot));
+      std::make_shared<Link>(std::move(*socket), Own, Traffic,
+                             TrafficCause::Requests, eventsFor(node, slot));
   peer.Client = std::make_shared<GateClient>(peer.Connection);
   *slot = peer.Client.get();
   peer.Client->OnStreamCount = [link = peer.Connection.get()](std::size_t n) {
--- a/src/libfleet/peers/peerlinks.h
+++ b/src/libfleet/peers/peerlinks.h
@@ -14,7 +14,8 @@
 /// first needed and again after a loss.
 class PeerLinks {
 public:
-  PeerLinks(asio::any_io_executor ex, wire::Hello own);
+  PeerLinks(asio::any_io_executor ex, wire::Hello own,
+            TrafficCounters &traffic);
 
   /// Uses this client for the node itself in place of a link.
   void setLocal(std::string node, std::shared_ptr<GateClient> client);
@@ -48,6 +49,7 @@
 
   asio::any_io_executor Executor;
   wire::Hello Own;
+  TrafficCounters &Traffic;
   std::string LocalNode;
   std::shared_ptr<GateClient> Local;
   std::map<std::string, Peer> Peers;
--- a/src/libfleet/peers/wireconvert.cpp
+++ b/src/libfleet/peers/wireconvert.cpp
@@ -128,6 +128,27 @@
   return out;
 }
 
+wire::StandingReport toWire(const StandingReport &report) {
+  wire::StandingReport out;
+  out.node = report.Node;
+  out.bootId = report.BootId;
+  out.sequence = report.Sequence;
+  for (const auto &[name, state] : report.States)
+    out.states[name] = int(state);
+  return out;
+}
+
+std::optional<StandingReport> fromWire(const wire::StandingReport &report) {
+  StandingReport out{report.node, report.bootId, report.sequence, {}};
+  for (const auto &[name, value] : report.states) {
+    auto state = toEnum(value, Standing::Draining);
+    if (!state)
+      return std::nullopt;
+    out.States[name] = *state;
+  }
+  return out;
+}
+
 wire::Snapshot toWire(const SettingsState &state) {
   wire::Snapshot out;
   out.settingsOffset = state.Next;
--- a/src/libfleet/reporting/metrics.cpp
+++ b/src/libfleet/reporting/metrics.cpp
@@ -95,8 +95,9 @@
                         "Time since the settings' source last answered")),
         SourceUp(gauge(registry, "hickoryglade_settings_source_up",
                        "1 if the settings' source answered the last call")),
-        GossipBytes(counter(registry, "hickoryglade_gossip_sent_bytes_total",
-                            "Bytes of membership messages sent")),
+        Traffic(counterFamily(registry, "hickoryglade_node_sent_bytes_total",
+                              "Bytes sent to other nodes by cause and whether "
+                              "to another data centre")),
         ProcessorTime(counter(registry, "process_cpu_seconds_total",
                               "Processor time of the process")),
         Memory(gauge(registry, "process_max_resident_memory_bytes",
@@ -130,7 +131,7 @@
   prometheus::Gauge &SettingsInForce;
   prometheus::Gauge &SourceAge;
   prometheus::Gauge &SourceUp;
-  prometheus::Counter &GossipBytes;
+  prometheus::Family<prometheus::Counter> &Traffic;
   prometheus::Counter &ProcessorTime;
   prometheus::Gauge &Memory;
 };
@@ -188,7 +189,13 @@
   All->SettingsInForce.Set(secondsOf(node.SettingsInForce));
   All->SourceAge.Set(secondsOf(node.SourceAge));
   All->SourceUp.Set(node.IsSourceReachable ? 1 : 0);
-  raiseTo(All->GossipBytes, node.GossipBytes);
+  for (std::size_t i = 0; i < TrafficCauses; ++i)
+    for (bool isFar : {false, true}) {
+      auto cause = static_cast<TrafficCause>(i);
+      raiseTo(All->Traffic.Add({{"cause", std::string(toString(cause))},
+                                {"scope", isFar ? "far" : "near"}}),
+              double(Traffic.bytes(cause, isFar)));
+    }
   rusage used{};
   if (getrusage(RUSAGE_SELF, &used) == 0) {
     constexpr double bytesPerUnit = 1'024;
--- a/src/libfleet/reporting/metrics.h
+++ b/src/libfleet/reporting/metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libfleet/reporting/trafficcounters.h"
 #include "libhickoryglade/instant.h"
 
 #include <map>
@@ -25,7 +26,6 @@
   Micros SettingsInForce{0};
   Micros SourceAge{0};
   bool IsSourceReachable = false;
-  double GossipBytes = 0;
 };
 
 /// What a node counts. Safe to use from every thread.
@@ -43,11 +43,13 @@
   void countStanding(const std::string &standing);
   void countSettings(const std::string &outcome);
   void countLogFailure(const std::string &what);
+  TrafficCounters &traffic() { return Traffic; }
 
   /// Prometheus text format, with figures of the process as they are now.
   std::string text(const NodeGauges &node) const;
 
 private:
+  TrafficCounters Traffic;
   struct Families;
   std::shared_ptr<prometheus::Registry> Registry;
   std::unique_ptr<Families> All;
--- a/src/libfleet/settings/settingsservice.cpp
+++ b/src/libfleet/settings/settingsservice.cpp
@@ -101,6 +101,8 @@
 asio::awaitable<void> SettingsService::takeDocuments() {
   Millis backoff = FirstBackoff;
   while (true) {
+    if (Loaded)
+      co_await Handlers.AwaitTurn();
     SettingsUpdate update = co_await Source->next();
     if (update.IsReachable != IsReachable)
       logEvent(LogLevel::Warn,
@@ -123,15 +125,19 @@
 
 void SettingsService::takeDocument(const SettingsUpdate &update) {
   if (!update.Faults.empty()) {
+    Refused = {update.RefusedVersion, update.Faults, now()};
     Counters.countSettings("rejected");
     logEvent(LogLevel::Warn, "settings_rejected",
-             {{"where", update.Faults.front().Where},
+             {{"version", update.RefusedVersion},
+              {"in_force", Folded.Next},
+              {"where", update.Faults.front().Where},
               {"reason", update.Faults.front().Reason},
               {"faults", update.Faults.size()}});
   }
   if (!update.Document || !replaceTree(Folded, *update.Document))
     return;
   Loaded = true;
+  Refused.reset();
   Counters.countSettings("accepted");
   logEvent(LogLevel::Info, "settings_taken",
            {{"version", update.Document->Version},
--- a/src/libfleet/settings/settingsservice.h
+++ b/src/libfleet/settings/settingsservice.h
@@ -24,6 +24,8 @@
     std::function<asio::awaitable<bool>()> FetchSnapshot;
     /// This node's place among all in writing a given record anew.
     std::function<std::size_t(const std::string &what)> RefreshRank;
+    /// Waits while others read the source of documents for this node.
+    std::function<asio::awaitable<void>()> AwaitTurn;
   };
 
   SettingsService(asio::io_context &io, std::string logAddress,
@@ -45,6 +47,9 @@
   /// When the version in force was taken.
   Instant takenAt() const { return TakenAt; }
 
+  /// The latest refused document, until a later one is taken.
+  const std::optional<RefusedDocument> &refused() const { return Refused; }
+
   /// Takes over what a peer knows.
   void merge(const SettingsState &peer);
 
@@ -80,6 +85,7 @@
   Instant HeardAt;
   Instant TakenAt;
   std::int64_t ReportedNext = -1;
+  std::optional<RefusedDocument> Refused;
 };
 
 } // namespace hickoryglade::fleet
--- a/src/libfleet/settings/settingssource.h
+++ b/src/libfleet/settings/settingssource.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libfleet/base/asio.h"
+#include "libhickoryglade/instant.h"
 #include "libhickoryglade/settingslog.h"
 
 #include <optional>
@@ -15,6 +16,15 @@
   std::optional<SettingsDocument> Document;
   /// Reasons for which the newest document was refused.
   std::vector<SettingsFault> Faults;
+  /// Version that the refused document names; 0 if it cannot be read.
+  std::int64_t RefusedVersion = 0;
+};
+
+/// A settings document that was refused as a whole.
+struct RefusedDocument {
+  std::int64_t Version = 0;
+  std::vector<SettingsFault> Faults;
+  Instant At;
 };
 
 /// Gives whole settings documents as operators publish them.
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -165,7 +165,7 @@
   }
   if (isOnlyTrials(gate, ticket.Service)) {
     refuse(actions, ticket.AttemptId,
-           notRun(ErrorKind::NoEndpoint, "the endpoint is on trial",
+           notRun(ErrorKind::EndpointDoubtful, "the endpoint is on trial",
                   toMillis(EmptyServiceRetry)));
     return actions;
   }
@@ -338,6 +338,8 @@
       continue;
     if (takesWork(endpoint, now) && !gate.IsDraining)
       load.FreeSlots += freeSlots(endpoint);
+    if (!load.Best || rankOf(endpoint.State) < rankOf(*load.Best))
+      load.Best = endpoint.State;
   }
   load.Slots = slotsInRotation(gate, service, now);
   auto it = gate.Services.find(service);
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -48,6 +48,8 @@
   int FreeSlots = 0;
   int Queued = 0;
   int Slots = 0;
+  /// Best standing of the service's endpoints; nothing if there are none.
+  std::optional<Standing> Best;
 
   bool operator==(const GateLoad &) const = default;
 };
--- a/src/libhickoryglade/gateadmission.cpp
+++ b/src/libhickoryglade/gateadmission.cpp
@@ -32,6 +32,18 @@
          service.Queue.costAhead(ticket, weight, service.Policy.Order);
 }
 
+/// A wait that still lets the answer come with its full value is never too
+/// long.
+Micros longestWait(const ServicePolicy &policy, const Ticket &ticket,
+                   Instant now) {
+  if (ticket.MaxWait)
+    return *ticket.MaxWait;
+  if (!ticket.Target)
+    return policy.MaxWait;
+  return std::max<Micros>(policy.MaxWait,
+                          *ticket.Target - now - ticket.ExpectedCost);
+}
+
 } // namespace
 
 Millis spreadRetry(Gate &gate, Micros wait) {
@@ -89,10 +101,11 @@
     return std::nullopt;
   Micros ahead = slotTimeAhead(gate, service, ticket, now);
   ticket.PromisedWait = ahead / std::max(slots, 1);
+  Micros maxWait = longestWait(service.Policy, ticket, now);
   AdmissionAnswer answer = admission->Admit(
       {service.Queue.size(), std::size_t(service.Policy.QueueLimit), slots,
        service.Waits.correct(ticket.Priority, ahead, now), ticket.ExpectedCost,
-       ticket.Deadline - now, service.Policy.MaxWait,
+       ticket.Deadline - now, maxWait,
        service.Policy.TargetLatency});
   if (answer.IsAdmitted)
     return std::nullopt;
--- a/src/libhickoryglade/gateendpoint.cpp
+++ b/src/libhickoryglade/gateendpoint.cpp
@@ -10,6 +10,9 @@
 constexpr int WarmCompletions = 3;
 constexpr int ColdAllowance = 3;
 
+/// How much slower a freshly started endpoint usually is.
+constexpr int ColdSlowdown = 2;
+
 /// Bounds the shift; the policy bounds the rest itself.
 constexpr int MostDoublings = 16;
 
@@ -22,8 +25,65 @@
   return std::max(now - holder.Since - allowed, Micros{0});
 }
 
+/// Log of how much likelier it is of an endpoint that hangs on three quarters
+/// of its work that a request still runs, at a multiple of its expected time:
+/// run times of a class are spread by half, and one in 30 takes far longer.
+double hangOddsOf(double multiple) {
+  constexpr double leastMultiple = 0.55;
+  constexpr double perMultiple = 1.4;
+  constexpr double most = 3.2;
+  return std::clamp((multiple - leastMultiple) * perMultiple, 0.0, most);
+}
+
+/// By how much a completion speaks against a hang: the log of four, since such
+/// an endpoint completes one request in four.
+constexpr double CompletionOdds = 1.4;
+
+constexpr std::size_t MostCompleted = 16;
+
+double hangOdds(const GateEndpoint &endpoint, Instant now) {
+  double odds = 0;
+  Instant oldest = now;
+  int cold = endpoint.Completions < WarmCompletions ? ColdSlowdown : 1;
+  for (const SlotHolder &it : endpoint.Holders) {
+    if (!it.IsStarted || it.Since < endpoint.EvidenceSince ||
+        it.Request.ExpectedCost == Micros{0})
+      continue;
+    odds += hangOddsOf(double((now - it.Since).count()) /
+                       double(it.Request.ExpectedCost.count() * cold));
+    oldest = std::min(oldest, it.Since);
+  }
+  auto later = std::ranges::count_if(
+      endpoint.Completed, [&](Instant it) { return it >= oldest; });
+  return odds - CompletionOdds * double(later);
+}
+
+/// Multiple of its expected time after which a request of a hanging endpoint
+/// is given to another.
+constexpr int HandBackFactor = 2;
+
 } // namespace
 
+void noteCompletion(GateEndpoint &endpoint, Instant now) {
+  endpoint.LastCompletion = now;
+  endpoint.Completed.push_back(now);
+  if (endpoint.Completed.size() > MostCompleted)
+    endpoint.Completed.pop_front();
+}
+
+bool hasStartedSinceChange(const GateEndpoint &endpoint) {
+  return std::ranges::any_of(endpoint.Holders, [&](const SlotHolder &it) {
+    return it.Since >= endpoint.StateSince;
+  });
+}
+
+bool isOverdue(const SlotHolder &holder, const ServicePolicy &policy,
+               Instant now) {
+  return now - holder.Since >
+         std::max<Micros>(policy.StallAfter,
+                          HandBackFactor * holder.Request.ExpectedCost);
+}
+
 int freeSlots(const GateEndpoint &endpoint) {
   return std::max(endpoint.Facts.Slots - int(endpoint.Holders.size()), 0);
 }
@@ -43,7 +103,7 @@
   Instant idleSince = endpoint.LastCompletion;
   Instant oldestStart = now;
   for (const SlotHolder &holder : endpoint.Holders) {
-    if (!holder.IsStarted)
+    if (!holder.IsStarted || holder.Since < endpoint.EvidenceSince)
       continue;
     ++evidence.Running;
     oldestStart = std::min(oldestStart, holder.Since);
@@ -51,6 +111,7 @@
     evidence.Overdue += overdue > Micros{0};
     evidence.MostOverdue = std::max(evidence.MostOverdue, overdue);
   }
+  evidence.HangOdds = hangOdds(endpoint, now);
   if (evidence.Running > 0)
     evidence.SinceCompletion = now - std::max(idleSince, oldestStart);
   return evidence;
--- a/src/libhickoryglade/gateendpoint.h
+++ b/src/libhickoryglade/gateendpoint.h
@@ -5,6 +5,7 @@
 #include "libhickoryglade/standing.h"
 #include "libhickoryglade/ticket.h"
 
+#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
@@ -39,6 +40,12 @@
   std::vector<SlotHolder> Holders;
   std::vector<DroppedRequest> Dropped;
   Instant LastCompletion;
+  /// Latest completions, oldest first; bounded.
+  std::deque<Instant> Completed;
+  /// True from when it was found hanging until it has answered again.
+  bool IsHanging = false;
+  /// Requests that started before this say nothing of its present state.
+  Instant EvidenceSince;
   int ConsecutiveFailures = 0;
   /// Share of failures among the latest outcomes.
   double FailureShare = 0;
@@ -67,6 +74,16 @@
 /// seen such requests take anywhere.
 constexpr int OverdueFactor = 6;
 
+/// Takes note of a completed request.
+void noteCompletion(GateEndpoint &endpoint, Instant now);
+
+/// True if a request has started since the endpoint's standing last changed.
+bool hasStartedSinceChange(const GateEndpoint &endpoint);
+
+/// True for a request that has run for much longer than such requests take.
+bool isOverdue(const SlotHolder &holder, const ServicePolicy &policy,
+               Instant now);
+
 int freeSlots(const GateEndpoint &endpoint);
 int longHeld(const GateEndpoint &endpoint, Instant now, Micros longAfter);
 
--- a/src/libhickoryglade/gatehealth.cpp
+++ b/src/libhickoryglade/gatehealth.cpp
@@ -44,7 +44,9 @@
   if (isStillFailing)
     return;
   endpoint.FailureShare = 0;
+  endpoint.IsHanging = false;
   endpoint.RecoveredAt = now;
+  endpoint.EvidenceSince = now;
   setStanding(endpoint, Standing::Healthy, "completes work", now, actions);
   actions.push_back(
       EjectionAction{endpoint.Facts.Name, endpoint.Facts.Service, false});
@@ -61,13 +63,13 @@
 }
 
 /// Idempotent work of a stalled endpoint is handed back, so that the entry
-/// can run it elsewhere.
+/// can run it elsewhere, if it still may.
 void handBack(const GateEndpoint &endpoint, const ServicePolicy &policy,
               Instant now, GateActions &actions) {
   std::vector<std::string> given;
   for (const SlotHolder &holder : endpoint.Holders)
     if (holder.IsStarted && holder.Request.IsIdempotent &&
-        now - holder.Since > policy.StallAfter)
+        !holder.Request.IsLastTry && isOverdue(holder, policy, now))
       given.push_back(holder.Request.AttemptId);
   for (const std::string &attempt : given)
     actions.push_back(AbortAction{
@@ -120,18 +122,19 @@
     return;
   HealthJudgement judgement =
       health->Judge(evidenceOf(endpoint, policy, now), policy);
+  endpoint.IsHanging = endpoint.IsHanging || judgement.IsHanging;
+  bool isSick = judgement.Verdict == HealthVerdict::Sick;
+  if (isSick || endpoint.IsHanging)
+    handBack(endpoint, policy, now, actions);
   if (judgement.Verdict == HealthVerdict::Well)
     return;
   bool isNews =
       endpoint.State == Standing::Healthy || endpoint.State == Standing::Trial;
-  bool isSick = judgement.Verdict == HealthVerdict::Sick;
   if (isNews)
     fallIll(endpoint, judgement.Reason, isSick, now, actions);
   else if (isSick && !isEjected(endpoint, now))
     actions.push_back(
         EjectionAction{endpoint.Facts.Name, endpoint.Facts.Service, true});
-  if (isSick)
-    handBack(endpoint, policy, now, actions);
 }
 
 void considerTrial(const Gate &gate, GateEndpoint &endpoint, Instant now,
@@ -141,7 +144,7 @@
   const ServicePolicy &policy =
       service == gate.Services.end() ? defaults : service->second.Policy;
   bool isForgotten = endpoint.State == Standing::Trial &&
-                     endpoint.Holders.empty() &&
+                     !hasStartedSinceChange(endpoint) &&
                      now - endpoint.StateSince > policy.TrialPatience;
   if (isForgotten)
     setStanding(endpoint, Standing::Healthy, "no trial came", now, actions);
@@ -150,13 +153,15 @@
     return;
   bool hasRested =
       now - endpoint.StateSince >= restBeforeTrial(policy, endpoint.Relapses);
-  if (!hasRested || !endpoint.Holders.empty())
+  // What hangs from before may do so until its deadline.
+  if (!hasRested || hasStartedSinceChange(endpoint))
     return;
   endpoint.ConsecutiveFailures = 0;
   endpoint.ConsecutiveSheds = 0;
   endpoint.IsListening = true;
   endpoint.EjectedUntil.reset();
   endpoint.TrialAnswers = 0;
+  endpoint.EvidenceSince = now;
   setStanding(endpoint, Standing::Trial, "has rested", now, actions);
 }
 
@@ -164,7 +169,7 @@
                  AttemptOutcome outcome, Instant now, GateActions &actions) {
   switch (outcome) {
   case AttemptOutcome::Answered:
-    endpoint.LastCompletion = now;
+    noteCompletion(endpoint, now);
     endpoint.IsListening = true;
     ++endpoint.Completions;
     endpoint.ConsecutiveFailures = 0;
@@ -174,7 +179,7 @@
       recover(endpoint, now, actions);
     return;
   case AttemptOutcome::ServerError:
-    endpoint.LastCompletion = now;
+    noteCompletion(endpoint, now);
     countFailure(endpoint);
     return;
   case AttemptOutcome::Shed:
@@ -201,7 +206,9 @@
     countFailure(endpoint);
     return;
   case AttemptOutcome::TimedOut:
-    if (isTellingTimeout(endpoint, holder, now))
+    // What hung before a trial began says nothing of how it goes.
+    if (holder.Since >= endpoint.EvidenceSince &&
+        isTellingTimeout(endpoint, holder, now))
       countFailure(endpoint);
     return;
   case AttemptOutcome::Cancelled:
@@ -214,11 +221,13 @@
   blameDropped(gate, endpoint, now, actions);
   ++endpoint.Generation;
   endpoint.IsListening = true;
+  endpoint.IsHanging = false;
   endpoint.ConsecutiveFailures = 0;
   endpoint.ConsecutiveSheds = 0;
   endpoint.FailureShare = 0;
   endpoint.Completions = 0;
   endpoint.LastCompletion = now;
+  endpoint.EvidenceSince = now;
   endpoint.EjectedUntil.reset();
   std::vector<std::string> orphans;
   for (const SlotHolder &holder : endpoint.Holders)
--- a/src/libhickoryglade/gaterules.cpp
+++ b/src/libhickoryglade/gaterules.cpp
@@ -32,7 +32,7 @@
     return false;
   int slots = freeSlots(endpoint);
   return endpoint.State == Standing::Trial
-             ? slots > 0 && endpoint.Holders.empty()
+             ? slots > 0 && !hasStartedSinceChange(endpoint)
              : slots > 0;
 }
 
--- a/src/libhickoryglade/healthpolicy.h
+++ b/src/libhickoryglade/healthpolicy.h
@@ -16,6 +16,9 @@
   /// Greatest time by which a running request has passed its expected time.
   Micros MostOverdue{0};
   Micros SinceCompletion{0};
+  /// Log of how much likelier the running requests' silence is of an endpoint
+  /// that hangs on most of its work than of one that is well.
+  double HangOdds = 0;
   int ConsecutiveFailures = 0;
   /// Refusals in a row though the endpoint had a slot free.
   int ConsecutiveSheds = 0;
@@ -30,6 +33,8 @@
 struct HealthJudgement {
   HealthVerdict Verdict = HealthVerdict::Well;
   std::string Reason;
+  /// Its overdue idempotent work is better run elsewhere until it answers.
+  bool IsHanging = false;
 
   bool operator==(const HealthJudgement &) const = default;
 };
--- a/src/libhickoryglade/membership.cpp
+++ b/src/libhickoryglade/membership.cpp
@@ -296,6 +296,22 @@
   sendAll(state, message.SenderAddress, updates, out);
 }
 
+/// Holders that are remembered of the latest settings: enough to share out those
+/// who ask.
+constexpr std::size_t MostHolders = 8;
+
+void noteHolder(Membership &state, const GossipMessage &message) {
+  Membership::SettingsHolders &newest = state.Newest;
+  if (message.SettingsNext > newest.Next)
+    newest = {{}, message.SettingsNext};
+  bool isHolder =
+      message.SettingsNext > 0 && message.SettingsNext == newest.Next;
+  if (isHolder && newest.Addresses.size() < MostHolders &&
+      std::ranges::find(newest.Addresses, message.SenderAddress) ==
+          newest.Addresses.end())
+    newest.Addresses.push_back(message.SenderAddress);
+}
+
 void relayAck(Membership &state, const GossipMessage &message,
               std::vector<OutgoingGossip> &out) {
   auto it = std::ranges::find(state.Relays, message.Sequence,
@@ -389,8 +405,7 @@
   for (const MemberUpdate &update : message.Updates)
     merge(state, update, now);
   noteDirectNews(state, message);
-  if (message.SettingsNext > state.Newest.Next)
-    state.Newest = {message.SenderAddress, message.SettingsNext};
+  noteHolder(state, message);
   switch (message.Kind) {
   case GossipKind::Ping:
     out.push_back(compose(state, GossipKind::Ack, message.SenderAddress,
@@ -432,6 +447,22 @@
   return all;
 }
 
+std::vector<const Member *> nearPeers(const Membership &state) {
+  std::vector<const Member *> all = peers(state);
+  std::erase_if(all, [&](const Member *it) {
+    return it->Record.DataCentre != self(state).DataCentre;
+  });
+  return all;
+}
+
+std::size_t rankInDataCentre(const Membership &state) {
+  std::uint64_t own = stableHash(state.Self);
+  return std::size_t(std::ranges::count_if(
+      nearPeers(state), [&](const Member *it) {
+        return stableHash(it->Record.Node) < own;
+      }));
+}
+
 BucketHashes bucketHashes(const Membership &state) {
   BucketHashes hashes{};
   for (const auto &[node, member] : state.Members) {
--- a/src/libhickoryglade/membership.h
+++ b/src/libhickoryglade/membership.h
@@ -90,12 +90,13 @@
   /// What this node says of its settings in each message.
   std::int64_t SettingsNext = 0;
 
-  /// The latest settings that another node has said to have.
-  struct SettingsHolder {
-    std::string Address;
+  /// The latest settings that other nodes have said to have, and some of those
+  /// nodes' addresses.
+  struct SettingsHolders {
+    std::vector<std::string> Addresses;
     std::int64_t Next = 0;
   };
-  SettingsHolder Newest;
+  SettingsHolders Newest;
 
   std::vector<std::string> ProbeOrder;
   std::int64_t NextSequence = 1;
@@ -132,6 +133,13 @@
 /// Members other than this node that are not known to be dead or leaving.
 std::vector<const Member *> peers(const Membership &state);
 
+/// Those of the peers that are in this node's data centre.
+std::vector<const Member *> nearPeers(const Membership &state);
+
+/// Place of this node among the members of its data centre in an order on which
+/// they agree, for duties that a few of each data centre have.
+std::size_t rankInDataCentre(const Membership &state);
+
 BucketHashes bucketHashes(const Membership &state);
 
 std::string_view toString(MemberState state);
--- a/src/libhickoryglade/queueorder.cpp
+++ b/src/libhickoryglade/queueorder.cpp
@@ -3,13 +3,19 @@
 #include <algorithm>
 #include <array>
 #include <tuple>
+#include <utility>
 
 namespace hickoryglade {
 
 namespace {
 
-constexpr std::array<std::string_view, 3> Names = {"arrival", "priority",
-                                                   "time_left"};
+constexpr std::array<std::string_view, 4> Names = {"arrival", "priority",
+                                                   "time_left", "target"};
+
+/// When an answer loses part of its value.
+Instant targetOf(const Ticket &ticket) {
+  return ticket.Target.value_or(ticket.Deadline);
+}
 
 } // namespace
 
@@ -22,6 +28,9 @@
   case QueueOrder::TimeLeft:
     return std::tie(ticket.Priority, ticket.Deadline) <
            std::tie(earlier.Priority, earlier.Deadline);
+  case QueueOrder::Target:
+    return std::pair(ticket.Priority, targetOf(ticket)) <
+           std::pair(earlier.Priority, targetOf(earlier));
   }
   return false;
 }
--- a/src/libhickoryglade/queueorder.h
+++ b/src/libhickoryglade/queueorder.h
@@ -15,7 +15,10 @@
   /// By rank, then by arrival.
   Priority,
   /// By rank, then the earliest deadline.
-  TimeLeft
+  TimeLeft,
+  /// By rank, then by when an answer loses part of its value: the calls of running
+  /// requests, whose targets are short, go before new requests of their rank.
+  Target
 };
 
 /// True if one ticket goes before another that has come earlier.
--- a/src/libhickoryglade/routerpolicy.h
+++ b/src/libhickoryglade/routerpolicy.h
@@ -46,6 +46,8 @@
   int TrialOdds = 8;
   /// Whether it may go to doubtful endpoints while no healthy one is free.
   bool MaySpill = false;
+  /// Times that gates have refused it for want of room.
+  int RoomRefusals = 0;
 };
 
 /// Where to send a request.
@@ -59,6 +61,9 @@
   /// free slot after all.
   bool OnlyIfFree = false;
   std::string Reason;
+  /// True to have it refused instead of queued if it would wait for longer than
+  /// settings allow near its entry, as there are gates elsewhere.
+  bool IsWaitBounded = false;
 
   bool operator==(const RoutePlan &) const = default;
 };
--- a/src/libhickoryglade/servicepolicy.h
+++ b/src/libhickoryglade/servicepolicy.h
@@ -37,6 +37,9 @@
   int QueueLimit = 1'000;
   /// Longest expected wait at which a request is still let into a queue.
   Millis MaxWait{500};
+  /// Longest expected wait near an entry before its request goes to another
+  /// data centre, with the router "nearest".
+  Millis NearWait{150};
   std::string Router = "tickets";
   std::string Admission = "deadline";
   std::string Health = "peer_comparison";
@@ -57,6 +60,10 @@
   int RetryAllowance = 1'000;
   /// Failures in a row from which an endpoint is doubtful.
   int FailuresForDoubt = 3;
+  /// Refusals in a row, though it had a slot free, from which an endpoint is
+  /// doubtful. Work that is shed has not run and goes elsewhere at little cost, so
+  /// that more of it is borne than of failures.
+  int ShedsForDoubt = 3;
   /// Time that a doubtful endpoint rests before a trial, at first and at most;
   /// it doubles with each relapse.
   Millis FirstRest{1'000};
--- a/src/libhickoryglade/standing.h
+++ b/src/libhickoryglade/standing.h
@@ -19,6 +19,9 @@
   Draining,
 };
 
+/// Place among standings, the best first: a gate counts as its best endpoint.
+int rankOf(Standing state);
+
 std::string_view toString(Standing standing);
 
 } // namespace hickoryglade
--- /dev/null
+++ b/src/libhickoryglade/standingboard.cpp
@@ -0,0 +1,51 @@
+#include "libhickoryglade/standingboard.h"
+
+#include <tuple>
+
+namespace hickoryglade {
+
+bool isPassing(Standing state) {
+  return state == Standing::Suspect || state == Standing::Trial;
+}
+
+bool takeReport(StandingBoard &board, const StandingReport &report,
+                Instant now) {
+  auto [it, isNew] = board.Entries.try_emplace(report.Node);
+  StandingBoard::Entry &entry = it->second;
+  bool isOld = !isNew && std::tie(report.BootId, report.Sequence) <
+                             std::tie(entry.Report.BootId,
+                                      entry.Report.Sequence);
+  if (isOld)
+    return false;
+  bool isNews = isNew ? !report.States.empty()
+                      : report.States != entry.Report.States;
+  entry = {report, now};
+  return isNews;
+}
+
+// Reports without endpoints are kept for the term too: earlier ones may come
+// late.
+bool expireReports(StandingBoard &board, Instant now) {
+  bool hasNamed = false;
+  std::erase_if(board.Entries, [&](const auto &it) {
+    bool isLapsed = now - it.second.HeardAt > StandingTerm;
+    hasNamed = hasNamed || (isLapsed && !it.second.Report.States.empty());
+    return isLapsed;
+  });
+  return hasNamed;
+}
+
+std::optional<Standing> passingStanding(const StandingBoard &board,
+                                        const std::string &node,
+                                        std::int64_t bootId,
+                                        const std::string &endpoint) {
+  auto entry = board.Entries.find(node);
+  if (entry == board.Entries.end() || entry->second.Report.BootId != bootId)
+    return std::nullopt;
+  auto state = entry->second.Report.States.find(endpoint);
+  if (state == entry->second.Report.States.end())
+    return std::nullopt;
+  return state->second;
+}
+
+} // namespace hickoryglade
--- a/src/libhickoryglade/ticket.h
+++ b/src/libhickoryglade/ticket.h
@@ -3,6 +3,7 @@
 #include "libhickoryglade/instant.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace hickoryglade {
@@ -16,6 +17,8 @@
   /// Qualified service name.
   std::string Service;
   Instant Deadline;
+  /// Until when an answer has its full value to the caller, if its entry says.
+  std::optional<Instant> Target;
   /// Slot time that entries have seen such requests take.
   Micros ExpectedCost{0};
   bool IsLong = false;
@@ -39,6 +42,11 @@
   bool IsSerialized = false;
   /// Rank among requests that compete for a slot; 0 goes first.
   int Priority = 0;
+  /// True if no other endpoint may be tried after this one.
+  bool IsLastTry = false;
+
+  /// Longest wait that its entry allows; nothing if it leaves that to the gate.
+  std::optional<Micros> MaxWait;
 
   /// Set by the gate when it lets the request wait.
   Instant WaitingSince;
--- a/src/plugins/peercomparison/peercomparison.cpp
+++ b/src/plugins/peercomparison/peercomparison.cpp
@@ -10,10 +10,6 @@
 
 constexpr int FailuresForSickness = 6;
 
-/// Work that is shed has not run and goes elsewhere at little cost, so that
-/// more of it is borne than of failures.
-constexpr int ShedsForDoubt = 3;
-
 bool isStalled(const EndpointEvidence &it, const ServicePolicy &policy) {
   return it.Overdue > 0 && it.SinceCompletion > policy.StallAfter;
 }
@@ -35,7 +31,7 @@
     return {HealthVerdict::Doubtful, "does not listen"};
   if (evidence.ConsecutiveFailures >= policy.FailuresForDoubt)
     return {HealthVerdict::Doubtful, "failed requests in a row"};
-  if (evidence.ConsecutiveSheds >= ShedsForDoubt)
+  if (evidence.ConsecutiveSheds >= policy.ShedsForDoubt)
     return {HealthVerdict::Doubtful, "sheds with slots free"};
   if (isStalled(evidence, policy))
     return {HealthVerdict::Doubtful, "completes nothing"};
--- a/tests/kernel/test_documents.cpp
+++ b/tests/kernel/test_documents.cpp
@@ -121,7 +121,7 @@
     for (const OutgoingGossip &answer : receive(a, it.Message, start))
       receive(b, answer.Message, start);
   CHECK(b.Newest.Next == 8);
-  CHECK(b.Newest.Address == "a");
+  CHECK(b.Newest.Addresses == std::vector<std::string>{"a"});
 }
 
 TEST_CASE("found addresses are asked at once") {
--- /dev/null
+++ b/tests/kernel/test_hang.cpp
@@ -0,0 +1,207 @@
+#include "libhickoryglade/gate.h"
+#include "libhickoryglade/registry.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace hickoryglade;
+using std::chrono::milliseconds;
+
+// The load that these answer: requests of a second with targets of three, at
+// endpoints of which a third hangs on most of its work for some seconds.
+
+namespace {
+
+Instant at(int ms) { return Instant(milliseconds(ms)); }
+
+constexpr int Cost = 800;
+
+/// A gate, one of several, whose endpoint has answered some requests.
+Gate warmGate() {
+  Gate gate;
+  GateService &service = gate.Services["w/s"];
+  service.Policy.Health = "completion_odds";
+  service.Policy.FailuresForDoubt = 1;
+  service.Policy.StallAfter = Millis(500);
+  service.Policy.FirstRest = Millis(500);
+  service.Policy.TrialPatience = Millis(3'000);
+  service.Gates = 4;
+  gate.AnnouncementLimit = std::chrono::seconds(60);
+  announce(gate, {"e", "w/s", "127.0.0.1:1", 7, "1", false, 0, 0}, at(0));
+  for (int i = 0; i < 3; ++i) {
+    Ticket it;
+    it.AttemptId = "warm" + std::to_string(i);
+    it.Service = "w/s";
+    it.Deadline = at(10'000);
+    it.ExpectedCost = milliseconds(Cost);
+    offer(gate, it, at(0));
+    complete(gate, it.AttemptId, AttemptOutcome::Answered, at(0));
+  }
+  return gate;
+}
+
+Ticket ticket(const std::string &id, bool isIdempotent) {
+  Ticket it;
+  it.AttemptId = id;
+  it.Service = "w/s";
+  it.Deadline = at(10'000);
+  it.Target = at(3'000);
+  it.ExpectedCost = milliseconds(Cost);
+  it.IsIdempotent = isIdempotent;
+  return it;
+}
+
+Standing standingOf(const Gate &gate) { return gate.Endpoints.at("e").State; }
+
+/// First time at which the endpoint is doubtful; nothing if it never is.
+std::optional<int> doubtfulAt(Gate &gate, int from, int until) {
+  for (int ms = from; ms <= until; ms += 50) {
+    tick(gate, at(ms));
+    if (standingOf(gate) != Standing::Healthy)
+      return ms;
+  }
+  return std::nullopt;
+}
+
+std::vector<std::string> aborted(const GateActions &actions) {
+  std::vector<std::string> all;
+  for (const GateAction &it : actions)
+    if (const auto *abort = std::get_if<AbortAction>(&it))
+      all.push_back(abort->AttemptId);
+  return all;
+}
+
+} // namespace
+
+TEST_CASE("two silent requests make an endpoint doubtful within their target") {
+  Gate gate = warmGate();
+  offer(gate, ticket("a", false), at(100));
+  offer(gate, ticket("b", false), at(100));
+  auto since = doubtfulAt(gate, 150, 3'000);
+  REQUIRE(since);
+  CHECK(*since < 100 + 2 * Cost);
+  CHECK(*since > 100 + Cost);
+}
+
+TEST_CASE("a request that runs long among others that complete is no hang") {
+  Gate gate = warmGate();
+  offer(gate, ticket("long", false), at(100));
+  for (int i = 0; i < 6; ++i) {
+    std::string id = "short" + std::to_string(i);
+    int start = 100 + i * 700;
+    offer(gate, ticket(id, false), at(start));
+    CHECK_FALSE(doubtfulAt(gate, start + 50, start + 650));
+    complete(gate, id, AttemptOutcome::Answered, at(start + 700));
+    CHECK(standingOf(gate) == Standing::Healthy);
+  }
+}
+
+TEST_CASE("work at an endpoint that is well is not given up at its usual time") {
+  Gate gate = warmGate();
+  offer(gate, ticket("a", true), at(100));
+  offer(gate, ticket("b", true), at(100));
+  GateActions actions;
+  for (int ms = 150; ms <= 100 + Cost; ms += 50)
+    std::ranges::move(tick(gate, at(ms)), std::back_inserter(actions));
+  CHECK(aborted(actions).empty());
+}
+
+TEST_CASE("hanging work that may be repeated is handed back, but no last try") {
+  Gate gate = warmGate();
+  Ticket last = ticket("last", true);
+  last.IsLastTry = true;
+  offer(gate, ticket("a", true), at(100));
+  offer(gate, ticket("b", false), at(100));
+  offer(gate, last, at(100));
+  GateActions actions;
+  for (int ms = 150; ms <= 4'000; ms += 50)
+    for (const std::string &id : aborted(tick(gate, at(ms)))) {
+      CHECK(id == "a");
+      if (gate.Held.contains(id))
+        std::ranges::move(
+            complete(gate, id, AttemptOutcome::Failed, at(ms)),
+            std::back_inserter(actions));
+    }
+  CHECK_FALSE(gate.Held.contains("a"));
+  CHECK(gate.Held.contains("b"));
+  CHECK(gate.Held.contains("last"));
+}
+
+TEST_CASE("an endpoint is tried although a request hangs from before") {
+  Gate gate = warmGate();
+  offer(gate, ticket("a", false), at(100));
+  offer(gate, ticket("b", false), at(100));
+  auto since = doubtfulAt(gate, 150, 3'000);
+  REQUIRE(since);
+  for (int ms = *since; ms <= *since + 600; ms += 50)
+    tick(gate, at(ms));
+  REQUIRE(standingOf(gate) == Standing::Trial);
+  Ticket trial = ticket("trial", true);
+  trial.AcceptsDoubtful = true;
+  offer(gate, trial, at(*since + 650));
+  complete(gate, "trial", AttemptOutcome::Answered, at(*since + 650 + Cost));
+  CHECK(standingOf(gate) == Standing::Healthy);
+  // What hangs from before no longer counts.
+  tick(gate, at(*since + 700 + Cost));
+  CHECK(standingOf(gate) == Standing::Healthy);
+  tick(gate, at(9'900));
+  CHECK(standingOf(gate) == Standing::Healthy);
+  complete(gate, "a", AttemptOutcome::TimedOut, at(10'000));
+  CHECK(standingOf(gate) == Standing::Healthy);
+}
+
+TEST_CASE("an endpoint on trial turns others away at the price of a message") {
+  Gate gate = warmGate();
+  gate.Endpoints.at("e").State = Standing::Trial;
+  gate.Endpoints.at("e").StateSince = at(100);
+  Ticket it = ticket("1", false);
+  it.AcceptsDoubtful = true;
+  for (const GateAction &action : offer(gate, it, at(100))) {
+    const auto *refused = std::get_if<RefuseAction>(&action);
+    REQUIRE(refused);
+    CHECK(refused->Reason.Kind == ErrorKind::EndpointDoubtful);
+    CHECK(refused->Reason.Run == RunState::NotRun);
+  }
+}
+
+// The load that this answers: a service whose slots are filled by new requests
+// while running ones of the same rank call it.
+TEST_CASE("of one rank, what must be answered first goes first") {
+  Gate gate = warmGate();
+  gate.Services["w/s"].Policy.Order = QueueOrder::Target;
+  for (int i = 0; i < 7; ++i)
+    offer(gate, ticket("running" + std::to_string(i), false), at(100));
+  offer(gate, ticket("new", false), at(110));
+  Ticket call = ticket("call", true);
+  call.Target = at(900);
+  offer(gate, call, at(120));
+  complete(gate, "running0", AttemptOutcome::Answered, at(200));
+  CHECK(gate.Held.contains("call"));
+  CHECK_FALSE(gate.Held.contains("new"));
+}
+
+TEST_CASE("settings say how many refusals make an endpoint doubtful") {
+  Gate gate = warmGate();
+  gate.Services["w/s"].Policy.ShedsForDoubt = 1;
+  offer(gate, ticket("1", false), at(100));
+  complete(gate, "1", AttemptOutcome::Shed, at(105));
+  CHECK(standingOf(gate) == Standing::Suspect);
+}
+
+// Deadlines of ten seconds and targets of three: half a second is no long wait.
+TEST_CASE("a wait within the target is not refused") {
+  Gate gate = warmGate();
+  for (int i = 0; i < 14; ++i)
+    offer(gate, ticket("running" + std::to_string(i), false), at(100));
+  CHECK(gate.Services["w/s"].Queue.size() == 7);
+  // Two rounds of 0.8 s and its own leave some of three seconds.
+  for (const GateAction &it : offer(gate, ticket("next", false), at(100)))
+    CHECK_FALSE(std::holds_alternative<RefuseAction>(it));
+  Ticket near = ticket("near", false);
+  near.MaxWait = milliseconds(150);
+  bool isRefused = false;
+  for (const GateAction &it : offer(gate, near, at(100)))
+    isRefused = isRefused || std::holds_alternative<RefuseAction>(it);
+  CHECK(isRefused);
+}
--- /dev/null
+++ b/tests/kernel/test_nearest.cpp
@@ -0,0 +1,164 @@
+#include "libhickoryglade/membership.h"
+#include "libhickoryglade/registry.h"
+#include "libhickoryglade/routerpolicy.h"
+#include "libhickoryglade/standingboard.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace hickoryglade;
+using std::chrono::milliseconds;
+
+// The load that these answer: services with some dozen gates in each of six data
+// centres, bytes between which are dear.
+
+namespace {
+
+constexpr int PerPlace = 5;
+
+std::vector<Candidate> sixPlaces() {
+  std::vector<Candidate> all;
+  for (int place = 0; place < 6; ++place)
+    for (int i = 0; i < PerPlace; ++i) {
+      Candidate it;
+      it.Node = "n" + std::to_string(place) + std::to_string(i);
+      it.DataCentre = "dc" + std::to_string(place);
+      it.Slots = 4;
+      it.FreeSlots = 4;
+      it.IsNear = place == 0;
+      all.push_back(it);
+    }
+  return all;
+}
+
+void fill(std::vector<Candidate> &all, const std::string &place) {
+  for (Candidate &it : all)
+    if (it.DataCentre == place) {
+      it.FreeSlots = 0;
+      it.Queued = 2;
+    }
+}
+
+RoutePlan plan(const std::vector<Candidate> &all, int refusals, Random &rng) {
+  RouteQuestion question;
+  question.RoomRefusals = refusals;
+  question.IsIdempotent = false;
+  return Registry<RouterPolicy>::instance().find("nearest")->Plan(all, question,
+                                                                 rng);
+}
+
+std::set<std::string> placesOf(const std::vector<Candidate> &all,
+                               const RoutePlan &it) {
+  std::set<std::string> places;
+  for (std::size_t i : it.Targets)
+    places.insert(all[i].DataCentre);
+  return places;
+}
+
+} // namespace
+
+TEST_CASE("work stays near while there is room, and asks near first") {
+  Random rng(1);
+  auto all = sixPlaces();
+  RoutePlan direct = plan(all, 0, rng);
+  CHECK(direct.OnlyIfFree);
+  CHECK(placesOf(all, direct) == std::set<std::string>{"dc0"});
+  RoutePlan tickets = plan(all, 1, rng);
+  CHECK(tickets.AwaitsGrant);
+  CHECK(tickets.IsWaitBounded);
+  CHECK(tickets.Targets.size() == 4);
+  CHECK(placesOf(all, tickets) == std::set<std::string>{"dc0"});
+}
+
+TEST_CASE("work that finds no room near goes to one other data centre") {
+  Random rng(1);
+  auto all = sixPlaces();
+  fill(all, "dc0");
+  RoutePlan far = plan(all, 2, rng);
+  CHECK(far.OnlyIfFree);
+  CHECK(placesOf(all, far).size() == 1);
+  CHECK_FALSE(placesOf(all, far).contains("dc0"));
+  RoutePlan last = plan(all, 3, rng);
+  CHECK(last.AwaitsGrant);
+  CHECK_FALSE(last.IsWaitBounded);
+  CHECK(placesOf(all, last).size() == 2);
+}
+
+TEST_CASE("what spills goes where there is room and not to one place") {
+  Random rng(1);
+  auto all = sixPlaces();
+  for (const char *place : {"dc0", "dc1", "dc2"})
+    fill(all, place);
+  std::map<std::string, int> chosen;
+  for (int i = 0; i < 1'000; ++i)
+    for (const std::string &place : placesOf(all, plan(all, 2, rng)))
+      ++chosen[place];
+  // Two draws among five places both meet one of the two full ones in 4 of 25.
+  CHECK(chosen["dc1"] + chosen["dc2"] < 220);
+  for (const char *place : {"dc3", "dc4", "dc5"})
+    CHECK(chosen[place] > 200);
+}
+
+TEST_CASE("a service without gates near is served from elsewhere at once") {
+  Random rng(1);
+  auto all = sixPlaces();
+  std::erase_if(all, [](const Candidate &it) { return it.IsNear; });
+  RoutePlan far = plan(all, 0, rng);
+  CHECK(far.Targets.size() == 1);
+  CHECK(far.OnlyIfFree);
+}
+
+TEST_CASE("a service in one data centre waits there without a bound") {
+  Random rng(1);
+  auto all = sixPlaces();
+  std::erase_if(all, [](const Candidate &it) { return !it.IsNear; });
+  CHECK_FALSE(plan(all, 1, rng).IsWaitBounded);
+  CHECK(plan(all, 5, rng).AwaitsGrant);
+}
+
+TEST_CASE("reports of standings replace older ones and lapse") {
+  StandingBoard board;
+  Instant start(milliseconds(0));
+  StandingReport first{"n", 7, 1, {{"e", Standing::Suspect}}};
+  CHECK(takeReport(board, first, start));
+  CHECK(passingStanding(board, "n", 7, "e") == Standing::Suspect);
+  CHECK_FALSE(passingStanding(board, "n", 8, "e"));
+  CHECK_FALSE(passingStanding(board, "n", 7, "other"));
+  StandingReport recovered{"n", 7, 2, {}};
+  CHECK(takeReport(board, recovered, start));
+  // A late copy of the first.
+  CHECK_FALSE(takeReport(board, first, start));
+  CHECK_FALSE(passingStanding(board, "n", 7, "e"));
+  StandingReport third{"n", 7, 3, {{"e", Standing::Trial}}};
+  CHECK(takeReport(board, third, start));
+  CHECK_FALSE(expireReports(board, start + StandingTerm));
+  CHECK(expireReports(board, start + StandingTerm + milliseconds(1)));
+  CHECK_FALSE(passingStanding(board, "n", 7, "e"));
+}
+
+TEST_CASE("the members of a data centre agree on their ranks") {
+  Instant start(milliseconds(0));
+  std::vector<Membership> all;
+  for (const char *node : {"a", "b", "c", "far"}) {
+    MemberRecord record;
+    record.Node = node;
+    record.FleetAddress = node;
+    record.DataCentre = std::string(node) == "far" ? "y" : "x";
+    all.push_back(makeMembership(record, {}, 1, start));
+  }
+  for (Membership &to : all)
+    for (const Membership &from : all) {
+      MemberUpdate news{from.Members.at(from.Self).Record, MemberState::Alive};
+      receive(to, {GossipKind::Updates, from.Self, from.Self, 0, {}, {news}},
+              start);
+    }
+  std::set<std::size_t> ranks;
+  for (std::size_t i = 0; i < 3; ++i)
+    ranks.insert(rankInDataCentre(all[i]));
+  CHECK(ranks == std::set<std::size_t>{0, 1, 2});
+  CHECK(rankInDataCentre(all[3]) == 0);
+  CHECK(nearPeers(all[0]).size() == 2);
+}
--- a/tests/kernel/test_settings.cpp
+++ b/tests/kernel/test_settings.cpp
@@ -61,7 +61,7 @@
   FoldResult result =
       foldRecord(state, 0,
                  change("a", "/w/s", 0,
-                        {{"floor", -1}, {"router", "nearest"}, {"colour", 1}}));
+                        {{"floor", -1}, {"router", "farthest"}, {"colour", 1}}));
   CHECK(outcome(result) == ChangeOutcome::Invalid);
   CHECK(result.Verdict->Faults.size() == 3);
   CHECK(state.Tree.Nodes.empty());
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -108,6 +108,48 @@
   CHECK(routes.find("x.example", "/q") == nullptr);
 }
 
+TEST_CASE("each kind of route says whether requests may be repeated") {
+  for (const auto &[kind, isIdempotent] :
+       std::map<std::string, bool>{{"safe", true},
+                                   {"download", true},
+                                   {"non_idempotent", false}}) {
+    json config = goodConfig();
+    config["listeners"][0]["route_rules"][1]["kind"] = kind;
+    std::vector<SettingsFault> faults;
+    auto document = parseConfig(config.dump(), faults);
+    REQUIRE(document);
+    SettingsState state;
+    REQUIRE(replaceTree(state, *document));
+    RouteTable routes(state.Tree);
+    CHECK(routes.find("x.example", "/q/1")->Policy.isIdempotent("POST") ==
+          isIdempotent);
+  }
+}
+
+TEST_CASE("a fault names the path and the value") {
+  json config = goodConfig();
+  config["listeners"][0]["route_rules"][1]["kind"] = "sometimes";
+  std::vector<SettingsFault> faults;
+  REQUIRE_FALSE(parseConfig(config.dump(), faults));
+  CHECK(faults.front().Where == "rule r2.kind");
+  CHECK(faults.front().Reason.find("not sometimes") != std::string::npos);
+  CHECK(versionOf(config.dump()) == 7);
+  CHECK(versionOf("{\"version\":") == 0);
+}
+
+// Work of a second is not long where its target is three.
+TEST_CASE("what counts as long follows the longest target of a service") {
+  json config = goodConfig();
+  json &rules = config["listeners"][0]["route_rules"];
+  rules[0]["target_latency_s"] = 3;
+  std::vector<SettingsFault> faults;
+  auto document = parseConfig(config.dump(), faults);
+  REQUIRE(document);
+  CHECK(document->Values["/shared/a"]["long_after_ms"] == 3'000);
+  // b takes a tenth of the split, and a route of half a second.
+  CHECK(document->Values["/shared/b"]["long_after_ms"] == 3'000);
+}
+
 TEST_CASE("a configuration with any fault is refused whole") {
   json config = goodConfig();
   json &rule = config["listeners"][0]["route_rules"][1];
