membership: records that come in bulk are not passed on, news goes far seldom; a stop lasts as long as the platform gives it

Ruled out: members that fall in and out of suspicion (steady after the backlog). Directory records name the data centre, so that a node first asks its neighbours. A comparison no longer counts news as passed on that it does not carry.

A stop ended 5.3 s after SIGTERM whatever grace period the platform gives; large gives 10 s.

--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -49,6 +49,9 @@
 constexpr Millis DirectoryPause = std::chrono::milliseconds(500);
 constexpr Millis LonelyPause = std::chrono::seconds(2);
 
+/// Nodes of other data centres that a node which starts asks by itself.
+constexpr std::size_t FarSeeds = 2;
+
 MemberRecord makeRecord(const NodeSettings &settings, std::int64_t bootId) {
   MemberRecord record;
   record.Node = settings.Node;
@@ -212,21 +215,33 @@
   Directory = platform.MakeDirectory(ex, Facts.PlatformAddress);
 }
 
+/// The nodes of the own data centre, who tell of the others, and a few of those.
+std::vector<std::string>
+Control::chooseSeeds(std::vector<DirectoryEntry> entries) const {
+  std::ranges::shuffle(entries, Random(std::uint64_t(BootId)));
+  std::vector<std::string> seeds;
+  std::size_t far = 0;
+  for (const DirectoryEntry &it : entries)
+    if (it.DataCentre == Facts.DataCentre || far++ < FarSeeds)
+      seeds.push_back(it.Address);
+  return seeds;
+}
+
 /// Enters this node into the directory, then looks for others until one is
 /// known; gossip brings the rest.
 asio::awaitable<void> Control::findNodes() {
   asio::steady_timer timer(Io);
   bool isEntered = false;
   while (!IsLeaving) {
+    DirectoryEntry own{Facts.AdvertisedAddress, Facts.DataCentre};
     if (!isEntered)
-      isEntered =
-          co_await Directory->enter(Facts.Node, Facts.AdvertisedAddress);
-    auto addresses = co_await Directory->list();
-    if (addresses)
-      Members.addSeeds(*addresses);
+      isEntered = co_await Directory->enter(Facts.Node, std::move(own));
+    auto entries = co_await Directory->list();
+    if (entries)
+      Members.addSeeds(chooseSeeds(std::move(*entries)));
     else
       logEvent(LogLevel::Warn, "directory_unreachable", json::object());
-    timer.expires_after(addresses ? LonelyPause : DirectoryPause);
+    timer.expires_after(entries ? LonelyPause : DirectoryPause);
     co_await timer.async_wait(asio::use_awaitable);
     if (isEntered && !peers(Members.state()).empty())
       co_return;
--- a/src/libfleet/node/control.h
+++ b/src/libfleet/node/control.h
@@ -87,6 +87,8 @@
   void scheduleRebuild();
   void rebuild();
   asio::awaitable<void> awaitReady();
+  std::vector<std::string>
+  chooseSeeds(std::vector<DirectoryEntry> entries) const;
   asio::awaitable<void> findNodes();
   void addMember(FleetView &view, const Member &member) const;
 
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -128,6 +128,7 @@
     Traffic.push_back(std::make_unique<Loop>());
   if (!Facts.Platform.empty()) {
     Platform = Registry<PlatformAdapter>::instance().find(Facts.Platform);
+    Facts = Platform->FitSettings(std::move(Facts));
     Dialect = Platform->Dialect();
   }
   asio::io_context &control = ControlLoop.Io;
@@ -406,7 +407,8 @@
 }
 
 // Called on the thread that also stops the node.
-bool Node::Parts::reload(const NodeSettings &settings) {
+bool Node::Parts::reload(const NodeSettings &read) {
+  NodeSettings settings = Platform ? Platform->FitSettings(read) : read;
   Facts.DrainLimit = settings.DrainLimit;
   Facts.Linger = settings.Linger;
   if (settings.LogLevel != Facts.LogLevel)
--- a/src/libfleet/node/platformadapter.h
+++ b/src/libfleet/node/platformadapter.h
@@ -30,6 +30,8 @@
 /// All that a platform words in its own way. An adapter registers itself under
 /// the name that node settings use.
 struct PlatformAdapter {
+  /// Fits a node's settings to what the platform demands.
+  NodeSettings (*FitSettings)(NodeSettings settings);
   HttpDialect (*Dialect)();
   EndpointMessage (*ParseEndpointMessage)(const HttpRequest &request);
   std::unique_ptr<SettingsSource> (*MakeSettingsSource)(
--- a/src/libfleet/peers/nodedirectory.h
+++ b/src/libfleet/peers/nodedirectory.h
@@ -8,6 +8,15 @@
 
 namespace hickoryglade::fleet {
 
+/// A node as it has entered itself.
+struct DirectoryEntry {
+  std::string Address;
+  /// Empty if it is not known.
+  std::string DataCentre;
+
+  bool operator==(const DirectoryEntry &) const = default;
+};
+
 /// Where nodes that have just started find others.
 class NodeDirectory {
 public:
@@ -15,14 +24,15 @@
 
   /// Enters a node; returns false if the directory could not be reached.
   virtual asio::awaitable<bool> enter(std::string node,
-                                      std::string address) = 0;
+                                      DirectoryEntry entry) = 0;
 
   /// Removes a node that leaves for good; returns false if the directory could
   /// not be reached.
   virtual asio::awaitable<bool> remove(std::string node) = 0;
 
-  /// Addresses of all nodes entered, or nothing if it could not be reached.
-  virtual asio::awaitable<std::optional<std::vector<std::string>>> list() = 0;
+  /// All nodes entered, or nothing if it could not be reached.
+  virtual asio::awaitable<std::optional<std::vector<DirectoryEntry>>>
+  list() = 0;
 };
 
 } // namespace hickoryglade::fleet
--- a/src/libhickoryglade/membership.cpp
+++ b/src/libhickoryglade/membership.cpp
@@ -21,6 +21,9 @@
 constexpr Micros JoinSyncPeriod = std::chrono::milliseconds(300);
 constexpr std::size_t JoinSyncs = 2;
 
+/// One comparison in this many may be with another data centre.
+constexpr std::uint64_t FarSyncOdds = 4;
+
 /// Dead members are remembered this long, so that old news of them does not
 /// bring them back.
 constexpr Micros DeadMemory = std::chrono::hours(1);
@@ -31,10 +34,17 @@
 /// anti-entropy finds what that misses.
 constexpr int TransmissionFactor = 1;
 
+/// Times that news is passed on to members of other data centres, where those who
+/// hear of it pass it on among themselves.
+constexpr int FarTransmissions = 2;
+
 /// News that its subject has told many members itself is passed on only this
 /// often by each.
 constexpr int DirectTransmissions = 1;
 
+/// More than any news is passed on.
+constexpr int Settled = 1'000;
+
 /// Bounds a datagram; a record weighs its endpoints and itself.
 constexpr std::size_t MostWeight = 40;
 
@@ -54,11 +64,24 @@
   return state.Members.at(state.Self).Record;
 }
 
+bool isNear(const Membership &state, const std::string &address) {
+  auto it = std::ranges::find_if(state.Members, [&](const auto &entry) {
+    return entry.second.Record.FleetAddress == address;
+  });
+  return it != state.Members.end() &&
+         it->second.Record.DataCentre == self(state).DataCentre;
+}
+
 /// The beliefs that have been passed on least, within a datagram's bounds.
-std::vector<MemberUpdate> freshUpdates(Membership &state) {
+std::vector<MemberUpdate> freshUpdates(Membership &state,
+                                       const std::string &address) {
+  int most = mostTransmissions(state);
+  if (!isNear(state, address))
+    most = std::min(most, FarTransmissions);
   std::vector<Member *> fresh;
   for (auto &[node, member] : state.Members)
-    if (member.Transmissions < mostTransmissions(state))
+    if (member.Transmissions <
+        (member.IsWidelyTold ? DirectTransmissions : most))
       fresh.push_back(&member);
   std::ranges::stable_sort(fresh, {}, &Member::Transmissions);
   std::vector<MemberUpdate> updates;
@@ -83,7 +106,7 @@
            self(state).FleetAddress,
            sequence,
            std::move(target),
-           freshUpdates(state),
+           freshUpdates(state, address),
            {},
            state.SettingsNext}};
 }
@@ -114,6 +137,7 @@
   member.State = next;
   member.StateSince = now;
   member.Transmissions = 0;
+  member.IsWidelyTold = false;
   ++state.Revision;
 }
 
@@ -130,7 +154,10 @@
   own.Transmissions = 0;
 }
 
-void merge(Membership &state, const MemberUpdate &update, Instant now) {
+/// Takes over a belief. What comes in bulk has been told to others before and
+/// need not be passed on.
+void merge(Membership &state, const MemberUpdate &update, bool isBulk,
+           Instant now) {
   const std::string &node = update.Record.Node;
   if (node.empty())
     return;
@@ -142,11 +169,17 @@
   Member &member = it->second;
   bool isLater = isNew || isNewer(update.Record, member.Record);
   bool isSame = !isLater && !isNewer(member.Record, update.Record);
-  if (!isLater && !(isSame && update.State > member.State))
+  if (!isLater && !(isSame && update.State > member.State)) {
+    // Whoever hears what it knows need not tell it to as many.
+    if (isSame && update.State == member.State)
+      ++member.Transmissions;
     return;
+  }
   if (isLater)
     member.Record = update.Record;
   setState(state, member, update.State, now);
+  if (isBulk)
+    member.Transmissions = Settled;
 }
 
 /// A node tells all members of its own changes at once.
@@ -157,9 +190,7 @@
                   message.Updates.front().Record.Node == message.Sender;
   if (!isDirect || member == state.Members.end())
     return;
-  member->second.Transmissions =
-      std::max(member->second.Transmissions,
-               mostTransmissions(state) - DirectTransmissions);
+  member->second.IsWidelyTold = true;
 }
 
 std::vector<std::string> probeTargets(const Membership &state) {
@@ -266,20 +297,36 @@
   std::ranges::shuffle(addresses, state.Rng);
   addresses.resize(std::min(addresses.size(), most));
   for (const std::string &address : addresses) {
-    OutgoingGossip sync = compose(state, GossipKind::Sync, address, 0);
-    sync.Message.Updates = {{self(state), MemberState::Alive}};
-    sync.Message.Buckets = bucketHashes(state);
-    out.push_back(std::move(sync));
+    // No news besides: it would count as passed on.
+    out.push_back({address,
+                   {GossipKind::Sync,
+                    state.Self,
+                    self(state).FleetAddress,
+                    0,
+                    {},
+                    {{self(state), MemberState::Alive}},
+                    bucketHashes(state),
+                    state.SettingsNext}});
   }
 }
 
+/// Members near by mostly, as differences between data centres are few and found
+/// by any pair of their members.
+std::vector<std::string> syncAddresses(Membership &state, bool isJoining) {
+  std::vector<std::string> near;
+  for (const Member *peer : nearPeers(state))
+    near.push_back(peer->Record.FleetAddress);
+  bool staysNear = isJoining || uniform(state.Rng, FarSyncOdds) != 0;
+  return staysNear && !near.empty() ? near : peerAddresses(state);
+}
+
 void startSync(Membership &state, Instant now,
                std::vector<OutgoingGossip> &out) {
   bool isJoining =
       state.Members.size() <= 1 || now - state.StartedAt < JoinTerm;
   state.NextSync = now + (isJoining ? JoinSyncPeriod : SyncPeriod);
   std::size_t most = isJoining ? JoinSyncs : 1;
-  sendSyncs(state, peerAddresses(state), most, out);
+  sendSyncs(state, syncAddresses(state, isJoining), most, out);
   sendSyncs(state, strangerAddresses(state), most, out);
 }
 
@@ -402,8 +449,10 @@
 std::vector<OutgoingGossip> receive(Membership &state,
                                     const GossipMessage &message, Instant now) {
   std::vector<OutgoingGossip> out;
+  bool isBulk =
+      message.Kind == GossipKind::Updates && message.Updates.size() > 1;
   for (const MemberUpdate &update : message.Updates)
-    merge(state, update, now);
+    merge(state, update, isBulk, now);
   noteDirectNews(state, message);
   noteHolder(state, message);
   switch (message.Kind) {
--- a/src/libhickoryglade/membership.h
+++ b/src/libhickoryglade/membership.h
@@ -61,6 +61,8 @@
   Instant StateSince;
   /// Times that the latest belief has been passed on.
   int Transmissions = 0;
+  /// True if its subject has told many members of it itself.
+  bool IsWidelyTold = false;
 };
 
 /// Membership as one node sees it, its own record included.
--- a/tests/kernel/test_documents.cpp
+++ b/tests/kernel/test_documents.cpp
@@ -136,6 +136,54 @@
       out, [](const OutgoingGossip &it) { return it.Address == "b"; }));
 }
 
+// The load that this answers: hundreds of nodes start at once, and each would pass
+// on each record that it has been given.
+TEST_CASE("records that come in bulk are not passed on") {
+  Instant start(milliseconds(0));
+  Membership a = makeMembership(record("a"), {}, 1, start);
+  receive(a,
+          {GossipKind::Updates, "b", "b", 0, {},
+           {{record("b")}, {record("c")}, {record("d")}}, {}, 0},
+          start);
+  REQUIRE(peers(a).size() == 3);
+  for (int ms = 0; ms < 5'000; ms += 50)
+    for (const OutgoingGossip &it : tick(a, Instant(milliseconds(ms))))
+      for (const MemberUpdate &update : it.Message.Updates)
+        CHECK((update.Record.Node == "a" ||
+               update.State != MemberState::Alive));
+}
+
+TEST_CASE("news goes to other data centres seldom, near by more often") {
+  Instant start(milliseconds(0));
+  MemberRecord own = record("a");
+  own.DataCentre = "x";
+  Membership a = makeMembership(own, {}, 1, start);
+  for (int i = 0; i < 8; ++i) {
+    MemberRecord other = record("n" + std::to_string(i));
+    other.DataCentre = i < 4 ? "x" : "y";
+    receive(a, {GossipKind::Ack, other.Node, other.Node, 0, {}, {{other}}, {}, 0},
+            start);
+  }
+  std::map<std::string, int> far;
+  std::map<std::string, int> near;
+  for (int ms = 0; ms < 30'000; ms += 50) {
+    Instant now{milliseconds(ms)};
+    for (const OutgoingGossip &it : tick(a, now)) {
+      bool isNear = it.Address[0] == 'n' && it.Address[1] < '4';
+      for (const MemberUpdate &update : it.Message.Updates)
+        if (update.State == MemberState::Alive && update.Record.Node != "a")
+          ++(isNear ? near : far)[update.Record.Node];
+      if (it.Message.Kind == GossipKind::Ping)
+        receive(a, {GossipKind::Ack, it.Address, it.Address,
+                    it.Message.Sequence, it.Address, {}, {}, 0},
+                now);
+    }
+  }
+  for (const auto &[node, n] : far)
+    CHECK(n <= 2);
+  CHECK_FALSE(near.empty());
+}
+
 TEST_CASE("news that its subject has broadcast is passed on once") {
   Instant start(milliseconds(0));
   Membership a = makeMembership(record("a"), {}, 1, start);
--- a/tests/kernel/test_hang.cpp
+++ b/tests/kernel/test_hang.cpp
@@ -172,11 +172,12 @@
   gate.Services["w/s"].Policy.Order = QueueOrder::Target;
   for (int i = 0; i < 7; ++i)
     offer(gate, ticket("running" + std::to_string(i), false), at(100));
-  offer(gate, ticket("new", false), at(110));
+  offer(gate, ticket("new", false), at(700));
   Ticket call = ticket("call", true);
-  call.Target = at(900);
-  offer(gate, call, at(120));
-  complete(gate, "running0", AttemptOutcome::Answered, at(200));
+  call.ExpectedCost = milliseconds(190);
+  call.Target = at(1'500);
+  offer(gate, call, at(710));
+  complete(gate, "running0", AttemptOutcome::Answered, at(800));
   CHECK(gate.Held.contains("call"));
   CHECK_FALSE(gate.Held.contains("new"));
 }
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -5,6 +5,7 @@
 #include "platform/configdocument.h"
 #include "platform/dialect.h"
 #include "platform/endpointmessage.h"
+#include "platform/storedirectory.h"
 #include "platform/storeclient.h"
 
 #include <catch2/catch.hpp>
@@ -126,6 +127,27 @@
   }
 }
 
+TEST_CASE("a stop lasts as long as the platform gives it, but for its end") {
+  fleet::NodeSettings settings;
+  settings.Linger = Millis(2'500);
+  settings.DrainLimit = Millis(2'800);
+  CHECK(fitSettings(settings).DrainLimit == Millis(2'800));
+  settings.PlatformBounds["grace_period_s"] = 10;
+  CHECK(fitSettings(settings).DrainLimit == Millis(6'800));
+  settings.PlatformBounds["grace_period_s"] = 1;
+  CHECK(fitSettings(settings).DrainLimit == Millis(0));
+}
+
+TEST_CASE("a node's record names its address and data centre") {
+  fleet::DirectoryEntry entry{"10.0.0.9:7600", "zone-a"};
+  CHECK(decodeEntry(encodeEntry(entry)) == entry);
+  // As nodes of the release before wrote it.
+  CHECK(decodeEntry("10.0.0.9:7600") ==
+        fleet::DirectoryEntry{"10.0.0.9:7600", ""});
+  for (const char *odd : {"", " ", "zone-a", "10.0.0.9 zone-a", "\xff\xfe"})
+    CHECK_FALSE(decodeEntry(odd));
+}
+
 TEST_CASE("a fault names the path and the value") {
   json config = goodConfig();
   config["listeners"][0]["route_rules"][1]["kind"] = "sometimes";
