gate, http: second copies of answers, stops and exceptions

An answer's Request-Id is compared, and a connection is used again only after an answer that repeats it. - A planned stop could end while a request was being read or its answer written, and reset connections that waited to be accepted: fronts count requests from their first byte to the last of the answer, and take what has come before they stop. - An exception that a handler let out ended the process: it ends the handler and is logged.

--- /dev/null
+++ b/src/libfleet/base/loop.cpp
@@ -0,0 +1,36 @@
+#include "libfleet/base/loop.h"
+
+#include "libfleet/reporting/logging.h"
+
+#include <nlohmann/json.hpp>
+
+#include <exception>
+
+namespace hickoryglade::fleet {
+
+namespace {
+
+/// Returns once the executor has been stopped.
+void runAll(asio::io_context &io) {
+  while (!io.stopped()) {
+    try {
+      io.run();
+    } catch (const std::exception &fault) {
+      logEvent(LogLevel::Error, "handler_failed", {{"reason", fault.what()}});
+    }
+  }
+}
+
+} // namespace
+
+void Loop::start() {
+  Runner = std::thread([this] { runAll(Io); });
+}
+
+void Loop::stop() {
+  Io.stop();
+  if (Runner.joinable())
+    Runner.join();
+}
+
+} // namespace hickoryglade::fleet
--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -29,8 +29,8 @@
 /// one has been seen: operators set targets to a few times the usual run time.
 constexpr int UnseenCostPart = 3;
 
-/// How long a gate's word on its endpoint's standing counts: a doubtful endpoint
-/// rests for about as long.
+/// How long a gate's word on its endpoint's standing counts: a doubtful
+/// endpoint rests for about as long.
 constexpr Micros ReportedStandingTerm = std::chrono::seconds(1);
 
 constexpr std::size_t MostKeyBytes = 255;
@@ -229,8 +229,8 @@
       inquiry.Arrivals = 1;
     RetryAnswer answer =
         decideRetry({error, inquiry.IsIdempotent, number - freeTries,
-                     inquiry.Deadline - now(), inquiry.Cost.Expected, inquiry.Runs,
-                     inquiry.Way.Policy.MaxAttempts},
+                     inquiry.Deadline - now(), inquiry.Cost.Expected,
+                     inquiry.Runs, inquiry.Way.Policy.MaxAttempts},
                     budget);
     Counters.countRetry(std::string(answer.Reason));
     logEvent(LogLevel::Warn, "attempt_failed",
@@ -256,8 +256,8 @@
   bool isTold = load.Load.standing > 0 &&
                 load.Load.standing <= 1 + int(Standing::Draining);
   bool isFresh = load.At != Instant{} && now - load.At < ReportedStandingTerm;
-  bool isRecord = gate.State == Standing::Draining ||
-                  gate.State == Standing::Ejected;
+  bool isRecord =
+      gate.State == Standing::Draining || gate.State == Standing::Ejected;
   return isTold && isFresh && !isRecord ? Standing(load.Load.standing - 1)
                                         : gate.State;
 }
--- a/src/libfleet/gate/endpointclient.cpp
+++ b/src/libfleet/gate/endpointclient.cpp
@@ -233,7 +233,8 @@
     if (match != AnswerMatch::Own)
       co_return failed(AttemptOutcome::Failed, ErrorKind::EndpointFailed,
                        RunState::Unknown, "the answer is not the endpoint's");
-    if (isKept && isInOrder && connection->Buffer.size() == 0)
+    if (isKept && isInOrder && connection->Buffer.size() == 0 &&
+        repeatsId(Dialect, answer, id))
       putIdle(call.Address, connection);
     co_return judge(std::move(answer));
   }
--- a/src/libfleet/http/httpdialect.cpp
+++ b/src/libfleet/http/httpdialect.cpp
@@ -35,11 +35,11 @@
 
 AnswerMatch matchAnswer(const HttpDialect &dialect, const HttpAnswer &answer,
                         const std::string &requestId) {
-  if (!dialect.IsIdFromCaller)
-    return AnswerMatch::Own;
   std::string id = headerValue(answer.Headers, dialect.RequestIdHeader);
   if (!id.empty() && id != requestId)
     return AnswerMatch::Stray;
+  if (!dialect.IsIdFromCaller)
+    return AnswerMatch::Own;
   bool hasProof = !headerValue(answer.Headers, dialect.ProofHeader).empty();
   bool isEncoded = !headerValue(answer.Headers, "Content-Encoding").empty();
   if (id.empty() || isEncoded || (isSuccess(answer) && !hasProof))
@@ -47,6 +47,11 @@
   return AnswerMatch::Own;
 }
 
+bool repeatsId(const HttpDialect &dialect, const HttpAnswer &answer,
+               const std::string &requestId) {
+  return headerValue(answer.Headers, dialect.RequestIdHeader) == requestId;
+}
+
 std::string formatRetryAfter(const HttpDialect &dialect, Millis wait) {
   double seconds = double(wait.count()) / MillisPerSecond;
   if (!dialect.IsRetryAfterFractional)
--- a/src/libfleet/http/httpdialect.h
+++ b/src/libfleet/http/httpdialect.h
@@ -51,6 +51,11 @@
 AnswerMatch matchAnswer(const HttpDialect &dialect, const HttpAnswer &answer,
                         const std::string &requestId);
 
+/// True if an answer repeats the request's id. Only then may its connection be
+/// used again: a late second copy of it could not be told from the next answer.
+bool repeatsId(const HttpDialect &dialect, const HttpAnswer &answer,
+               const std::string &requestId);
+
 /// Value of a Retry-After header.
 std::string formatRetryAfter(const HttpDialect &dialect, Millis wait);
 
--- a/src/libfleet/http/httpfront.cpp
+++ b/src/libfleet/http/httpfront.cpp
@@ -24,6 +24,24 @@
 constexpr auto DiscardLimit = std::chrono::seconds(2);
 constexpr std::size_t MostDiscarded = 64 * 1024 * 1024;
 
+/// Time in which the request that a connection was opened for has come.
+constexpr Micros FreshTerm = std::chrono::milliseconds(200);
+
+/// Counts a request from its first byte to the last of its answer.
+class BusyGuard {
+public:
+  explicit BusyGuard(std::shared_ptr<std::atomic<int>> count)
+      : Count(std::move(count)) {
+    ++*Count;
+  }
+  ~BusyGuard() { --*Count; }
+  BusyGuard(const BusyGuard &) = delete;
+  BusyGuard &operator=(const BusyGuard &) = delete;
+
+private:
+  std::shared_ptr<std::atomic<int>> Count;
+};
+
 /// One caller's connection.
 struct Session {
   beast::tcp_stream Stream;
@@ -174,6 +192,7 @@
 asio::awaitable<void> serve(std::shared_ptr<Session> session,
                             HttpFront::Lane lane, HttpFaultHandler onFault,
                             std::shared_ptr<std::atomic<bool>> isStopping,
+                            std::shared_ptr<std::atomic<int>> busy,
                             std::shared_ptr<HttpLimits> limits) {
   error_code ec;
   session->Stream.socket().set_option(tcp::no_delay(true), ec);
@@ -182,6 +201,7 @@
         co_await awaitRequest(session, Millis(limits->IdleTimeoutMs));
     if (!hasRequest)
       break;
+    BusyGuard guard(busy);
     RequestParser parser;
     co_await readRequest(session, parser, *limits, ec);
     if (ec) {
@@ -235,22 +255,40 @@
 void HttpFront::stop() {
   *IsStopping = true;
   error_code ec;
+  // Closing would reset those that wait to be accepted.
+  Acceptor.cancel(ec);
+  Acceptor.non_blocking(true, ec);
+  while (!ec) {
+    Lane &lane = Lanes[NextLane++ % Lanes.size()];
+    tcp::socket socket(lane.Executor);
+    Acceptor.accept(socket, ec);
+    if (!ec)
+      serveNext(lane, std::move(socket));
+  }
   Acceptor.close(ec);
 }
 
+bool HttpFront::isBusy() const {
+  return *Busy > 0 || now() - AcceptedAt < FreshTerm;
+}
+
+void HttpFront::serveNext(Lane &lane, tcp::socket socket) {
+  AcceptedAt = now();
+  auto session = std::make_shared<Session>(
+      Session{beast::tcp_stream(std::move(socket)), {}});
+  asio::co_spawn(lane.Executor,
+                 serve(session, lane, OnFault, IsStopping, Busy, Limits),
+                 asio::detached);
+}
+
 void HttpFront::accept() {
   Lane &lane = Lanes[NextLane++ % Lanes.size()];
   Acceptor.async_accept(
       lane.Executor, [this, &lane](const error_code &ec, tcp::socket socket) {
         if (ec == asio::error::operation_aborted)
           return;
-        if (!ec) {
-          auto session = std::make_shared<Session>(
-              Session{beast::tcp_stream(std::move(socket)), {}});
-          asio::co_spawn(lane.Executor,
-                         serve(session, lane, OnFault, IsStopping, Limits),
-                         asio::detached);
-        }
+        if (!ec)
+          serveNext(lane, std::move(socket));
         accept();
       });
 }
--- a/src/libfleet/http/httpfront.h
+++ b/src/libfleet/http/httpfront.h
@@ -3,6 +3,7 @@
 #include "libfleet/base/asio.h"
 #include "libfleet/http/callscope.h"
 #include "libfleet/http/httpmessage.h"
+#include "libhickoryglade/instant.h"
 
 #include <absl/status/status.h>
 
@@ -56,9 +57,14 @@
   /// one request.
   void wind();
 
-  /// Takes no more connections; open ones close after their answer.
+  /// Takes the connections that have come and no more; open ones close after
+  /// their answer.
   void stop();
 
+  /// True while a request is being read, served or answered, or a connection is
+  /// so new that its request may be on the way.
+  bool isBusy() const;
+
 private:
   void accept();
 
@@ -67,7 +73,12 @@
   tcp::acceptor Acceptor;
   std::vector<Lane> Lanes;
   HttpFaultHandler OnFault;
+  void serveNext(Lane &lane, tcp::socket socket);
+
   std::shared_ptr<std::atomic<bool>> IsStopping;
+  std::shared_ptr<std::atomic<int>> Busy =
+      std::make_shared<std::atomic<int>>(0);
+  Instant AcceptedAt;
   std::shared_ptr<HttpLimits> Limits = std::make_shared<HttpLimits>();
   std::size_t NextLane = 0;
 };
--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -215,7 +215,8 @@
   Directory = platform.MakeDirectory(ex, Facts.PlatformAddress);
 }
 
-/// The nodes of the own data centre, who tell of the others, and a few of those.
+/// The nodes of the own data centre, who tell of the others, and a few of
+/// those.
 std::vector<std::string>
 Control::chooseSeeds(std::vector<DirectoryEntry> entries) const {
   std::ranges::shuffle(entries, Random(std::uint64_t(BootId)));
@@ -345,8 +346,7 @@
 
 bool Control::isReader() const {
   return Facts.SettingsReaders == 0 ||
-         rankInDataCentre(Members.state()) <
-             std::size_t(Facts.SettingsReaders);
+         rankInDataCentre(Members.state()) < std::size_t(Facts.SettingsReaders);
 }
 
 /// Waits while a reader's word that the settings are the newest counts. At the
@@ -437,8 +437,7 @@
     addresses.push_back(peer->Record.FleetAddress);
   if (addresses.empty())
     addresses = Facts.Seeds;
-  co_return co_await fetchSnapshotFrom(std::move(addresses),
-                                       MostSnapshotPeers);
+  co_return co_await fetchSnapshotFrom(std::move(addresses), MostSnapshotPeers);
 }
 
 asio::awaitable<bool>
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -1,6 +1,7 @@
 #include "libfleet/node/node.h"
 
 #include "libfleet/base/clock.h"
+#include "libfleet/base/loop.h"
 #include "libfleet/entry/entry.h"
 #include "libfleet/gate/gateservice.h"
 #include "libfleet/http/httpfront.h"
@@ -56,29 +57,6 @@
   timer.wait();
 }
 
-/// A thread that runs one executor.
-struct Loop {
-  asio::io_context Io{1};
-  asio::executor_work_guard<asio::io_context::executor_type> Work =
-      asio::make_work_guard(Io);
-  std::thread Runner;
-
-  void start() {
-    Runner = std::thread([this] { Io.run(); });
-  }
-  void stop() {
-    Io.stop();
-    if (Runner.joinable())
-      Runner.join();
-  }
-  /// Runs a function on this thread and waits for what it returns.
-  template <typename Function> auto call(Function function) {
-    std::promise<decltype(function())> promise;
-    asio::post(Io, [&] { promise.set_value(function()); });
-    return promise.get_future().get();
-  }
-};
-
 } // namespace
 
 struct Node::Parts {
@@ -384,7 +362,8 @@
 }
 
 bool Node::Parts::isQuiet() {
-  bool isGateQuiet = Traffic[0]->call([this] { return Gate->idle(); });
+  bool isGateQuiet =
+      Traffic[0]->call([this] { return Gate->idle() && !Callers->isBusy(); });
   std::size_t inFlight = 0;
   for (std::size_t i = 0; i < Entries.size(); ++i)
     inFlight += Traffic[i]->call([this, i] { return Entries[i]->inFlight(); });
--- a/src/libfleet/peers/link.cpp
+++ b/src/libfleet/peers/link.cpp
@@ -51,8 +51,8 @@
 Link::Link(tcp::socket socket, wire::Hello own, TrafficCounters &traffic,
            TrafficCause bodies, Events events)
     : Socket(std::move(socket)), Timer(Socket.get_executor()),
-      Own(std::move(own)), Traffic(traffic), BodyCause(bodies), Handlers(std::move(events)), OpenedAt(now()),
-      LastHeard(OpenedAt) {}
+      Own(std::move(own)), Traffic(traffic), BodyCause(bodies),
+      Handlers(std::move(events)), OpenedAt(now()), LastHeard(OpenedAt) {}
 
 void Link::start() {
   error_code ec;
@@ -66,9 +66,7 @@
 }
 
 /// Until the peer has said where it is, it is taken to be far.
-bool Link::isFar() const {
-  return !Peer || Peer->dataCentre != Own.dataCentre;
-}
+bool Link::isFar() const { return !Peer || Peer->dataCentre != Own.dataCentre; }
 
 void Link::close(std::string_view reason) {
   if (!Open)
--- a/src/libfleet/peers/membershipservice.cpp
+++ b/src/libfleet/peers/membershipservice.cpp
@@ -37,7 +37,8 @@
                                      TrafficCounters &traffic,
                                      Membership initial, Events events)
     : Socket(io), Timer(io), ListenAddress(std::move(listenAddress)),
-      Traffic(traffic), Kernel(std::move(initial)), Handlers(std::move(events)) {}
+      Traffic(traffic), Kernel(std::move(initial)),
+      Handlers(std::move(events)) {}
 
 absl::Status MembershipService::start() {
   std::optional<udp::endpoint> at = toEndpoint(ListenAddress);
--- a/src/libhickoryglade/gateadmission.cpp
+++ b/src/libhickoryglade/gateadmission.cpp
@@ -105,8 +105,7 @@
   AdmissionAnswer answer = admission->Admit(
       {service.Queue.size(), std::size_t(service.Policy.QueueLimit), slots,
        service.Waits.correct(ticket.Priority, ahead, now), ticket.ExpectedCost,
-       ticket.Deadline - now, maxWait,
-       service.Policy.TargetLatency});
+       ticket.Deadline - now, maxWait, service.Policy.TargetLatency});
   if (answer.IsAdmitted)
     return std::nullopt;
   return notRun(ErrorKind::Overloaded,
--- a/src/libhickoryglade/gateendpoint.cpp
+++ b/src/libhickoryglade/gateendpoint.cpp
@@ -53,8 +53,8 @@
                        double(it.Request.ExpectedCost.count() * cold));
     oldest = std::min(oldest, it.Since);
   }
-  auto later = std::ranges::count_if(
-      endpoint.Completed, [&](Instant it) { return it >= oldest; });
+  auto later = std::ranges::count_if(endpoint.Completed,
+                                     [&](Instant it) { return it >= oldest; });
   return odds - CompletionOdds * double(later);
 }
 
--- a/src/libhickoryglade/membership.cpp
+++ b/src/libhickoryglade/membership.cpp
@@ -34,8 +34,8 @@
 /// anti-entropy finds what that misses.
 constexpr int TransmissionFactor = 1;
 
-/// Times that news is passed on to members of other data centres, where those who
-/// hear of it pass it on among themselves.
+/// Times that news is passed on to members of other data centres, where those
+/// who hear of it pass it on among themselves.
 constexpr int FarTransmissions = 2;
 
 /// News that its subject has told many members itself is passed on only this
@@ -310,8 +310,8 @@
   }
 }
 
-/// Members near by mostly, as differences between data centres are few and found
-/// by any pair of their members.
+/// Members near by mostly, as differences between data centres are few and
+/// found by any pair of their members.
 std::vector<std::string> syncAddresses(Membership &state, bool isJoining) {
   std::vector<std::string> near;
   for (const Member *peer : nearPeers(state))
@@ -343,8 +343,8 @@
   sendAll(state, message.SenderAddress, updates, out);
 }
 
-/// Holders that are remembered of the latest settings: enough to share out those
-/// who ask.
+/// Holders that are remembered of the latest settings: enough to share out
+/// those who ask.
 constexpr std::size_t MostHolders = 8;
 
 void noteHolder(Membership &state, const GossipMessage &message) {
@@ -506,8 +506,8 @@
 
 std::size_t rankInDataCentre(const Membership &state) {
   std::uint64_t own = stableHash(state.Self);
-  return std::size_t(std::ranges::count_if(
-      nearPeers(state), [&](const Member *it) {
+  return std::size_t(
+      std::ranges::count_if(nearPeers(state), [&](const Member *it) {
         return stableHash(it->Record.Node) < own;
       }));
 }
--- a/src/libhickoryglade/queueorder.h
+++ b/src/libhickoryglade/queueorder.h
@@ -16,7 +16,8 @@
   Priority,
   /// By rank, then the earliest deadline.
   TimeLeft,
-  /// By rank, then by when an answer loses part of its value: the calls of running
+  /// By rank, then by when an answer loses part of its value: the calls of
+  /// running
   /// requests, whose targets are short, go before new requests of their rank.
   Target
 };
--- a/src/libhickoryglade/servicepolicy.h
+++ b/src/libhickoryglade/servicepolicy.h
@@ -61,8 +61,8 @@
   /// Failures in a row from which an endpoint is doubtful.
   int FailuresForDoubt = 3;
   /// Refusals in a row, though it had a slot free, from which an endpoint is
-  /// doubtful. Work that is shed has not run and goes elsewhere at little cost, so
-  /// that more of it is borne than of failures.
+  /// doubtful. Work that is shed has not run and goes elsewhere at little cost,
+  /// so that more of it is borne than of failures.
   int ShedsForDoubt = 3;
   /// Time that a doubtful endpoint rests before a trial, at first and at most;
   /// it doubles with each relapse.
--- a/src/libhickoryglade/standingboard.cpp
+++ b/src/libhickoryglade/standingboard.cpp
@@ -12,13 +12,13 @@
                 Instant now) {
   auto [it, isNew] = board.Entries.try_emplace(report.Node);
   StandingBoard::Entry &entry = it->second;
-  bool isOld = !isNew && std::tie(report.BootId, report.Sequence) <
-                             std::tie(entry.Report.BootId,
-                                      entry.Report.Sequence);
+  bool isOld =
+      !isNew && std::tie(report.BootId, report.Sequence) <
+                    std::tie(entry.Report.BootId, entry.Report.Sequence);
   if (isOld)
     return false;
-  bool isNews = isNew ? !report.States.empty()
-                      : report.States != entry.Report.States;
+  bool isNews =
+      isNew ? !report.States.empty() : report.States != entry.Report.States;
   entry = {report, now};
   return isNews;
 }
--- a/src/libhickoryglade/standingboard.h
+++ b/src/libhickoryglade/standingboard.h
@@ -10,8 +10,8 @@
 
 namespace hickoryglade {
 
-/// The passing standings (suspect, on trial) of one node's endpoints. Those that
-/// are not named are healthy.
+/// The passing standings (suspect, on trial) of one node's endpoints. Those
+/// that are not named are healthy.
 struct StandingReport {
   std::string Node;
   std::int64_t BootId = 0;
--- a/src/plugins/completionodds/completionodds.cpp
+++ b/src/plugins/completionodds/completionodds.cpp
@@ -1,11 +1,11 @@
 #include "libhickoryglade/healthpolicy.h"
 #include "libhickoryglade/registry.h"
 
-/// Judges like the comparison with peers, and besides doubts an endpoint as soon
-/// as the silence of its running requests is much likelier of one that hangs on
-/// most of its work. For services whose requests take a second or more: six times
-/// their run time, after which the comparison takes a request for overdue, would
-/// be past their target latency.
+/// Judges like the comparison with peers, and besides doubts an endpoint as
+/// soon as the silence of its running requests is much likelier of one that
+/// hangs on most of its work. For services whose requests take a second or
+/// more: six times their run time, after which the comparison takes a request
+/// for overdue, would be past their target latency.
 
 namespace hickoryglade {
 
@@ -16,7 +16,8 @@
 
 HealthJudgement judgeByOdds(const EndpointEvidence &evidence,
                             const ServicePolicy &policy) {
-  const auto *peers = Registry<HealthPolicy>::instance().find("peer_comparison");
+  const auto *peers =
+      Registry<HealthPolicy>::instance().find("peer_comparison");
   HealthJudgement judgement =
       peers ? peers->Judge(evidence, policy) : HealthJudgement{};
   if (evidence.HangOdds < OddsForDoubt)
--- a/src/plugins/nearest/nearest.cpp
+++ b/src/plugins/nearest/nearest.cpp
@@ -7,8 +7,8 @@
 /// Stays in the entry's own data centre while that has room, then goes to one
 /// other that has. For services with many endpoints in each data centre, where
 /// traffic between them costs more than a short wait. An entry hears too seldom
-/// from each of a hundred gates to know their free slots; within its data centre
-/// a wrong guess costs a fifth of a millisecond.
+/// from each of a hundred gates to know their free slots; within its data
+/// centre a wrong guess costs a fifth of a millisecond.
 
 namespace hickoryglade {
 
@@ -64,8 +64,8 @@
   };
   const Indexes &first = draw();
   const Indexes &second = draw();
-  bool isSecondFreer = meanPressure(candidates, second) <
-                       meanPressure(candidates, first);
+  bool isSecondFreer =
+      meanPressure(candidates, second) < meanPressure(candidates, first);
   return isSecondFreer ? second : first;
 }
 
--- a/tests/kernel/test_documents.cpp
+++ b/tests/kernel/test_documents.cpp
@@ -136,21 +136,27 @@
       out, [](const OutgoingGossip &it) { return it.Address == "b"; }));
 }
 
-// The load that this answers: hundreds of nodes start at once, and each would pass
-// on each record that it has been given.
+// The load that this answers: hundreds of nodes start at once, and each would
+// pass on each record that it has been given.
 TEST_CASE("records that come in bulk are not passed on") {
   Instant start(milliseconds(0));
   Membership a = makeMembership(record("a"), {}, 1, start);
   receive(a,
-          {GossipKind::Updates, "b", "b", 0, {},
-           {{record("b")}, {record("c")}, {record("d")}}, {}, 0},
+          {GossipKind::Updates,
+           "b",
+           "b",
+           0,
+           {},
+           {{record("b")}, {record("c")}, {record("d")}},
+           {},
+           0},
           start);
   REQUIRE(peers(a).size() == 3);
   for (int ms = 0; ms < 5'000; ms += 50)
     for (const OutgoingGossip &it : tick(a, Instant(milliseconds(ms))))
       for (const MemberUpdate &update : it.Message.Updates)
-        CHECK((update.Record.Node == "a" ||
-               update.State != MemberState::Alive));
+        CHECK(
+            (update.Record.Node == "a" || update.State != MemberState::Alive));
 }
 
 TEST_CASE("news goes to other data centres seldom, near by more often") {
@@ -161,7 +167,8 @@
   for (int i = 0; i < 8; ++i) {
     MemberRecord other = record("n" + std::to_string(i));
     other.DataCentre = i < 4 ? "x" : "y";
-    receive(a, {GossipKind::Ack, other.Node, other.Node, 0, {}, {{other}}, {}, 0},
+    receive(a,
+            {GossipKind::Ack, other.Node, other.Node, 0, {}, {{other}}, {}, 0},
             start);
   }
   std::map<std::string, int> far;
@@ -174,8 +181,15 @@
         if (update.State == MemberState::Alive && update.Record.Node != "a")
           ++(isNear ? near : far)[update.Record.Node];
       if (it.Message.Kind == GossipKind::Ping)
-        receive(a, {GossipKind::Ack, it.Address, it.Address,
-                    it.Message.Sequence, it.Address, {}, {}, 0},
+        receive(a,
+                {GossipKind::Ack,
+                 it.Address,
+                 it.Address,
+                 it.Message.Sequence,
+                 it.Address,
+                 {},
+                 {},
+                 0},
                 now);
     }
   }
--- a/tests/kernel/test_hang.cpp
+++ b/tests/kernel/test_hang.cpp
@@ -97,7 +97,8 @@
   }
 }
 
-TEST_CASE("work at an endpoint that is well is not given up at its usual time") {
+TEST_CASE(
+    "work at an endpoint that is well is not given up at its usual time") {
   Gate gate = warmGate();
   offer(gate, ticket("a", true), at(100));
   offer(gate, ticket("b", true), at(100));
@@ -119,9 +120,8 @@
     for (const std::string &id : aborted(tick(gate, at(ms)))) {
       CHECK(id == "a");
       if (gate.Held.contains(id))
-        std::ranges::move(
-            complete(gate, id, AttemptOutcome::Failed, at(ms)),
-            std::back_inserter(actions));
+        std::ranges::move(complete(gate, id, AttemptOutcome::Failed, at(ms)),
+                          std::back_inserter(actions));
     }
   CHECK_FALSE(gate.Held.contains("a"));
   CHECK(gate.Held.contains("b"));
--- a/tests/kernel/test_nearest.cpp
+++ b/tests/kernel/test_nearest.cpp
@@ -12,8 +12,8 @@
 using namespace hickoryglade;
 using std::chrono::milliseconds;
 
-// The load that these answer: services with some dozen gates in each of six data
-// centres, bytes between which are dear.
+// The load that these answer: services with some dozen gates in each of six
+// data centres, bytes between which are dear.
 
 namespace {
 
@@ -47,7 +47,7 @@
   question.RoomRefusals = refusals;
   question.IsIdempotent = false;
   return Registry<RouterPolicy>::instance().find("nearest")->Plan(all, question,
-                                                                 rng);
+                                                                  rng);
 }
 
 std::set<std::string> placesOf(const std::vector<Candidate> &all,
--- a/tests/kernel/test_settings.cpp
+++ b/tests/kernel/test_settings.cpp
@@ -58,10 +58,10 @@
 
 TEST_CASE("wrong values are refused with every fault and change nothing") {
   SettingsState state;
-  FoldResult result =
-      foldRecord(state, 0,
-                 change("a", "/w/s", 0,
-                        {{"floor", -1}, {"router", "farthest"}, {"colour", 1}}));
+  FoldResult result = foldRecord(
+      state, 0,
+      change("a", "/w/s", 0,
+             {{"floor", -1}, {"router", "farthest"}, {"colour", 1}}));
   CHECK(outcome(result) == ChangeOutcome::Invalid);
   CHECK(result.Verdict->Faults.size() == 3);
   CHECK(state.Tree.Nodes.empty());
--- a/tests/logs/test_logs.cpp
+++ b/tests/logs/test_logs.cpp
@@ -1,13 +1,23 @@
 #include "hickorygladectl/logstory.h"
+#include "libfleet/base/loop.h"
 #include "libfleet/reporting/logbudget.h"
 
 #include <catch2/catch.hpp>
 
 #include <sstream>
+#include <stdexcept>
 
 using namespace hickoryglade;
 using fleet::LogBudget;
 
+TEST_CASE("an exception that a handler lets out ends that handler only") {
+  fleet::Loop loop;
+  loop.start();
+  fleet::asio::post(loop.Io, [] { throw std::runtime_error("a test"); });
+  CHECK(loop.call([] { return 7; }) == 7);
+  loop.stop();
+}
+
 TEST_CASE("lines of one event are bounded and what is left out is told") {
   LogBudget budget;
   int written = 0;
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -5,8 +5,8 @@
 #include "platform/configdocument.h"
 #include "platform/dialect.h"
 #include "platform/endpointmessage.h"
-#include "platform/storedirectory.h"
 #include "platform/storeclient.h"
+#include "platform/storedirectory.h"
 
 #include <catch2/catch.hpp>
 
@@ -110,10 +110,8 @@
 }
 
 TEST_CASE("each kind of route says whether requests may be repeated") {
-  for (const auto &[kind, isIdempotent] :
-       std::map<std::string, bool>{{"safe", true},
-                                   {"download", true},
-                                   {"non_idempotent", false}}) {
+  for (const auto &[kind, isIdempotent] : std::map<std::string, bool>{
+           {"safe", true}, {"download", true}, {"non_idempotent", false}}) {
     json config = goodConfig();
     config["listeners"][0]["route_rules"][1]["kind"] = kind;
     std::vector<SettingsFault> faults;
--- a/tests/process/test_promises.cpp
+++ b/tests/process/test_promises.cpp
@@ -314,6 +314,29 @@
     CHECK(fleet.call("n1", {"GET", "/", {}, ""}, 4'000).Status == 200);
 }
 
+// The copy comes while the next request runs on the same connection.
+TEST_CASE("a late second copy of an answer reaches no other caller",
+          "[answers]") {
+  TestFleet fleet;
+  startThree(fleet);
+  for (const char *name : {"e2", "e3"})
+    fleet.controlEndpoint(name,
+                          {{"second_copy_ms", 30}, {"repeats_id", false}});
+  auto answersOwn = [&](int i) {
+    std::string mine = "mine-" + std::to_string(i);
+    HttpReply reply = fleet.call(
+        "n1", {"PUT", "/", {{"X-Work-Ms", "60"}, {"X-Client-Id", mine}}, mine},
+        4'000);
+    return reply.Status == 200 && reply.Body.ends_with("\n" + mine);
+  };
+  for (int i = 0; i < 15; ++i)
+    CHECK(answersOwn(i));
+  for (const char *name : {"e2", "e3"})
+    fleet.controlEndpoint(name, {{"repeats_id", true}});
+  for (int i = 15; i < 30; ++i)
+    CHECK(answersOwn(i));
+}
+
 TEST_CASE("a stalled endpoint that answers probes is left out", "[stall]") {
   TestFleet fleet;
   startThree(fleet);
--- a/tests/standins/endpointstandin.cpp
+++ b/tests/standins/endpointstandin.cpp
@@ -32,6 +32,10 @@
   bool LieLoad = false;
   /// Breaks off answers in the middle.
   bool Truncate = false;
+  /// Sends each answer once more after this time, if it is above 0.
+  int SecondCopyMs = 0;
+  /// Repeats the id of the request in its answer.
+  bool RepeatsId = true;
   /// Answers only after this extra time.
   int LateMs = 0;
   /// Ignores connections that were open when this was set.
@@ -166,15 +170,31 @@
         answerBytes(200, body,
                     "Endpoint-Load: " + std::to_string(load) + "/" +
                         std::to_string(Self.Slots) + "\r\nX-Echo-Id: " +
-                        headerValue(request.Headers, "X-Client-Id") + "\r\n");
+                        headerValue(request.Headers, "X-Client-Id") + "\r\n" +
+                        idLine(request));
     if (Now.Truncate) {
       co_await wire->write(bytes.substr(0, bytes.size() - body.size() / 2 - 1));
       co_return false;
     }
+    if (Now.SecondCopyMs > 0)
+      asio::co_spawn(co_await asio::this_coro::executor,
+                     sendAgain(wire, bytes, Millis(Now.SecondCopyMs)),
+                     asio::detached);
     co_await wire->write(std::move(bytes));
     co_return true;
   }
 
+  std::string idLine(const HttpRequest &request) const {
+    std::string id = headerValue(request.Headers, "Request-Id");
+    return Now.RepeatsId ? "Request-Id: " + id + "\r\n" : "";
+  }
+
+  static asio::awaitable<void> sendAgain(std::shared_ptr<Wire> wire,
+                                         std::string bytes, Millis wait) {
+    co_await sleepFor(wait);
+    co_await wire->write(std::move(bytes));
+  }
+
   asio::awaitable<bool> control(const HttpRequest &request,
                                 std::shared_ptr<Wire> wire) {
     json in = json::parse(*request.Content, nullptr, false);
@@ -185,6 +205,8 @@
       Now.ColdRequests = in.value("cold_requests", Now.ColdRequests);
       Now.LieLoad = in.value("lie_load", Now.LieLoad);
       Now.Truncate = in.value("truncate", Now.Truncate);
+      Now.SecondCopyMs = in.value("second_copy_ms", Now.SecondCopyMs);
+      Now.RepeatsId = in.value("repeats_id", Now.RepeatsId);
       Now.LateMs = in.value("late_ms", Now.LateMs);
       Now.Shed = in.value("shed", Now.Shed);
       Now.Announce = in.value("announce", Now.Announce);
