--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -113,6 +113,9 @@
 
 struct Cancel {}
 
+// The sender will not try the request elsewhere any more: it is stopping.
+struct Keep {}
+
 // Asks what became of a request, and fences it if it has not started.
 struct Revoke {
   1: string attemptId
@@ -167,6 +170,12 @@
   6: i32 state
 }
 
+// A start of an endpoint that has left or is leaving.
+struct DepartedRecord {
+  1: string name
+  2: i64 startedAtMs
+}
+
 // One node as it describes itself; a higher (bootId, version) replaces a lower.
 struct MemberRecord {
   1: string node
@@ -179,6 +188,7 @@
   8: list<EndpointRecord> endpoints
   9: i64 settingsOffset
   10: i64 ledgerOffset
+  11: list<DepartedRecord> departed
 }
 
 struct QuarantineRecord {
@@ -266,4 +276,5 @@
   15: optional Gossip gossip
   16: optional SnapshotRequest snapshotRequest
   17: optional Snapshot snapshot
+  18: optional Keep keep
 }
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -2179,6 +2179,81 @@
 }
 
 
+Keep::~Keep() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const Keep& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Keep::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Keep::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Keep");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Keep &a, Keep &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+Keep::Keep(const Keep& other56) noexcept {
+  (void) other56;
+}
+Keep::Keep(Keep&& other57) noexcept {
+  (void) other57;
+}
+Keep& Keep::operator=(const Keep& other58) noexcept {
+  (void) other58;
+  return *this;
+}
+Keep& Keep::operator=(Keep&& other59) noexcept {
+  (void) other59;
+  return *this;
+}
+void Keep::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Keep(";
+  out << ")";
+}
+
+
 Revoke::~Revoke() noexcept {
 }
 
@@ -2305,34 +2380,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Revoke::Revoke(const Revoke& other56) {
-  attemptId = other56.attemptId;
-  gateBootId = other56.gateBootId;
-  timeoutMs = other56.timeoutMs;
-  askedNode = other56.askedNode;
-  __isset = other56.__isset;
-}
-Revoke::Revoke(Revoke&& other57) noexcept {
-  attemptId = std::move(other57.attemptId);
-  gateBootId = other57.gateBootId;
-  timeoutMs = other57.timeoutMs;
-  askedNode = std::move(other57.askedNode);
-  __isset = other57.__isset;
-}
-Revoke& Revoke::operator=(const Revoke& other58) {
-  attemptId = other58.attemptId;
-  gateBootId = other58.gateBootId;
-  timeoutMs = other58.timeoutMs;
-  askedNode = other58.askedNode;
-  __isset = other58.__isset;
+Revoke::Revoke(const Revoke& other60) {
+  attemptId = other60.attemptId;
+  gateBootId = other60.gateBootId;
+  timeoutMs = other60.timeoutMs;
+  askedNode = other60.askedNode;
+  __isset = other60.__isset;
+}
+Revoke::Revoke(Revoke&& other61) noexcept {
+  attemptId = std::move(other61.attemptId);
+  gateBootId = other61.gateBootId;
+  timeoutMs = other61.timeoutMs;
+  askedNode = std::move(other61.askedNode);
+  __isset = other61.__isset;
+}
+Revoke& Revoke::operator=(const Revoke& other62) {
+  attemptId = other62.attemptId;
+  gateBootId = other62.gateBootId;
+  timeoutMs = other62.timeoutMs;
+  askedNode = other62.askedNode;
+  __isset = other62.__isset;
   return *this;
 }
-Revoke& Revoke::operator=(Revoke&& other59) noexcept {
-  attemptId = std::move(other59.attemptId);
-  gateBootId = other59.gateBootId;
-  timeoutMs = other59.timeoutMs;
-  askedNode = std::move(other59.askedNode);
-  __isset = other59.__isset;
+Revoke& Revoke::operator=(Revoke&& other63) noexcept {
+  attemptId = std::move(other63.attemptId);
+  gateBootId = other63.gateBootId;
+  timeoutMs = other63.timeoutMs;
+  askedNode = std::move(other63.askedNode);
+  __isset = other63.__isset;
   return *this;
 }
 void Revoke::printTo(std::ostream& out) const {
@@ -2438,26 +2513,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Revoked::Revoked(const Revoked& other60) noexcept {
-  state = other60.state;
-  isUnreachable = other60.isUnreachable;
-  __isset = other60.__isset;
+Revoked::Revoked(const Revoked& other64) noexcept {
+  state = other64.state;
+  isUnreachable = other64.isUnreachable;
+  __isset = other64.__isset;
 }
-Revoked::Revoked(Revoked&& other61) noexcept {
-  state = other61.state;
-  isUnreachable = other61.isUnreachable;
-  __isset = other61.__isset;
+Revoked::Revoked(Revoked&& other65) noexcept {
+  state = other65.state;
+  isUnreachable = other65.isUnreachable;
+  __isset = other65.__isset;
 }
-Revoked& Revoked::operator=(const Revoked& other62) noexcept {
-  state = other62.state;
-  isUnreachable = other62.isUnreachable;
-  __isset = other62.__isset;
+Revoked& Revoked::operator=(const Revoked& other66) noexcept {
+  state = other66.state;
+  isUnreachable = other66.isUnreachable;
+  __isset = other66.__isset;
   return *this;
 }
-Revoked& Revoked::operator=(Revoked&& other63) noexcept {
-  state = other63.state;
-  isUnreachable = other63.isUnreachable;
-  __isset = other63.__isset;
+Revoked& Revoked::operator=(Revoked&& other67) noexcept {
+  state = other67.state;
+  isUnreachable = other67.isUnreachable;
+  __isset = other67.__isset;
   return *this;
 }
 void Revoked::printTo(std::ostream& out) const {
@@ -2524,14 +2599,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->headers.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->headers.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->headers[_i68].read(iprot);
+              xfer += this->headers[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2572,10 +2647,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter69;
-    for (_iter69 = this->headers.begin(); _iter69 != this->headers.end(); ++_iter69)
+    std::vector<Header> ::const_iterator _iter73;
+    for (_iter73 = this->headers.begin(); _iter73 != this->headers.end(); ++_iter73)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2598,30 +2673,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredAnswer::StoredAnswer(const StoredAnswer& other70) {
-  status = other70.status;
-  headers = other70.headers;
-  body = other70.body;
-  __isset = other70.__isset;
+StoredAnswer::StoredAnswer(const StoredAnswer& other74) {
+  status = other74.status;
+  headers = other74.headers;
+  body = other74.body;
+  __isset = other74.__isset;
 }
-StoredAnswer::StoredAnswer(StoredAnswer&& other71) noexcept {
-  status = other71.status;
-  headers = std::move(other71.headers);
-  body = std::move(other71.body);
-  __isset = other71.__isset;
+StoredAnswer::StoredAnswer(StoredAnswer&& other75) noexcept {
+  status = other75.status;
+  headers = std::move(other75.headers);
+  body = std::move(other75.body);
+  __isset = other75.__isset;
 }
-StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other72) {
-  status = other72.status;
-  headers = other72.headers;
-  body = other72.body;
-  __isset = other72.__isset;
+StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other76) {
+  status = other76.status;
+  headers = other76.headers;
+  body = other76.body;
+  __isset = other76.__isset;
   return *this;
 }
-StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other73) noexcept {
-  status = other73.status;
-  headers = std::move(other73.headers);
-  body = std::move(other73.body);
-  __isset = other73.__isset;
+StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other77) noexcept {
+  status = other77.status;
+  headers = std::move(other77.headers);
+  body = std::move(other77.body);
+  __isset = other77.__isset;
   return *this;
 }
 void StoredAnswer::printTo(std::ostream& out) const {
@@ -2796,42 +2871,42 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyRecord::KeyRecord(const KeyRecord& other74) {
-  key = other74.key;
-  requestId = other74.requestId;
-  fingerprint = other74.fingerprint;
-  state = other74.state;
-  answer = other74.answer;
-  lifetimeMs = other74.lifetimeMs;
-  __isset = other74.__isset;
-}
-KeyRecord::KeyRecord(KeyRecord&& other75) noexcept {
-  key = std::move(other75.key);
-  requestId = std::move(other75.requestId);
-  fingerprint = other75.fingerprint;
-  state = other75.state;
-  answer = std::move(other75.answer);
-  lifetimeMs = other75.lifetimeMs;
-  __isset = other75.__isset;
+KeyRecord::KeyRecord(const KeyRecord& other78) {
+  key = other78.key;
+  requestId = other78.requestId;
+  fingerprint = other78.fingerprint;
+  state = other78.state;
+  answer = other78.answer;
+  lifetimeMs = other78.lifetimeMs;
+  __isset = other78.__isset;
+}
+KeyRecord::KeyRecord(KeyRecord&& other79) noexcept {
+  key = std::move(other79.key);
+  requestId = std::move(other79.requestId);
+  fingerprint = other79.fingerprint;
+  state = other79.state;
+  answer = std::move(other79.answer);
+  lifetimeMs = other79.lifetimeMs;
+  __isset = other79.__isset;
 }
-KeyRecord& KeyRecord::operator=(const KeyRecord& other76) {
-  key = other76.key;
-  requestId = other76.requestId;
-  fingerprint = other76.fingerprint;
-  state = other76.state;
-  answer = other76.answer;
-  lifetimeMs = other76.lifetimeMs;
-  __isset = other76.__isset;
+KeyRecord& KeyRecord::operator=(const KeyRecord& other80) {
+  key = other80.key;
+  requestId = other80.requestId;
+  fingerprint = other80.fingerprint;
+  state = other80.state;
+  answer = other80.answer;
+  lifetimeMs = other80.lifetimeMs;
+  __isset = other80.__isset;
   return *this;
 }
-KeyRecord& KeyRecord::operator=(KeyRecord&& other77) noexcept {
-  key = std::move(other77.key);
-  requestId = std::move(other77.requestId);
-  fingerprint = other77.fingerprint;
-  state = other77.state;
-  answer = std::move(other77.answer);
-  lifetimeMs = other77.lifetimeMs;
-  __isset = other77.__isset;
+KeyRecord& KeyRecord::operator=(KeyRecord&& other81) noexcept {
+  key = std::move(other81.key);
+  requestId = std::move(other81.requestId);
+  fingerprint = other81.fingerprint;
+  state = other81.state;
+  answer = std::move(other81.answer);
+  lifetimeMs = other81.lifetimeMs;
+  __isset = other81.__isset;
   return *this;
 }
 void KeyRecord::printTo(std::ostream& out) const {
@@ -2892,9 +2967,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast78;
-          xfer += iprot->readI32(ecast78);
-          this->operation = static_cast<KeyOperation::type>(ecast78);
+          int32_t ecast82;
+          xfer += iprot->readI32(ecast82);
+          this->operation = static_cast<KeyOperation::type>(ecast82);
           this->__isset.operation = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2958,30 +3033,30 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyRequest::KeyRequest(const KeyRequest& other79) {
-  operation = other79.operation;
-  record = other79.record;
-  rosterOffset = other79.rosterOffset;
-  __isset = other79.__isset;
+KeyRequest::KeyRequest(const KeyRequest& other83) {
+  operation = other83.operation;
+  record = other83.record;
+  rosterOffset = other83.rosterOffset;
+  __isset = other83.__isset;
 }
-KeyRequest::KeyRequest(KeyRequest&& other80) noexcept {
-  operation = other80.operation;
-  record = std::move(other80.record);
-  rosterOffset = other80.rosterOffset;
-  __isset = other80.__isset;
+KeyRequest::KeyRequest(KeyRequest&& other84) noexcept {
+  operation = other84.operation;
+  record = std::move(other84.record);
+  rosterOffset = other84.rosterOffset;
+  __isset = other84.__isset;
 }
-KeyRequest& KeyRequest::operator=(const KeyRequest& other81) {
-  operation = other81.operation;
-  record = other81.record;
-  rosterOffset = other81.rosterOffset;
-  __isset = other81.__isset;
+KeyRequest& KeyRequest::operator=(const KeyRequest& other85) {
+  operation = other85.operation;
+  record = other85.record;
+  rosterOffset = other85.rosterOffset;
+  __isset = other85.__isset;
   return *this;
 }
-KeyRequest& KeyRequest::operator=(KeyRequest&& other82) noexcept {
-  operation = other82.operation;
-  record = std::move(other82.record);
-  rosterOffset = other82.rosterOffset;
-  __isset = other82.__isset;
+KeyRequest& KeyRequest::operator=(KeyRequest&& other86) noexcept {
+  operation = other86.operation;
+  record = std::move(other86.record);
+  rosterOffset = other86.rosterOffset;
+  __isset = other86.__isset;
   return *this;
 }
 void KeyRequest::printTo(std::ostream& out) const {
@@ -3105,30 +3180,30 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyReply::KeyReply(const KeyReply& other83) {
-  verdict = other83.verdict;
-  record = other83.record;
-  rosterOffset = other83.rosterOffset;
-  __isset = other83.__isset;
+KeyReply::KeyReply(const KeyReply& other87) {
+  verdict = other87.verdict;
+  record = other87.record;
+  rosterOffset = other87.rosterOffset;
+  __isset = other87.__isset;
 }
-KeyReply::KeyReply(KeyReply&& other84) noexcept {
-  verdict = other84.verdict;
-  record = std::move(other84.record);
-  rosterOffset = other84.rosterOffset;
-  __isset = other84.__isset;
+KeyReply::KeyReply(KeyReply&& other88) noexcept {
+  verdict = other88.verdict;
+  record = std::move(other88.record);
+  rosterOffset = other88.rosterOffset;
+  __isset = other88.__isset;
 }
-KeyReply& KeyReply::operator=(const KeyReply& other85) {
-  verdict = other85.verdict;
-  record = other85.record;
-  rosterOffset = other85.rosterOffset;
-  __isset = other85.__isset;
+KeyReply& KeyReply::operator=(const KeyReply& other89) {
+  verdict = other89.verdict;
+  record = other89.record;
+  rosterOffset = other89.rosterOffset;
+  __isset = other89.__isset;
   return *this;
 }
-KeyReply& KeyReply::operator=(KeyReply&& other86) noexcept {
-  verdict = other86.verdict;
-  record = std::move(other86.record);
-  rosterOffset = other86.rosterOffset;
-  __isset = other86.__isset;
+KeyReply& KeyReply::operator=(KeyReply&& other90) noexcept {
+  verdict = other90.verdict;
+  record = std::move(other90.record);
+  rosterOffset = other90.rosterOffset;
+  __isset = other90.__isset;
   return *this;
 }
 void KeyReply::printTo(std::ostream& out) const {
@@ -3301,42 +3376,42 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointRecord::EndpointRecord(const EndpointRecord& other87) {
-  name = other87.name;
-  workspace = other87.workspace;
-  serviceName = other87.serviceName;
-  slots = other87.slots;
-  generation = other87.generation;
-  state = other87.state;
-  __isset = other87.__isset;
-}
-EndpointRecord::EndpointRecord(EndpointRecord&& other88) noexcept {
-  name = std::move(other88.name);
-  workspace = std::move(other88.workspace);
-  serviceName = std::move(other88.serviceName);
-  slots = other88.slots;
-  generation = other88.generation;
-  state = other88.state;
-  __isset = other88.__isset;
-}
-EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other89) {
-  name = other89.name;
-  workspace = other89.workspace;
-  serviceName = other89.serviceName;
-  slots = other89.slots;
-  generation = other89.generation;
-  state = other89.state;
-  __isset = other89.__isset;
+EndpointRecord::EndpointRecord(const EndpointRecord& other91) {
+  name = other91.name;
+  workspace = other91.workspace;
+  serviceName = other91.serviceName;
+  slots = other91.slots;
+  generation = other91.generation;
+  state = other91.state;
+  __isset = other91.__isset;
+}
+EndpointRecord::EndpointRecord(EndpointRecord&& other92) noexcept {
+  name = std::move(other92.name);
+  workspace = std::move(other92.workspace);
+  serviceName = std::move(other92.serviceName);
+  slots = other92.slots;
+  generation = other92.generation;
+  state = other92.state;
+  __isset = other92.__isset;
+}
+EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other93) {
+  name = other93.name;
+  workspace = other93.workspace;
+  serviceName = other93.serviceName;
+  slots = other93.slots;
+  generation = other93.generation;
+  state = other93.state;
+  __isset = other93.__isset;
   return *this;
 }
-EndpointRecord& EndpointRecord::operator=(EndpointRecord&& other90) noexcept {
-  name = std::move(other90.name);
-  workspace = std::move(other90.workspace);
-  serviceName = std::move(other90.serviceName);
-  slots = other90.slots;
-  generation = other90.generation;
-  state = other90.state;
-  __isset = other90.__isset;
+EndpointRecord& EndpointRecord::operator=(EndpointRecord&& other94) noexcept {
+  name = std::move(other94.name);
+  workspace = std::move(other94.workspace);
+  serviceName = std::move(other94.serviceName);
+  slots = other94.slots;
+  generation = other94.generation;
+  state = other94.state;
+  __isset = other94.__isset;
   return *this;
 }
 void EndpointRecord::printTo(std::ostream& out) const {
@@ -3352,6 +3427,129 @@
 }
 
 
+DepartedRecord::~DepartedRecord() noexcept {
+}
+
+
+void DepartedRecord::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void DepartedRecord::__set_startedAtMs(const int64_t val) {
+  this->startedAtMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const DepartedRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DepartedRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->startedAtMs);
+          this->__isset.startedAtMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DepartedRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DepartedRecord");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("startedAtMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->startedAtMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DepartedRecord &a, DepartedRecord &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.startedAtMs, b.startedAtMs);
+  swap(a.__isset, b.__isset);
+}
+
+DepartedRecord::DepartedRecord(const DepartedRecord& other95) {
+  name = other95.name;
+  startedAtMs = other95.startedAtMs;
+  __isset = other95.__isset;
+}
+DepartedRecord::DepartedRecord(DepartedRecord&& other96) noexcept {
+  name = std::move(other96.name);
+  startedAtMs = other96.startedAtMs;
+  __isset = other96.__isset;
+}
+DepartedRecord& DepartedRecord::operator=(const DepartedRecord& other97) {
+  name = other97.name;
+  startedAtMs = other97.startedAtMs;
+  __isset = other97.__isset;
+  return *this;
+}
+DepartedRecord& DepartedRecord::operator=(DepartedRecord&& other98) noexcept {
+  name = std::move(other98.name);
+  startedAtMs = other98.startedAtMs;
+  __isset = other98.__isset;
+  return *this;
+}
+void DepartedRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DepartedRecord(";
+  out << "name=" << to_string(name);
+  out << ", " << "startedAtMs=" << to_string(startedAtMs);
+  out << ")";
+}
+
+
 MemberRecord::~MemberRecord() noexcept {
 }
 
@@ -3395,6 +3593,10 @@
 void MemberRecord::__set_ledgerOffset(const int64_t val) {
   this->ledgerOffset = val;
 }
+
+void MemberRecord::__set_departed(const std::vector<DepartedRecord> & val) {
+  this->departed = val;
+}
 std::ostream& operator<<(std::ostream& out, const MemberRecord& obj)
 {
   obj.printTo(out);
@@ -3483,14 +3685,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size91;
-            ::apache::thrift::protocol::TType _etype94;
-            xfer += iprot->readListBegin(_etype94, _size91);
-            this->endpoints.resize(_size91);
-            uint32_t _i95;
-            for (_i95 = 0; _i95 < _size91; ++_i95)
+            uint32_t _size99;
+            ::apache::thrift::protocol::TType _etype102;
+            xfer += iprot->readListBegin(_etype102, _size99);
+            this->endpoints.resize(_size99);
+            uint32_t _i103;
+            for (_i103 = 0; _i103 < _size99; ++_i103)
             {
-              xfer += this->endpoints[_i95].read(iprot);
+              xfer += this->endpoints[_i103].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3515,6 +3717,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->departed.clear();
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->departed.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
+            {
+              xfer += this->departed[_i108].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.departed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3563,10 +3785,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter96;
-    for (_iter96 = this->endpoints.begin(); _iter96 != this->endpoints.end(); ++_iter96)
+    std::vector<EndpointRecord> ::const_iterator _iter109;
+    for (_iter109 = this->endpoints.begin(); _iter109 != this->endpoints.end(); ++_iter109)
     {
-      xfer += (*_iter96).write(oprot);
+      xfer += (*_iter109).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3580,6 +3802,18 @@
   xfer += oprot->writeI64(this->ledgerOffset);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departed.size()));
+    std::vector<DepartedRecord> ::const_iterator _iter110;
+    for (_iter110 = this->departed.begin(); _iter110 != this->departed.end(); ++_iter110)
+    {
+      xfer += (*_iter110).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3597,61 +3831,66 @@
   swap(a.endpoints, b.endpoints);
   swap(a.settingsOffset, b.settingsOffset);
   swap(a.ledgerOffset, b.ledgerOffset);
+  swap(a.departed, b.departed);
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other97) {
-  node = other97.node;
-  bootId = other97.bootId;
-  version = other97.version;
-  fleetAddress = other97.fleetAddress;
-  adminAddress = other97.adminAddress;
-  dataCentre = other97.dataCentre;
-  state = other97.state;
-  endpoints = other97.endpoints;
-  settingsOffset = other97.settingsOffset;
-  ledgerOffset = other97.ledgerOffset;
-  __isset = other97.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other111) {
+  node = other111.node;
+  bootId = other111.bootId;
+  version = other111.version;
+  fleetAddress = other111.fleetAddress;
+  adminAddress = other111.adminAddress;
+  dataCentre = other111.dataCentre;
+  state = other111.state;
+  endpoints = other111.endpoints;
+  settingsOffset = other111.settingsOffset;
+  ledgerOffset = other111.ledgerOffset;
+  departed = other111.departed;
+  __isset = other111.__isset;
 }
-MemberRecord::MemberRecord(MemberRecord&& other98) noexcept {
-  node = std::move(other98.node);
-  bootId = other98.bootId;
-  version = other98.version;
-  fleetAddress = std::move(other98.fleetAddress);
-  adminAddress = std::move(other98.adminAddress);
-  dataCentre = std::move(other98.dataCentre);
-  state = other98.state;
-  endpoints = std::move(other98.endpoints);
-  settingsOffset = other98.settingsOffset;
-  ledgerOffset = other98.ledgerOffset;
-  __isset = other98.__isset;
+MemberRecord::MemberRecord(MemberRecord&& other112) noexcept {
+  node = std::move(other112.node);
+  bootId = other112.bootId;
+  version = other112.version;
+  fleetAddress = std::move(other112.fleetAddress);
+  adminAddress = std::move(other112.adminAddress);
+  dataCentre = std::move(other112.dataCentre);
+  state = other112.state;
+  endpoints = std::move(other112.endpoints);
+  settingsOffset = other112.settingsOffset;
+  ledgerOffset = other112.ledgerOffset;
+  departed = std::move(other112.departed);
+  __isset = other112.__isset;
 }
-MemberRecord& MemberRecord::operator=(const MemberRecord& other99) {
-  node = other99.node;
-  bootId = other99.bootId;
-  version = other99.version;
-  fleetAddress = other99.fleetAddress;
-  adminAddress = other99.adminAddress;
-  dataCentre = other99.dataCentre;
-  state = other99.state;
-  endpoints = other99.endpoints;
-  settingsOffset = other99.settingsOffset;
-  ledgerOffset = other99.ledgerOffset;
-  __isset = other99.__isset;
+MemberRecord& MemberRecord::operator=(const MemberRecord& other113) {
+  node = other113.node;
+  bootId = other113.bootId;
+  version = other113.version;
+  fleetAddress = other113.fleetAddress;
+  adminAddress = other113.adminAddress;
+  dataCentre = other113.dataCentre;
+  state = other113.state;
+  endpoints = other113.endpoints;
+  settingsOffset = other113.settingsOffset;
+  ledgerOffset = other113.ledgerOffset;
+  departed = other113.departed;
+  __isset = other113.__isset;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other100) noexcept {
-  node = std::move(other100.node);
-  bootId = other100.bootId;
-  version = other100.version;
-  fleetAddress = std::move(other100.fleetAddress);
-  adminAddress = std::move(other100.adminAddress);
-  dataCentre = std::move(other100.dataCentre);
-  state = other100.state;
-  endpoints = std::move(other100.endpoints);
-  settingsOffset = other100.settingsOffset;
-  ledgerOffset = other100.ledgerOffset;
-  __isset = other100.__isset;
+MemberRecord& MemberRecord::operator=(MemberRecord&& other114) noexcept {
+  node = std::move(other114.node);
+  bootId = other114.bootId;
+  version = other114.version;
+  fleetAddress = std::move(other114.fleetAddress);
+  adminAddress = std::move(other114.adminAddress);
+  dataCentre = std::move(other114.dataCentre);
+  state = other114.state;
+  endpoints = std::move(other114.endpoints);
+  settingsOffset = other114.settingsOffset;
+  ledgerOffset = other114.ledgerOffset;
+  departed = std::move(other114.departed);
+  __isset = other114.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -3667,6 +3906,7 @@
   out << ", " << "endpoints=" << to_string(endpoints);
   out << ", " << "settingsOffset=" << to_string(settingsOffset);
   out << ", " << "ledgerOffset=" << to_string(ledgerOffset);
+  out << ", " << "departed=" << to_string(departed);
   out << ")";
 }
 
@@ -3726,17 +3966,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->crashes.clear();
-            uint32_t _size101;
-            ::apache::thrift::protocol::TType _ktype102;
-            ::apache::thrift::protocol::TType _vtype103;
-            xfer += iprot->readMapBegin(_ktype102, _vtype103, _size101);
-            uint32_t _i105;
-            for (_i105 = 0; _i105 < _size101; ++_i105)
+            uint32_t _size115;
+            ::apache::thrift::protocol::TType _ktype116;
+            ::apache::thrift::protocol::TType _vtype117;
+            xfer += iprot->readMapBegin(_ktype116, _vtype117, _size115);
+            uint32_t _i119;
+            for (_i119 = 0; _i119 < _size115; ++_i119)
             {
-              std::string _key106;
-              xfer += iprot->readString(_key106);
-              int32_t& _val107 = this->crashes[_key106];
-              xfer += iprot->readI32(_val107);
+              std::string _key120;
+              xfer += iprot->readString(_key120);
+              int32_t& _val121 = this->crashes[_key120];
+              xfer += iprot->readI32(_val121);
             }
             xfer += iprot->readMapEnd();
           }
@@ -3777,11 +4017,11 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crashes.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter108;
-    for (_iter108 = this->crashes.begin(); _iter108 != this->crashes.end(); ++_iter108)
+    std::map<std::string, int32_t> ::const_iterator _iter122;
+    for (_iter122 = this->crashes.begin(); _iter122 != this->crashes.end(); ++_iter122)
     {
-      xfer += oprot->writeString(_iter108->first);
-      xfer += oprot->writeI32(_iter108->second);
+      xfer += oprot->writeString(_iter122->first);
+      xfer += oprot->writeI32(_iter122->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -3804,30 +4044,30 @@
   swap(a.__isset, b.__isset);
 }
 
-QuarantineRecord::QuarantineRecord(const QuarantineRecord& other109) {
-  fingerprint = other109.fingerprint;
-  crashes = other109.crashes;
-  remainingMs = other109.remainingMs;
-  __isset = other109.__isset;
+QuarantineRecord::QuarantineRecord(const QuarantineRecord& other123) {
+  fingerprint = other123.fingerprint;
+  crashes = other123.crashes;
+  remainingMs = other123.remainingMs;
+  __isset = other123.__isset;
 }
-QuarantineRecord::QuarantineRecord(QuarantineRecord&& other110) noexcept {
-  fingerprint = other110.fingerprint;
-  crashes = std::move(other110.crashes);
-  remainingMs = other110.remainingMs;
-  __isset = other110.__isset;
+QuarantineRecord::QuarantineRecord(QuarantineRecord&& other124) noexcept {
+  fingerprint = other124.fingerprint;
+  crashes = std::move(other124.crashes);
+  remainingMs = other124.remainingMs;
+  __isset = other124.__isset;
 }
-QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other111) {
-  fingerprint = other111.fingerprint;
-  crashes = other111.crashes;
-  remainingMs = other111.remainingMs;
-  __isset = other111.__isset;
+QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other125) {
+  fingerprint = other125.fingerprint;
+  crashes = other125.crashes;
+  remainingMs = other125.remainingMs;
+  __isset = other125.__isset;
   return *this;
 }
-QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other112) noexcept {
-  fingerprint = other112.fingerprint;
-  crashes = std::move(other112.crashes);
-  remainingMs = other112.remainingMs;
-  __isset = other112.__isset;
+QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other126) noexcept {
+  fingerprint = other126.fingerprint;
+  crashes = std::move(other126.crashes);
+  remainingMs = other126.remainingMs;
+  __isset = other126.__isset;
   return *this;
 }
 void QuarantineRecord::printTo(std::ostream& out) const {
@@ -3932,26 +4172,26 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberUpdate::MemberUpdate(const MemberUpdate& other113) {
-  record = other113.record;
-  state = other113.state;
-  __isset = other113.__isset;
+MemberUpdate::MemberUpdate(const MemberUpdate& other127) {
+  record = other127.record;
+  state = other127.state;
+  __isset = other127.__isset;
 }
-MemberUpdate::MemberUpdate(MemberUpdate&& other114) noexcept {
-  record = std::move(other114.record);
-  state = other114.state;
-  __isset = other114.__isset;
+MemberUpdate::MemberUpdate(MemberUpdate&& other128) noexcept {
+  record = std::move(other128.record);
+  state = other128.state;
+  __isset = other128.__isset;
 }
-MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other115) {
-  record = other115.record;
-  state = other115.state;
-  __isset = other115.__isset;
+MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other129) {
+  record = other129.record;
+  state = other129.state;
+  __isset = other129.__isset;
   return *this;
 }
-MemberUpdate& MemberUpdate::operator=(MemberUpdate&& other116) noexcept {
-  record = std::move(other116.record);
-  state = other116.state;
-  __isset = other116.__isset;
+MemberUpdate& MemberUpdate::operator=(MemberUpdate&& other130) noexcept {
+  record = std::move(other130.record);
+  state = other130.state;
+  __isset = other130.__isset;
   return *this;
 }
 void MemberUpdate::printTo(std::ostream& out) const {
@@ -4038,17 +4278,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->states.clear();
-            uint32_t _size117;
-            ::apache::thrift::protocol::TType _ktype118;
-            ::apache::thrift::protocol::TType _vtype119;
-            xfer += iprot->readMapBegin(_ktype118, _vtype119, _size117);
-            uint32_t _i121;
-            for (_i121 = 0; _i121 < _size117; ++_i121)
+            uint32_t _size131;
+            ::apache::thrift::protocol::TType _ktype132;
+            ::apache::thrift::protocol::TType _vtype133;
+            xfer += iprot->readMapBegin(_ktype132, _vtype133, _size131);
+            uint32_t _i135;
+            for (_i135 = 0; _i135 < _size131; ++_i135)
             {
-              std::string _key122;
-              xfer += iprot->readString(_key122);
-              int32_t& _val123 = this->states[_key122];
-              xfer += iprot->readI32(_val123);
+              std::string _key136;
+              xfer += iprot->readString(_key136);
+              int32_t& _val137 = this->states[_key136];
+              xfer += iprot->readI32(_val137);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4089,11 +4329,11 @@
   xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->states.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter124;
-    for (_iter124 = this->states.begin(); _iter124 != this->states.end(); ++_iter124)
+    std::map<std::string, int32_t> ::const_iterator _iter138;
+    for (_iter138 = this->states.begin(); _iter138 != this->states.end(); ++_iter138)
     {
-      xfer += oprot->writeString(_iter124->first);
-      xfer += oprot->writeI32(_iter124->second);
+      xfer += oprot->writeString(_iter138->first);
+      xfer += oprot->writeI32(_iter138->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -4113,34 +4353,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StandingReport::StandingReport(const StandingReport& other125) {
-  node = other125.node;
-  bootId = other125.bootId;
-  sequence = other125.sequence;
-  states = other125.states;
-  __isset = other125.__isset;
-}
-StandingReport::StandingReport(StandingReport&& other126) noexcept {
-  node = std::move(other126.node);
-  bootId = other126.bootId;
-  sequence = other126.sequence;
-  states = std::move(other126.states);
-  __isset = other126.__isset;
-}
-StandingReport& StandingReport::operator=(const StandingReport& other127) {
-  node = other127.node;
-  bootId = other127.bootId;
-  sequence = other127.sequence;
-  states = other127.states;
-  __isset = other127.__isset;
+StandingReport::StandingReport(const StandingReport& other139) {
+  node = other139.node;
+  bootId = other139.bootId;
+  sequence = other139.sequence;
+  states = other139.states;
+  __isset = other139.__isset;
+}
+StandingReport::StandingReport(StandingReport&& other140) noexcept {
+  node = std::move(other140.node);
+  bootId = other140.bootId;
+  sequence = other140.sequence;
+  states = std::move(other140.states);
+  __isset = other140.__isset;
+}
+StandingReport& StandingReport::operator=(const StandingReport& other141) {
+  node = other141.node;
+  bootId = other141.bootId;
+  sequence = other141.sequence;
+  states = other141.states;
+  __isset = other141.__isset;
   return *this;
 }
-StandingReport& StandingReport::operator=(StandingReport&& other128) noexcept {
-  node = std::move(other128.node);
-  bootId = other128.bootId;
-  sequence = other128.sequence;
-  states = std::move(other128.states);
-  __isset = other128.__isset;
+StandingReport& StandingReport::operator=(StandingReport&& other142) noexcept {
+  node = std::move(other142.node);
+  bootId = other142.bootId;
+  sequence = other142.sequence;
+  states = std::move(other142.states);
+  __isset = other142.__isset;
   return *this;
 }
 void StandingReport::printTo(std::ostream& out) const {
@@ -4233,9 +4473,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast129;
-          xfer += iprot->readI32(ecast129);
-          this->kind = static_cast<GossipKind::type>(ecast129);
+          int32_t ecast143;
+          xfer += iprot->readI32(ecast143);
+          this->kind = static_cast<GossipKind::type>(ecast143);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4277,14 +4517,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size130;
-            ::apache::thrift::protocol::TType _etype133;
-            xfer += iprot->readListBegin(_etype133, _size130);
-            this->updates.resize(_size130);
-            uint32_t _i134;
-            for (_i134 = 0; _i134 < _size130; ++_i134)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->updates.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += this->updates[_i134].read(iprot);
+              xfer += this->updates[_i148].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4297,14 +4537,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size135;
-            ::apache::thrift::protocol::TType _etype138;
-            xfer += iprot->readListBegin(_etype138, _size135);
-            this->buckets.resize(_size135);
-            uint32_t _i139;
-            for (_i139 = 0; _i139 < _size135; ++_i139)
+            uint32_t _size149;
+            ::apache::thrift::protocol::TType _etype152;
+            xfer += iprot->readListBegin(_etype152, _size149);
+            this->buckets.resize(_size149);
+            uint32_t _i153;
+            for (_i153 = 0; _i153 < _size149; ++_i153)
             {
-              xfer += iprot->readI64(this->buckets[_i139]);
+              xfer += iprot->readI64(this->buckets[_i153]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4317,14 +4557,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->quarantines.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->quarantines.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              xfer += this->quarantines[_i144].read(iprot);
+              xfer += this->quarantines[_i158].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4397,10 +4637,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<MemberUpdate> ::const_iterator _iter145;
-    for (_iter145 = this->updates.begin(); _iter145 != this->updates.end(); ++_iter145)
+    std::vector<MemberUpdate> ::const_iterator _iter159;
+    for (_iter159 = this->updates.begin(); _iter159 != this->updates.end(); ++_iter159)
     {
-      xfer += (*_iter145).write(oprot);
+      xfer += (*_iter159).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4409,10 +4649,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int64_t> ::const_iterator _iter146;
-    for (_iter146 = this->buckets.begin(); _iter146 != this->buckets.end(); ++_iter146)
+    std::vector<int64_t> ::const_iterator _iter160;
+    for (_iter160 = this->buckets.begin(); _iter160 != this->buckets.end(); ++_iter160)
     {
-      xfer += oprot->writeI64((*_iter146));
+      xfer += oprot->writeI64((*_iter160));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4421,10 +4661,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter147;
-    for (_iter147 = this->quarantines.begin(); _iter147 != this->quarantines.end(); ++_iter147)
+    std::vector<QuarantineRecord> ::const_iterator _iter161;
+    for (_iter161 = this->quarantines.begin(); _iter161 != this->quarantines.end(); ++_iter161)
     {
-      xfer += (*_iter147).write(oprot);
+      xfer += (*_iter161).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4465,62 +4705,62 @@
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other148) {
-  kind = other148.kind;
-  sender = other148.sender;
-  senderAddress = other148.senderAddress;
-  sequence = other148.sequence;
-  target = other148.target;
-  updates = other148.updates;
-  buckets = other148.buckets;
-  quarantines = other148.quarantines;
-  settingsNext = other148.settingsNext;
-  standings = other148.standings;
-  isSettingsFresh = other148.isSettingsFresh;
-  __isset = other148.__isset;
-}
-Gossip::Gossip(Gossip&& other149) noexcept {
-  kind = other149.kind;
-  sender = std::move(other149.sender);
-  senderAddress = std::move(other149.senderAddress);
-  sequence = other149.sequence;
-  target = std::move(other149.target);
-  updates = std::move(other149.updates);
-  buckets = std::move(other149.buckets);
-  quarantines = std::move(other149.quarantines);
-  settingsNext = other149.settingsNext;
-  standings = std::move(other149.standings);
-  isSettingsFresh = other149.isSettingsFresh;
-  __isset = other149.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other150) {
-  kind = other150.kind;
-  sender = other150.sender;
-  senderAddress = other150.senderAddress;
-  sequence = other150.sequence;
-  target = other150.target;
-  updates = other150.updates;
-  buckets = other150.buckets;
-  quarantines = other150.quarantines;
-  settingsNext = other150.settingsNext;
-  standings = other150.standings;
-  isSettingsFresh = other150.isSettingsFresh;
-  __isset = other150.__isset;
+Gossip::Gossip(const Gossip& other162) {
+  kind = other162.kind;
+  sender = other162.sender;
+  senderAddress = other162.senderAddress;
+  sequence = other162.sequence;
+  target = other162.target;
+  updates = other162.updates;
+  buckets = other162.buckets;
+  quarantines = other162.quarantines;
+  settingsNext = other162.settingsNext;
+  standings = other162.standings;
+  isSettingsFresh = other162.isSettingsFresh;
+  __isset = other162.__isset;
+}
+Gossip::Gossip(Gossip&& other163) noexcept {
+  kind = other163.kind;
+  sender = std::move(other163.sender);
+  senderAddress = std::move(other163.senderAddress);
+  sequence = other163.sequence;
+  target = std::move(other163.target);
+  updates = std::move(other163.updates);
+  buckets = std::move(other163.buckets);
+  quarantines = std::move(other163.quarantines);
+  settingsNext = other163.settingsNext;
+  standings = std::move(other163.standings);
+  isSettingsFresh = other163.isSettingsFresh;
+  __isset = other163.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other164) {
+  kind = other164.kind;
+  sender = other164.sender;
+  senderAddress = other164.senderAddress;
+  sequence = other164.sequence;
+  target = other164.target;
+  updates = other164.updates;
+  buckets = other164.buckets;
+  quarantines = other164.quarantines;
+  settingsNext = other164.settingsNext;
+  standings = other164.standings;
+  isSettingsFresh = other164.isSettingsFresh;
+  __isset = other164.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other151) noexcept {
-  kind = other151.kind;
-  sender = std::move(other151.sender);
-  senderAddress = std::move(other151.senderAddress);
-  sequence = other151.sequence;
-  target = std::move(other151.target);
-  updates = std::move(other151.updates);
-  buckets = std::move(other151.buckets);
-  quarantines = std::move(other151.quarantines);
-  settingsNext = other151.settingsNext;
-  standings = std::move(other151.standings);
-  isSettingsFresh = other151.isSettingsFresh;
-  __isset = other151.__isset;
+Gossip& Gossip::operator=(Gossip&& other165) noexcept {
+  kind = other165.kind;
+  sender = std::move(other165.sender);
+  senderAddress = std::move(other165.senderAddress);
+  sequence = other165.sequence;
+  target = std::move(other165.target);
+  updates = std::move(other165.updates);
+  buckets = std::move(other165.buckets);
+  quarantines = std::move(other165.quarantines);
+  settingsNext = other165.settingsNext;
+  standings = std::move(other165.standings);
+  isSettingsFresh = other165.isSettingsFresh;
+  __isset = other165.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -4684,38 +4924,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SettingsEntry::SettingsEntry(const SettingsEntry& other152) {
-  path = other152.path;
-  value = other152.value;
-  revision = other152.revision;
-  writtenOffset = other152.writtenOffset;
-  writtenAtMs = other152.writtenAtMs;
-  __isset = other152.__isset;
-}
-SettingsEntry::SettingsEntry(SettingsEntry&& other153) noexcept {
-  path = std::move(other153.path);
-  value = std::move(other153.value);
-  revision = other153.revision;
-  writtenOffset = other153.writtenOffset;
-  writtenAtMs = other153.writtenAtMs;
-  __isset = other153.__isset;
-}
-SettingsEntry& SettingsEntry::operator=(const SettingsEntry& other154) {
-  path = other154.path;
-  value = other154.value;
-  revision = other154.revision;
-  writtenOffset = other154.writtenOffset;
-  writtenAtMs = other154.writtenAtMs;
-  __isset = other154.__isset;
+SettingsEntry::SettingsEntry(const SettingsEntry& other166) {
+  path = other166.path;
+  value = other166.value;
+  revision = other166.revision;
+  writtenOffset = other166.writtenOffset;
+  writtenAtMs = other166.writtenAtMs;
+  __isset = other166.__isset;
+}
+SettingsEntry::SettingsEntry(SettingsEntry&& other167) noexcept {
+  path = std::move(other167.path);
+  value = std::move(other167.value);
+  revision = other167.revision;
+  writtenOffset = other167.writtenOffset;
+  writtenAtMs = other167.writtenAtMs;
+  __isset = other167.__isset;
+}
+SettingsEntry& SettingsEntry::operator=(const SettingsEntry& other168) {
+  path = other168.path;
+  value = other168.value;
+  revision = other168.revision;
+  writtenOffset = other168.writtenOffset;
+  writtenAtMs = other168.writtenAtMs;
+  __isset = other168.__isset;
   return *this;
 }
-SettingsEntry& SettingsEntry::operator=(SettingsEntry&& other155) noexcept {
-  path = std::move(other155.path);
-  value = std::move(other155.value);
-  revision = other155.revision;
-  writtenOffset = other155.writtenOffset;
-  writtenAtMs = other155.writtenAtMs;
-  __isset = other155.__isset;
+SettingsEntry& SettingsEntry::operator=(SettingsEntry&& other169) noexcept {
+  path = std::move(other169.path);
+  value = std::move(other169.value);
+  revision = other169.revision;
+  writtenOffset = other169.writtenOffset;
+  writtenAtMs = other169.writtenAtMs;
+  __isset = other169.__isset;
   return *this;
 }
 void SettingsEntry::printTo(std::ostream& out) const {
@@ -4856,34 +5096,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VerdictRecord::VerdictRecord(const VerdictRecord& other156) {
-  changeId = other156.changeId;
-  path = other156.path;
-  outcome = other156.outcome;
-  revision = other156.revision;
-  __isset = other156.__isset;
-}
-VerdictRecord::VerdictRecord(VerdictRecord&& other157) noexcept {
-  changeId = std::move(other157.changeId);
-  path = std::move(other157.path);
-  outcome = other157.outcome;
-  revision = other157.revision;
-  __isset = other157.__isset;
-}
-VerdictRecord& VerdictRecord::operator=(const VerdictRecord& other158) {
-  changeId = other158.changeId;
-  path = other158.path;
-  outcome = other158.outcome;
-  revision = other158.revision;
-  __isset = other158.__isset;
+VerdictRecord::VerdictRecord(const VerdictRecord& other170) {
+  changeId = other170.changeId;
+  path = other170.path;
+  outcome = other170.outcome;
+  revision = other170.revision;
+  __isset = other170.__isset;
+}
+VerdictRecord::VerdictRecord(VerdictRecord&& other171) noexcept {
+  changeId = std::move(other171.changeId);
+  path = std::move(other171.path);
+  outcome = other171.outcome;
+  revision = other171.revision;
+  __isset = other171.__isset;
+}
+VerdictRecord& VerdictRecord::operator=(const VerdictRecord& other172) {
+  changeId = other172.changeId;
+  path = other172.path;
+  outcome = other172.outcome;
+  revision = other172.revision;
+  __isset = other172.__isset;
   return *this;
 }
-VerdictRecord& VerdictRecord::operator=(VerdictRecord&& other159) noexcept {
-  changeId = std::move(other159.changeId);
-  path = std::move(other159.path);
-  outcome = other159.outcome;
-  revision = other159.revision;
-  __isset = other159.__isset;
+VerdictRecord& VerdictRecord::operator=(VerdictRecord&& other173) noexcept {
+  changeId = std::move(other173.changeId);
+  path = std::move(other173.path);
+  outcome = other173.outcome;
+  revision = other173.revision;
+  __isset = other173.__isset;
   return *this;
 }
 void VerdictRecord::printTo(std::ostream& out) const {
@@ -4951,18 +5191,18 @@
   (void) b;
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other160) noexcept {
-  (void) other160;
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other174) noexcept {
+  (void) other174;
 }
-SnapshotRequest::SnapshotRequest(SnapshotRequest&& other161) noexcept {
-  (void) other161;
+SnapshotRequest::SnapshotRequest(SnapshotRequest&& other175) noexcept {
+  (void) other175;
 }
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other162) noexcept {
-  (void) other162;
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other176) noexcept {
+  (void) other176;
   return *this;
 }
-SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other163) noexcept {
-  (void) other163;
+SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other177) noexcept {
+  (void) other177;
   return *this;
 }
 void SnapshotRequest::printTo(std::ostream& out) const {
@@ -5027,14 +5267,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size164;
-            ::apache::thrift::protocol::TType _etype167;
-            xfer += iprot->readListBegin(_etype167, _size164);
-            this->entries.resize(_size164);
-            uint32_t _i168;
-            for (_i168 = 0; _i168 < _size164; ++_i168)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->entries.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->entries[_i168].read(iprot);
+              xfer += this->entries[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5047,14 +5287,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->verdicts.clear();
-            uint32_t _size169;
-            ::apache::thrift::protocol::TType _etype172;
-            xfer += iprot->readListBegin(_etype172, _size169);
-            this->verdicts.resize(_size169);
-            uint32_t _i173;
-            for (_i173 = 0; _i173 < _size169; ++_i173)
+            uint32_t _size183;
+            ::apache::thrift::protocol::TType _etype186;
+            xfer += iprot->readListBegin(_etype186, _size183);
+            this->verdicts.resize(_size183);
+            uint32_t _i187;
+            for (_i187 = 0; _i187 < _size183; ++_i187)
             {
-              xfer += this->verdicts[_i173].read(iprot);
+              xfer += this->verdicts[_i187].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5087,10 +5327,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<SettingsEntry> ::const_iterator _iter174;
-    for (_iter174 = this->entries.begin(); _iter174 != this->entries.end(); ++_iter174)
+    std::vector<SettingsEntry> ::const_iterator _iter188;
+    for (_iter188 = this->entries.begin(); _iter188 != this->entries.end(); ++_iter188)
     {
-      xfer += (*_iter174).write(oprot);
+      xfer += (*_iter188).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5099,10 +5339,10 @@
   xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
-    std::vector<VerdictRecord> ::const_iterator _iter175;
-    for (_iter175 = this->verdicts.begin(); _iter175 != this->verdicts.end(); ++_iter175)
+    std::vector<VerdictRecord> ::const_iterator _iter189;
+    for (_iter189 = this->verdicts.begin(); _iter189 != this->verdicts.end(); ++_iter189)
     {
-      xfer += (*_iter175).write(oprot);
+      xfer += (*_iter189).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5121,30 +5361,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Snapshot::Snapshot(const Snapshot& other176) {
-  settingsOffset = other176.settingsOffset;
-  entries = other176.entries;
-  verdicts = other176.verdicts;
-  __isset = other176.__isset;
+Snapshot::Snapshot(const Snapshot& other190) {
+  settingsOffset = other190.settingsOffset;
+  entries = other190.entries;
+  verdicts = other190.verdicts;
+  __isset = other190.__isset;
 }
-Snapshot::Snapshot(Snapshot&& other177) noexcept {
-  settingsOffset = other177.settingsOffset;
-  entries = std::move(other177.entries);
-  verdicts = std::move(other177.verdicts);
-  __isset = other177.__isset;
+Snapshot::Snapshot(Snapshot&& other191) noexcept {
+  settingsOffset = other191.settingsOffset;
+  entries = std::move(other191.entries);
+  verdicts = std::move(other191.verdicts);
+  __isset = other191.__isset;
 }
-Snapshot& Snapshot::operator=(const Snapshot& other178) {
-  settingsOffset = other178.settingsOffset;
-  entries = other178.entries;
-  verdicts = other178.verdicts;
-  __isset = other178.__isset;
+Snapshot& Snapshot::operator=(const Snapshot& other192) {
+  settingsOffset = other192.settingsOffset;
+  entries = other192.entries;
+  verdicts = other192.verdicts;
+  __isset = other192.__isset;
   return *this;
 }
-Snapshot& Snapshot::operator=(Snapshot&& other179) noexcept {
-  settingsOffset = other179.settingsOffset;
-  entries = std::move(other179.entries);
-  verdicts = std::move(other179.verdicts);
-  __isset = other179.__isset;
+Snapshot& Snapshot::operator=(Snapshot&& other193) noexcept {
+  settingsOffset = other193.settingsOffset;
+  entries = std::move(other193.entries);
+  verdicts = std::move(other193.verdicts);
+  __isset = other193.__isset;
   return *this;
 }
 void Snapshot::printTo(std::ostream& out) const {
@@ -5244,6 +5484,11 @@
   this->snapshot = val;
 __isset.snapshot = true;
 }
+
+void Frame::__set_keep(const Keep& val) {
+  this->keep = val;
+__isset.keep = true;
+}
 std::ostream& operator<<(std::ostream& out, const Frame& obj)
 {
   obj.printTo(out);
@@ -5408,6 +5653,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->keep.read(iprot);
+          this->__isset.keep = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5509,6 +5762,11 @@
     xfer += this->snapshot.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.keep) {
+    xfer += oprot->writeFieldBegin("keep", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->keep.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5533,89 +5791,94 @@
   swap(a.gossip, b.gossip);
   swap(a.snapshotRequest, b.snapshotRequest);
   swap(a.snapshot, b.snapshot);
+  swap(a.keep, b.keep);
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other180) {
-  stream = other180.stream;
-  hello = other180.hello;
-  heartbeat = other180.heartbeat;
-  ticket = other180.ticket;
-  grant = other180.grant;
-  call = other180.call;
-  data = other180.data;
-  answer = other180.answer;
-  failure = other180.failure;
-  cancel = other180.cancel;
-  revoke = other180.revoke;
-  revoked = other180.revoked;
-  keyRequest = other180.keyRequest;
-  keyReply = other180.keyReply;
-  gossip = other180.gossip;
-  snapshotRequest = other180.snapshotRequest;
-  snapshot = other180.snapshot;
-  __isset = other180.__isset;
-}
-Frame::Frame(Frame&& other181) noexcept {
-  stream = other181.stream;
-  hello = std::move(other181.hello);
-  heartbeat = std::move(other181.heartbeat);
-  ticket = std::move(other181.ticket);
-  grant = std::move(other181.grant);
-  call = std::move(other181.call);
-  data = std::move(other181.data);
-  answer = std::move(other181.answer);
-  failure = std::move(other181.failure);
-  cancel = std::move(other181.cancel);
-  revoke = std::move(other181.revoke);
-  revoked = std::move(other181.revoked);
-  keyRequest = std::move(other181.keyRequest);
-  keyReply = std::move(other181.keyReply);
-  gossip = std::move(other181.gossip);
-  snapshotRequest = std::move(other181.snapshotRequest);
-  snapshot = std::move(other181.snapshot);
-  __isset = other181.__isset;
-}
-Frame& Frame::operator=(const Frame& other182) {
-  stream = other182.stream;
-  hello = other182.hello;
-  heartbeat = other182.heartbeat;
-  ticket = other182.ticket;
-  grant = other182.grant;
-  call = other182.call;
-  data = other182.data;
-  answer = other182.answer;
-  failure = other182.failure;
-  cancel = other182.cancel;
-  revoke = other182.revoke;
-  revoked = other182.revoked;
-  keyRequest = other182.keyRequest;
-  keyReply = other182.keyReply;
-  gossip = other182.gossip;
-  snapshotRequest = other182.snapshotRequest;
-  snapshot = other182.snapshot;
-  __isset = other182.__isset;
+Frame::Frame(const Frame& other194) {
+  stream = other194.stream;
+  hello = other194.hello;
+  heartbeat = other194.heartbeat;
+  ticket = other194.ticket;
+  grant = other194.grant;
+  call = other194.call;
+  data = other194.data;
+  answer = other194.answer;
+  failure = other194.failure;
+  cancel = other194.cancel;
+  revoke = other194.revoke;
+  revoked = other194.revoked;
+  keyRequest = other194.keyRequest;
+  keyReply = other194.keyReply;
+  gossip = other194.gossip;
+  snapshotRequest = other194.snapshotRequest;
+  snapshot = other194.snapshot;
+  keep = other194.keep;
+  __isset = other194.__isset;
+}
+Frame::Frame(Frame&& other195) noexcept {
+  stream = other195.stream;
+  hello = std::move(other195.hello);
+  heartbeat = std::move(other195.heartbeat);
+  ticket = std::move(other195.ticket);
+  grant = std::move(other195.grant);
+  call = std::move(other195.call);
+  data = std::move(other195.data);
+  answer = std::move(other195.answer);
+  failure = std::move(other195.failure);
+  cancel = std::move(other195.cancel);
+  revoke = std::move(other195.revoke);
+  revoked = std::move(other195.revoked);
+  keyRequest = std::move(other195.keyRequest);
+  keyReply = std::move(other195.keyReply);
+  gossip = std::move(other195.gossip);
+  snapshotRequest = std::move(other195.snapshotRequest);
+  snapshot = std::move(other195.snapshot);
+  keep = std::move(other195.keep);
+  __isset = other195.__isset;
+}
+Frame& Frame::operator=(const Frame& other196) {
+  stream = other196.stream;
+  hello = other196.hello;
+  heartbeat = other196.heartbeat;
+  ticket = other196.ticket;
+  grant = other196.grant;
+  call = other196.call;
+  data = other196.data;
+  answer = other196.answer;
+  failure = other196.failure;
+  cancel = other196.cancel;
+  revoke = other196.revoke;
+  revoked = other196.revoked;
+  keyRequest = other196.keyRequest;
+  keyReply = other196.keyReply;
+  gossip = other196.gossip;
+  snapshotRequest = other196.snapshotRequest;
+  snapshot = other196.snapshot;
+  keep = other196.keep;
+  __isset = other196.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other183) noexcept {
-  stream = other183.stream;
-  hello = std::move(other183.hello);
-  heartbeat = std::move(other183.heartbeat);
-  ticket = std::move(other183.ticket);
-  grant = std::move(other183.grant);
-  call = std::move(other183.call);
-  data = std::move(other183.data);
-  answer = std::move(other183.answer);
-  failure = std::move(other183.failure);
-  cancel = std::move(other183.cancel);
-  revoke = std::move(other183.revoke);
-  revoked = std::move(other183.revoked);
-  keyRequest = std::move(other183.keyRequest);
-  keyReply = std::move(other183.keyReply);
-  gossip = std::move(other183.gossip);
-  snapshotRequest = std::move(other183.snapshotRequest);
-  snapshot = std::move(other183.snapshot);
-  __isset = other183.__isset;
+Frame& Frame::operator=(Frame&& other197) noexcept {
+  stream = other197.stream;
+  hello = std::move(other197.hello);
+  heartbeat = std::move(other197.heartbeat);
+  ticket = std::move(other197.ticket);
+  grant = std::move(other197.grant);
+  call = std::move(other197.call);
+  data = std::move(other197.data);
+  answer = std::move(other197.answer);
+  failure = std::move(other197.failure);
+  cancel = std::move(other197.cancel);
+  revoke = std::move(other197.revoke);
+  revoked = std::move(other197.revoked);
+  keyRequest = std::move(other197.keyRequest);
+  keyReply = std::move(other197.keyReply);
+  gossip = std::move(other197.gossip);
+  snapshotRequest = std::move(other197.snapshotRequest);
+  snapshot = std::move(other197.snapshot);
+  keep = std::move(other197.keep);
+  __isset = other197.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -5638,6 +5901,7 @@
   out << ", " << "gossip="; (__isset.gossip ? (out << to_string(gossip)) : (out << "<null>"));
   out << ", " << "snapshotRequest="; (__isset.snapshotRequest ? (out << to_string(snapshotRequest)) : (out << "<null>"));
   out << ", " << "snapshot="; (__isset.snapshot ? (out << to_string(snapshot)) : (out << "<null>"));
+  out << ", " << "keep="; (__isset.keep ? (out << to_string(keep)) : (out << "<null>"));
   out << ")";
 }
 
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -76,6 +76,8 @@
 
 class Cancel;
 
+class Keep;
+
 class Revoke;
 
 class Revoked;
@@ -90,6 +92,8 @@
 
 class EndpointRecord;
 
+class DepartedRecord;
+
 class MemberRecord;
 
 class QuarantineRecord;
@@ -896,6 +900,39 @@
 
 std::ostream& operator<<(std::ostream& out, const Cancel& obj);
 
+
+class Keep : public virtual ::apache::thrift::TBase {
+ public:
+
+  Keep(const Keep&) noexcept;
+  Keep(Keep&&) noexcept;
+  Keep& operator=(const Keep&) noexcept;
+  Keep& operator=(Keep&&) noexcept;
+  Keep() noexcept {
+  }
+
+  virtual ~Keep() noexcept;
+
+  bool operator == (const Keep & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const Keep &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Keep & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Keep &a, Keep &b);
+
+std::ostream& operator<<(std::ostream& out, const Keep& obj);
+
 typedef struct _Revoke__isset {
   _Revoke__isset() : attemptId(false), gateBootId(false), timeoutMs(false), askedNode(false) {}
   bool attemptId :1;
@@ -1355,8 +1392,60 @@
 
 std::ostream& operator<<(std::ostream& out, const EndpointRecord& obj);
 
+typedef struct _DepartedRecord__isset {
+  _DepartedRecord__isset() : name(false), startedAtMs(false) {}
+  bool name :1;
+  bool startedAtMs :1;
+} _DepartedRecord__isset;
+
+class DepartedRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  DepartedRecord(const DepartedRecord&);
+  DepartedRecord(DepartedRecord&&) noexcept;
+  DepartedRecord& operator=(const DepartedRecord&);
+  DepartedRecord& operator=(DepartedRecord&&) noexcept;
+  DepartedRecord() noexcept
+                 : name(),
+                   startedAtMs(0) {
+  }
+
+  virtual ~DepartedRecord() noexcept;
+  std::string name;
+  int64_t startedAtMs;
+
+  _DepartedRecord__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_startedAtMs(const int64_t val);
+
+  bool operator == (const DepartedRecord & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(startedAtMs == rhs.startedAtMs))
+      return false;
+    return true;
+  }
+  bool operator != (const DepartedRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DepartedRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DepartedRecord &a, DepartedRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const DepartedRecord& obj);
+
 typedef struct _MemberRecord__isset {
-  _MemberRecord__isset() : node(false), bootId(false), version(false), fleetAddress(false), adminAddress(false), dataCentre(false), state(false), endpoints(false), settingsOffset(false), ledgerOffset(false) {}
+  _MemberRecord__isset() : node(false), bootId(false), version(false), fleetAddress(false), adminAddress(false), dataCentre(false), state(false), endpoints(false), settingsOffset(false), ledgerOffset(false), departed(false) {}
   bool node :1;
   bool bootId :1;
   bool version :1;
@@ -1367,6 +1456,7 @@
   bool endpoints :1;
   bool settingsOffset :1;
   bool ledgerOffset :1;
+  bool departed :1;
 } _MemberRecord__isset;
 
 class MemberRecord : public virtual ::apache::thrift::TBase {
@@ -1399,6 +1489,7 @@
   std::vector<EndpointRecord>  endpoints;
   int64_t settingsOffset;
   int64_t ledgerOffset;
+  std::vector<DepartedRecord>  departed;
 
   _MemberRecord__isset __isset;
 
@@ -1422,6 +1513,8 @@
 
   void __set_ledgerOffset(const int64_t val);
 
+  void __set_departed(const std::vector<DepartedRecord> & val);
+
   bool operator == (const MemberRecord & rhs) const
   {
     if (!(node == rhs.node))
@@ -1444,6 +1537,8 @@
       return false;
     if (!(ledgerOffset == rhs.ledgerOffset))
       return false;
+    if (!(departed == rhs.departed))
+      return false;
     return true;
   }
   bool operator != (const MemberRecord &rhs) const {
@@ -1985,7 +2080,7 @@
 std::ostream& operator<<(std::ostream& out, const Snapshot& obj);
 
 typedef struct _Frame__isset {
-  _Frame__isset() : stream(false), hello(false), heartbeat(false), ticket(false), grant(false), call(false), data(false), answer(false), failure(false), cancel(false), revoke(false), revoked(false), keyRequest(false), keyReply(false), gossip(false), snapshotRequest(false), snapshot(false) {}
+  _Frame__isset() : stream(false), hello(false), heartbeat(false), ticket(false), grant(false), call(false), data(false), answer(false), failure(false), cancel(false), revoke(false), revoked(false), keyRequest(false), keyReply(false), gossip(false), snapshotRequest(false), snapshot(false), keep(false) {}
   bool stream :1;
   bool hello :1;
   bool heartbeat :1;
@@ -2003,6 +2098,7 @@
   bool gossip :1;
   bool snapshotRequest :1;
   bool snapshot :1;
+  bool keep :1;
 } _Frame__isset;
 
 class Frame : public virtual ::apache::thrift::TBase {
@@ -2034,6 +2130,7 @@
   Gossip gossip;
   SnapshotRequest snapshotRequest;
   Snapshot snapshot;
+  Keep keep;
 
   _Frame__isset __isset;
 
@@ -2071,6 +2168,8 @@
 
   void __set_snapshot(const Snapshot& val);
 
+  void __set_keep(const Keep& val);
+
   bool operator == (const Frame & rhs) const
   {
     if (!(stream == rhs.stream))
@@ -2139,6 +2238,10 @@
       return false;
     else if (__isset.snapshot && !(snapshot == rhs.snapshot))
       return false;
+    if (__isset.keep != rhs.__isset.keep)
+      return false;
+    else if (__isset.keep && !(keep == rhs.keep))
+      return false;
     return true;
   }
   bool operator != (const Frame &rhs) const {
--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -355,11 +355,13 @@
   inquiry.Scope->OnCancel = [box = attempt.Box] {
     box->put({0, CancelledEvent{}});
   };
+  Attempts.insert(&attempt);
   EntryResult result;
   if (attempt.AwaitsGrant)
     result = co_await leaveTickets(attempt);
   else
     result = co_await sendDirect(attempt);
+  Attempts.erase(&attempt);
   inquiry.Scope->OnCancel = nullptr;
   for (std::size_t i = 0; i < attempt.Targets.size(); ++i)
     withdraw(attempt, i);
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -62,6 +63,9 @@
 
   std::size_t inFlight() const { return InFlight; }
 
+  /// The node stops: work that runs stays where it is until it ends.
+  void wind();
+
   asio::awaitable<HttpAnswer> serve(HttpRequest request,
                                     std::shared_ptr<CallScope> scope);
 
@@ -132,6 +136,8 @@
   Random Rng;
   std::uint64_t Requests = 0;
   std::size_t InFlight = 0;
+  bool IsWinding = false;
+  std::set<Attempt *> Attempts;
 };
 
 } // namespace hickoryglade::fleet
--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -68,7 +68,8 @@
   ticket.acceptsDoubtful = it.Gate.State != Standing::Healthy;
   if (attempt.IsWaitBounded)
     ticket.maxWaitMs = inquiry.Way.Policy.NearWait.count();
-  ticket.isLastTry = inquiry.Runs + 1 >= inquiry.Way.Policy.MaxAttempts;
+  ticket.isLastTry =
+      IsWinding || inquiry.Runs + 1 >= inquiry.Way.Policy.MaxAttempts;
   ticket.priority = inquiry.Way.Policy.Priority;
   ticket.isSerialized = attempt.IsSerialized;
   return ticket;
@@ -96,6 +97,20 @@
   it.Client->channel().sendBody(it.Stream, http.Content);
 }
 
+// A stopping node that tried again elsewhere might end before the second try.
+void Entry::wind() {
+  IsWinding = true;
+  for (Attempt *attempt : Attempts)
+    for (Attempt::Target &it : attempt->Targets) {
+      if (!it.IsOpen)
+        continue;
+      wire::Frame frame;
+      frame.stream = it.Stream;
+      frame.__set_keep({});
+      it.Client->channel().send(std::move(frame));
+    }
+}
+
 /// Ends a stream that is still open, telling the gate to stop.
 void Entry::withdraw(Attempt &attempt, std::size_t target) {
   Attempt::Target &it = attempt.Targets[target];
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -92,6 +92,8 @@
     takeData(ref, std::move(frame.data));
   else if (frame.__isset.cancel)
     takeCancel(ref);
+  else if (frame.__isset.keep)
+    takeKeep(ref);
   else if (frame.__isset.revoke)
     takeRevoke(ref, frame.revoke);
   scheduleTick();
@@ -200,6 +202,12 @@
   Exchanges.erase(exchange->Request.AttemptId);
 }
 
+void GateService::takeKeep(const StreamRef &ref) {
+  ExchangePtr exchange = findByStream(ref);
+  if (exchange)
+    keep(Kernel, exchange->Request.AttemptId);
+}
+
 void GateService::takeRevoke(const StreamRef &ref,
                              const wire::Revoke &revokeFrame) {
   auto channel = ref.Channel.lock();
@@ -440,6 +448,15 @@
   carryOut(withdraw(Kernel, name, now()));
 }
 
+void GateService::noteDeparted(const std::vector<DepartedRecord> &departed) {
+  for (const DepartedRecord &it : departed) {
+    logEvent(LogLevel::Info, "endpoint_departed_before",
+             {{"endpoint", it.Name}, {"started_at_ms", it.StartedAtMs}});
+    carryOut(hickoryglade::noteDeparted(Kernel, it, now()));
+  }
+  publishEndpoints();
+}
+
 void GateService::applyEjection(const std::string &endpoint,
                                 std::optional<Instant> until) {
   carryOut(setEjection(Kernel, endpoint, until, now()));
@@ -481,10 +498,12 @@
     records.push_back({name, it.Facts.Service, it.Facts.Slots, it.Generation,
                        isSilent ? Standing::Draining : it.State});
   }
-  if (records == Published)
+  std::vector<DepartedRecord> departed = departedRecords(Kernel);
+  if (records == Published && departed == PublishedDeparted)
     return;
   Published = records;
-  Handlers.OnEndpoints(std::move(records));
+  PublishedDeparted = departed;
+  Handlers.OnEndpoints(std::move(records), std::move(departed));
 }
 
 } // namespace hickoryglade::fleet
--- a/src/libfleet/gate/gateservice.h
+++ b/src/libfleet/gate/gateservice.h
@@ -26,7 +26,9 @@
 public:
   /// News for the control thread, called on the gate's thread.
   struct Events {
-    std::function<void(std::vector<EndpointRecord>)> OnEndpoints;
+    std::function<void(std::vector<EndpointRecord>,
+                       std::vector<DepartedRecord>)>
+        OnEndpoints;
     std::function<void(EjectionAction)> OnEjection;
     std::function<void(std::uint64_t, CrashRecord)> OnCrash;
   };
@@ -44,6 +46,7 @@
   /// Returns the generation under which the endpoint now runs.
   std::int64_t announceEndpoint(const Announcement &facts);
   void withdrawEndpoint(const std::string &name);
+  void noteDeparted(const std::vector<DepartedRecord> &departed);
   void applyEjection(const std::string &endpoint, std::optional<Instant> until);
   void applyView(const FleetViewPtr &view);
   void drainNow();
@@ -72,6 +75,7 @@
   void takeCall(const StreamRef &ref, wire::Call call);
   void takeData(const StreamRef &ref, wire::Data data);
   void takeCancel(const StreamRef &ref);
+  void takeKeep(const StreamRef &ref);
   void takeRevoke(const StreamRef &ref, const wire::Revoke &revoke);
   void bodyComplete(const ExchangePtr &exchange);
   Ticket toTicket(const wire::Ticket &in, std::int64_t lagMs) const;
@@ -112,6 +116,7 @@
   std::map<std::string, ExchangePtr> Exchanges;
   /// What the fleet has last been told of the endpoints.
   std::vector<EndpointRecord> Published;
+  std::vector<DepartedRecord> PublishedDeparted;
   std::deque<Finished> Results;
   std::size_t ResultBytes = 0;
 };
--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -115,6 +115,9 @@
                  // One that is behind reads for itself if it cannot catch up.
                  if (next >= Settings.state().Next && !isBehind())
                    FreshUntil = now() + FreshTerm;
+               },
+               [this](std::vector<DepartedRecord> departed) {
+                 Handlers.OnDeparted(std::move(departed));
                }}),
       Settings(io, settings.LogAddress, settings.StreamPrefix + ".settings",
                settings.LogRetention, metrics,
@@ -270,6 +273,7 @@
   MemberRecord record = makeRecord(Facts, BootId);
   record.IsLeaving = IsLeaving;
   record.Endpoints = Endpoints;
+  record.Departed = Departed;
   if (Facts.KeepsStandingsNear)
     for (EndpointRecord &it : record.Endpoints)
       it.State = isPassing(it.State) ? Standing::Healthy : it.State;
@@ -283,8 +287,10 @@
   Members.describe(record, isUrgent);
 }
 
-void Control::setEndpoints(std::vector<EndpointRecord> endpoints) {
+void Control::setEndpoints(std::vector<EndpointRecord> endpoints,
+                           std::vector<DepartedRecord> departed) {
   Endpoints = std::move(endpoints);
+  Departed = std::move(departed);
   describe(true);
   if (Facts.KeepsStandingsNear)
     reportStandings();
--- a/src/libfleet/node/control.h
+++ b/src/libfleet/node/control.h
@@ -30,6 +30,8 @@
     std::function<void()> OnReady;
     /// Ends of the ejection leases held, by endpoint, at each change.
     std::function<void(std::map<std::string, Instant>)> OnEjections;
+    /// Others know that these had left before this process started.
+    std::function<void(std::vector<DepartedRecord>)> OnDeparted;
   };
 
   Control(asio::io_context &io, const NodeSettings &settings,
@@ -40,7 +42,8 @@
 
   absl::Status start();
 
-  void setEndpoints(std::vector<EndpointRecord> endpoints);
+  void setEndpoints(std::vector<EndpointRecord> endpoints,
+                    std::vector<DepartedRecord> departed);
   void wantEjection(const EjectionAction &action);
   void noteCrash(std::uint64_t fingerprint, const CrashRecord &record);
   void leave();
@@ -106,6 +109,7 @@
   bool IsLeaving = false;
   bool IsCatchingUp = false;
   std::vector<EndpointRecord> Endpoints;
+  std::vector<DepartedRecord> Departed;
   StandingReport OwnStandings;
   StandingBoard Standings;
   asio::steady_timer StandingTimer;
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -124,15 +124,22 @@
           },
           [this](std::map<std::string, Instant> ends) {
             applyEjections(std::move(ends));
+          },
+          [this](std::vector<DepartedRecord> departed) {
+            asio::post(Traffic[0]->Io, [this, it = std::move(departed)] {
+              Gate->noteDeparted(it);
+            });
           }});
 
   if (Platform)
     Brain->usePlatform(*Platform);
 
   GateService::Events gateEvents;
-  gateEvents.OnEndpoints = [this](std::vector<EndpointRecord> endpoints) {
-    asio::post(ControlLoop.Io, [this, it = std::move(endpoints)]() mutable {
-      Brain->setEndpoints(std::move(it));
+  gateEvents.OnEndpoints = [this](std::vector<EndpointRecord> endpoints,
+                                  std::vector<DepartedRecord> departed) {
+    asio::post(ControlLoop.Io, [this, it = std::move(endpoints),
+                                gone = std::move(departed)]() mutable {
+      Brain->setEndpoints(std::move(it), std::move(gone));
     });
   };
   gateEvents.OnEjection = [this](EjectionAction action) {
@@ -409,6 +416,11 @@
     Gate->drainNow();
     return true;
   });
+  for (std::size_t i = 0; i < Entries.size(); ++i)
+    Traffic[i]->call([this, i] {
+      Entries[i]->wind();
+      return true;
+    });
   if (!Platform)
     handOnKeys();
   bool isClean = false;
--- a/src/libfleet/peers/membershipservice.cpp
+++ b/src/libfleet/peers/membershipservice.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace hickoryglade::fleet {
 
@@ -143,6 +144,8 @@
   std::int64_t newest = Kernel.Newest.Next;
   bool wasProbing = Kernel.Pending.has_value();
   send(receive(Kernel, *message, now()));
+  if (!Kernel.FormerDeparted.empty() && Handlers.OnDeparted)
+    Handlers.OnDeparted(std::exchange(Kernel.FormerDeparted, {}));
   // Spares the wake-up at which the probe would have been late.
   if (wasProbing && !Kernel.Pending)
     scheduleTick();
--- a/src/libfleet/peers/membershipservice.h
+++ b/src/libfleet/peers/membershipservice.h
@@ -30,6 +30,7 @@
     std::function<void(const StandingReport &)> OnStandings;
     /// A node that follows the source of settings has this version.
     std::function<void(std::int64_t next)> OnFreshSettings;
+    std::function<void(std::vector<DepartedRecord>)> OnDeparted;
   };
 
   MembershipService(asio::io_context &io, std::string listenAddress,
--- a/src/libfleet/peers/wireconvert.cpp
+++ b/src/libfleet/peers/wireconvert.cpp
@@ -49,6 +49,11 @@
   out.record.ledgerOffset = record.LedgerNext;
   for (const EndpointRecord &endpoint : record.Endpoints)
     out.record.endpoints.push_back(toWire(endpoint));
+  for (const DepartedRecord &departed : record.Departed) {
+    out.record.departed.emplace_back();
+    out.record.departed.back().name = departed.Name;
+    out.record.departed.back().startedAtMs = departed.StartedAtMs;
+  }
   out.state = int(it.State);
   return out;
 }
@@ -68,6 +73,8 @@
   out.Record.IsLeaving = it.record.state != 0;
   out.Record.SettingsNext = it.record.settingsOffset;
   out.Record.LedgerNext = it.record.ledgerOffset;
+  for (const wire::DepartedRecord &departed : it.record.departed)
+    out.Record.Departed.push_back({departed.name, departed.startedAtMs});
   for (const wire::EndpointRecord &endpoint : it.record.endpoints) {
     auto record = fromWire(endpoint);
     if (!record)
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -130,6 +130,30 @@
   return actions;
 }
 
+std::vector<DepartedRecord> departedRecords(const Gate &gate) {
+  std::vector<DepartedRecord> all;
+  for (const auto &[name, it] : gate.Departed)
+    all.push_back({name, it.StartedAtMs});
+  for (const auto &[name, it] : gate.Endpoints)
+    if (it.State == Standing::Draining && !gate.Departed.contains(name))
+      all.push_back({name, it.Facts.StartedAtMs});
+  return all;
+}
+
+GateActions noteDeparted(Gate &gate, const DepartedRecord &departed,
+                         Instant now) {
+  GateActions actions;
+  auto it = gate.Endpoints.find(departed.Name);
+  bool isSameStart = it != gate.Endpoints.end() &&
+                     it->second.Facts.StartedAtMs <= departed.StartedAtMs;
+  if (isSameStart)
+    actions = withdraw(gate, departed.Name, now);
+  DepartedEndpoint &known = gate.Departed[departed.Name];
+  known.StartedAtMs = std::max(known.StartedAtMs, departed.StartedAtMs);
+  known.ForgetAt = now + DepartedMemory;
+  return actions;
+}
+
 GateActions offer(Gate &gate, const Ticket &ticket, Instant now) {
   GateActions actions;
   noticePause(gate, now);
@@ -217,6 +241,15 @@
   return actions;
 }
 
+void keep(Gate &gate, const std::string &attempt) {
+  auto held = gate.Held.find(attempt);
+  if (held == gate.Held.end())
+    return;
+  for (SlotHolder &it : gate.Endpoints.at(held->second).Holders)
+    if (it.Request.AttemptId == attempt)
+      it.Request.IsLastTry = true;
+}
+
 GateActions cancel(Gate &gate, const std::string &attempt, Instant now) {
   GateActions actions;
   for (auto &[name, service] : gate.Services)
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -3,6 +3,7 @@
 #include "libhickoryglade/fairqueue.h"
 #include "libhickoryglade/gateaction.h"
 #include "libhickoryglade/gateendpoint.h"
+#include "libhickoryglade/memberrecord.h"
 #include "libhickoryglade/quarantine.h"
 #include "libhickoryglade/random.h"
 #include "libhickoryglade/repeatbudget.h"
@@ -115,12 +116,23 @@
 /// Forgets an endpoint that has left; what it runs may finish.
 GateActions withdraw(Gate &gate, const std::string &endpoint, Instant now);
 
+/// Starts of endpoints of which this gate knows that they have left, or are
+/// leaving.
+std::vector<DepartedRecord> departedRecords(const Gate &gate);
+
+/// An earlier process of this node knew that a start of an endpoint has left.
+GateActions noteDeparted(Gate &gate, const DepartedRecord &departed,
+                         Instant now);
+
 /// A request asks for a slot.
 GateActions offer(Gate &gate, const Ticket &ticket, Instant now);
 
 /// The body of a granted request has arrived.
 GateActions claim(Gate &gate, const std::string &attempt, Instant now);
 
+/// The request is not to be handed back any more.
+void keep(Gate &gate, const std::string &attempt);
+
 /// The caller no longer wants the request here.
 GateActions cancel(Gate &gate, const std::string &attempt, Instant now);
 
--- a/src/libhickoryglade/gateendpoint.cpp
+++ b/src/libhickoryglade/gateendpoint.cpp
@@ -59,7 +59,7 @@
 }
 
 /// Multiple of its expected time after which a request of a hanging endpoint
-/// is given to another.
+/// is given to another, if it has as much time left.
 constexpr int HandBackFactor = 2;
 
 } // namespace
@@ -77,11 +77,14 @@
   });
 }
 
-bool isOverdue(const SlotHolder &holder, const ServicePolicy &policy,
-               Instant now) {
-  return now - holder.Since >
-         std::max<Micros>(policy.StallAfter,
-                          HandBackFactor * holder.Request.ExpectedCost);
+bool isWorthHandingBack(const SlotHolder &holder, const ServicePolicy &policy,
+                        Instant now) {
+  const Ticket &ticket = holder.Request;
+  Micros usual = HandBackFactor * ticket.ExpectedCost;
+  bool isOverdue =
+      now - holder.Since > std::max<Micros>(policy.StallAfter, usual);
+  bool hasTime = ticket.Deadline - now > usual;
+  return ticket.IsIdempotent && !ticket.IsLastTry && isOverdue && hasTime;
 }
 
 int freeSlots(const GateEndpoint &endpoint) {
--- a/src/libhickoryglade/gateendpoint.h
+++ b/src/libhickoryglade/gateendpoint.h
@@ -80,9 +80,10 @@
 /// True if a request has started since the endpoint's standing last changed.
 bool hasStartedSinceChange(const GateEndpoint &endpoint);
 
-/// True for a request that has run for much longer than such requests take.
-bool isOverdue(const SlotHolder &holder, const ServicePolicy &policy,
-               Instant now);
+/// True for a request that has run for much longer than such requests take, and
+/// has time for another try.
+bool isWorthHandingBack(const SlotHolder &holder, const ServicePolicy &policy,
+                        Instant now);
 
 int freeSlots(const GateEndpoint &endpoint);
 int longHeld(const GateEndpoint &endpoint, Instant now, Micros longAfter);
--- a/src/libhickoryglade/gatehealth.cpp
+++ b/src/libhickoryglade/gatehealth.cpp
@@ -68,8 +68,7 @@
               Instant now, GateActions &actions) {
   std::vector<std::string> given;
   for (const SlotHolder &holder : endpoint.Holders)
-    if (holder.IsStarted && holder.Request.IsIdempotent &&
-        !holder.Request.IsLastTry && isOverdue(holder, policy, now))
+    if (holder.IsStarted && isWorthHandingBack(holder, policy, now))
       given.push_back(holder.Request.AttemptId);
   for (const std::string &attempt : given)
     actions.push_back(AbortAction{
--- a/src/libhickoryglade/memberrecord.h
+++ b/src/libhickoryglade/memberrecord.h
@@ -20,6 +20,16 @@
   bool operator==(const EndpointRecord &) const = default;
 };
 
+/// A start of an endpoint that has left or is leaving. A node that starts again
+/// is told its own by others, so that a late announcement misleads it no more
+/// than it would have before.
+struct DepartedRecord {
+  std::string Name;
+  std::int64_t StartedAtMs = 0;
+
+  bool operator==(const DepartedRecord &) const = default;
+};
+
 /// A node as it describes itself. Only the node writes it: of two records,
 /// the higher (BootId, Version) is the newer.
 struct MemberRecord {
@@ -33,6 +43,7 @@
   /// True once the node has said that it is leaving.
   bool IsLeaving = false;
   std::vector<EndpointRecord> Endpoints;
+  std::vector<DepartedRecord> Departed;
   /// Offsets up to which the node has read the settings and the leases.
   std::int64_t SettingsNext = 0;
   std::int64_t LedgerNext = 0;
--- a/src/libhickoryglade/membership.cpp
+++ b/src/libhickoryglade/membership.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <iterator>
 
 namespace hickoryglade {
 
@@ -144,6 +145,9 @@
 /// News that this node is suspect or dead is refuted by a newer version.
 void refute(Membership &state, const MemberUpdate &update) {
   Member &own = state.Members.at(state.Self);
+  if (update.Record.BootId < own.Record.BootId)
+    std::ranges::copy(update.Record.Departed,
+                      std::back_inserter(state.FormerDeparted));
   bool isAboutThisBoot = update.Record.BootId == own.Record.BootId;
   if (!isAboutThisBoot || update.Record.Version < own.Record.Version)
     return;
@@ -182,6 +186,22 @@
     member.Transmissions = Settled;
 }
 
+/// A node that has started again is told which endpoints it knew to have left.
+void remindOfDeparted(const Membership &state, const GossipMessage &message,
+                      std::vector<OutgoingGossip> &out) {
+  auto member = state.Members.find(message.Sender);
+  if (member == state.Members.end() || message.Sender == state.Self ||
+      member->second.Record.Departed.empty())
+    return;
+  const MemberRecord &known = member->second.Record;
+  bool isRestart =
+      std::ranges::any_of(message.Updates, [&](const MemberUpdate &it) {
+        return it.Record.Node == known.Node && it.Record.BootId > known.BootId;
+      });
+  if (isRestart)
+    sendAll(state, message.SenderAddress, {{known, MemberState::Alive}}, out);
+}
+
 /// A node tells all members of its own changes at once.
 void noteDirectNews(Membership &state, const GossipMessage &message) {
   auto member = state.Members.find(message.Sender);
@@ -449,6 +469,7 @@
 std::vector<OutgoingGossip> receive(Membership &state,
                                     const GossipMessage &message, Instant now) {
   std::vector<OutgoingGossip> out;
+  remindOfDeparted(state, message, out);
   bool isBulk =
       message.Kind == GossipKind::Updates && message.Updates.size() > 1;
   for (const MemberUpdate &update : message.Updates)
--- a/src/libhickoryglade/membership.h
+++ b/src/libhickoryglade/membership.h
@@ -100,6 +100,9 @@
   };
   SettingsHolders Newest;
 
+  /// What others have told of an earlier process of this node.
+  std::vector<DepartedRecord> FormerDeparted;
+
   std::vector<std::string> ProbeOrder;
   std::int64_t NextSequence = 1;
   Instant StartedAt;
--- a/tests/kernel/test_documents.cpp
+++ b/tests/kernel/test_documents.cpp
@@ -136,6 +136,23 @@
       out, [](const OutgoingGossip &it) { return it.Address == "b"; }));
 }
 
+TEST_CASE("a node that starts again is told which endpoints had left") {
+  Instant start(milliseconds(0));
+  MemberRecord first = record("a");
+  first.Departed = {{"e", 100}};
+  Membership other = makeMembership(record("b"), {}, 1, start);
+  receive(other, {GossipKind::Updates, "a", "a", 0, {}, {{first}}, {}, 0},
+          start);
+  MemberRecord second = record("a");
+  second.BootId = 2;
+  Membership restarted = makeMembership(second, {"b"}, 2, start);
+  for (const OutgoingGossip &it : tick(restarted, start))
+    for (const OutgoingGossip &reply : receive(other, it.Message, start))
+      receive(restarted, reply.Message, start);
+  CHECK(restarted.FormerDeparted == first.Departed);
+  CHECK(restarted.Members.at("a").Record.BootId == 2);
+}
+
 // The load that this answers: hundreds of nodes start at once, and each would
 // pass on each record that it has been given.
 TEST_CASE("records that come in bulk are not passed on") {
--- a/tests/kernel/test_doubt.cpp
+++ b/tests/kernel/test_doubt.cpp
@@ -300,6 +300,27 @@
   CHECK(standingOf(gate) == Standing::Healthy);
 }
 
+// The gate's process starts again between an endpoint's leaving and a late
+// announcement of it; other members remember what it said of itself.
+TEST_CASE("after a restart an endpoint that had left stays away") {
+  Gate before;
+  announce(before, endpoint("e", 100, 5), at(0));
+  withdraw(before, "e", at(10));
+  REQUIRE(departedRecords(before) == std::vector<DepartedRecord>{{"e", 100}});
+  Gate after;
+  for (const DepartedRecord &it : departedRecords(before))
+    noteDeparted(after, it, at(1'000));
+  announce(after, endpoint("e", 100, 4), at(1'010));
+  CHECK(after.Endpoints.empty());
+  announce(after, endpoint("e", 200, 1), at(1'020));
+  CHECK(standingOf(after) == Standing::Healthy);
+  // The announcement may come before the others' word.
+  Gate late;
+  announce(late, endpoint("e", 100, 4), at(1'000));
+  noteDeparted(late, {"e", 100}, at(1'050));
+  CHECK(late.Endpoints.empty());
+}
+
 TEST_CASE("the newer of two endpoints at one address is the one there") {
   Gate gate;
   announce(gate, endpoint("old", 100, 9), at(0));
--- a/tests/kernel/test_hang.cpp
+++ b/tests/kernel/test_hang.cpp
@@ -128,6 +128,24 @@
   CHECK(gate.Held.contains("last"));
 }
 
+// A node that stops keeps its work where it runs, and work that has no time for
+// another run gains nothing by being broken off.
+TEST_CASE("hanging work stays where another try cannot help") {
+  Gate gate = warmGate();
+  Ticket late = ticket("late", true);
+  late.Deadline = at(100 + 3 * Cost);
+  offer(gate, ticket("kept", true), at(100));
+  offer(gate, late, at(100));
+  keep(gate, "kept");
+  for (int ms = 150; ms <= late.Deadline.time_since_epoch() / milliseconds(1);
+       ms += 50)
+    for (const GateAction &it : tick(gate, at(ms)))
+      if (const auto *abort = std::get_if<AbortAction>(&it))
+        CHECK(abort->Reason.Kind == ErrorKind::DeadlineExceeded);
+  CHECK(standingOf(gate) != Standing::Healthy);
+  CHECK(gate.Held.contains("kept"));
+}
+
 TEST_CASE("an endpoint is tried although a request hangs from before") {
   Gate gate = warmGate();
   offer(gate, ticket("a", false), at(100));
