--- a/src/libfleet/http/httpfront.cpp
+++ b/src/libfleet/http/httpfront.cpp
@@ -7,6 +7,10 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <mutex>
+#include <optional>
+#include <set>
+
 namespace hickoryglade::fleet {
 
 namespace beast = boost::beast;
@@ -27,25 +31,58 @@
 /// Time in which the request that a connection was opened for has come.
 constexpr Micros FreshTerm = std::chrono::milliseconds(200);
 
-/// Counts a request from its first byte to the last of its answer.
+/// One caller's connection.
+struct Session {
+  beast::tcp_stream Stream;
+  beast::flat_buffer Buffer;
+};
+
+} // namespace
+
+struct FrontState {
+  std::atomic<bool> IsStopping = false;
+  /// Requests from their first byte to the last of their answer.
+  std::atomic<int> Busy = 0;
+  std::mutex Lock;
+  /// Connections that have been answered and wait for another request.
+  std::set<std::shared_ptr<Session>> Idle;
+};
+
+namespace {
+
+/// Lists a connection as idle for as long as it lives.
+class IdleGuard {
+public:
+  IdleGuard(std::shared_ptr<FrontState> state, std::shared_ptr<Session> session)
+      : State(std::move(state)), Caller(std::move(session)) {
+    std::lock_guard lock(State->Lock);
+    State->Idle.insert(Caller);
+  }
+  ~IdleGuard() {
+    std::lock_guard lock(State->Lock);
+    State->Idle.erase(Caller);
+  }
+  IdleGuard(const IdleGuard &) = delete;
+  IdleGuard &operator=(const IdleGuard &) = delete;
+
+private:
+  std::shared_ptr<FrontState> State;
+  std::shared_ptr<Session> Caller;
+};
+
+/// Counts a request for as long as it lives.
 class BusyGuard {
 public:
-  explicit BusyGuard(std::shared_ptr<std::atomic<int>> count)
-      : Count(std::move(count)) {
-    ++*Count;
+  explicit BusyGuard(std::shared_ptr<FrontState> state)
+      : State(std::move(state)) {
+    ++State->Busy;
   }
-  ~BusyGuard() { --*Count; }
+  ~BusyGuard() { --State->Busy; }
   BusyGuard(const BusyGuard &) = delete;
   BusyGuard &operator=(const BusyGuard &) = delete;
 
 private:
-  std::shared_ptr<std::atomic<int>> Count;
-};
-
-/// One caller's connection.
-struct Session {
-  beast::tcp_stream Stream;
-  beast::flat_buffer Buffer;
+  std::shared_ptr<FrontState> State;
 };
 
 HttpRequest fromBeast(http::request<http::string_body> &&in) {
@@ -191,17 +228,20 @@
 
 asio::awaitable<void> serve(std::shared_ptr<Session> session,
                             HttpFront::Lane lane, HttpFaultHandler onFault,
-                            std::shared_ptr<std::atomic<bool>> isStopping,
-                            std::shared_ptr<std::atomic<int>> busy,
+                            std::shared_ptr<FrontState> state,
                             std::shared_ptr<HttpLimits> limits) {
   error_code ec;
   session->Stream.socket().set_option(tcp::no_delay(true), ec);
-  while (true) {
+  for (bool isFirst = true;; isFirst = false) {
+    std::optional<IdleGuard> idle;
+    if (!isFirst)
+      idle.emplace(state, session);
     bool hasRequest =
         co_await awaitRequest(session, Millis(limits->IdleTimeoutMs));
+    idle.reset();
     if (!hasRequest)
       break;
-    BusyGuard guard(busy);
+    BusyGuard guard(state);
     RequestParser parser;
     co_await readRequest(session, parser, *limits, ec);
     if (ec) {
@@ -211,7 +251,7 @@
       }
       break;
     }
-    bool isKept = parser.keep_alive() && !*isStopping;
+    bool isKept = parser.keep_alive() && !state->IsStopping;
     HttpRequest request = fromBeast(parser.release());
     std::string method = request.Method;
     auto scope = std::make_shared<CallScope>();
@@ -225,7 +265,7 @@
       break;
     if (lane.WatchesCaller)
       session->Stream.socket().cancel(ec);
-    isKept = isKept && !*isStopping;
+    isKept = isKept && !state->IsStopping;
     co_await writeAnswer(session, answer, method, isKept, ec);
     if (ec || !isKept)
       break;
@@ -240,7 +280,7 @@
                      std::vector<Lane> lanes, HttpFaultHandler onFault)
     : Executor(ex), Address(std::move(address)), Acceptor(ex),
       Lanes(std::move(lanes)), OnFault(std::move(onFault)),
-      IsStopping(std::make_shared<std::atomic<bool>>(false)) {}
+      State(std::make_shared<FrontState>()) {}
 
 absl::Status HttpFront::listen() { return takeAddress(Acceptor, Address); }
 
@@ -250,10 +290,10 @@
   accept();
 }
 
-void HttpFront::wind() { *IsStopping = true; }
+void HttpFront::wind() { State->IsStopping = true; }
 
 void HttpFront::stop() {
-  *IsStopping = true;
+  State->IsStopping = true;
   error_code ec;
   // Closing would reset those that wait to be accepted.
   Acceptor.cancel(ec);
@@ -266,18 +306,21 @@
       serveNext(lane, std::move(socket));
   }
   Acceptor.close(ec);
+  // A request on an idle connection might come too late to be finished.
+  std::lock_guard lock(State->Lock);
+  for (const std::shared_ptr<Session> &it : State->Idle)
+    asio::post(it->Stream.get_executor(), [it] { it->Stream.cancel(); });
 }
 
 bool HttpFront::isBusy() const {
-  return *Busy > 0 || now() - AcceptedAt < FreshTerm;
+  return State->Busy > 0 || now() - AcceptedAt < FreshTerm;
 }
 
 void HttpFront::serveNext(Lane &lane, tcp::socket socket) {
   AcceptedAt = now();
   auto session = std::make_shared<Session>(
       Session{beast::tcp_stream(std::move(socket)), {}});
-  asio::co_spawn(lane.Executor,
-                 serve(session, lane, OnFault, IsStopping, Busy, Limits),
+  asio::co_spawn(lane.Executor, serve(session, lane, OnFault, State, Limits),
                  asio::detached);
 }
 
--- a/src/libfleet/http/httpfront.h
+++ b/src/libfleet/http/httpfront.h
@@ -31,6 +31,8 @@
   std::atomic<std::int64_t> IdleTimeoutMs = 60'000;
 };
 
+struct FrontState;
+
 /// Accepts HTTP/1.1 connections and shares them out between executors. Each
 /// executor must be run by one thread.
 class HttpFront {
@@ -57,8 +59,8 @@
   /// one request.
   void wind();
 
-  /// Takes the connections that have come and no more; open ones close after
-  /// their answer.
+  /// Takes the connections that have come and no more; idle ones are closed,
+  /// the others after their answer.
   void stop();
 
   /// True while a request is being read, served or answered, or a connection is
@@ -75,9 +77,8 @@
   HttpFaultHandler OnFault;
   void serveNext(Lane &lane, tcp::socket socket);
 
-  std::shared_ptr<std::atomic<bool>> IsStopping;
-  std::shared_ptr<std::atomic<int>> Busy =
-      std::make_shared<std::atomic<int>>(0);
+  /// What the front shares with its connections.
+  std::shared_ptr<FrontState> State;
   Instant AcceptedAt;
   std::shared_ptr<HttpLimits> Limits = std::make_shared<HttpLimits>();
   std::size_t NextLane = 0;
