--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -19,30 +19,9 @@
 
 /// Changes within this time make one view.
 constexpr Micros RebuildDelay = std::chrono::milliseconds(5);
-constexpr Micros SnapshotLimit = std::chrono::milliseconds(800);
+constexpr Micros VouchLimit = std::chrono::milliseconds(800);
 constexpr Millis ReadyPoll = std::chrono::milliseconds(100);
 constexpr Micros LonelyTerm = std::chrono::milliseconds(1'500);
-constexpr std::size_t MostSnapshotPeers = 3;
-
-/// News of a settings document reaches most nodes from the store this soon;
-/// only those left behind ask their peers.
-constexpr Millis CatchUpDelay = std::chrono::milliseconds(300);
-
-/// Those for whom others read ask at a time within this, so that they do not
-/// all ask the first to know.
-constexpr std::uint64_t FollowSpreadMs = 120;
-
-/// Between a reader's words to its data centre that it follows the source of
-/// settings, and how long each counts. Two may be lost before others read for
-/// themselves, which leaves most of the 2 s in which a change must be in force.
-constexpr Micros BeatPeriod = std::chrono::milliseconds(500);
-constexpr Micros FreshTerm = std::chrono::milliseconds(1'200);
-
-/// Members of the data centre that a node tells of settings it has taken.
-constexpr std::size_t SettingsFanOut = 3;
-
-/// Keeps the log's volume far below that of requests.
-constexpr Micros TrafficLogPeriod = std::chrono::seconds(10);
 
 /// Between tries to reach the directory, and between looks into it while no
 /// other node is known.
@@ -63,30 +42,6 @@
   return record;
 }
 
-json endpointJson(const EndpointRecord &it) {
-  return {{"name", it.Name},
-          {"service", it.Service},
-          {"slots", it.Slots},
-          {"generation", it.Generation},
-          {"standing", toString(it.State)}};
-}
-
-json memberJson(const Member &member) {
-  const MemberRecord &record = member.Record;
-  json endpoints = json::array();
-  std::ranges::transform(record.Endpoints, std::back_inserter(endpoints),
-                         endpointJson);
-  return {{"node", record.Node},
-          {"boot_id", record.BootId},
-          {"state", toString(member.State)},
-          {"leaving", record.IsLeaving},
-          {"data_centre", record.DataCentre},
-          {"fleet", record.FleetAddress},
-          {"admin", record.AdminAddress},
-          {"settings_next", record.SettingsNext},
-          {"endpoints", std::move(endpoints)}};
-}
-
 } // namespace
 
 Control::Control(asio::io_context &io, const NodeSettings &settings,
@@ -111,11 +66,7 @@
                  if (wasEmpty)
                    repeatStandings();
                },
-               [this](std::int64_t next) {
-                 // One that is behind reads for itself if it cannot catch up.
-                 if (next >= Settings.state().Next && !isBehind())
-                   FreshUntil = now() + FreshTerm;
-               },
+               [this](std::int64_t next) { noteFresh(next); },
                [this](std::vector<DepartedRecord> departed) {
                  Handlers.OnDeparted(std::move(departed));
                }}),
@@ -194,7 +145,7 @@
   NodeView view;
   view.FleetAddress = member->second.Record.FleetAddress;
   auto client =
-      co_await Links.connect(view.FleetAddress, view, now() + SnapshotLimit);
+      co_await Links.connect(view.FleetAddress, view, now() + VouchLimit);
   if (!client)
     co_return false;
   auto box = std::make_shared<StreamMailbox>(Io.get_executor());
@@ -206,7 +157,7 @@
   frame.keyRequest.record.fingerprint = BootId;
   frame.__isset.keyRequest = true;
   client->channel().send(std::move(frame));
-  std::optional<StreamEvent> event = co_await box->next(now() + SnapshotLimit);
+  std::optional<StreamEvent> event = co_await box->next(now() + VouchLimit);
   client->forget(stream);
   auto *reply = event ? std::get_if<wire::KeyReply>(&event->Content) : nullptr;
   co_return reply && reply->verdict == int(KeyVerdict::Granted);
@@ -341,151 +292,6 @@
   describe(true);
 }
 
-/// A node that the store does not serve takes newer settings from a member
-/// that says it has them.
-void Control::followPeers() {
-  if (!Directory || IsCatchingUp || !isBehind())
-    return;
-  IsCatchingUp = true;
-  asio::co_spawn(Io, catchUp(), asio::detached);
-}
-
-bool Control::isReader() const {
-  return Facts.SettingsReaders == 0 ||
-         rankInDataCentre(Members.state()) < std::size_t(Facts.SettingsReaders);
-}
-
-/// Waits while a reader's word that the settings are the newest counts. At the
-/// start nobody knows yet who the readers are.
-asio::awaitable<void> Control::awaitTurn() {
-  bool isStart = FreshUntil == Instant{};
-  if (isStart)
-    FreshUntil = now() + FreshTerm;
-  asio::steady_timer timer(Io);
-  while (now() < FreshUntil && (isStart || !isReader())) {
-    isStart = false;
-    timer.expires_at(toSteady(FreshUntil));
-    co_await timer.async_wait(asio::use_awaitable);
-  }
-}
-
-/// While this node reads the source of settings, tells its data centre so.
-void Control::beatSettings() {
-  BeatTimer.expires_after(BeatPeriod);
-  BeatTimer.async_wait([this](const error_code &ec) {
-    if (ec || IsLeaving)
-      return;
-    if (isReader() && Settings.isLogReachable() && Settings.isLoaded() &&
-        !isBehind())
-      Members.spreadSettings(peers(Members.state()).size(), true);
-    beatSettings();
-  });
-}
-
-void Control::spreadSettings() {
-  std::int64_t next = Settings.state().Next;
-  if (Facts.SettingsReaders == 0 || next <= SpreadNext)
-    return;
-  SpreadNext = next;
-  bool isFresh = isReader() && Settings.isLogReachable();
-  Members.spreadSettings(
-      isFresh ? peers(Members.state()).size() : SettingsFanOut, isFresh);
-}
-
-bool Control::isBehind() const {
-  return Members.state().Newest.Next > Settings.state().Next;
-}
-
-/// Members that have the newest settings, those of the own data centre if there
-/// are any.
-std::vector<std::string> Control::newestHolders() const {
-  std::vector<std::string> all = Members.state().Newest.Addresses;
-  std::vector<std::string> near;
-  for (const Member *peer : nearPeers(Members.state()))
-    if (std::ranges::find(all, peer->Record.FleetAddress) != all.end())
-      near.push_back(peer->Record.FleetAddress);
-  return near.empty() ? all : near;
-}
-
-asio::awaitable<void> Control::catchUp() {
-  asio::steady_timer timer(Io);
-  while (isBehind()) {
-    Millis delay = CatchUpDelay;
-    if (!isReader())
-      delay = Millis(std::uint64_t(wallMicros()) % FollowSpreadMs);
-    timer.expires_after(delay);
-    co_await timer.async_wait(asio::use_awaitable);
-    if (!isBehind())
-      break;
-    bool hasAnswer = co_await fetchSnapshotFrom(newestHolders(), 1);
-    if (!hasAnswer)
-      hasAnswer = co_await fetchSnapshot();
-    logEvent(LogLevel::Info, "settings_from_peer",
-             {{"answered", hasAnswer}, {"next", Settings.state().Next}});
-  }
-  IsCatchingUp = false;
-}
-
-/// Order in which members take a task that one of them must do.
-std::size_t Control::refreshRank(const std::string &what) const {
-  const Membership &state = Members.state();
-  std::uint64_t own = stableHash(what, stableHash(state.Self));
-  auto isBefore = [&](const Member *it) {
-    return stableHash(what, stableHash(it->Record.Node)) < own;
-  };
-  return std::size_t(std::ranges::count_if(peers(state), isBefore));
-}
-
-/// Asks members, or seeds while there are none, until one has answered.
-asio::awaitable<bool> Control::fetchSnapshot() {
-  std::vector<std::string> addresses;
-  for (const Member *peer : peers(Members.state()))
-    addresses.push_back(peer->Record.FleetAddress);
-  if (addresses.empty())
-    addresses = Facts.Seeds;
-  co_return co_await fetchSnapshotFrom(std::move(addresses), MostSnapshotPeers);
-}
-
-asio::awaitable<bool>
-Control::fetchSnapshotFrom(std::vector<std::string> addresses,
-                           std::size_t most) {
-  std::ranges::shuffle(addresses, Random(std::uint64_t(wallMicros())));
-  addresses.resize(std::min(addresses.size(), most));
-  bool hasAnswer = false;
-  for (const std::string &address : addresses) {
-    if (address == Facts.AdvertisedAddress)
-      continue;
-    NodeView view;
-    view.FleetAddress = address;
-    auto client = co_await Links.connect(address, view, now() + SnapshotLimit);
-    if (!client)
-      continue;
-    auto box = std::make_shared<StreamMailbox>(Io.get_executor());
-    wire::Frame frame;
-    frame.stream = client->open(box, 0);
-    std::int64_t stream = frame.stream;
-    frame.__set_snapshotRequest({});
-    client->channel().send(std::move(frame));
-    std::optional<StreamEvent> event =
-        co_await box->next(now() + SnapshotLimit);
-    client->forget(stream);
-    auto *content =
-        event ? std::get_if<wire::Snapshot>(&event->Content) : nullptr;
-    if (!content || content->settingsOffset < 0)
-      continue;
-    Settings.merge(fromWire(*content));
-    hasAnswer = true;
-  }
-  co_return hasAnswer;
-}
-
-wire::Snapshot Control::snapshot() const {
-  wire::Snapshot out = toWire(Settings.state());
-  if (!Settings.isLoaded())
-    out.settingsOffset = -1;
-  return out;
-}
-
 /// Callers come only once settings and members are known; a node that hears
 /// of no members takes itself for the first.
 asio::awaitable<void> Control::awaitReady() {
@@ -584,86 +390,4 @@
   Handlers.OnView(View);
 }
 
-NodeGauges Control::gauges() const {
-  NodeGauges out;
-  for (MemberState it :
-       {MemberState::Alive, MemberState::Suspect, MemberState::Dead})
-    out.MembersByState[std::string(toString(it))] = 0;
-  for (const auto &[node, member] : Members.state().Members)
-    ++out.MembersByState[std::string(toString(member.State))];
-  out.SettingsVersion = double(Settings.state().Next);
-  out.SettingsInForce = now() - Settings.takenAt();
-  out.SourceAge = now() - Settings.heardAt();
-  out.IsSourceReachable = Settings.isLogReachable();
-  return out;
-}
-
-/// Bytes of membership messages sent.
-std::uint64_t Control::gossipBytes() const {
-  return Traffic.bytes(TrafficCause::Membership, false) +
-         Traffic.bytes(TrafficCause::Membership, true);
-}
-
-/// A line now and then that says where bytes go; none while nothing is sent.
-void Control::logTraffic() {
-  TrafficTimer.expires_after(TrafficLogPeriod);
-  TrafficTimer.async_wait([this](const error_code &ec) {
-    if (ec)
-      return;
-    json far = json::object();
-    json near = json::object();
-    for (std::size_t i = 0; i < TrafficCauses; ++i) {
-      auto cause = static_cast<TrafficCause>(i);
-      std::string name(toString(cause));
-      if (std::uint64_t n = Traffic.bytes(cause, true))
-        far[name] = n;
-      if (std::uint64_t n = Traffic.bytes(cause, false))
-        near[name] = n;
-    }
-    logEvent(LogLevel::Info, "traffic",
-             {{"far_bytes", std::move(far)}, {"near_bytes", std::move(near)}});
-    logTraffic();
-  });
-}
-
-nlohmann::json Control::report() const {
-  json members = json::array();
-  for (const auto &[node, member] : Members.state().Members)
-    members.push_back(memberJson(member));
-  json crashes = json::array();
-  for (const auto &[fingerprint, it] : Crashes.Records)
-    crashes.push_back({{"fingerprint", fingerprintName(fingerprint)},
-                       {"crashes", it.total()},
-                       {"remaining_ms", toMillis(it.Expiry - now()).count()}});
-  json keepers = json::array();
-  for (const LeaseHolder &it : keeperRoster(Leases.agent().Ledger))
-    keepers.push_back(it.Node);
-  json ejections = json::array();
-  for (const auto &[subject, lease] : Leases.agent().Ledger.Leases)
-    if (subject.Kind == LeaseKind::Ejection)
-      ejections.push_back({{"service", subject.Service},
-                           {"endpoint", subject.Name},
-                           {"holder", lease.Holder.Node}});
-  json refused;
-  if (const auto &it = Settings.refused())
-    refused = {{"version", it->Version},
-               {"where", it->Faults.front().Where},
-               {"reason", it->Faults.front().Reason},
-               {"faults", it->Faults.size()},
-               {"ms_ago", toMillis(now() - it->At).count()}};
-  return {
-      {"settings_refused", std::move(refused)},
-      {"keepers", std::move(keepers)},
-      {"ejections", std::move(ejections)},
-      {"node", Facts.Node},
-      {"settings_next", Settings.state().Next},
-      {"gossip_bytes_sent", gossipBytes()},
-      {"settings_loaded", Settings.isLoaded()},
-      {"settings_in_force_ms", toMillis(now() - Settings.takenAt()).count()},
-      {"source_age_ms", toMillis(now() - Settings.heardAt()).count()},
-      {"log_reachable", Settings.isLogReachable()},
-      {"members", std::move(members)},
-      {"quarantine", std::move(crashes)}};
-}
-
 } // namespace hickoryglade::fleet
--- a/src/libfleet/node/control.h
+++ b/src/libfleet/node/control.h
@@ -82,6 +82,7 @@
   void repeatStandings();
   void followPeers();
   bool isReader() const;
+  void noteFresh(std::int64_t next);
   void beatSettings();
   asio::awaitable<void> awaitTurn();
   std::vector<std::string> newestHolders() const;
