--- a/src/libfleet/node/controlsettings.cpp
+++ b/src/libfleet/node/controlsettings.cpp
@@ -28,7 +28,7 @@
 constexpr std::uint64_t FollowSpreadMs = 120;
 
 /// Between a reader's words to its data centre that it follows the source of
-/// settings, and how long each counts. Two may be lost before others read for
+/// settings, and how long each counts. One may be lost before others read for
 /// themselves, which leaves most of the 2 s in which a change must be in force.
 constexpr Micros BeatPeriod = std::chrono::milliseconds(500);
 constexpr Micros FreshTerm = std::chrono::milliseconds(1'200);
