entry, node: what cannot be finished before a stopping node ends is answered

SIGTERM at 25.700 s, a download read at 26.761 s waits with a ticket whose deadline is 13 s away; the process ends at 31.019 s and closes it. Cause: nothing bounded the wait of a ticket by the end of the stop. Ruled out: a caller taken to have left (no answered line of the request), an end by itself. Now: waiting requests are refused (not run) once a usual run would not fit any more, running ones are answered 502 just before the end.

--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -59,6 +59,8 @@
   21: bool isLastTry
   // Longest wait for a slot; 0 if only the gate's own rules bound it.
   22: i64 maxWaitMs
+  // Other gates have refused it because of silent endpoints.
+  23: bool acceptsSilent
 }
 
 struct Grant {
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -586,6 +586,10 @@
 void Ticket::__set_maxWaitMs(const int64_t val) {
   this->maxWaitMs = val;
 }
+
+void Ticket::__set_acceptsSilent(const bool val) {
+  this->acceptsSilent = val;
+}
 std::ostream& operator<<(std::ostream& out, const Ticket& obj)
 {
   obj.printTo(out);
@@ -782,6 +786,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->acceptsSilent);
+          this->__isset.acceptsSilent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -883,6 +895,10 @@
   xfer += oprot->writeI64(this->maxWaitMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("acceptsSilent", ::apache::thrift::protocol::T_BOOL, 23);
+  xfer += oprot->writeBool(this->acceptsSilent);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -911,6 +927,7 @@
   swap(a.targetMs, b.targetMs);
   swap(a.isLastTry, b.isLastTry);
   swap(a.maxWaitMs, b.maxWaitMs);
+  swap(a.acceptsSilent, b.acceptsSilent);
   swap(a.__isset, b.__isset);
 }
 
@@ -936,6 +953,7 @@
   targetMs = other12.targetMs;
   isLastTry = other12.isLastTry;
   maxWaitMs = other12.maxWaitMs;
+  acceptsSilent = other12.acceptsSilent;
   __isset = other12.__isset;
 }
 Ticket::Ticket(Ticket&& other13) noexcept {
@@ -960,6 +978,7 @@
   targetMs = other13.targetMs;
   isLastTry = other13.isLastTry;
   maxWaitMs = other13.maxWaitMs;
+  acceptsSilent = other13.acceptsSilent;
   __isset = other13.__isset;
 }
 Ticket& Ticket::operator=(const Ticket& other14) {
@@ -984,6 +1003,7 @@
   targetMs = other14.targetMs;
   isLastTry = other14.isLastTry;
   maxWaitMs = other14.maxWaitMs;
+  acceptsSilent = other14.acceptsSilent;
   __isset = other14.__isset;
   return *this;
 }
@@ -1009,6 +1029,7 @@
   targetMs = other15.targetMs;
   isLastTry = other15.isLastTry;
   maxWaitMs = other15.maxWaitMs;
+  acceptsSilent = other15.acceptsSilent;
   __isset = other15.__isset;
   return *this;
 }
@@ -1036,6 +1057,7 @@
   out << ", " << "targetMs=" << to_string(targetMs);
   out << ", " << "isLastTry=" << to_string(isLastTry);
   out << ", " << "maxWaitMs=" << to_string(maxWaitMs);
+  out << ", " << "acceptsSilent=" << to_string(acceptsSilent);
   out << ")";
 }
 
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -285,7 +285,7 @@
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
 typedef struct _Ticket__isset {
-  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), awaitsClaim(false), knownCrashes(false), onlyIfFree(false), isRepeat(false), acceptsDoubtful(false), priority(false), isSerialized(false), isSpill(false), targetMs(false), isLastTry(false), maxWaitMs(false) {}
+  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), awaitsClaim(false), knownCrashes(false), onlyIfFree(false), isRepeat(false), acceptsDoubtful(false), priority(false), isSerialized(false), isSpill(false), targetMs(false), isLastTry(false), maxWaitMs(false), acceptsSilent(false) {}
   bool attemptId :1;
   bool workspace :1;
   bool serviceName :1;
@@ -307,6 +307,7 @@
   bool targetMs :1;
   bool isLastTry :1;
   bool maxWaitMs :1;
+  bool acceptsSilent :1;
 } _Ticket__isset;
 
 class Ticket : public virtual ::apache::thrift::TBase {
@@ -337,7 +338,8 @@
            isSpill(0),
            targetMs(0),
            isLastTry(0),
-           maxWaitMs(0) {
+           maxWaitMs(0),
+           acceptsSilent(0) {
   }
 
   virtual ~Ticket() noexcept;
@@ -362,6 +364,7 @@
   int64_t targetMs;
   bool isLastTry;
   int64_t maxWaitMs;
+  bool acceptsSilent;
 
   _Ticket__isset __isset;
 
@@ -407,6 +410,8 @@
 
   void __set_maxWaitMs(const int64_t val);
 
+  void __set_acceptsSilent(const bool val);
+
   bool operator == (const Ticket & rhs) const
   {
     if (!(attemptId == rhs.attemptId))
@@ -451,6 +456,8 @@
       return false;
     if (!(maxWaitMs == rhs.maxWaitMs))
       return false;
+    if (!(acceptsSilent == rhs.acceptsSilent))
+      return false;
     return true;
   }
   bool operator != (const Ticket &rhs) const {
--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -220,6 +220,7 @@
     }
     const Error &error = std::get<Error>(result);
     inquiry.RoomRefusals += error.Kind == ErrorKind::SlotTaken;
+    inquiry.DoubtRefusals += error.Kind == ErrorKind::EndpointDoubtful;
     bool hasFailed = error.Kind != ErrorKind::SlotTaken;
     freeTries += isFreeRetry(error.Kind);
     if (hasFailed && !inquiry.LastGate.empty())
@@ -241,7 +242,9 @@
               {"detail", error.Detail},
               {"retry", answer.Verdict == RetryVerdict::Retry},
               {"reason", answer.Reason}});
-    if (answer.Verdict == RetryVerdict::Retry && freeTries < MostFreeTries)
+    bool isLate = isTooLateFor(inquiry.Cost.Expected);
+    if (answer.Verdict == RetryVerdict::Retry && freeTries < MostFreeTries &&
+        !isLate)
       continue;
     if (failure)
       co_return std::move(*failure);
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -41,6 +41,8 @@
   int Runs = 0;
   /// Times that gates have refused it for want of room.
   int RoomRefusals = 0;
+  /// Times that gates have refused it because of doubt about their endpoints.
+  int DoubtRefusals = 0;
   /// Gate of the latest attempt that reached one.
   std::string LastGate;
   /// Gates that have refused or failed it.
@@ -66,6 +68,10 @@
   /// The node stops: work that runs stays where it is until it ends.
   void wind();
 
+  /// The node ends at this time: what cannot be finished before is answered
+  /// while there is time to. Called again and again until the end.
+  void settle(Instant end);
+
   asio::awaitable<HttpAnswer> serve(HttpRequest request,
                                     std::shared_ptr<CallScope> scope);
 
@@ -114,6 +120,7 @@
   void logRoute(const Inquiry &inquiry, int number, const Attempt &attempt,
                 const RoutePlan &plan) const;
   std::string nextId();
+  bool isTooLateFor(Micros work) const;
 
   asio::any_io_executor Executor;
   std::string Node;
@@ -137,6 +144,8 @@
   std::uint64_t Requests = 0;
   std::size_t InFlight = 0;
   bool IsWinding = false;
+  /// When the node ends, while it stops.
+  std::optional<Instant> EndsAt;
   std::set<Attempt *> Attempts;
 };
 
--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -17,6 +17,20 @@
 /// less than the caller allows.
 constexpr Micros AnswerMargin = std::chrono::milliseconds(2);
 
+/// Time to write the last answers before the node ends.
+constexpr Micros AnswerTerm = std::chrono::milliseconds(150);
+
+/// Refusals because of doubt after which a request that may run only once takes
+/// the next endpoint whose standing is good.
+constexpr int MostDoubtRefusals = 4;
+
+/// Most requests end within this many times their expected time.
+constexpr int UsualRunFactor = 2;
+
+Error nodeEnds(RunState run) {
+  return {ErrorKind::ShuttingDown, run, "the node ends", DefaultRetryAfter};
+}
+
 } // namespace
 
 wire::Revoke Entry::Attempt::question(std::size_t target) const {
@@ -66,6 +80,7 @@
   ticket.awaitsClaim = attempt.AwaitsGrant;
   ticket.isRepeat = inquiry.Arrivals > 0;
   ticket.acceptsDoubtful = it.Gate.State != Standing::Healthy;
+  ticket.acceptsSilent = inquiry.DoubtRefusals >= MostDoubtRefusals;
   if (attempt.IsWaitBounded)
     ticket.maxWaitMs = inquiry.Way.Policy.NearWait.count();
   ticket.isLastTry =
@@ -111,6 +126,25 @@
     }
 }
 
+bool Entry::isTooLateFor(Micros work) const {
+  return EndsAt && now() + work + AnswerTerm >= *EndsAt;
+}
+
+// Work that waits would be cut off in the middle if it started too late. It has
+// not run, and its caller can go elsewhere.
+void Entry::settle(Instant end) {
+  EndsAt = end;
+  for (Attempt *attempt : Attempts) {
+    Micros work = attempt->isWaiting()
+                      ? UsualRunFactor * attempt->Request->Cost.Expected
+                      : Micros{0};
+    if (attempt->IsStopped || !isTooLateFor(work))
+      continue;
+    attempt->IsStopped = true;
+    attempt->Box->put({0, StoppedEvent{}});
+  }
+}
+
 /// Ends a stream that is still open, telling the gate to stop.
 void Entry::withdraw(Attempt &attempt, std::size_t target) {
   Attempt::Target &it = attempt.Targets[target];
@@ -158,7 +192,10 @@
                       "no slot became free in time", DefaultRetryAfter};
     if (std::holds_alternative<CancelledEvent>(event->Content))
       co_return Error{ErrorKind::Cancelled, RunState::NotRun, {}, {}};
+    if (std::holds_alternative<StoppedEvent>(event->Content))
+      co_return nodeEnds(RunState::NotRun);
     if (std::holds_alternative<GrantEvent>(event->Content)) {
+      attempt.IsGranted = true;
       for (std::size_t i = 0; i < attempt.Targets.size(); ++i)
         if (i != event->Tag)
           withdraw(attempt, i);
@@ -191,6 +228,8 @@
                           "no word from the gate in time", DefaultRetryAfter);
     if (std::holds_alternative<CancelledEvent>(event->Content))
       co_return makeError(ErrorKind::Cancelled);
+    if (std::holds_alternative<StoppedEvent>(event->Content))
+      co_return nodeEnds(RunState::Unknown);
     if (event->Tag != target)
       continue;
     if (auto *answer = std::get_if<AnswerEvent>(&event->Content)) {
@@ -266,6 +305,8 @@
     return toError(attempt, *failure);
   if (std::holds_alternative<CancelledEvent>(event.Content))
     return makeError(ErrorKind::Cancelled);
+  if (std::holds_alternative<StoppedEvent>(event.Content))
+    return nodeEnds(RunState::Unknown);
   return std::nullopt;
 }
 
--- a/src/libfleet/entry/entryattempt.h
+++ b/src/libfleet/entry/entryattempt.h
@@ -44,6 +44,13 @@
   bool IsWaitBounded = false;
   bool IsSpill = false;
   bool IsSerialized = false;
+  /// A gate has granted a slot.
+  bool IsGranted = false;
+  /// It has been told that the node ends.
+  bool IsStopped = false;
+
+  /// True until a gate may have started it.
+  bool isWaiting() const { return AwaitsGrant && !IsGranted; }
 
   /// Asks a gate what became of the attempt.
   wire::Revoke question(std::size_t target) const;
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -117,6 +117,7 @@
   out.AwaitsClaim = in.awaitsClaim;
   out.IsRepeat = in.isRepeat;
   out.AcceptsDoubtful = in.acceptsDoubtful;
+  out.AcceptsSilent = in.acceptsSilent;
   out.IsSpill = in.isSpill;
   out.Priority = in.priority;
   out.IsLastTry = in.isLastTry;
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -425,7 +425,8 @@
     handOnKeys();
   bool isClean = false;
   bool isAccepting = true;
-  while (!isClean && now() - begin < Facts.Linger + Facts.DrainLimit) {
+  Instant end = begin + Facts.Linger + Facts.DrainLimit;
+  while (!isClean && now() < end) {
     pauseFor(StopPoll);
     bool hasLingered = now() - begin >= Facts.Linger;
     if (hasLingered && std::exchange(isAccepting, false))
@@ -433,6 +434,8 @@
         Callers->stop();
         return true;
       });
+    for (std::size_t i = 0; i < Entries.size(); ++i)
+      asio::post(Traffic[i]->Io, [this, i, end] { Entries[i]->settle(end); });
     isClean = hasLingered && isQuiet();
   }
   for (auto &loop : Traffic)
--- a/src/libfleet/peers/gateclient.h
+++ b/src/libfleet/peers/gateclient.h
@@ -36,12 +36,16 @@
 /// The caller went away.
 struct CancelledEvent {};
 
+/// The node ends before the stream could be finished.
+struct StoppedEvent {};
+
 /// Something that happened to a stream.
 struct StreamEvent {
   /// The number that the stream was opened with.
   std::size_t Tag = 0;
   std::variant<GrantEvent, AnswerEvent, wire::Failure, RevokedEvent,
-               wire::KeyReply, wire::Snapshot, LostEvent, CancelledEvent>
+               wire::KeyReply, wire::Snapshot, LostEvent, CancelledEvent,
+               StoppedEvent>
       Content;
 };
 
--- a/src/libhickoryglade/ticket.h
+++ b/src/libhickoryglade/ticket.h
@@ -35,6 +35,9 @@
   bool IsRepeat = false;
   /// True if the entry knows that the endpoint is doubtful or on trial.
   bool AcceptsDoubtful = false;
+  /// True if it may go to an endpoint whose running work is silent for longer
+  /// than usual, as others were silent too.
+  bool AcceptsSilent = false;
   /// True if it comes because endpoints in good standing have no slot free.
   bool IsSpill = false;
   /// True if its entry has sent it to the one gate at which all copies of
--- a/tests/platform/serverstandin.cpp
+++ b/tests/platform/serverstandin.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/// Longer than any caller of the tests waits.
+constexpr Millis HangTime{20'000};
+
 struct Identity {
   std::string Listen;
   std::string Control;
@@ -49,6 +52,10 @@
             {"body", *request.Content}};
     if (Fault == "reset")
       co_return false;
+    if (Fault == "hang") {
+      co_await sleepFor(HangTime);
+      co_return false;
+    }
     if (Fault == "error")
       co_return co_await reply(wire, answerBytes(500, "", echo + Proof));
     if (Fault == "stray") {
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <csignal>
+#include <future>
 
 using namespace hickoryglade::testing;
 using nlohmann::json;
@@ -225,6 +226,62 @@
   CHECK(servedOf(fleet, 10) == 10);
 }
 
+// Deadlines are longer than a stop may last, and no slot becomes free.
+TEST_CASE("a node that ends answers what it could not finish", "[platform]") {
+  PlatformFleet fleet;
+  startAll(fleet);
+  json config = usualConfig(2);
+  for (json &rule : config["listeners"][0]["route_rules"]) {
+    rule["target_latency_s"] = 6;
+    rule["action"]["timeout_s"] = 8;
+  }
+  auto settingsOf = [&] {
+    std::string text = callOnce(fleet.node("n3").Admin,
+                                {"GET", "/v1/status", {}, ""}, CallLimit)
+                           .Body;
+    return json::parse(text, nullptr, false).value("settings_next", 0);
+  };
+  int before = settingsOf();
+  fleet.configure(config);
+  TestFleet::await("the new limits", [&] { return settingsOf() > before; });
+  for (const char *node : {"n1", "n2"})
+    fleet.controlServer(node, {{"fault", "hang"}});
+  constexpr int slots = 6;
+  constexpr int waiting = 3;
+  auto send = [&](int number) {
+    HttpQuestion question{"POST",
+                          "/once/x",
+                          {{"Host", "h.example"},
+                           {"Attempt-Id", "late-" + std::to_string(number)},
+                           {"Remaining-Milliseconds", "7000"}},
+                          ""};
+    return callOnce(fleet.node("n3").Http, question,
+                    std::chrono::milliseconds(9'000));
+  };
+  std::vector<std::future<HttpReply>> replies;
+  for (int i = 0; i < slots + waiting; ++i)
+    replies.push_back(std::async(std::launch::async, send, i));
+  TestFleet::await("all slots in use", [&] {
+    return fleet.controlServer("n1", json::object())["runs"].size() >= 3 &&
+           fleet.controlServer("n2", json::object())["runs"].size() >= 3;
+  });
+  fleet.process("n3").signal(SIGTERM);
+  int refused = 0;
+  int unknown = 0;
+  for (auto &it : replies) {
+    HttpReply reply = it.get();
+    INFO(reply.Status << " " << reply.Body);
+    CHECK(reply.Status >= 500);
+    bool isRefused = reply.Status == 503;
+    refused += isRefused;
+    unknown += !isRefused;
+    if (isRefused)
+      CHECK_FALSE(reply.header("Retry-After").empty());
+  }
+  CHECK(refused == waiting);
+  CHECK(unknown == slots);
+}
+
 TEST_CASE("status and metrics say what a node knows and why", "[platform]") {
   PlatformFleet fleet;
   startAll(fleet);
