--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -168,6 +168,12 @@
                   Millis{0}));
     return actions;
   }
+  if (isOnlySilent(gate, service, ticket, now)) {
+    refuse(actions, ticket.AttemptId,
+           notRun(ErrorKind::EndpointDoubtful, "the endpoint is silent",
+                  Millis{0}));
+    return actions;
+  }
   if (isOutOfPlace(gate, service, ticket, now)) {
     refuse(actions, ticket.AttemptId, outOfPlace());
     return actions;
--- a/src/libhickoryglade/gateendpoint.cpp
+++ b/src/libhickoryglade/gateendpoint.cpp
@@ -59,8 +59,9 @@
 }
 
 /// Multiple of its expected time after which a request of a hanging endpoint
-/// is given to another, if it has as much time left.
+/// is given to another, and the time that it needs there.
 constexpr int HandBackFactor = 2;
+constexpr double OtherTryFactor = 1.25;
 
 } // namespace
 
@@ -83,7 +84,7 @@
   Micros usual = HandBackFactor * ticket.ExpectedCost;
   bool isOverdue =
       now - holder.Since > std::max<Micros>(policy.StallAfter, usual);
-  bool hasTime = ticket.Deadline - now > usual;
+  bool hasTime = ticket.Deadline - now > OtherTryFactor * ticket.ExpectedCost;
   return ticket.IsIdempotent && !ticket.IsLastTry && isOverdue && hasTime;
 }
 
--- a/src/libhickoryglade/gaterules.cpp
+++ b/src/libhickoryglade/gaterules.cpp
@@ -16,6 +16,11 @@
   return freeSlots(endpoint) > 1 && !service.Queue.hasShort();
 }
 
+/// Log of how much likelier the silence of an endpoint is of one that hangs,
+/// from which it gets no work that may run only once: two to one. It costs a
+/// message to ask the next.
+constexpr double MostSilentOdds = 0.7;
+
 } // namespace
 
 bool isAnnounced(const GateEndpoint &endpoint, Instant now) {
@@ -56,11 +61,23 @@
   if (!takesWork(endpoint, now) || isUnawares(endpoint, service, ticket))
     return false;
   bool isTrial = endpoint.State == Standing::Trial;
-  if (isTrial && (ticket.IsLong || !ticket.IsIdempotent))
+  // Work that hangs at an endpoint on trial must have another try.
+  bool suitsTrial = !ticket.IsLong && ticket.IsIdempotent && !ticket.IsLastTry;
+  if (isTrial && !suitsTrial)
     return false;
   return !ticket.IsLong || mayHoldLong(endpoint, service, now);
 }
 
+bool isOnlySilent(const Gate &gate, const GateService &service,
+                  const Ticket &ticket, Instant now) {
+  bool isExempt = !service.Policy.AvoidsSilent || service.Gates <= 1 ||
+                  ticket.IsIdempotent || ticket.AcceptsSilent;
+  return !isExempt && std::ranges::all_of(gate.Endpoints, [&](const auto &it) {
+    return it.second.Facts.Service != ticket.Service ||
+           evidenceOf(it.second, service.Policy, now).HangOdds > MostSilentOdds;
+  });
+}
+
 GateEndpoint *chooseEndpoint(Gate &gate, const GateService &service,
                              const Ticket &ticket, Instant now) {
   GateEndpoint *best = nullptr;
--- a/src/libhickoryglade/gaterules.h
+++ b/src/libhickoryglade/gaterules.h
@@ -21,6 +21,11 @@
 bool isUnawares(const GateEndpoint &endpoint, const GateService &service,
                 const Ticket &ticket);
 
+/// True if the running work of every endpoint here is silent for so long that a
+/// request that may run only once had better go elsewhere.
+bool isOnlySilent(const Gate &gate, const GateService &service,
+                  const Ticket &ticket, Instant now);
+
 /// True if this request may take a slot of the endpoint.
 bool mayTake(const GateEndpoint &endpoint, const GateService &service,
              const Ticket &ticket, Instant now);
--- a/src/libhickoryglade/routerpolicy.cpp
+++ b/src/libhickoryglade/routerpolicy.cpp
@@ -52,10 +52,18 @@
       return all;
   constexpr std::array<Standing, 3> order = {
       Standing::Healthy, Standing::Suspect, Standing::Trial};
+  // A gate that turned a request away has not run it: what may run only once is
+  // better off there than at a doubtful endpoint.
+  std::vector<std::pair<Standing, bool>> places;
   for (bool wasTried : {false, true})
     for (Standing state : order)
-      if (auto all = withStanding(candidates, state, wasTried); !all.empty())
-        return all;
+      places.emplace_back(state, wasTried);
+  if (!question.IsIdempotent)
+    std::ranges::stable_sort(places, {},
+                             [](const auto &it) { return rankOf(it.first); });
+  for (const auto &[state, wasTried] : places)
+    if (auto all = withStanding(candidates, state, wasTried); !all.empty())
+      return all;
   return {};
 }
 
--- a/src/libhickoryglade/servicepolicy.h
+++ b/src/libhickoryglade/servicepolicy.h
@@ -76,6 +76,9 @@
   /// Whether idempotent requests go to doubtful endpoints while no healthy one
   /// has a slot free.
   bool SpillsToDoubtful = false;
+  /// Whether requests that may run only once avoid endpoints whose running work
+  /// is silent for longer than usual, long before that makes them doubtful.
+  bool AvoidsSilent = false;
   /// Weight of the workspace in the fair sharing of a service.
   int Share = 1;
   /// How long a request that crashed endpoints stays quarantined.
--- a/src/libhickoryglade/settingsschema.cpp
+++ b/src/libhickoryglade/settingsschema.cpp
@@ -81,6 +81,8 @@
        BooleanRule{[](P &p, bool v) { p.Idempotent = v; }}},
       {"spill_to_doubtful", SettingsLevel::Fleet,
        BooleanRule{[](P &p, bool v) { p.SpillsToDoubtful = v; }}},
+      {"avoid_silent", SettingsLevel::Fleet,
+       BooleanRule{[](P &p, bool v) { p.AvoidsSilent = v; }}},
       {"max_header_bytes", SettingsLevel::Fleet,
        IntegerRule{256, 1024 * 1024,
                    [](P &p, std::int64_t v) { p.MaxHeaderBytes = v; }}},
--- a/tests/kernel/test_hang.cpp
+++ b/tests/kernel/test_hang.cpp
@@ -128,6 +128,50 @@
   CHECK(gate.Held.contains("last"));
 }
 
+// The load that this answers: lookups of a second whose callers allow six. By
+// the time that one is known to hang, less than twice its run time is left.
+TEST_CASE("hanging work with time for one more run is handed back") {
+  Gate gate = warmGate();
+  Ticket lookup = ticket("lookup", true);
+  lookup.Deadline = at(100 + 7 * Cost / 2);
+  offer(gate, lookup, at(100));
+  offer(gate, ticket("b", true), at(100));
+  std::vector<std::string> given;
+  for (int ms = 150; ms < 100 + 5 * Cost / 2; ms += 50)
+    std::ranges::move(aborted(tick(gate, at(ms))), std::back_inserter(given));
+  CHECK(std::ranges::find(given, "lookup") != given.end());
+}
+
+// The load that this answers: orders that may run only once, at endpoints of
+// which some have just begun to hang.
+TEST_CASE("work that may run only once avoids a silent endpoint") {
+  Gate gate = warmGate();
+  gate.Services["w/s"].Policy.AvoidsSilent = true;
+  offer(gate, ticket("a", false), at(100));
+  offer(gate, ticket("b", false), at(100));
+  auto refusalOf = [&](const Ticket &it, int ms) {
+    std::optional<Error> refusal;
+    for (const GateAction &action : offer(gate, it, at(ms)))
+      if (const auto *refused = std::get_if<RefuseAction>(&action))
+        refusal = refused->Reason;
+    return refusal;
+  };
+  CHECK_FALSE(refusalOf(ticket("early", false), 100 + Cost / 2));
+  int silent = 100 + 9 * Cost / 8;
+  REQUIRE(standingOf(gate) == Standing::Healthy);
+  auto refused = refusalOf(ticket("once", false), silent);
+  REQUIRE(refused);
+  CHECK(refused->Run == RunState::NotRun);
+  CHECK(refused->Kind == ErrorKind::EndpointDoubtful);
+  CHECK_FALSE(refusalOf(ticket("repeatable", true), silent));
+  Ticket last = ticket("elsewhere silent too", false);
+  last.AcceptsSilent = true;
+  CHECK_FALSE(refusalOf(last, silent));
+  complete(gate, "a", AttemptOutcome::Answered, at(silent));
+  complete(gate, "early", AttemptOutcome::Answered, at(silent));
+  CHECK_FALSE(refusalOf(ticket("after answers", false), silent));
+}
+
 // A node that stops keeps its work where it runs, and work that has no time for
 // another run gains nothing by being broken off.
 TEST_CASE("hanging work stays where another try cannot help") {
