--- a/tests/kernel/test_nearest.cpp
+++ b/tests/kernel/test_nearest.cpp
@@ -102,6 +102,25 @@
     CHECK(chosen[place] > 200);
 }
 
+// The load that this answers: orders that may run only once, turned away by
+// gates whose endpoints have gone silent, while others of the service fail.
+TEST_CASE("work that may run only once goes back before it goes to doubtful") {
+  Random rng(7);
+  std::vector<Candidate> all = sixPlaces();
+  all.resize(3);
+  all[0].WasTried = true;
+  all[1].State = Standing::Suspect;
+  all[2].State = Standing::Trial;
+  RouteQuestion question;
+  question.TrialOdds = 1'000'000;
+  question.IsIdempotent = false;
+  CHECK(eligible(all, question, rng) == std::vector<std::size_t>{0});
+  question.IsIdempotent = true;
+  CHECK(eligible(all, question, rng) == std::vector<std::size_t>{1});
+  all[0].WasTried = false;
+  CHECK(eligible(all, question, rng) == std::vector<std::size_t>{0});
+}
+
 TEST_CASE("a service without gates near is served from elsewhere at once") {
   Random rng(1);
   auto all = sixPlaces();
