entry: no new try of a request once a usual run does not fit before the node ends

A request refused because the node ends was tried again up to three times, and one of these tries could start with half of the time that a usual run takes. Read from the code; the test of the stop passed before and after.

--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -242,9 +242,8 @@
               {"detail", error.Detail},
               {"retry", answer.Verdict == RetryVerdict::Retry},
               {"reason", answer.Reason}});
-    bool isLate = isTooLateFor(inquiry.Cost.Expected);
-    if (answer.Verdict == RetryVerdict::Retry && freeTries < MostFreeTries &&
-        !isLate)
+    bool mayContinue = freeTries < MostFreeTries && !isTooLateToStart(inquiry);
+    if (answer.Verdict == RetryVerdict::Retry && mayContinue)
       continue;
     if (failure)
       co_return std::move(*failure);
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -120,7 +120,7 @@
   void logRoute(const Inquiry &inquiry, int number, const Attempt &attempt,
                 const RoutePlan &plan) const;
   std::string nextId();
-  bool isTooLateFor(Micros work) const;
+  bool isTooLateToStart(const Inquiry &inquiry) const;
 
   asio::any_io_executor Executor;
   std::string Node;
--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -126,7 +126,8 @@
     }
 }
 
-bool Entry::isTooLateFor(Micros work) const {
+bool Entry::isTooLateToStart(const Inquiry &inquiry) const {
+  Micros work = UsualRunFactor * inquiry.Cost.Expected;
   return EndsAt && now() + work + AnswerTerm >= *EndsAt;
 }
 
@@ -134,11 +135,11 @@
 // not run, and its caller can go elsewhere.
 void Entry::settle(Instant end) {
   EndsAt = end;
+  bool isOver = now() + AnswerTerm >= end;
   for (Attempt *attempt : Attempts) {
-    Micros work = attempt->isWaiting()
-                      ? UsualRunFactor * attempt->Request->Cost.Expected
-                      : Micros{0};
-    if (attempt->IsStopped || !isTooLateFor(work))
+    bool isInVain =
+        isOver || (attempt->isWaiting() && isTooLateToStart(*attempt->Request));
+    if (attempt->IsStopped || !isInVain)
       continue;
     attempt->IsStopped = true;
     attempt->Box->put({0, StoppedEvent{}});
--- a/tests/kernel/test_hang.cpp
+++ b/tests/kernel/test_hang.cpp
@@ -227,6 +227,21 @@
   }
 }
 
+TEST_CASE("a last try is no trial of an endpoint") {
+  Gate gate = warmGate();
+  gate.Endpoints.at("e").State = Standing::Trial;
+  gate.Endpoints.at("e").StateSince = at(100);
+  Ticket it = ticket("last", true);
+  it.AcceptsDoubtful = true;
+  it.IsLastTry = true;
+  offer(gate, it, at(100));
+  CHECK_FALSE(gate.Held.contains("last"));
+  it.AttemptId = "first";
+  it.IsLastTry = false;
+  offer(gate, it, at(100));
+  CHECK(gate.Held.contains("first"));
+}
+
 // The load that this answers: a service whose slots are filled by new requests
 // while running ones of the same rank call it.
 TEST_CASE("of one rank, what must be answered first goes first") {
