entry: a stopping node keeps placing work that was taken from an endpoint

A request that may be repeated was handed back at a hanging endpoint 0.04 to 0.34 s before SIGTERM, found no room elsewhere, and was given up with 502 less than a second after it, with up to ten seconds left. Ruled out: the end of the stop (0.35 and 0.9 s after SIGTERM). Read from the code: a refusal for room is final, also for work that has been taken from its endpoint.

--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -33,6 +33,9 @@
 /// endpoint rests for about as long.
 constexpr Micros ReportedStandingTerm = std::chrono::seconds(1);
 
+/// Between tries of a request that a stopping node still has to place.
+constexpr Micros OwedTryPause = std::chrono::milliseconds(100);
+
 constexpr std::size_t MostKeyBytes = 255;
 constexpr Millis LongestTimeout = std::chrono::hours(24);
 
@@ -245,12 +248,29 @@
     bool mayContinue = freeTries < MostFreeTries && !isTooLateToStart(inquiry);
     if (answer.Verdict == RetryVerdict::Retry && mayContinue)
       continue;
+    if (isOwedAnotherTry(inquiry, error)) {
+      inquiry.Tried.clear();
+      asio::steady_timer pause(Executor, OwedTryPause);
+      co_await pause.async_wait(asio::use_awaitable);
+      continue;
+    }
     if (failure)
       co_return std::move(*failure);
     co_return finalError(error, inquiry.Runs > 0);
   }
 }
 
+// Work that a gate has taken from its endpoint is not given up by a stopping
+// node because there is no room elsewhere at this moment.
+bool Entry::isOwedAnotherTry(const Inquiry &inquiry, const Error &error) const {
+  bool mayRunAgain = inquiry.IsIdempotent && inquiry.Runs > 0 &&
+                     inquiry.Runs < inquiry.Way.Policy.MaxAttempts;
+  bool hasTime = inquiry.Deadline - now() > inquiry.Cost.Expected &&
+                 !isTooLateToStart(inquiry);
+  return IsWinding && mayRunAgain && error.Run == RunState::NotRun && hasTime &&
+         !inquiry.Scope->IsCancelled;
+}
+
 /// Members of other data centres do not hear of passing standings; what a gate
 /// said of itself a moment ago goes before.
 Standing Entry::standingOf(const GateView &gate, const GateLoadView &load,
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -121,6 +121,7 @@
                 const RoutePlan &plan) const;
   std::string nextId();
   bool isTooLateToStart(const Inquiry &inquiry) const;
+  bool isOwedAnotherTry(const Inquiry &inquiry, const Error &error) const;
 
   asio::any_io_executor Executor;
   std::string Node;
