tests: process.kill waits until entries route to all endpoints

status now reports "ready" and "routes" (gates and slots by service of the view that entries use), and awaitReady waits for both. No check of the test changed.

--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -308,6 +308,7 @@
   }
   timer.expires_after(ReadyPoll);
   co_await timer.async_wait(asio::use_awaitable);
+  IsReady = true;
   Handlers.OnReady();
 }
 
--- a/src/libfleet/node/control.h
+++ b/src/libfleet/node/control.h
@@ -112,6 +112,7 @@
   std::unique_ptr<NodeDirectory> Directory;
   asio::steady_timer RebuildTimer;
   bool IsRebuildDue = false;
+  bool IsReady = false;
   bool IsLeaving = false;
   bool IsCatchingUp = false;
   std::vector<EndpointRecord> Endpoints;
--- a/src/libfleet/node/controlreport.cpp
+++ b/src/libfleet/node/controlreport.cpp
@@ -43,6 +43,21 @@
           {"endpoints", std::move(endpoints)}};
 }
 
+/// Services with the gates and slots that entries choose from, by the view that
+/// was last published to them.
+json routesJson(const FleetView &view) {
+  json all = json::array();
+  for (const auto &[name, service] : view.Services) {
+    int slots = 0;
+    for (const GateView &it : service.Gates)
+      slots += it.Slots;
+    all.push_back({{"service", name},
+                   {"gates", service.Gates.size()},
+                   {"slots", slots}});
+  }
+  return all;
+}
+
 } // namespace
 
 NodeGauges Control::gauges() const {
@@ -118,6 +133,8 @@
       {"keepers", std::move(keepers)},
       {"ejections", std::move(ejections)},
       {"node", Config.Node},
+      {"ready", IsReady},
+      {"routes", routesJson(*View)},
       {"settings_next", Settings.state().Next},
       {"gossip_bytes_sent", gossipBytes()},
       {"settings_loaded", Settings.isLoaded()},
--- a/tests/process/testfleet.cpp
+++ b/tests/process/testfleet.cpp
@@ -176,12 +176,19 @@
       return false;
     std::size_t alive = 0;
     std::size_t healthy = 0;
+    int slots = 0;
+    int routed = 0;
     for (const json &member : report["members"]) {
       alive += member["state"] == "alive" && !member["leaving"];
-      for (const json &it : member["endpoints"])
+      for (const json &it : member["endpoints"]) {
         healthy += it["standing"] == "healthy";
+        slots += it["slots"].get<int>();
+      }
     }
-    return alive == Nodes.size() && healthy == Endpoints.size() &&
+    for (const json &it : report["routes"])
+      routed += it["slots"].get<int>();
+    return report["ready"].get<bool>() && routed == slots &&
+           alive == Nodes.size() && healthy == Endpoints.size() &&
            report["keepers"].size() == Nodes.size() &&
            settings(name, "/w/s/all").value("revision", 0) > 0;
   };
--- a/tests/process/testfleet.h
+++ b/tests/process/testfleet.h
@@ -66,8 +66,8 @@
   /// endpoints that respond.
   int countRuns(const std::string &tag);
 
-  /// Waits until every node reports all members, endpoints and keepers and has
-  /// the settings of the default route.
+  /// Waits until every node accepts callers, routes to all endpoints, reports
+  /// all members and keepers and has the settings of the default route.
   void awaitReady();
 
   /// Waits for a condition; throws if it does not hold within the limit.
