gate: log and count the limits that endpoints name

Nothing acts on a limit yet.

- Answers are read for the endpoint's limit and for its leaving, before the body, so that trailer fields are neither taken for them nor passed on as header fields.
- endpoint_limit tells of limits named, changed and lifted; endpoint_result has the limit, leaving, and the node where the request began, and the run time of work that the gate aborted (it said 0).
- Metrics: requests sent to endpoints, the limit, its changes.

--- a/src/libfleet/gate/endpointclient.cpp
+++ b/src/libfleet/gate/endpointclient.cpp
@@ -61,16 +61,14 @@
   return out;
 }
 
-HttpResponse fromBeast(http::response<http::string_body> &&in) {
-  HttpResponse response;
-  response.Status = int(in.result_int());
-  for (const auto &field : in)
+std::vector<HttpHeader> endToEndHeaders(const http::fields &fields) {
+  std::vector<HttpHeader> all;
+  for (const auto &field : fields)
     if (!isHopByHop(std::string_view(field.name_string().data(),
                                      field.name_string().size())))
-      response.Headers.push_back(
+      all.push_back(
           {std::string(field.name_string()), std::string(field.value())});
-  response.Content = std::make_shared<const std::string>(std::move(in.body()));
-  return response;
+  return all;
 }
 
 /// True if the end of the response is known from its head. A body delimited by
@@ -211,6 +209,11 @@
         connection->Stream, connection->Buffer, parser,
         asio::redirect_error(asio::use_awaitable, ec));
     bool hasHead = !ec;
+    Instant headAt = now();
+    // Copied before the body is read, since the parser adds trailer fields.
+    HttpResponse response;
+    response.Status = int(parser.get().result_int());
+    response.Headers = endToEndHeaders(parser.get());
     bool isFramed = hasHead && isLengthKnown(parser, isHead);
     if (hasHead && !isFramed && !Dialect.MayLackLength)
       co_return failed(AttemptOutcome::Failed, ErrorKind::AnswerTruncated,
@@ -228,7 +231,8 @@
                                               : ErrorKind::EndpointFailed,
                                       ec.message());
     bool isKept = parser.keep_alive() && isFramed && *isWritten;
-    HttpResponse response = fromBeast(parser.release());
+    response.Content =
+        std::make_shared<const std::string>(std::move(parser.get().body()));
     ResponseMatch match = matchResponse(Dialect, response, id);
     if (match == ResponseMatch::Late && isKept) {
       isInOrder = false;
@@ -240,7 +244,13 @@
     if (isKept && isInOrder && connection->Buffer.size() == 0 &&
         repeatsId(Dialect, response, id))
       putIdle(call.Address, connection);
-    co_return classifyResponse(std::move(response));
+    EndpointHeaders said =
+        readEndpointHeaders(Dialect, response.Status, response.Headers);
+    EndpointResult result = classifyResponse(std::move(response));
+    if (result.Outcome != AttemptOutcome::Unreachable)
+      result.Headers = std::move(said);
+    result.HeadAt = headAt;
+    co_return result;
   }
 }
 
--- a/src/libfleet/gate/endpointclient.h
+++ b/src/libfleet/gate/endpointclient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "libfleet/base/asio.h"
-#include "libfleet/http/httpdialect.h"
+#include "libfleet/http/endpointheaders.h"
 #include "libhickoryglade/gate.h"
 
 #include <functional>
@@ -20,6 +20,10 @@
   /// Set otherwise.
   Error Failure;
   Micros RunTime{0};
+  /// What the endpoint says about itself, if the response is its own.
+  std::optional<EndpointHeaders> Headers = std::nullopt;
+  /// When the head of the response arrived.
+  Instant HeadAt = {};
 };
 
 /// Lets the owner of an exchange cancel it.
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -45,6 +45,8 @@
   std::string Endpoint;
   std::shared_ptr<ExchangeHandle> Handle = std::make_shared<ExchangeHandle>();
   Instant ArrivedAt = now();
+  /// When the request was sent to the endpoint.
+  std::optional<Instant> SentAt;
 };
 
 GateService::GateService(asio::any_io_executor ex, const NodeSettings &settings,
@@ -300,7 +302,8 @@
     outcome = AttemptOutcome::TimedOut;
   if (action.Reason.Kind == ErrorKind::Cancelled)
     outcome = AttemptOutcome::Cancelled;
-  finish(exchange, {outcome, std::nullopt, action.Reason, Micros{0}});
+  Micros runTime = exchange->SentAt ? now() - *exchange->SentAt : Micros{0};
+  finish(exchange, {outcome, std::nullopt, action.Reason, runTime});
 }
 
 void GateService::carryOutOne(const StandingAction &action) {
@@ -317,6 +320,22 @@
   publishEndpoints();
 }
 
+void GateService::carryOutOne(const LimitAction &action) {
+  std::string_view change = !action.After    ? "lifted"
+                            : !action.Before ? "named"
+                                             : "changed";
+  nlohmann::json line = {{"endpoint", action.Endpoint},
+                         {"service", action.Service},
+                         {"change", change}};
+  if (action.Before)
+    line["before"] = *action.Before;
+  if (action.After)
+    line["limit"] = *action.After;
+  logEvent(LogLevel::Warn, "endpoint_limit", std::move(line));
+  Counters.countLimitChange(action.Service, std::string(change));
+  Counters.setLimit(action.Service, limitOf(State, action.Service));
+}
+
 void GateService::carryOutOne(const EjectionAction &action) {
   Handlers.OnEjection(action);
 }
@@ -345,6 +364,8 @@
   if (!Dialect.ExpectedEndpointHeader.empty())
     request.Headers.push_back({Dialect.ExpectedEndpointHeader, endpoint});
   Instant start = now();
+  exchange->SentAt = start;
+  Counters.countEndpointRequest(exchange->Request.Service);
   Counters.observeStage(exchange->Request.Service, Stage::Queued,
                         start - exchange->ArrivedAt);
   EndpointCall call{it->second.Announced.Address, std::move(request),
@@ -362,14 +383,8 @@
     return;
   exchange->IsDone = true;
   const std::string &attempt = exchange->Request.AttemptId;
-  logEvent(result.Answer ? LogLevel::Info : LogLevel::Warn, "endpoint_result",
-           {{"request", attempt.substr(0, attempt.rfind('/'))},
-            {"attempt", attempt},
-            {"endpoint", exchange->Endpoint},
-            {"outcome", toString(result.Outcome)},
-            {"status", result.Answer ? result.Answer->Status : 0},
-            {"detail", result.Failure.Detail},
-            {"ms", toMillis(result.RunTime).count()}});
+  logResult(*exchange, result);
+  takeHeaders(*exchange, result);
   GateActions actions = complete(State, attempt, result.Outcome, now());
   Exchanges.erase(attempt);
   auto kept = std::make_shared<const EndpointResult>(std::move(result));
@@ -380,6 +395,44 @@
   carryOut(std::move(actions));
 }
 
+void GateService::logResult(const Exchange &exchange,
+                            const EndpointResult &result) const {
+  LogLevel level = result.Answer ? LogLevel::Info : LogLevel::Warn;
+  if (!isLogged(level))
+    return;
+  const std::string &attempt = exchange.Request.AttemptId;
+  auto from = exchange.Origin.Channel.lock();
+  nlohmann::json line = {{"request", attempt.substr(0, attempt.rfind('/'))},
+                         {"attempt", attempt},
+                         {"from", from ? from->peerName() : ""},
+                         {"endpoint", exchange.Endpoint},
+                         {"outcome", toString(result.Outcome)},
+                         {"status", result.Answer ? result.Answer->Status : 0},
+                         {"detail", result.Failure.Detail},
+                         {"ms", toMillis(result.RunTime).count()}};
+  if (result.Headers && result.Headers->Notice.Limit)
+    line["limit"] = *result.Headers->Notice.Limit;
+  if (result.Headers && result.Headers->Notice.IsLeaving)
+    line["leaving"] = true;
+  logEvent(level, "endpoint_result", std::move(line));
+}
+
+/// Processes what the endpoint says about itself. A value that is not a limit
+/// is logged once for each endpoint and value.
+void GateService::takeHeaders(const Exchange &exchange,
+                              const EndpointResult &result) {
+  if (!result.Headers)
+    return;
+  const std::string &bad = result.Headers->BadLimit;
+  if (!bad.empty() && BadLimits[exchange.Endpoint] != bad) {
+    BadLimits[exchange.Endpoint] = bad;
+    logEvent(LogLevel::Warn, "endpoint_limit_malformed",
+             {{"endpoint", exchange.Endpoint}, {"value", bad}});
+  }
+  carryOut(noteNotice(State, exchange.Endpoint, result.Headers->Notice,
+                      result.HeadAt, now()));
+}
+
 void GateService::keepFinished(const ExchangePtr &exchange,
                                std::shared_ptr<const EndpointResult> result) {
   ResultBytes += sizeOf(*result);
@@ -485,6 +538,7 @@
          {"address", it.Announced.Address},
          {"slots", it.Announced.Slots},
          {"busy", it.Holders.size()},
+         {"limit", it.Limit ? nlohmann::json(*it.Limit) : nlohmann::json()},
          {"standing", toString(it.State)},
          {"reason", it.StateReason},
          {"for_ms", toMillis(now() - it.StateSince).count()},
--- a/src/libfleet/gate/gateservice.h
+++ b/src/libfleet/gate/gateservice.h
@@ -88,11 +88,14 @@
   void carryOutOne(const RefuseAction &action);
   void carryOutOne(const AbortAction &action);
   void carryOutOne(const StandingAction &action);
+  void carryOutOne(const LimitAction &action);
   void carryOutOne(const EjectionAction &action);
   void carryOutOne(const CrashAction &action);
 
   asio::awaitable<void> run(ExchangePtr exchange, std::string endpoint);
   void finish(const ExchangePtr &exchange, EndpointResult result);
+  void logResult(const Exchange &exchange, const EndpointResult &result) const;
+  void takeHeaders(const Exchange &exchange, const EndpointResult &result);
   void reply(const StreamRef &ref, const EndpointResult &result,
              const std::string &service, const std::string &endpoint);
   void sendFailure(const StreamRef &ref, const Error &reason,
@@ -118,6 +121,8 @@
   /// Endpoint records as last published to the fleet.
   std::vector<EndpointRecord> Published;
   std::vector<DepartedRecord> PublishedDeparted;
+  /// The latest value of each endpoint's limit header that is not a limit.
+  std::map<std::string, std::string> BadLimits;
   std::deque<Finished> Results;
   std::size_t ResultBytes = 0;
 };
--- a/src/libfleet/http/httpdialect.h
+++ b/src/libfleet/http/httpdialect.h
@@ -28,6 +28,10 @@
   /// Present in every response of an endpoint to a request that it executed
   /// successfully.
   std::string ProofHeader;
+  /// Requests per second that an endpoint takes, in its responses.
+  std::string LimitHeader = "Endpoint-Limit";
+  /// Set to 1 in the responses of an endpoint that is about to stop.
+  std::string LeavingHeader = "Endpoint-Leaving";
   /// True if a response body may be delimited by the end of its connection.
   bool MayLackLength = false;
   /// True if Retry-After may hold fractions of a second.
--- a/src/libfleet/node/controlreport.cpp
+++ b/src/libfleet/node/controlreport.cpp
@@ -51,9 +51,8 @@
     int slots = 0;
     for (const GateView &it : service.Gates)
       slots += it.Slots;
-    all.push_back({{"service", name},
-                   {"gates", service.Gates.size()},
-                   {"slots", slots}});
+    all.push_back(
+        {{"service", name}, {"gates", service.Gates.size()}, {"slots", slots}});
   }
   return all;
 }
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -245,12 +245,13 @@
 void Node::Impl::connectLocal(Entry &entry, Loop &loop) {
   auto holder = std::make_shared<std::shared_ptr<GateClient>>();
   auto toEntry = std::make_shared<LocalChannel>(
-      loop.Io.get_executor(),
+      loop.Io.get_executor(), Config.Node,
       [holder](wire::Frame frame) { (*holder)->takeFrame(std::move(frame)); });
-  auto toGate = std::make_shared<LocalChannel>(
-      Traffic[0]->Io.get_executor(), [this, toEntry](wire::Frame frame) {
-        takeFrame(toEntry, std::move(frame));
-      });
+  auto toGate =
+      std::make_shared<LocalChannel>(Traffic[0]->Io.get_executor(), Config.Node,
+                                     [this, toEntry](wire::Frame frame) {
+                                       takeFrame(toEntry, std::move(frame));
+                                     });
   *holder = std::make_shared<GateClient>(toGate);
   entry.links().setLocal(Config.Node, *holder);
 }
--- a/src/libfleet/peers/framechannel.h
+++ b/src/libfleet/peers/framechannel.h
@@ -3,6 +3,7 @@
 #include "libfleet/http/httpmessage.h"
 
 #include <cstdint>
+#include <string>
 
 namespace hickoryglade::wire {
 class Frame;
@@ -26,6 +27,9 @@
 
   virtual bool isOpen() const = 0;
 
+  /// Name of the node at the other end; empty while it is not known.
+  virtual std::string peerName() const = 0;
+
   /// Time since the channel was opened, on the clock of this end.
   virtual std::int64_t ageMs() const = 0;
 };
--- a/src/libfleet/peers/link.cpp
+++ b/src/libfleet/peers/link.cpp
@@ -81,6 +81,8 @@
     Handlers.OnClose(shared_from_this());
 }
 
+std::string Link::peerName() const { return Peer ? Peer->node : ""; }
+
 std::int64_t Link::ageMs() const { return toMillis(now() - OpenedAt).count(); }
 
 void Link::setBusy(bool isBusy) {
--- a/src/libfleet/peers/link.h
+++ b/src/libfleet/peers/link.h
@@ -41,6 +41,7 @@
   void sendBody(std::int64_t stream, Body body) override;
   void dropBody(std::int64_t stream) override;
   bool isOpen() const override { return Open; }
+  std::string peerName() const override;
   std::int64_t ageMs() const override;
 
   /// Heartbeats are sent, and their replies expected, while busy.
--- a/src/libfleet/peers/localchannel.cpp
+++ b/src/libfleet/peers/localchannel.cpp
@@ -2,8 +2,10 @@
 
 namespace hickoryglade::fleet {
 
-LocalChannel::LocalChannel(asio::any_io_executor to, Receiver receiver)
-    : To(std::move(to)), Receive(std::move(receiver)), OpenedAt(now()) {}
+LocalChannel::LocalChannel(asio::any_io_executor to, std::string node,
+                           Receiver receiver)
+    : To(std::move(to)), NodeName(std::move(node)),
+      Receive(std::move(receiver)), OpenedAt(now()) {}
 
 void LocalChannel::send(wire::Frame frame) {
   asio::post(To, [receive = Receive, it = std::move(frame)]() mutable {
--- a/src/libfleet/peers/localchannel.h
+++ b/src/libfleet/peers/localchannel.h
@@ -17,16 +17,18 @@
 public:
   using Receiver = std::function<void(wire::Frame)>;
 
-  LocalChannel(asio::any_io_executor to, Receiver receiver);
+  LocalChannel(asio::any_io_executor to, std::string node, Receiver receiver);
 
   void send(wire::Frame frame) override;
   void sendBody(std::int64_t stream, Body body) override;
   void dropBody(std::int64_t) override {}
   bool isOpen() const override { return true; }
+  std::string peerName() const override { return NodeName; }
   std::int64_t ageMs() const override;
 
 private:
   asio::any_io_executor To;
+  std::string NodeName;
   Receiver Receive;
   Instant OpenedAt;
 };
--- a/src/libfleet/reporting/metrics.cpp
+++ b/src/libfleet/reporting/metrics.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <map>
 #include <mutex>
+#include <utility>
 
 #include <sys/resource.h>
 
@@ -56,6 +57,9 @@
   prometheus::Histogram *Latency = nullptr;
   prometheus::Histogram *Queued = nullptr;
   prometheus::Histogram *AtEndpoint = nullptr;
+  prometheus::Counter *EndpointRequests = nullptr;
+  /// Exists only while there is a limit.
+  prometheus::Gauge *Limit = nullptr;
 };
 
 } // namespace
@@ -64,6 +68,17 @@
   explicit Families(prometheus::Registry &registry)
       : Answers(counterFamily(registry, "hickoryglade_answers_total",
                               "Answers to callers by service and status")),
+        EndpointRequests(
+            counterFamily(registry, "hickoryglade_endpoint_requests_total",
+                          "Requests sent to this node's endpoints by service")),
+        Limits(prometheus::BuildGauge()
+                   .Name("hickoryglade_endpoint_limit_per_second")
+                   .Help("Requests per second that this node's endpoints of a "
+                         "service take, while all of them name a limit")
+                   .Register(registry)),
+        LimitChanges(
+            counterFamily(registry, "hickoryglade_endpoint_limit_changes_total",
+                          "Limits named, changed and lifted by endpoints")),
         Errors(counterFamily(registry, "hickoryglade_errors_total",
                              "Requests refused or failed by kind")),
         Retries(counterFamily(registry, "hickoryglade_retry_decisions_total",
@@ -112,6 +127,7 @@
                                   LatencyBuckets);
       series.AtEndpoint = &Stages.Add(
           {{"service", service}, {"stage", "endpoint"}}, LatencyBuckets);
+      series.EndpointRequests = &EndpointRequests.Add({{"service", service}});
     }
     return it->second;
   }
@@ -119,6 +135,9 @@
   std::mutex Mutex;
   std::map<std::string, ServiceSeries> Series;
   prometheus::Family<prometheus::Counter> &Answers;
+  prometheus::Family<prometheus::Counter> &EndpointRequests;
+  prometheus::Family<prometheus::Gauge> &Limits;
+  prometheus::Family<prometheus::Counter> &LimitChanges;
   prometheus::Family<prometheus::Counter> &Errors;
   prometheus::Family<prometheus::Counter> &Retries;
   prometheus::Family<prometheus::Counter> &Standings;
@@ -162,6 +181,28 @@
       ->Observe(secondsOf(time));
 }
 
+void Metrics::countEndpointRequest(const std::string &service) {
+  std::lock_guard lock(All->Mutex);
+  All->seriesOf(service).EndpointRequests->Increment();
+}
+
+void Metrics::setLimit(const std::string &service,
+                       std::optional<double> limit) {
+  std::lock_guard lock(All->Mutex);
+  prometheus::Gauge *&series = All->seriesOf(service).Limit;
+  if (limit && !series)
+    series = &All->Limits.Add({{"service", service}});
+  if (limit)
+    series->Set(*limit);
+  else if (series)
+    All->Limits.Remove(std::exchange(series, nullptr));
+}
+
+void Metrics::countLimitChange(const std::string &service,
+                               const std::string &change) {
+  All->LimitChanges.Add({{"service", service}, {"change", change}}).Increment();
+}
+
 void Metrics::countError(const std::string &kind) {
   All->Errors.Add({{"kind", kind}}).Increment();
 }
--- a/src/libfleet/reporting/metrics.h
+++ b/src/libfleet/reporting/metrics.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace prometheus {
@@ -38,6 +39,10 @@
 
   void countAnswer(const std::string &service, int status, double seconds);
   void observeStage(const std::string &service, Stage stage, Micros time);
+  void countEndpointRequest(const std::string &service);
+  /// Sets the limit that a service's endpoints at this node name together.
+  void setLimit(const std::string &service, std::optional<double> limit);
+  void countLimitChange(const std::string &service, const std::string &change);
   void countError(const std::string &kind);
   void countRetryDecision(const std::string &reason);
   void countStandingChange(const std::string &standing);
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -2,6 +2,7 @@
 
 #include "libhickoryglade/gateadmission.h"
 #include "libhickoryglade/gatehealth.h"
+#include "libhickoryglade/gatelimit.h"
 #include "libhickoryglade/gatequeue.h"
 #include "libhickoryglade/gaterules.h"
 
@@ -301,6 +302,18 @@
   return actions;
 }
 
+GateActions noteNotice(Gate &gate, const std::string &endpoint,
+                       const EndpointNotice &notice, Instant saidAt, Instant) {
+  GateActions actions;
+  auto it = gate.Endpoints.find(endpoint);
+  if (it == gate.Endpoints.end() || saidAt < it->second.NoticeAt)
+    return actions;
+  it->second.NoticeAt = saidAt;
+  if (!notice.IsLimitUnknown)
+    setLimit(it->second, notice.Limit, actions);
+  return actions;
+}
+
 StartState revoke(Gate &gate, const std::string &attempt, Instant expiresAt,
                   Instant now, GateActions &actions) {
   StartState state = gate.Ledger.revoke(attempt, expiresAt);
@@ -392,6 +405,18 @@
   return load;
 }
 
+std::optional<double> limitOf(const Gate &gate, const std::string &service) {
+  std::optional<double> sum;
+  for (const auto &[name, endpoint] : gate.Endpoints) {
+    if (endpoint.Announced.Service != service)
+      continue;
+    if (!endpoint.Limit)
+      return std::nullopt;
+    sum = sum.value_or(0) + *endpoint.Limit;
+  }
+  return sum;
+}
+
 void noteGates(GateService &service, int gates) {
   service.Gates = std::max(service.Gates, gates);
 }
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libhickoryglade/endpointnotice.h"
 #include "libhickoryglade/fairqueue.h"
 #include "libhickoryglade/gateaction.h"
 #include "libhickoryglade/gateendpoint.h"
@@ -140,6 +141,12 @@
 GateActions complete(Gate &gate, const std::string &attempt,
                      AttemptOutcome outcome, Instant now);
 
+/// Applies what an endpoint said about itself in a response whose head arrived
+/// at saidAt. Responses may complete in another order.
+GateActions noteNotice(Gate &gate, const std::string &endpoint,
+                       const EndpointNotice &notice, Instant saidAt,
+                       Instant now);
+
 /// Fences an attempt that has not started; returns the attempt's state.
 StartState revoke(Gate &gate, const std::string &attempt, Instant expiresAt,
                   Instant now, GateActions &actions);
@@ -157,6 +164,10 @@
 
 GateLoad loadOf(const Gate &gate, const std::string &service, Instant now);
 
+/// Requests per second that the endpoints of a service at this gate take
+/// together; nothing if any of them names no limit.
+std::optional<double> limitOf(const Gate &gate, const std::string &service);
+
 /// Updates the number of gates of a service; it never decreases.
 void noteGates(GateService &service, int gates);
 
--- a/src/libhickoryglade/gateaction.h
+++ b/src/libhickoryglade/gateaction.h
@@ -4,6 +4,7 @@
 #include "libhickoryglade/standing.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -51,6 +52,17 @@
   bool operator==(const StandingAction &) const = default;
 };
 
+/// Report that an endpoint has named a limit, changed it or ended it.
+struct LimitAction {
+  std::string Endpoint;
+  std::string Service;
+  /// Requests per second; nothing if there is no limit.
+  std::optional<double> Before;
+  std::optional<double> After;
+
+  bool operator==(const LimitAction &) const = default;
+};
+
 /// Acquire an ejection lease for an unhealthy endpoint, or give it up.
 struct EjectionAction {
   std::string Endpoint;
@@ -70,7 +82,7 @@
 
 using GateAction =
     std::variant<StartAction, GrantAction, RefuseAction, AbortAction,
-                 StandingAction, EjectionAction, CrashAction>;
+                 StandingAction, LimitAction, EjectionAction, CrashAction>;
 using GateActions = std::vector<GateAction>;
 
 } // namespace hickoryglade
--- a/src/libhickoryglade/gateendpoint.h
+++ b/src/libhickoryglade/gateendpoint.h
@@ -63,6 +63,11 @@
   /// Times that the endpoint failed on trial or soon after a recovery.
   int Relapses = 0;
   Instant StateSince;
+  /// Requests per second that the endpoint takes from all nodes, by its own
+  /// word; nothing if it names no limit.
+  std::optional<double> Limit;
+  /// Arrival of the latest response in which it described itself.
+  Instant NoticeAt;
   /// End of the ejection lease by this node's clock.
   std::optional<Instant> EjectedUntil;
 };
--- a/src/libhickoryglade/gatehealth.cpp
+++ b/src/libhickoryglade/gatehealth.cpp
@@ -1,5 +1,6 @@
 #include "libhickoryglade/gatehealth.h"
 
+#include "libhickoryglade/gatelimit.h"
 #include "libhickoryglade/gaterules.h"
 #include "libhickoryglade/registry.h"
 
@@ -230,6 +231,7 @@
   endpoint.LastCompletion = now;
   endpoint.EvidenceSince = now;
   endpoint.EjectedUntil.reset();
+  setLimit(endpoint, std::nullopt, actions);
   std::vector<std::string> orphans;
   for (const SlotHolder &holder : endpoint.Holders)
     if (holder.IsStarted)
