--- a/tests/platform/platformfleet.cpp
+++ b/tests/platform/platformfleet.cpp
@@ -134,15 +134,23 @@
   return json::parse(reply.Body, nullptr, false);
 }
 
+int PlatformFleet::arrivals(const std::string &node) {
+  return controlServer(node, json::object())["arrivals"].get<int>();
+}
+
 HttpReply PlatformFleet::call(const std::string &node,
                               const std::string &method,
                               const std::string &target,
                               const std::string &body) {
-  LastId = "attempt-" + std::to_string(++Attempts);
+  std::string id = "attempt-" + std::to_string(++Attempts);
+  {
+    std::lock_guard lock(Mutex);
+    LastId = id;
+  }
   HttpCall call{method,
                 target,
                 {{"Host", "h.example"},
-                 {"Attempt-Id", LastId},
+                 {"Attempt-Id", id},
                  {"Calling-Service", "forged"},
                  {"Remaining-Milliseconds", "1500"}},
                 body};
--- a/tests/platform/platformfleet.h
+++ b/tests/platform/platformfleet.h
@@ -6,7 +6,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <atomic>
 #include <map>
+#include <mutex>
 #include <string>
 
 namespace hickoryglade::testing {
@@ -39,7 +41,10 @@
   nlohmann::json controlServer(const std::string &node,
                                const nlohmann::json &change);
 
-  /// Sends one client attempt with an id of its own.
+  /// Number of requests that the server of a node has received.
+  int arrivals(const std::string &node);
+
+  /// Sends one client attempt with an id of its own. Thread-safe.
   HttpReply call(const std::string &node, const std::string &method,
                  const std::string &target, const std::string &body = "");
   int readiness(const std::string &node);
@@ -62,8 +67,9 @@
   std::map<std::string, ChildProcess> Processes;
   std::map<std::string, NodeAddresses> Nodes;
   std::map<std::string, std::string> Servers;
+  std::mutex Mutex;
   std::string LastId;
-  int Attempts = 0;
+  std::atomic<int> Attempts = 0;
   int HeartbeatMs = 200;
 };
 
--- a/tests/platform/serverstandin.cpp
+++ b/tests/platform/serverstandin.cpp
@@ -38,7 +38,7 @@
       co_return co_await control(request, connection);
     std::string id = headerValue(request.Headers, "Attempt-Id");
     std::string expected = headerValue(request.Headers, "Expected-Instance");
-    std::string echo = "Attempt-Id: " + id + "\r\n";
+    std::string echo = "Attempt-Id: " + id + "\r\n" + OwnHeaders;
     if (expected != Self.Id)
       co_return co_await reply(connection, answerBytes(421, "", echo));
     ++Arrivals;
@@ -113,6 +113,7 @@
     if (in.is_object()) {
       Fault = in.value("fault", Fault);
       State = in.value("state", State);
+      OwnHeaders = in.value("headers", OwnHeaders);
       if (in.value("leave", false)) {
         State = "gone";
         std::string method = "POST";
@@ -133,6 +134,8 @@
   const std::string Proof = "Response-Signature: proof\r\n";
   Identity Self;
   std::string Fault;
+  /// Header lines of all answers, in which the server describes itself.
+  std::string OwnHeaders;
   std::string State = "ready";
   std::string Acked;
   std::map<std::string, int> Runs;
