gate: keep to the limits that endpoints name

Cause: an endpoint's limit was passed to the caller like any header and no component took it into account; a gate let start what the slots allow. All requests to an endpoint pass through one gate, so that the gate alone can keep the limit for the whole fleet.

Why it works: the gate holds a token bucket for each endpoint with a limit: tokens accrue at the limit, up to those of one second, and none is there when the limit is first named. In 4 s that lets at most 5 x limit + 1 start; 6 x limit + 5 are allowed. Grants that await their body count; work already running does not. A limit below 0.5/s still lets a request start every 2 s, as only an answer shows its end. Repeats, trials and calls of endpoints all pass here and count.

For callers: waits for a limit are part of the admission estimate, so that what a limit lets start too late is refused at once (endpoint_limited) and goes to another gate; load reports carry the limit and its wait, by which entries leave out gates that would be late; short requests leave the tokens to longer ones while gates without a limit take them. Sheds of what was sent before the limit is named are no evidence of ill health.

--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -89,6 +89,10 @@
   // Best standing among the gate's endpoints of the service, plus one; 0 if
   // the sender gives none.
   4: i32 standing
+  // Requests per second that the gate's endpoints take, if all of them name a
+  // limit, and the time until the limits let one more request start.
+  5: optional double limitPerSecond
+  6: optional i32 limitWaitMs
 }
 
 struct Answer {
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -1492,6 +1492,16 @@
 void Load::__set_standing(const int32_t val) {
   this->standing = val;
 }
+
+void Load::__set_limitPerSecond(const double val) {
+  this->limitPerSecond = val;
+__isset.limitPerSecond = true;
+}
+
+void Load::__set_limitWaitMs(const int32_t val) {
+  this->limitWaitMs = val;
+__isset.limitWaitMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const Load& obj)
 {
   obj.printTo(out);
@@ -1552,6 +1562,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->limitPerSecond);
+          this->__isset.limitPerSecond = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->limitWaitMs);
+          this->__isset.limitWaitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1585,6 +1611,16 @@
   xfer += oprot->writeI32(this->standing);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.limitPerSecond) {
+    xfer += oprot->writeFieldBegin("limitPerSecond", ::apache::thrift::protocol::T_DOUBLE, 5);
+    xfer += oprot->writeDouble(this->limitPerSecond);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.limitWaitMs) {
+    xfer += oprot->writeFieldBegin("limitWaitMs", ::apache::thrift::protocol::T_I32, 6);
+    xfer += oprot->writeI32(this->limitWaitMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1596,6 +1632,8 @@
   swap(a.queued, b.queued);
   swap(a.slots, b.slots);
   swap(a.standing, b.standing);
+  swap(a.limitPerSecond, b.limitPerSecond);
+  swap(a.limitWaitMs, b.limitWaitMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1604,6 +1642,8 @@
   queued = other34.queued;
   slots = other34.slots;
   standing = other34.standing;
+  limitPerSecond = other34.limitPerSecond;
+  limitWaitMs = other34.limitWaitMs;
   __isset = other34.__isset;
 }
 Load::Load(Load&& other35) noexcept {
@@ -1611,6 +1651,8 @@
   queued = other35.queued;
   slots = other35.slots;
   standing = other35.standing;
+  limitPerSecond = other35.limitPerSecond;
+  limitWaitMs = other35.limitWaitMs;
   __isset = other35.__isset;
 }
 Load& Load::operator=(const Load& other36) noexcept {
@@ -1618,6 +1660,8 @@
   queued = other36.queued;
   slots = other36.slots;
   standing = other36.standing;
+  limitPerSecond = other36.limitPerSecond;
+  limitWaitMs = other36.limitWaitMs;
   __isset = other36.__isset;
   return *this;
 }
@@ -1626,6 +1670,8 @@
   queued = other37.queued;
   slots = other37.slots;
   standing = other37.standing;
+  limitPerSecond = other37.limitPerSecond;
+  limitWaitMs = other37.limitWaitMs;
   __isset = other37.__isset;
   return *this;
 }
@@ -1636,6 +1682,8 @@
   out << ", " << "queued=" << to_string(queued);
   out << ", " << "slots=" << to_string(slots);
   out << ", " << "standing=" << to_string(standing);
+  out << ", " << "limitPerSecond="; (__isset.limitPerSecond ? (out << to_string(limitPerSecond)) : (out << "<null>"));
+  out << ", " << "limitWaitMs="; (__isset.limitWaitMs ? (out << to_string(limitWaitMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -638,11 +638,13 @@
 std::ostream& operator<<(std::ostream& out, const Data& obj);
 
 typedef struct _Load__isset {
-  _Load__isset() : freeSlots(false), queued(false), slots(false), standing(false) {}
+  _Load__isset() : freeSlots(false), queued(false), slots(false), standing(false), limitPerSecond(false), limitWaitMs(false) {}
   bool freeSlots :1;
   bool queued :1;
   bool slots :1;
   bool standing :1;
+  bool limitPerSecond :1;
+  bool limitWaitMs :1;
 } _Load__isset;
 
 class Load : public virtual ::apache::thrift::TBase {
@@ -656,7 +658,9 @@
        : freeSlots(0),
          queued(0),
          slots(0),
-         standing(0) {
+         standing(0),
+         limitPerSecond(0),
+         limitWaitMs(0) {
   }
 
   virtual ~Load() noexcept;
@@ -664,6 +668,8 @@
   int32_t queued;
   int32_t slots;
   int32_t standing;
+  double limitPerSecond;
+  int32_t limitWaitMs;
 
   _Load__isset __isset;
 
@@ -675,6 +681,10 @@
 
   void __set_standing(const int32_t val);
 
+  void __set_limitPerSecond(const double val);
+
+  void __set_limitWaitMs(const int32_t val);
+
   bool operator == (const Load & rhs) const
   {
     if (!(freeSlots == rhs.freeSlots))
@@ -685,6 +695,14 @@
       return false;
     if (!(standing == rhs.standing))
       return false;
+    if (__isset.limitPerSecond != rhs.__isset.limitPerSecond)
+      return false;
+    else if (__isset.limitPerSecond && !(limitPerSecond == rhs.limitPerSecond))
+      return false;
+    if (__isset.limitWaitMs != rhs.__isset.limitWaitMs)
+      return false;
+    else if (__isset.limitWaitMs && !(limitWaitMs == rhs.limitWaitMs))
+      return false;
     return true;
   }
   bool operator != (const Load &rhs) const {
--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -37,6 +37,12 @@
 /// Pause between the retries that mayRetryDuringDrain() allows.
 constexpr Micros DrainRetryPause = std::chrono::milliseconds(100);
 
+/// How long the limits that a gate reported for its endpoints are used.
+constexpr Micros LimitReportMaxAge = std::chrono::seconds(10);
+
+/// Least run time by which a wait for a limit is compared with a queue.
+constexpr Micros MinLimitedCost = std::chrono::milliseconds(10);
+
 constexpr std::size_t MaxKeyBytes = 255;
 constexpr Millis LongestTimeout = std::chrono::hours(24);
 
@@ -179,6 +185,9 @@
   bool isUnseen = context.Cost.Expected == Micros{0};
   if (isUnseen && policy.TargetLatency < policy.Timeout)
     context.Cost.Expected = policy.TargetLatency / UnknownCostDivisor;
+  MeanCost &mean = MeanCosts[context.MatchedRoute.Service];
+  context.IsShort = mean.isMuchAbove(context.Cost.Expected);
+  mean.add(context.Cost.Expected);
   context.IsIdempotent = policy.isIdempotent(request.Method);
   context.IdempotencyKey = headerValue(request.Headers, "Idempotency-Key");
   if (context.IdempotencyKey.size() > MaxKeyBytes)
@@ -226,7 +235,8 @@
                          "answered " + std::to_string(failure->Status));
     }
     const Error &error = std::get<Error>(result);
-    context.CapacityRefusals += error.Kind == ErrorKind::SlotTaken;
+    bool isLimited = error.Kind == ErrorKind::EndpointLimited;
+    context.CapacityRefusals += error.Kind == ErrorKind::SlotTaken || isLimited;
     context.DoubtRefusals += error.Kind == ErrorKind::EndpointDoubtful;
     bool hasFailed = error.Kind != ErrorKind::SlotTaken;
     freeTries += isFreeRetry(error.Kind);
@@ -249,7 +259,9 @@
               {"detail", error.Detail},
               {"retry", answer.Verdict == RetryVerdict::Retry},
               {"reason", answer.Reason}});
-    bool mayContinue = freeTries < FreeRetryLimit && !isTooLateToStart(context);
+    bool mayContinue = freeTries < FreeRetryLimit &&
+                       !isTooLateToStart(context) &&
+                       (!isLimited || hasRoomForLimited(context));
     if (answer.Verdict == RetryVerdict::Retry && mayContinue)
       continue;
     if (mayRetryDuringDrain(context, error)) {
@@ -264,6 +276,21 @@
   }
 }
 
+/// Wait with which a request still completes by a time, as a multiple of its
+/// expected run time.
+double Entry::maxLimitLoad(const RequestContext &context, Instant end) {
+  Micros cost = std::max(context.Cost.Expected, MinLimitedCost);
+  Micros spare = std::max(end - now() - cost, Micros{0});
+  return double(spare.count()) / double(cost.count());
+}
+
+/// True if another gate may start a request in time that a limit has kept from
+/// the gates tried so far.
+bool Entry::hasRoomForLimited(const RequestContext &context) {
+  return hasRoomElsewhere(candidates(context, now()), context.IsIdempotent,
+                          maxLimitLoad(context, context.Deadline));
+}
+
 // A stopping node keeps retrying an idempotent request whose earlier attempt
 // was aborted at its endpoint. Without this, the request would fail because no
 // slot is free elsewhere at the moment.
@@ -290,6 +317,24 @@
                                             : gate.State;
 }
 
+/// Applies the limits of a gate's endpoints, which hold for longer than a load
+/// report.
+void Entry::applyLimit(Candidate &candidate, const GateLoadView &load,
+                       Micros cost, Instant now) {
+  Micros age = now - load.At;
+  if (!load.Load.__isset.limitPerSecond || age > LimitReportMaxAge)
+    return;
+  Micros wait = std::max(Millis(load.Load.limitWaitMs) - age, Micros{0});
+  candidate.IsLimited = true;
+  candidate.LimitLoad =
+      double(wait.count()) / double(std::max(cost, MinLimitedCost).count());
+  // Other entries may have used what has become free since the report.
+  bool isFresh = age < LoadReportMaxAge;
+  int open = wait > Micros{0} ? 0 : 1;
+  if (!isFresh)
+    candidate.FreeSlots = std::min(candidate.FreeSlots, open);
+}
+
 std::vector<Candidate> Entry::candidates(const RequestContext &context,
                                          Instant now) {
   const std::string &service = context.MatchedRoute.Service;
@@ -316,6 +361,7 @@
     bool isFresh = now - load.At < LoadReportMaxAge && load.At != Instant{};
     it.FreeSlots = isFresh ? load.Load.freeSlots
                            : std::max(gate.Slots - load.Outstanding, 0);
+    applyLimit(it, load, context.Cost.Expected, now);
     it.Queued = isFresh ? load.Load.queued : 0;
     it.Outstanding = load.Outstanding;
     all.push_back(std::move(it));
@@ -338,7 +384,9 @@
                         context.Fingerprint,
                         context.MatchedRoute.Policy.TrialOdds,
                         context.MatchedRoute.Policy.SpillsToDoubtful,
-                        context.CapacityRefusals};
+                        context.CapacityRefusals,
+                        context.IsShort,
+                        maxLimitLoad(context, context.Target)};
   while (true) {
     all = candidates(context, now());
     RoutePlan plan = router->Plan(all, question, Rng);
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -33,6 +33,8 @@
   std::uint64_t Fingerprint = 0;
   CostClass Class;
   CostEstimate Cost;
+  /// True if it runs much shorter than most requests of its service.
+  bool IsShort = false;
   bool IsIdempotent = true;
   std::string IdempotencyKey;
   /// Endpoints that the request has crashed so far.
@@ -112,6 +114,8 @@
 
   static Standing standingOf(const GateView &gate, const GateLoadView &load,
                              Instant now);
+  static void applyLimit(Candidate &candidate, const GateLoadView &load,
+                         Micros cost, Instant now);
   std::vector<Candidate> candidates(const RequestContext &context, Instant now);
   wire::Ticket makeTicket(const Attempt &attempt, std::size_t target) const;
   void sendCall(Attempt &attempt, std::size_t target);
@@ -126,6 +130,8 @@
   void logRoute(const RequestContext &context, int number,
                 const Attempt &attempt, const RoutePlan &plan) const;
   std::string nextId();
+  static double maxLimitLoad(const RequestContext &context, Instant end);
+  bool hasRoomForLimited(const RequestContext &context);
   bool isTooLateToStart(const RequestContext &context) const;
   bool mayRetryDuringDrain(const RequestContext &context,
                            const Error &error) const;
@@ -145,6 +151,8 @@
   FleetViewPtr View = std::make_shared<const FleetView>();
   std::map<std::string, GateLoadView> Loads;
   CostModel Costs;
+  /// By service.
+  std::map<std::string, MeanCost> MeanCosts;
   Splitter Splits;
   std::map<std::string, RetryBudget> Budgets;
   /// Retry budgets for server errors that endpoints returned.
--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -207,8 +207,13 @@
       co_return co_await awaitAnswer(attempt, event->Tag);
     }
     if (auto *failure = std::get_if<wire::Failure>(&event->Content)) {
-      last = toError(attempt, *failure);
-      if (last.Kind != ErrorKind::Overloaded)
+      bool wasLimited = last.Kind == ErrorKind::EndpointLimited;
+      Error refusal = toError(attempt, *failure);
+      // Gates that are merely limited may have kept the request from others
+      // with room.
+      if (!wasLimited || refusal.Kind != ErrorKind::Overloaded)
+        last = refusal;
+      if (refusal.Kind != ErrorKind::Overloaded)
         attempt.Request->Tried.push_back(attempt.Targets[event->Tag].Gate.Node);
       noteLoad(attempt.Targets[event->Tag].Gate.Node,
                attempt.Request->MatchedRoute.Service, failure->load);
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -285,6 +285,8 @@
        {"attempt", action.AttemptId},
        {"kind", errorInfo(action.Reason.Kind).Name},
        {"detail", action.Reason.Detail}});
+  if (action.Reason.Kind == ErrorKind::EndpointLimited)
+    Counters.countLimited(exchange->Request.Service, "refused");
   sendFailure(exchange->Origin, action.Reason, exchange->Request.Service,
               exchange->Endpoint);
 }
@@ -320,6 +322,18 @@
   publishEndpoints();
 }
 
+void GateService::carryOutOne(const HoldAction &action) {
+  auto it = Exchanges.find(action.AttemptId);
+  if (it == Exchanges.end())
+    return;
+  const std::string &attempt = action.AttemptId;
+  logEvent(LogLevel::Info, "gate_held",
+           {{"request", attempt.substr(0, attempt.rfind('/'))},
+            {"attempt", attempt},
+            {"expected_ms", toMillis(action.ExpectedWait).count()}});
+  Counters.countLimited(it->second->Request.Service, "held");
+}
+
 void GateService::carryOutOne(const LimitAction &action) {
   std::string_view change = !action.After    ? "lifted"
                             : !action.Before ? "named"
@@ -488,6 +502,10 @@
   out.queued = load.Queued;
   out.slots = load.Slots;
   out.standing = load.Best ? 1 + int(*load.Best) : 0;
+  if (load.Limit) {
+    out.__set_limitPerSecond(*load.Limit);
+    out.__set_limitWaitMs(std::int32_t(toMillis(load.LimitWait).count()));
+  }
   return out;
 }
 
@@ -538,7 +556,8 @@
          {"address", it.Announced.Address},
          {"slots", it.Announced.Slots},
          {"busy", it.Holders.size()},
-         {"limit", it.Limit ? nlohmann::json(*it.Limit) : nlohmann::json()},
+         {"limit",
+          it.Limit ? nlohmann::json(it.Limit->PerSecond) : nlohmann::json()},
          {"standing", toString(it.State)},
          {"reason", it.StateReason},
          {"for_ms", toMillis(now() - it.StateSince).count()},
--- a/src/libfleet/gate/gateservice.h
+++ b/src/libfleet/gate/gateservice.h
@@ -88,6 +88,7 @@
   void carryOutOne(const RefuseAction &action);
   void carryOutOne(const AbortAction &action);
   void carryOutOne(const StandingAction &action);
+  void carryOutOne(const HoldAction &action);
   void carryOutOne(const LimitAction &action);
   void carryOutOne(const EjectionAction &action);
   void carryOutOne(const CrashAction &action);
--- a/src/libfleet/reporting/metrics.cpp
+++ b/src/libfleet/reporting/metrics.cpp
@@ -79,6 +79,8 @@
         LimitChanges(
             counterFamily(registry, "hickoryglade_endpoint_limit_changes_total",
                           "Limits named, changed and lifted by endpoints")),
+        Limited(counterFamily(registry, "hickoryglade_limited_requests_total",
+                              "Requests held or refused because of a limit")),
         Errors(counterFamily(registry, "hickoryglade_errors_total",
                              "Requests refused or failed by kind")),
         Retries(counterFamily(registry, "hickoryglade_retry_decisions_total",
@@ -138,6 +140,7 @@
   prometheus::Family<prometheus::Counter> &EndpointRequests;
   prometheus::Family<prometheus::Gauge> &Limits;
   prometheus::Family<prometheus::Counter> &LimitChanges;
+  prometheus::Family<prometheus::Counter> &Limited;
   prometheus::Family<prometheus::Counter> &Errors;
   prometheus::Family<prometheus::Counter> &Retries;
   prometheus::Family<prometheus::Counter> &Standings;
@@ -203,6 +206,11 @@
   All->LimitChanges.Add({{"service", service}, {"change", change}}).Increment();
 }
 
+void Metrics::countLimited(const std::string &service,
+                           const std::string &effect) {
+  All->Limited.Add({{"service", service}, {"effect", effect}}).Increment();
+}
+
 void Metrics::countError(const std::string &kind) {
   All->Errors.Add({{"kind", kind}}).Increment();
 }
--- a/src/libfleet/reporting/metrics.h
+++ b/src/libfleet/reporting/metrics.h
@@ -43,6 +43,8 @@
   /// Sets the limit that a service's endpoints at this node name together.
   void setLimit(const std::string &service, std::optional<double> limit);
   void countLimitChange(const std::string &service, const std::string &change);
+  /// Counts a request that a limit holds back, by effect: held or refused.
+  void countLimited(const std::string &service, const std::string &effect);
   void countError(const std::string &kind);
   void countRetryDecision(const std::string &reason);
   void countStandingChange(const std::string &standing);
--- a/src/libhickoryglade/costmodel.cpp
+++ b/src/libhickoryglade/costmodel.cpp
@@ -20,6 +20,17 @@
 
 } // namespace
 
+void MeanCost::add(Micros expected) {
+  // The latest hundred requests make up most of the average.
+  constexpr double latestWeight = 0.02;
+  Mean += (double(expected.count()) - Mean) * latestWeight;
+}
+
+bool MeanCost::isMuchAbove(Micros expected) const {
+  constexpr double shortShare = 0.5;
+  return double(expected.count()) < Mean * shortShare;
+}
+
 CostModel::CostModel(std::size_t maxClasses) : MaxClasses(maxClasses) {}
 
 CostEstimate CostModel::estimate(const CostClass &cls, Micros longAfter) const {
--- a/src/libhickoryglade/costmodel.h
+++ b/src/libhickoryglade/costmodel.h
@@ -24,6 +24,19 @@
   bool operator==(const CostEstimate &) const = default;
 };
 
+/// Moving average of the expected run times of a service's requests.
+class MeanCost {
+public:
+  void add(Micros expected);
+
+  /// True if a request that is expected to run this long is much shorter than
+  /// the average.
+  bool isMuchAbove(Micros expected) const;
+
+private:
+  double Mean = 0;
+};
+
 /// Moving averages of the run times that an entry has observed over all gates,
 /// by route, method and size class. The number of classes is bounded; the least
 /// recently used class is evicted first.
--- a/src/libhickoryglade/errorkind.cpp
+++ b/src/libhickoryglade/errorkind.cpp
@@ -10,7 +10,7 @@
 constexpr RunState NotRun = RunState::NotRun;
 constexpr RunState Unknown = RunState::Unknown;
 
-constexpr std::array<ErrorInfo, 27> Answers{{
+constexpr std::array<ErrorInfo, 28> Answers{{
     {ErrorKind::BadRequest, "bad_request", 400, NotRun, false,
      "The request is malformed"},
     {ErrorKind::HeadersTooLarge, "headers_too_large", 431, NotRun, false,
@@ -65,6 +65,8 @@
      "The service's endpoints see too many retries"},
     {ErrorKind::ContentSuspect, "content_suspect", 503, NotRun, true,
      "The content has crashed an endpoint and runs at one gate only"},
+    {ErrorKind::EndpointLimited, "endpoint_limited", 503, NotRun, true,
+     "The limits that the endpoints name let it start too late"},
 }};
 
 } // namespace
--- a/src/libhickoryglade/errorkind.h
+++ b/src/libhickoryglade/errorkind.h
@@ -40,6 +40,7 @@
   EndpointDoubtful,
   RetriesExhausted,
   ContentSuspect,
+  EndpointLimited,
 };
 
 /// Properties of an error kind and of the answer to the caller.
--- a/src/libhickoryglade/fairqueue.cpp
+++ b/src/libhickoryglade/fairqueue.cpp
@@ -122,6 +122,23 @@
       });
 }
 
+std::size_t FairQueue::countAhead(const Ticket &ticket, int share,
+                                  QueueOrder order) const {
+  std::size_t ownCount = 0;
+  auto own = Flows.find(ticket.Workspace);
+  if (own != Flows.end())
+    ownCount = std::size_t(
+        std::ranges::count_if(own->second.Tickets, [&](const Ticket &it) {
+          return !overtakes(order, ticket, it);
+        }));
+  double turns = double(ownCount + 1) / std::max(share, 1);
+  std::size_t all = ownCount;
+  for (const auto &[workspace, flow] : Flows)
+    if (workspace != ticket.Workspace)
+      all += std::min(flow.Tickets.size(), std::size_t(turns * flow.Share));
+  return all;
+}
+
 bool FairQueue::hasShort() const {
   return std::ranges::any_of(Flows, [](const auto &it) {
     return std::ranges::any_of(it.second.Tickets,
--- a/src/libhickoryglade/fairqueue.h
+++ b/src/libhickoryglade/fairqueue.h
@@ -37,6 +37,10 @@
   /// a new ticket.
   Micros costAhead(const Ticket &ticket, int share, QueueOrder order) const;
 
+  /// Number of waiting tickets that would run before a new ticket.
+  std::size_t countAhead(const Ticket &ticket, int share,
+                         QueueOrder order) const;
+
   std::size_t size() const { return Count; }
   bool hasShort() const;
 
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -205,23 +205,23 @@
                   toMillis(NoEndpointRetryAfter)));
     return actions;
   }
+  bool isHeld = isHeldByLimit(gate, service, ticket, now);
   if (ticket.OnlyIfFree) {
     refuse(actions, ticket.AttemptId,
-           notRun(ErrorKind::SlotTaken, "no free slot", Millis{0}));
+           notRun(ErrorKind::SlotTaken,
+                  isHeld ? "held back by a limit" : "no free slot", Millis{0}));
     return actions;
   }
-  int slots = slotsForClass(gate, service, ticket, now);
   Ticket waiting = ticket;
   waiting.WaitingSince = now;
-  if (auto fault = admissionError(gate, service, waiting, slots, now)) {
+  if (auto fault = admissionError(gate, service, waiting, now)) {
     refuse(actions, ticket.AttemptId, std::move(*fault));
     return actions;
   }
   gate.Ledger.noteWaiting(ticket.AttemptId, ledgerExpiry(ticket));
-  auto share = service.Shares.find(ticket.Workspace);
-  service.Queue.push(std::move(waiting),
-                     share == service.Shares.end() ? 1 : share->second,
-                     service.Policy.Order);
+  if (isHeld)
+    actions.push_back(HoldAction{ticket.AttemptId, waiting.EstimatedWait});
+  enqueue(service, std::move(waiting));
   dispatch(gate, ticket.Service, now, actions);
   return actions;
 }
@@ -303,14 +303,21 @@
 }
 
 GateActions noteNotice(Gate &gate, const std::string &endpoint,
-                       const EndpointNotice &notice, Instant saidAt, Instant) {
+                       const EndpointNotice &notice, Instant saidAt,
+                       Instant now) {
   GateActions actions;
   auto it = gate.Endpoints.find(endpoint);
   if (it == gate.Endpoints.end() || saidAt < it->second.NoticeAt)
     return actions;
   it->second.NoticeAt = saidAt;
-  if (!notice.IsLimitUnknown)
-    setLimit(it->second, notice.Limit, actions);
+  if (notice.IsLimitUnknown)
+    return actions;
+  const std::string &service = it->second.Announced.Service;
+  bool isLower = setLimit(it->second, notice.Limit, now, actions);
+  if (isLower)
+    refuseBeyondLimit(gate, service, now, actions);
+  else if (!actions.empty())
+    dispatch(gate, service, now, actions);
   return actions;
 }
 
@@ -394,7 +401,7 @@
     if (endpoint.Announced.Service != service)
       continue;
     if (takesWork(endpoint, now) && !gate.IsDraining)
-      load.FreeSlots += freeSlots(endpoint);
+      load.FreeSlots += openSlots(endpoint, now);
     if (!load.Best || rankOf(endpoint.State) < rankOf(*load.Best))
       load.Best = endpoint.State;
   }
@@ -402,6 +409,8 @@
   auto it = gate.Services.find(service);
   if (it != gate.Services.end())
     load.Queued = int(it->second.Queue.size());
+  load.Limit = limitOf(gate, service);
+  load.LimitWait = limitWait(gate, service, std::size_t(load.Queued), now);
   return load;
 }
 
@@ -412,7 +421,7 @@
       continue;
     if (!endpoint.Limit)
       return std::nullopt;
-    sum = sum.value_or(0) + *endpoint.Limit;
+    sum = sum.value_or(0) + endpoint.Limit->PerSecond;
   }
   return sum;
 }
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -52,6 +52,10 @@
   int Slots = 0;
   /// Best standing of the service's endpoints; nothing if there are none.
   std::optional<Standing> Best;
+  /// Requests per second that the endpoints take, if all of them name a limit.
+  std::optional<double> Limit;
+  /// Time until their limits let one more request start.
+  Micros LimitWait{0};
 
   bool operator==(const GateLoad &) const = default;
 };
--- a/src/libhickoryglade/gateaction.h
+++ b/src/libhickoryglade/gateaction.h
@@ -52,6 +52,15 @@
   bool operator==(const StandingAction &) const = default;
 };
 
+/// Report that a request waits because of an endpoint's limit, though a slot is
+/// free.
+struct HoldAction {
+  std::string AttemptId;
+  Micros ExpectedWait{0};
+
+  bool operator==(const HoldAction &) const = default;
+};
+
 /// Report that an endpoint has named a limit, changed it or ended it.
 struct LimitAction {
   std::string Endpoint;
@@ -80,9 +89,9 @@
   bool operator==(const CrashAction &) const = default;
 };
 
-using GateAction =
-    std::variant<StartAction, GrantAction, RefuseAction, AbortAction,
-                 StandingAction, LimitAction, EjectionAction, CrashAction>;
+using GateAction = std::variant<StartAction, GrantAction, RefuseAction,
+                                AbortAction, StandingAction, HoldAction,
+                                LimitAction, EjectionAction, CrashAction>;
 using GateActions = std::vector<GateAction>;
 
 } // namespace hickoryglade
--- a/src/libhickoryglade/gateadmission.cpp
+++ b/src/libhickoryglade/gateadmission.cpp
@@ -1,6 +1,7 @@
 #include "libhickoryglade/gateadmission.h"
 
 #include "libhickoryglade/admissionpolicy.h"
+#include "libhickoryglade/gatelimit.h"
 #include "libhickoryglade/gaterules.h"
 #include "libhickoryglade/registry.h"
 
@@ -14,6 +15,11 @@
 /// and reported to this gate.
 constexpr Micros SettleDelay = std::chrono::milliseconds(100);
 
+int weightOf(const GateService &service, const Ticket &ticket) {
+  auto share = service.Shares.find(ticket.Workspace);
+  return share == service.Shares.end() ? 1 : share->second;
+}
+
 /// Slot time of running and waiting requests that delay this one. Only requests
 /// of the same class count: short requests overtake waiting long ones, and long
 /// ones compete only for the slots that long requests may hold.
@@ -28,10 +34,13 @@
         running += std::max(holder.Request.ExpectedCost - (now - holder.Since),
                             Micros{0});
   }
-  auto share = service.Shares.find(ticket.Workspace);
-  int weight = share == service.Shares.end() ? 1 : share->second;
-  return running +
-         service.Queue.costAhead(ticket, weight, service.Policy.Order);
+  return running + service.Queue.costAhead(ticket, weightOf(service, ticket),
+                                           service.Policy.Order);
+}
+
+std::size_t requestsAhead(const GateService &service, const Ticket &ticket) {
+  return service.Queue.countAhead(ticket, weightOf(service, ticket),
+                                  service.Policy.Order);
 }
 
 /// Longest wait that the request accepts. A wait after which the answer still
@@ -97,13 +106,19 @@
 }
 
 std::optional<Error> admissionError(Gate &gate, GateService &service,
-                                    Ticket &ticket, int slots, Instant now) {
+                                    Ticket &ticket, Instant now) {
   const auto *admission =
       Registry<AdmissionPolicy>::instance().find(service.Policy.Admission);
   if (!admission)
     return std::nullopt;
+  int slots = std::max(slotsForClass(gate, service, ticket, now), 1);
   Micros ahead = slotTimeAhead(gate, service, ticket, now);
-  ticket.EstimatedWait = ahead / std::max(slots, 1);
+  Micros heldFor =
+      limitWait(gate, ticket.Service, requestsAhead(service, ticket), now);
+  bool isLimited = heldFor > ahead / slots;
+  if (isLimited)
+    ahead = heldFor * slots;
+  ticket.EstimatedWait = ahead / slots;
   Micros maxWait = longestWait(service.Policy, ticket, now);
   AdmissionDecision decision = admission->Admit(
       {service.Queue.size(), std::size_t(service.Policy.QueueLimit), slots,
@@ -111,7 +126,7 @@
        ticket.Deadline - now, maxWait, service.Policy.TargetLatency});
   if (decision.IsAdmitted)
     return std::nullopt;
-  return notRun(ErrorKind::Overloaded,
+  return notRun(isLimited ? ErrorKind::EndpointLimited : ErrorKind::Overloaded,
                 "expected wait " +
                     std::to_string(toMillis(decision.ExpectedWait).count()) +
                     " ms",
--- a/src/libhickoryglade/gateadmission.h
+++ b/src/libhickoryglade/gateadmission.h
@@ -44,7 +44,7 @@
 /// Error of the admission policy, or nothing if the request may wait. Stores
 /// the estimated wait in the ticket.
 std::optional<Error> admissionError(Gate &gate, GateService &service,
-                                    Ticket &ticket, int slots, Instant now);
+                                    Ticket &ticket, Instant now);
 
 /// Error of a request that is refused before a slot is looked for.
 std::optional<Error> offerError(const Gate &gate, const Ticket &ticket,
--- a/src/libhickoryglade/gateendpoint.cpp
+++ b/src/libhickoryglade/gateendpoint.cpp
@@ -1,6 +1,7 @@
 #include "libhickoryglade/gateendpoint.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace hickoryglade {
 
@@ -94,6 +95,19 @@
   return std::max(endpoint.Announced.Slots - int(endpoint.Holders.size()), 0);
 }
 
+int grantedSlots(const GateEndpoint &endpoint) {
+  return int(
+      std::ranges::count(endpoint.Holders, false, &SlotHolder::IsStarted));
+}
+
+int openSlots(const GateEndpoint &endpoint, Instant now) {
+  int slots = freeSlots(endpoint);
+  if (!endpoint.Limit)
+    return slots;
+  double tokens = tokensAt(endpoint.Limit->Tokens, now);
+  return std::clamp(int(std::floor(tokens)) - grantedSlots(endpoint), 0, slots);
+}
+
 int longHeld(const GateEndpoint &endpoint, Instant now, Micros longAfter) {
   return int(std::ranges::count_if(endpoint.Holders, [&](const auto &it) {
     return it.Request.IsLong || (it.IsStarted && now - it.Since > longAfter);
--- a/src/libhickoryglade/gateendpoint.h
+++ b/src/libhickoryglade/gateendpoint.h
@@ -4,6 +4,7 @@
 #include "libhickoryglade/healthpolicy.h"
 #include "libhickoryglade/standing.h"
 #include "libhickoryglade/ticket.h"
+#include "libhickoryglade/tokenbucket.h"
 
 #include <deque>
 #include <optional>
@@ -26,6 +27,16 @@
   Instant At;
 };
 
+/// Limit that an endpoint has named in its answers.
+struct EndpointLimit {
+  /// Requests per second that it takes from all nodes together.
+  double PerSecond = 0;
+  /// One token for each request that may start.
+  TokenBucket Tokens;
+  /// When the limit was named or last lowered.
+  Instant LoweredAt;
+};
+
 /// State of an endpoint behind this gate, from its announcements and from the
 /// attempts that this gate has sent to it.
 struct GateEndpoint {
@@ -63,9 +74,8 @@
   /// Times that the endpoint failed on trial or soon after a recovery.
   int Relapses = 0;
   Instant StateSince;
-  /// Requests per second that the endpoint takes from all nodes, by its own
-  /// word; nothing if it names no limit.
-  std::optional<double> Limit;
+  /// Nothing while the endpoint names no limit.
+  std::optional<EndpointLimit> Limit;
   /// Arrival of the latest response in which it described itself.
   Instant NoticeAt;
   /// End of the ejection lease by this node's clock.
@@ -93,6 +103,13 @@
 
 int freeSlots(const GateEndpoint &endpoint);
 
+/// Number of slots held for requests whose body has not arrived.
+int grantedSlots(const GateEndpoint &endpoint);
+
+/// Number of requests that may start now: free slots, as far as the endpoint's
+/// limit allows.
+int openSlots(const GateEndpoint &endpoint, Instant now);
+
 /// Number of slots held by long requests or by requests that have run for
 /// longer than longAfter.
 int longHeld(const GateEndpoint &endpoint, Instant now, Micros longAfter);
--- a/src/libhickoryglade/gatehealth.cpp
+++ b/src/libhickoryglade/gatehealth.cpp
@@ -184,10 +184,14 @@
     noteCompletion(endpoint, now);
     countFailure(endpoint);
     return;
-  case AttemptOutcome::Shed:
+  case AttemptOutcome::Shed: {
     endpoint.LastCompletion = now;
-    ++endpoint.ConsecutiveSheds;
+    // What was sent before the endpoint named its limit may exceed it.
+    bool wasUnlimited =
+        endpoint.Limit && holder.Since < endpoint.Limit->LoweredAt;
+    endpoint.ConsecutiveSheds += !wasUnlimited;
     return;
+  }
   case AttemptOutcome::Crashed:
     reportCrash(gate, endpoint, holder.Request.Fingerprint, now, actions);
     endpoint.IsListening = false;
@@ -231,7 +235,7 @@
   endpoint.LastCompletion = now;
   endpoint.EvidenceSince = now;
   endpoint.EjectedUntil.reset();
-  setLimit(endpoint, std::nullopt, actions);
+  setLimit(endpoint, std::nullopt, now, actions);
   std::vector<std::string> orphans;
   for (const SlotHolder &holder : endpoint.Holders)
     if (holder.IsStarted)
--- a/src/libhickoryglade/gatequeue.cpp
+++ b/src/libhickoryglade/gatequeue.cpp
@@ -15,14 +15,13 @@
 /// Time after an attempt's deadline for which late copies are recognized.
 constexpr Micros LedgerMargin = std::chrono::seconds(60);
 
-/// Records the wait of a request, whether it got a slot or not.
+} // namespace
+
 void noteWait(GateService &service, const Ticket &ticket, Instant now) {
   service.Waits.record(ticket.Priority, ticket.EstimatedWait,
                        now - ticket.WaitingSince, now);
 }
 
-} // namespace
-
 Instant ledgerExpiry(const Ticket &ticket) {
   return ticket.Deadline + LedgerMargin;
 }
@@ -33,6 +32,8 @@
   holder.IsStarted = true;
   holder.Since = now;
   if (gate.Ledger.tryStart(ticket.AttemptId, ledgerExpiry(ticket))) {
+    if (endpoint.Limit)
+      endpoint.Limit->Tokens = withTokenTaken(endpoint.Limit->Tokens, now);
     gate.Services[ticket.Service].Repeats.record(ticket.IsRepeat, now);
     actions.push_back(StartAction{ticket.AttemptId, endpoint.Announced.Name});
     return;
@@ -54,6 +55,13 @@
     start(gate, endpoint, endpoint.Holders.back(), now, actions);
 }
 
+void enqueue(GateService &service, Ticket ticket) {
+  auto share = service.Shares.find(ticket.Workspace);
+  service.Queue.push(std::move(ticket),
+                     share == service.Shares.end() ? 1 : share->second,
+                     service.Policy.Order);
+}
+
 void dispatch(Gate &gate, const std::string &name, Instant now,
               GateActions &actions) {
   GateService &service = gate.Services[name];
--- a/src/libhickoryglade/gatequeue.h
+++ b/src/libhickoryglade/gatequeue.h
@@ -16,6 +16,12 @@
 void start(Gate &gate, GateEndpoint &endpoint, SlotHolder &holder, Instant now,
            GateActions &actions);
 
+/// Records the wait of a request, whether it got a slot or not.
+void noteWait(GateService &service, const Ticket &ticket, Instant now);
+
+/// Adds an admitted request to the queue of its service.
+void enqueue(GateService &service, Ticket ticket);
+
 /// Assigns free slots to waiting requests.
 void dispatch(Gate &gate, const std::string &name, Instant now,
               GateActions &actions);
--- a/src/libhickoryglade/gaterules.cpp
+++ b/src/libhickoryglade/gaterules.cpp
@@ -31,11 +31,18 @@
   return endpoint.EjectedUntil && now < *endpoint.EjectedUntil;
 }
 
+bool isInRotation(const GateEndpoint &endpoint, const std::string &service,
+                  Instant now) {
+  return endpoint.Announced.Service == service &&
+         endpoint.State != Standing::Draining && isAnnounced(endpoint, now) &&
+         !isEjected(endpoint, now);
+}
+
 bool takesWork(const GateEndpoint &endpoint, Instant now) {
   if (endpoint.State == Standing::Draining || !isAnnounced(endpoint, now) ||
       isEjected(endpoint, now))
     return false;
-  int slots = freeSlots(endpoint);
+  int slots = openSlots(endpoint, now);
   return endpoint.State == Standing::Trial
              ? slots > 0 && !hasStartedSinceChange(endpoint)
              : slots > 0;
@@ -82,8 +89,8 @@
 GateEndpoint *chooseEndpoint(Gate &gate, const GateService &service,
                              const Ticket &ticket, Instant now) {
   GateEndpoint *best = nullptr;
-  auto rank = [](const GateEndpoint &it) {
-    return std::pair(it.State == Standing::Suspect, -freeSlots(it));
+  auto rank = [now](const GateEndpoint &it) {
+    return std::pair(it.State == Standing::Suspect, -openSlots(it, now));
   };
   for (auto &[name, endpoint] : gate.Endpoints) {
     if (endpoint.Announced.Service != ticket.Service ||
@@ -99,9 +106,7 @@
                   const Ticket &ticket, Instant now) {
   int slots = 0;
   for (const auto &[name, it] : gate.Endpoints)
-    if (it.Announced.Service == ticket.Service &&
-        it.State != Standing::Draining && isAnnounced(it, now) &&
-        !isEjected(it, now))
+    if (isInRotation(it, ticket.Service, now))
       slots += ticket.IsLong ? longCap(it, service.Policy) : it.Announced.Slots;
   return slots;
 }
@@ -109,8 +114,7 @@
 int slotsInRotation(const Gate &gate, const std::string &service, Instant now) {
   int slots = 0;
   for (const auto &[name, it] : gate.Endpoints)
-    if (it.Announced.Service == service && it.State != Standing::Draining &&
-        isAnnounced(it, now) && !isEjected(it, now))
+    if (isInRotation(it, service, now))
       slots += it.Announced.Slots;
   return slots;
 }
--- a/src/libhickoryglade/gaterules.h
+++ b/src/libhickoryglade/gaterules.h
@@ -10,6 +10,11 @@
 /// True while an ejection lease is in force.
 bool isEjected(const GateEndpoint &endpoint, Instant now);
 
+/// True for an endpoint of the service that is neither ejected, draining nor
+/// silent.
+bool isInRotation(const GateEndpoint &endpoint, const std::string &service,
+                  Instant now);
+
 /// True if the endpoint can take at least one more request.
 bool takesWork(const GateEndpoint &endpoint, Instant now);
 
@@ -40,8 +45,7 @@
 int slotsForClass(const Gate &gate, const GateService &service,
                   const Ticket &ticket, Instant now);
 
-/// Total number of slots of endpoints that are neither ejected, draining nor
-/// silent.
+/// Total number of slots of endpoints in rotation.
 int slotsInRotation(const Gate &gate, const std::string &service, Instant now);
 
 /// True if every endpoint here is on trial or draining. No request waits for an
--- a/src/libhickoryglade/retry.cpp
+++ b/src/libhickoryglade/retry.cpp
@@ -53,7 +53,8 @@
 
 bool isFreeRetry(ErrorKind kind) {
   return kind == ErrorKind::SlotTaken || kind == ErrorKind::EndpointDoubtful ||
-         kind == ErrorKind::ContentSuspect;
+         kind == ErrorKind::ContentSuspect ||
+         kind == ErrorKind::EndpointLimited;
 }
 
 Millis suggestRetryAfter(Millis requested, Millis timeLeft, Random &rng) {
--- a/src/libhickoryglade/routerpolicy.cpp
+++ b/src/libhickoryglade/routerpolicy.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 namespace hickoryglade {
 
@@ -78,6 +79,36 @@
          });
 }
 
+std::vector<std::size_t> withoutLimited(std::span<const Candidate> candidates,
+                                        const std::vector<std::size_t> &among,
+                                        const RouteRequest &request) {
+  // The first refusal may only mean that a slot has just been taken.
+  constexpr int maxRefusals = 2;
+  auto keepIf = [&](const std::vector<std::size_t> &all, auto isKept) {
+    std::vector<std::size_t> kept;
+    std::ranges::copy_if(
+        all, std::back_inserter(kept), isKept,
+        [&](std::size_t i) -> const Candidate & { return candidates[i]; });
+    return kept.empty() ? all : kept;
+  };
+  std::vector<std::size_t> rest = keepIf(among, [&](const Candidate &it) {
+    return it.LimitLoad <= request.MaxLimitLoad;
+  });
+  if (!request.IsShort || request.CapacityRefusals >= maxRefusals)
+    return rest;
+  return keepIf(rest, [](const Candidate &it) { return !it.IsLimited; });
+}
+
+bool hasRoomElsewhere(std::span<const Candidate> candidates, bool isIdempotent,
+                      double maxLimitLoad) {
+  return std::ranges::any_of(candidates, [&](const Candidate &it) {
+    bool isUsable = it.State == Standing::Healthy ||
+                    (isIdempotent && it.State == Standing::Suspect);
+    return isUsable && it.IsPathUp && !it.WasTried &&
+           it.LimitLoad <= maxLimitLoad;
+  });
+}
+
 RoutePlan planSerialized(std::span<const Candidate> candidates,
                          std::uint64_t fingerprint) {
   auto it = std::ranges::max_element(candidates, {}, [&](const auto &c) {
@@ -90,8 +121,9 @@
 
 double loadPerSlot(const Candidate &it) {
   int busy = it.Slots - it.FreeSlots;
-  return double(std::max(busy + it.Queued, it.Outstanding)) /
-         std::max(it.Slots, 1);
+  double load = double(std::max(busy + it.Queued, it.Outstanding)) /
+                std::max(it.Slots, 1);
+  return it.LimitLoad > 0 ? std::max(load, 1 + it.LimitLoad) : load;
 }
 
 int knownFreeSlots(const Candidate &it) {
--- a/src/libhickoryglade/routerpolicy.h
+++ b/src/libhickoryglade/routerpolicy.h
@@ -4,6 +4,7 @@
 #include "libhickoryglade/random.h"
 #include "libhickoryglade/standing.h"
 
+#include <limits>
 #include <span>
 #include <string>
 #include <vector>
@@ -20,6 +21,11 @@
   int Queued = 0;
   /// Requests of this entry that the gate has not answered yet.
   int Outstanding = 0;
+  /// True if all its endpoints limit the rate of requests.
+  bool IsLimited = false;
+  /// Time until the limits of its endpoints let one more request start, as a
+  /// multiple of the request's expected run time; 0 without limits.
+  double LimitLoad = 0;
   Standing State = Standing::Healthy;
   bool IsLocal = false;
   /// True for a gate in the entry's own data centre.
@@ -49,6 +55,11 @@
   bool MaySpill = false;
   /// Refusals by gates that had no free slot.
   int CapacityRefusals = 0;
+  /// True if the request runs much shorter than most requests of its service.
+  bool IsShort = false;
+  /// Wait for a limit with which the answer still meets its target, as a
+  /// multiple of the request's expected run time.
+  double MaxLimitLoad = std::numeric_limits<double>::infinity();
 };
 
 /// Gates to which a request is sent, and how.
@@ -89,6 +100,20 @@
 eligibleCandidates(std::span<const Candidate> candidates,
                    const RouteRequest &request, Random &rng);
 
+/// Leaves out gates with limits, if there are others: those whose limits let
+/// the request start too late, and all of them for a short request until the
+/// others have refused it. A limit counts requests of any length, so that it
+/// serves most when long requests make use of it.
+std::vector<std::size_t> withoutLimited(std::span<const Candidate> candidates,
+                                        const std::vector<std::size_t> &among,
+                                        const RouteRequest &request);
+
+/// True if a request that a limit has kept from one gate may start in time at
+/// another one that has not refused it. A request that may run only once does
+/// not go to doubtful endpoints for that.
+bool hasRoomElsewhere(std::span<const Candidate> candidates, bool isIdempotent,
+                      double maxLimitLoad);
+
 /// Plan for a request that all entries must send to the same gate. The choice
 /// depends on names only, since entries differ in what they know of links and
 /// health.
@@ -96,7 +121,8 @@
                          std::uint64_t fingerprint);
 
 /// Load of a gate per slot: its running and queued requests, or this entry's
-/// outstanding ones if they are more.
+/// outstanding ones if they are more, or as many as would make a request wait
+/// as long as the limits of its endpoints.
 double loadPerSlot(const Candidate &it);
 
 /// Slots that are free even if all outstanding requests of this entry take
--- a/src/plugins/nearest/nearest.cpp
+++ b/src/plugins/nearest/nearest.cpp
@@ -26,7 +26,12 @@
 
 using Indexes = std::vector<std::size_t>;
 
+/// Below a gate with one free slot and no limit.
+constexpr double LimitedScore = 0.25;
+
 double freeSlotScore(const Candidate &it) {
+  if (it.IsLimited)
+    return knownFreeSlots(it) > 0 ? LimitedScore : 0;
   return knownFreeSlots(it) + (it.IsLocal ? LocalBonus : 0);
 }
 
@@ -93,9 +98,11 @@
                       const RouteRequest &question, Random &rng) {
   if (question.IsSerialized)
     return planSerialized(candidates, question.Fingerprint);
-  Indexes among = eligibleCandidates(candidates, question, rng);
-  if (among.empty())
+  Indexes eligible = eligibleCandidates(candidates, question, rng);
+  if (eligible.empty())
     return {{}, false, false, "no candidate"};
+  Indexes among = withoutLimited(candidates, eligible, question);
+  bool areLimitedLeft = among.size() < eligible.size();
   std::ranges::shuffle(among, rng);
   auto rest = std::ranges::stable_partition(
       among, [&](std::size_t i) { return candidates[i].IsNear; });
@@ -110,7 +117,7 @@
   if (far.empty() || (!near.empty() && !isNearTried)) {
     RoutePlan plan{leastLoaded(candidates, near, MaxTickets), true, false,
                    "tickets near"};
-    plan.IsWaitBounded = !far.empty();
+    plan.IsWaitBounded = !far.empty() || areLimitedLeft;
     return plan;
   }
   return planFar(candidates, near, far, question, rng);
--- a/src/plugins/tickets/tickets.cpp
+++ b/src/plugins/tickets/tickets.cpp
@@ -23,7 +23,12 @@
 constexpr double FarPenalty = 1.5;
 constexpr double LocalBonus = 0.5;
 
+/// Below a near gate with one free slot and no limit.
+constexpr double LimitedScore = 0.25;
+
 double freeSlotScore(const Candidate &it) {
+  if (it.IsLimited)
+    return LimitedScore - (it.IsNear ? 0 : FarPenalty);
   return knownFreeSlots(it) - (it.IsNear ? 0 : FarPenalty) +
          (it.IsLocal ? LocalBonus : 0);
 }
@@ -36,10 +41,13 @@
                       const RouteRequest &question, Random &rng) {
   if (question.IsSerialized)
     return planSerialized(candidates, question.Fingerprint);
-  std::vector<std::size_t> among =
+  std::vector<std::size_t> eligible =
       eligibleCandidates(candidates, question, rng);
-  if (among.empty())
+  if (eligible.empty())
     return {{}, false, false, "no candidate"};
+  std::vector<std::size_t> among =
+      withoutLimited(candidates, eligible, question);
+  bool areLimitedLeft = among.size() < eligible.size();
   shuffle(among, rng);
   auto mostFree = std::ranges::max_element(among, {}, [&](std::size_t i) {
     bool isFree = knownFreeSlots(candidates[i]) >= FreeForDirectSend;
@@ -52,7 +60,9 @@
     return std::pair(loadPerSlot(candidates[i]), !candidates[i].IsNear);
   });
   among.resize(std::min(among.size(), MaxTickets));
-  return {among, true, false, "tickets"};
+  RoutePlan plan{among, true, false, "tickets"};
+  plan.IsWaitBounded = areLimitedLeft;
+  return plan;
 }
 
 const Registrar<RouterPolicy> Registered("tickets", {planTickets});
--- a/src/plugins/twochoices/twochoices.cpp
+++ b/src/plugins/twochoices/twochoices.cpp
@@ -14,8 +14,8 @@
                          const RouteRequest &question, Random &rng) {
   if (question.IsSerialized)
     return planSerialized(candidates, question.Fingerprint);
-  std::vector<std::size_t> among =
-      eligibleCandidates(candidates, question, rng);
+  std::vector<std::size_t> among = withoutLimited(
+      candidates, eligibleCandidates(candidates, question, rng), question);
   if (among.empty())
     return {{}, false, false, "no candidate"};
   std::size_t first = among[uniform(rng, among.size())];
