gate: an endpoint that says it leaves gets no more work

What was seen: 12 of 30 requests reached a server more than 2 s after its answer said that it leaves (platform.leaving).

Cause: as with limits, nothing read the header; only announcements and deregistrations count, and these do not arrive while an endpoint cannot reach the node.

Why it works: the gate is the only way to the endpoint. It takes the word for good for this process of the endpoint: later announcements as ready do not undo it, a new process does.

--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -48,6 +48,20 @@
   }
 }
 
+/// Removes idle endpoints that no longer announce themselves. Those that were
+/// leaving are remembered, since a late announcement may follow.
+void removeSilent(Gate &gate, Instant now) {
+  std::erase_if(gate.Endpoints, [&](const auto &it) {
+    const GateEndpoint &endpoint = it.second;
+    bool isSilent = endpoint.Holders.empty() &&
+                    now - endpoint.LastAnnounced > RemoveSilentAfter;
+    if (isSilent && endpoint.IsLeaving)
+      gate.Departed[it.first] = {endpoint.Announced.StartedAtMs,
+                                 now + DepartedRetention};
+    return isSilent;
+  });
+}
+
 } // namespace
 
 std::string_view toString(AttemptOutcome outcome) {
@@ -112,7 +126,7 @@
     replaceIncarnation(gate, endpoint, actions, now);
   if (announcement.IsDraining)
     setStanding(endpoint, Standing::Draining, "announced", now, actions);
-  else if (endpoint.State == Standing::Draining)
+  else if (endpoint.State == Standing::Draining && !endpoint.IsLeaving)
     setStanding(endpoint, Standing::Healthy, "announced", now, actions);
   dispatch(gate, announcement.Service, now, actions);
   flushIfNoEndpoint(gate, announcement.Service, now, actions);
@@ -307,16 +321,24 @@
                        Instant now) {
   GateActions actions;
   auto it = gate.Endpoints.find(endpoint);
-  if (it == gate.Endpoints.end() || saidAt < it->second.NoticeAt)
+  if (it == gate.Endpoints.end())
     return actions;
-  it->second.NoticeAt = saidAt;
-  if (notice.IsLimitUnknown)
+  GateEndpoint &target = it->second;
+  const std::string &service = target.Announced.Service;
+  if (notice.IsLeaving && !target.IsLeaving) {
+    target.IsLeaving = true;
+    setStanding(target, Standing::Draining, "says that it leaves", now,
+                actions);
+    flushIfNoEndpoint(gate, service, now, actions);
+  }
+  if (saidAt < target.NoticeAt || notice.IsLimitUnknown)
     return actions;
-  const std::string &service = it->second.Announced.Service;
-  bool isLower = setLimit(it->second, notice.Limit, now, actions);
+  target.NoticeAt = saidAt;
+  std::size_t before = actions.size();
+  bool isLower = setLimit(target, notice.Limit, now, actions);
   if (isLower)
     refuseBeyondLimit(gate, service, now, actions);
-  else if (!actions.empty())
+  else if (actions.size() > before)
     dispatch(gate, service, now, actions);
   return actions;
 }
@@ -367,10 +389,7 @@
         now - endpoint.StateSince > RelapseWindow)
       endpoint.Relapses = 0;
   }
-  std::erase_if(gate.Endpoints, [&](const auto &it) {
-    return it.second.Holders.empty() &&
-           now - it.second.LastAnnounced > RemoveSilentAfter;
-  });
+  removeSilent(gate, now);
   for (auto &[name, service] : gate.Services) {
     std::erase_if(service.SettleUntil, [&](const auto &it) {
       return now - it.second > SettleRetention;
--- a/src/libhickoryglade/gateendpoint.h
+++ b/src/libhickoryglade/gateendpoint.h
@@ -76,6 +76,8 @@
   Instant StateSince;
   /// Nothing while the endpoint names no limit.
   std::optional<EndpointLimit> Limit;
+  /// True once this process of the endpoint has said that it leaves.
+  bool IsLeaving = false;
   /// Arrival of the latest response in which it described itself.
   Instant NoticeAt;
   /// End of the ejection lease by this node's clock.
--- a/src/libhickoryglade/gatehealth.cpp
+++ b/src/libhickoryglade/gatehealth.cpp
@@ -235,6 +235,8 @@
   endpoint.LastCompletion = now;
   endpoint.EvidenceSince = now;
   endpoint.EjectedUntil.reset();
+  endpoint.IsLeaving = false;
+  endpoint.NoticeAt = Instant{};
   setLimit(endpoint, std::nullopt, now, actions);
   std::vector<std::string> orphans;
   for (const SlotHolder &holder : endpoint.Holders)
