router: gates that are late for a limit do not bound the wait elsewhere

Cause: a plan bounds the wait once it has left out limited gates, so that a short request tries those next. It did so too when the gates left out would have been late anyway; these stay left out, and the request came back to the same gate until its attempts were used up.

Only plans for short requests bound the wait now. Test: "gates that would be late do not bound the wait at the others" (fails before).

--- a/src/libhickoryglade/routerpolicy.cpp
+++ b/src/libhickoryglade/routerpolicy.cpp
@@ -40,6 +40,12 @@
   return request.IsIdempotent && !request.IsLong && !request.IsSerialized;
 }
 
+/// The first refusal may only mean that a slot has just been taken.
+bool avoidsLimits(const RouteRequest &request) {
+  constexpr int maxRefusals = 2;
+  return request.IsShort && request.CapacityRefusals < maxRefusals;
+}
+
 } // namespace
 
 std::vector<std::size_t>
@@ -82,8 +88,6 @@
 std::vector<std::size_t> withoutLimited(std::span<const Candidate> candidates,
                                         const std::vector<std::size_t> &among,
                                         const RouteRequest &request) {
-  // The first refusal may only mean that a slot has just been taken.
-  constexpr int maxRefusals = 2;
   auto keepIf = [&](const std::vector<std::size_t> &all, auto isKept) {
     std::vector<std::size_t> kept;
     std::ranges::copy_if(
@@ -94,11 +98,20 @@
   std::vector<std::size_t> rest = keepIf(among, [&](const Candidate &it) {
     return it.LimitLoad <= request.MaxLimitLoad;
   });
-  if (!request.IsShort || request.CapacityRefusals >= maxRefusals)
+  if (!avoidsLimits(request))
     return rest;
   return keepIf(rest, [](const Candidate &it) { return !it.IsLimited; });
 }
 
+bool leavesLimitsToOthers(std::span<const Candidate> candidates,
+                          const std::vector<std::size_t> &among,
+                          const RouteRequest &request) {
+  return avoidsLimits(request) &&
+         std::ranges::any_of(candidates, &Candidate::IsLimited) &&
+         std::ranges::none_of(
+             among, [&](std::size_t i) { return candidates[i].IsLimited; });
+}
+
 bool hasRoomElsewhere(std::span<const Candidate> candidates, bool isIdempotent,
                       double maxLimitLoad) {
   return std::ranges::any_of(candidates, [&](const Candidate &it) {
--- a/src/libhickoryglade/routerpolicy.h
+++ b/src/libhickoryglade/routerpolicy.h
@@ -108,6 +108,12 @@
                                         const std::vector<std::size_t> &among,
                                         const RouteRequest &request);
 
+/// True if withoutLimited() has left out gates that a short request may still
+/// use after a refusal.
+bool leavesLimitsToOthers(std::span<const Candidate> candidates,
+                          const std::vector<std::size_t> &among,
+                          const RouteRequest &request);
+
 /// True if a request that a limit has kept from one gate may start in time at
 /// another one that has not refused it. A request that may run only once does
 /// not go to doubtful endpoints for that.
--- a/src/plugins/nearest/nearest.cpp
+++ b/src/plugins/nearest/nearest.cpp
@@ -102,7 +102,7 @@
   if (eligible.empty())
     return {{}, false, false, "no candidate"};
   Indexes among = withoutLimited(candidates, eligible, question);
-  bool areLimitedLeft = among.size() < eligible.size();
+  bool areLimitedLeft = leavesLimitsToOthers(candidates, among, question);
   std::ranges::shuffle(among, rng);
   auto rest = std::ranges::stable_partition(
       among, [&](std::size_t i) { return candidates[i].IsNear; });
--- a/src/plugins/tickets/tickets.cpp
+++ b/src/plugins/tickets/tickets.cpp
@@ -47,7 +47,7 @@
     return {{}, false, false, "no candidate"};
   std::vector<std::size_t> among =
       withoutLimited(candidates, eligible, question);
-  bool areLimitedLeft = among.size() < eligible.size();
+  bool areLimitedLeft = leavesLimitsToOthers(candidates, among, question);
   shuffle(among, rng);
   auto mostFree = std::ranges::max_element(among, {}, [&](std::size_t i) {
     bool isFree = knownFreeSlots(candidates[i]) >= FreeForDirectSend;
--- a/tests/kernel/test_limit.cpp
+++ b/tests/kernel/test_limit.cpp
@@ -1,5 +1,6 @@
 #include "libhickoryglade/costmodel.h"
 #include "libhickoryglade/gate.h"
+#include "libhickoryglade/registry.h"
 #include "libhickoryglade/routerpolicy.h"
 
 #include <catch2/catch.hpp>
@@ -271,6 +272,24 @@
   CHECK_FALSE(mean.isMuchAbove(milliseconds(300)));
 }
 
+TEST_CASE("gates that would be late do not bound the wait at the others") {
+  std::vector<Candidate> all{candidate("a", 9, true), candidate("b", 0, false)};
+  all[1].FreeSlots = 0;
+  all[0].IsNear = all[1].IsNear = true;
+  RouteRequest request;
+  request.MaxLimitLoad = 2;
+  Random rng(1);
+  for (const char *router : {"nearest", "tickets"}) {
+    const auto *policy = Registry<RouterPolicy>::instance().find(router);
+    RoutePlan plan = policy->Plan(all, request, rng);
+    CHECK(plan.Targets == Indexes{1});
+    CHECK_FALSE(plan.IsWaitBounded);
+    RouteRequest shortRequest = request;
+    shortRequest.IsShort = true;
+    CHECK(policy->Plan(all, shortRequest, rng).IsWaitBounded);
+  }
+}
+
 TEST_CASE("a limited request is refused once no other gate has room") {
   std::vector<Candidate> all{candidate("a", 0, true), candidate("b", 5, true),
                              candidate("c", 0, false)};
