--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -21,6 +21,17 @@
   2: bool reply
 }
 
+// What an endpoint has said about itself in an answer.
+struct EndpointNotice {
+  1: string endpoint
+  2: string incarnation
+  // Requests per second that it takes from all nodes together.
+  3: optional double limit
+  4: bool isLeaving
+  // Time since the sender heard it.
+  5: i64 ageMs
+}
+
 // Properties of a request that a gate needs before the body is sent.
 struct Ticket {
   1: string attemptId
@@ -61,6 +72,8 @@
   22: i64 maxWaitMs
   // Other gates have refused the request because their endpoints are silent.
   23: bool acceptsSilent
+  // Notices that this process of the gate may not know.
+  24: optional list<EndpointNotice> notices
 }
 
 struct Grant {
@@ -103,6 +116,8 @@
   5: Load load
   // Time that the endpoint took to respond.
   6: i64 runUs
+  // Set if the endpoint names a limit or is leaving.
+  7: optional EndpointNotice notice
 }
 
 struct Failure {
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -499,6 +499,197 @@
 }
 
 
+EndpointNotice::~EndpointNotice() noexcept {
+}
+
+
+void EndpointNotice::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void EndpointNotice::__set_incarnation(const std::string& val) {
+  this->incarnation = val;
+}
+
+void EndpointNotice::__set_limit(const double val) {
+  this->limit = val;
+__isset.limit = true;
+}
+
+void EndpointNotice::__set_isLeaving(const bool val) {
+  this->isLeaving = val;
+}
+
+void EndpointNotice::__set_ageMs(const int64_t val) {
+  this->ageMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointNotice& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointNotice::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->limit);
+          this->__isset.limit = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isLeaving);
+          this->__isset.isLeaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointNotice::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointNotice");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.limit) {
+    xfer += oprot->writeFieldBegin("limit", ::apache::thrift::protocol::T_DOUBLE, 3);
+    xfer += oprot->writeDouble(this->limit);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("isLeaving", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->isLeaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointNotice &a, EndpointNotice &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.incarnation, b.incarnation);
+  swap(a.limit, b.limit);
+  swap(a.isLeaving, b.isLeaving);
+  swap(a.ageMs, b.ageMs);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointNotice::EndpointNotice(const EndpointNotice& other12) {
+  endpoint = other12.endpoint;
+  incarnation = other12.incarnation;
+  limit = other12.limit;
+  isLeaving = other12.isLeaving;
+  ageMs = other12.ageMs;
+  __isset = other12.__isset;
+}
+EndpointNotice::EndpointNotice(EndpointNotice&& other13) noexcept {
+  endpoint = std::move(other13.endpoint);
+  incarnation = std::move(other13.incarnation);
+  limit = other13.limit;
+  isLeaving = other13.isLeaving;
+  ageMs = other13.ageMs;
+  __isset = other13.__isset;
+}
+EndpointNotice& EndpointNotice::operator=(const EndpointNotice& other14) {
+  endpoint = other14.endpoint;
+  incarnation = other14.incarnation;
+  limit = other14.limit;
+  isLeaving = other14.isLeaving;
+  ageMs = other14.ageMs;
+  __isset = other14.__isset;
+  return *this;
+}
+EndpointNotice& EndpointNotice::operator=(EndpointNotice&& other15) noexcept {
+  endpoint = std::move(other15.endpoint);
+  incarnation = std::move(other15.incarnation);
+  limit = other15.limit;
+  isLeaving = other15.isLeaving;
+  ageMs = other15.ageMs;
+  __isset = other15.__isset;
+  return *this;
+}
+void EndpointNotice::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointNotice(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "limit="; (__isset.limit ? (out << to_string(limit)) : (out << "<null>"));
+  out << ", " << "isLeaving=" << to_string(isLeaving);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ")";
+}
+
+
 Ticket::~Ticket() noexcept {
 }
 
@@ -590,6 +781,11 @@
 void Ticket::__set_acceptsSilent(const bool val) {
   this->acceptsSilent = val;
 }
+
+void Ticket::__set_notices(const std::vector<EndpointNotice> & val) {
+  this->notices = val;
+__isset.notices = true;
+}
 std::ostream& operator<<(std::ostream& out, const Ticket& obj)
 {
   obj.printTo(out);
@@ -794,6 +990,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->notices.clear();
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _etype19;
+            xfer += iprot->readListBegin(_etype19, _size16);
+            this->notices.resize(_size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
+            {
+              xfer += this->notices[_i20].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.notices = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -899,6 +1115,19 @@
   xfer += oprot->writeBool(this->acceptsSilent);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.notices) {
+    xfer += oprot->writeFieldBegin("notices", ::apache::thrift::protocol::T_LIST, 24);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notices.size()));
+      std::vector<EndpointNotice> ::const_iterator _iter21;
+      for (_iter21 = this->notices.begin(); _iter21 != this->notices.end(); ++_iter21)
+      {
+        xfer += (*_iter21).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -928,109 +1157,114 @@
   swap(a.isLastTry, b.isLastTry);
   swap(a.maxWaitMs, b.maxWaitMs);
   swap(a.acceptsSilent, b.acceptsSilent);
+  swap(a.notices, b.notices);
   swap(a.__isset, b.__isset);
 }
 
-Ticket::Ticket(const Ticket& other12) {
-  attemptId = other12.attemptId;
-  workspace = other12.workspace;
-  serviceName = other12.serviceName;
-  gateBootId = other12.gateBootId;
-  timeoutMs = other12.timeoutMs;
-  linkAgeMs = other12.linkAgeMs;
-  expectedCostUs = other12.expectedCostUs;
-  isLong = other12.isLong;
-  isIdempotent = other12.isIdempotent;
-  fingerprint = other12.fingerprint;
-  awaitsClaim = other12.awaitsClaim;
-  knownCrashes = other12.knownCrashes;
-  onlyIfFree = other12.onlyIfFree;
-  isRepeat = other12.isRepeat;
-  acceptsDoubtful = other12.acceptsDoubtful;
-  priority = other12.priority;
-  isSerialized = other12.isSerialized;
-  isSpill = other12.isSpill;
-  targetMs = other12.targetMs;
-  isLastTry = other12.isLastTry;
-  maxWaitMs = other12.maxWaitMs;
-  acceptsSilent = other12.acceptsSilent;
-  __isset = other12.__isset;
-}
-Ticket::Ticket(Ticket&& other13) noexcept {
-  attemptId = std::move(other13.attemptId);
-  workspace = std::move(other13.workspace);
-  serviceName = std::move(other13.serviceName);
-  gateBootId = other13.gateBootId;
-  timeoutMs = other13.timeoutMs;
-  linkAgeMs = other13.linkAgeMs;
-  expectedCostUs = other13.expectedCostUs;
-  isLong = other13.isLong;
-  isIdempotent = other13.isIdempotent;
-  fingerprint = other13.fingerprint;
-  awaitsClaim = other13.awaitsClaim;
-  knownCrashes = other13.knownCrashes;
-  onlyIfFree = other13.onlyIfFree;
-  isRepeat = other13.isRepeat;
-  acceptsDoubtful = other13.acceptsDoubtful;
-  priority = other13.priority;
-  isSerialized = other13.isSerialized;
-  isSpill = other13.isSpill;
-  targetMs = other13.targetMs;
-  isLastTry = other13.isLastTry;
-  maxWaitMs = other13.maxWaitMs;
-  acceptsSilent = other13.acceptsSilent;
-  __isset = other13.__isset;
-}
-Ticket& Ticket::operator=(const Ticket& other14) {
-  attemptId = other14.attemptId;
-  workspace = other14.workspace;
-  serviceName = other14.serviceName;
-  gateBootId = other14.gateBootId;
-  timeoutMs = other14.timeoutMs;
-  linkAgeMs = other14.linkAgeMs;
-  expectedCostUs = other14.expectedCostUs;
-  isLong = other14.isLong;
-  isIdempotent = other14.isIdempotent;
-  fingerprint = other14.fingerprint;
-  awaitsClaim = other14.awaitsClaim;
-  knownCrashes = other14.knownCrashes;
-  onlyIfFree = other14.onlyIfFree;
-  isRepeat = other14.isRepeat;
-  acceptsDoubtful = other14.acceptsDoubtful;
-  priority = other14.priority;
-  isSerialized = other14.isSerialized;
-  isSpill = other14.isSpill;
-  targetMs = other14.targetMs;
-  isLastTry = other14.isLastTry;
-  maxWaitMs = other14.maxWaitMs;
-  acceptsSilent = other14.acceptsSilent;
-  __isset = other14.__isset;
+Ticket::Ticket(const Ticket& other22) {
+  attemptId = other22.attemptId;
+  workspace = other22.workspace;
+  serviceName = other22.serviceName;
+  gateBootId = other22.gateBootId;
+  timeoutMs = other22.timeoutMs;
+  linkAgeMs = other22.linkAgeMs;
+  expectedCostUs = other22.expectedCostUs;
+  isLong = other22.isLong;
+  isIdempotent = other22.isIdempotent;
+  fingerprint = other22.fingerprint;
+  awaitsClaim = other22.awaitsClaim;
+  knownCrashes = other22.knownCrashes;
+  onlyIfFree = other22.onlyIfFree;
+  isRepeat = other22.isRepeat;
+  acceptsDoubtful = other22.acceptsDoubtful;
+  priority = other22.priority;
+  isSerialized = other22.isSerialized;
+  isSpill = other22.isSpill;
+  targetMs = other22.targetMs;
+  isLastTry = other22.isLastTry;
+  maxWaitMs = other22.maxWaitMs;
+  acceptsSilent = other22.acceptsSilent;
+  notices = other22.notices;
+  __isset = other22.__isset;
+}
+Ticket::Ticket(Ticket&& other23) noexcept {
+  attemptId = std::move(other23.attemptId);
+  workspace = std::move(other23.workspace);
+  serviceName = std::move(other23.serviceName);
+  gateBootId = other23.gateBootId;
+  timeoutMs = other23.timeoutMs;
+  linkAgeMs = other23.linkAgeMs;
+  expectedCostUs = other23.expectedCostUs;
+  isLong = other23.isLong;
+  isIdempotent = other23.isIdempotent;
+  fingerprint = other23.fingerprint;
+  awaitsClaim = other23.awaitsClaim;
+  knownCrashes = other23.knownCrashes;
+  onlyIfFree = other23.onlyIfFree;
+  isRepeat = other23.isRepeat;
+  acceptsDoubtful = other23.acceptsDoubtful;
+  priority = other23.priority;
+  isSerialized = other23.isSerialized;
+  isSpill = other23.isSpill;
+  targetMs = other23.targetMs;
+  isLastTry = other23.isLastTry;
+  maxWaitMs = other23.maxWaitMs;
+  acceptsSilent = other23.acceptsSilent;
+  notices = std::move(other23.notices);
+  __isset = other23.__isset;
+}
+Ticket& Ticket::operator=(const Ticket& other24) {
+  attemptId = other24.attemptId;
+  workspace = other24.workspace;
+  serviceName = other24.serviceName;
+  gateBootId = other24.gateBootId;
+  timeoutMs = other24.timeoutMs;
+  linkAgeMs = other24.linkAgeMs;
+  expectedCostUs = other24.expectedCostUs;
+  isLong = other24.isLong;
+  isIdempotent = other24.isIdempotent;
+  fingerprint = other24.fingerprint;
+  awaitsClaim = other24.awaitsClaim;
+  knownCrashes = other24.knownCrashes;
+  onlyIfFree = other24.onlyIfFree;
+  isRepeat = other24.isRepeat;
+  acceptsDoubtful = other24.acceptsDoubtful;
+  priority = other24.priority;
+  isSerialized = other24.isSerialized;
+  isSpill = other24.isSpill;
+  targetMs = other24.targetMs;
+  isLastTry = other24.isLastTry;
+  maxWaitMs = other24.maxWaitMs;
+  acceptsSilent = other24.acceptsSilent;
+  notices = other24.notices;
+  __isset = other24.__isset;
   return *this;
 }
-Ticket& Ticket::operator=(Ticket&& other15) noexcept {
-  attemptId = std::move(other15.attemptId);
-  workspace = std::move(other15.workspace);
-  serviceName = std::move(other15.serviceName);
-  gateBootId = other15.gateBootId;
-  timeoutMs = other15.timeoutMs;
-  linkAgeMs = other15.linkAgeMs;
-  expectedCostUs = other15.expectedCostUs;
-  isLong = other15.isLong;
-  isIdempotent = other15.isIdempotent;
-  fingerprint = other15.fingerprint;
-  awaitsClaim = other15.awaitsClaim;
-  knownCrashes = other15.knownCrashes;
-  onlyIfFree = other15.onlyIfFree;
-  isRepeat = other15.isRepeat;
-  acceptsDoubtful = other15.acceptsDoubtful;
-  priority = other15.priority;
-  isSerialized = other15.isSerialized;
-  isSpill = other15.isSpill;
-  targetMs = other15.targetMs;
-  isLastTry = other15.isLastTry;
-  maxWaitMs = other15.maxWaitMs;
-  acceptsSilent = other15.acceptsSilent;
-  __isset = other15.__isset;
+Ticket& Ticket::operator=(Ticket&& other25) noexcept {
+  attemptId = std::move(other25.attemptId);
+  workspace = std::move(other25.workspace);
+  serviceName = std::move(other25.serviceName);
+  gateBootId = other25.gateBootId;
+  timeoutMs = other25.timeoutMs;
+  linkAgeMs = other25.linkAgeMs;
+  expectedCostUs = other25.expectedCostUs;
+  isLong = other25.isLong;
+  isIdempotent = other25.isIdempotent;
+  fingerprint = other25.fingerprint;
+  awaitsClaim = other25.awaitsClaim;
+  knownCrashes = other25.knownCrashes;
+  onlyIfFree = other25.onlyIfFree;
+  isRepeat = other25.isRepeat;
+  acceptsDoubtful = other25.acceptsDoubtful;
+  priority = other25.priority;
+  isSerialized = other25.isSerialized;
+  isSpill = other25.isSpill;
+  targetMs = other25.targetMs;
+  isLastTry = other25.isLastTry;
+  maxWaitMs = other25.maxWaitMs;
+  acceptsSilent = other25.acceptsSilent;
+  notices = std::move(other25.notices);
+  __isset = other25.__isset;
   return *this;
 }
 void Ticket::printTo(std::ostream& out) const {
@@ -1058,6 +1292,7 @@
   out << ", " << "isLastTry=" << to_string(isLastTry);
   out << ", " << "maxWaitMs=" << to_string(maxWaitMs);
   out << ", " << "acceptsSilent=" << to_string(acceptsSilent);
+  out << ", " << "notices="; (__isset.notices ? (out << to_string(notices)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1137,22 +1372,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Grant::Grant(const Grant& other16) {
-  endpoint = other16.endpoint;
-  __isset = other16.__isset;
+Grant::Grant(const Grant& other26) {
+  endpoint = other26.endpoint;
+  __isset = other26.__isset;
 }
-Grant::Grant(Grant&& other17) noexcept {
-  endpoint = std::move(other17.endpoint);
-  __isset = other17.__isset;
+Grant::Grant(Grant&& other27) noexcept {
+  endpoint = std::move(other27.endpoint);
+  __isset = other27.__isset;
 }
-Grant& Grant::operator=(const Grant& other18) {
-  endpoint = other18.endpoint;
-  __isset = other18.__isset;
+Grant& Grant::operator=(const Grant& other28) {
+  endpoint = other28.endpoint;
+  __isset = other28.__isset;
   return *this;
 }
-Grant& Grant::operator=(Grant&& other19) noexcept {
-  endpoint = std::move(other19.endpoint);
-  __isset = other19.__isset;
+Grant& Grant::operator=(Grant&& other29) noexcept {
+  endpoint = std::move(other29.endpoint);
+  __isset = other29.__isset;
   return *this;
 }
 void Grant::printTo(std::ostream& out) const {
@@ -1242,14 +1477,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size20;
-            ::apache::thrift::protocol::TType _etype23;
-            xfer += iprot->readListBegin(_etype23, _size20);
-            this->headers.resize(_size20);
-            uint32_t _i24;
-            for (_i24 = 0; _i24 < _size20; ++_i24)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->headers.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += this->headers[_i24].read(iprot);
+              xfer += this->headers[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1298,10 +1533,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter25;
-    for (_iter25 = this->headers.begin(); _iter25 != this->headers.end(); ++_iter25)
+    std::vector<Header> ::const_iterator _iter35;
+    for (_iter35 = this->headers.begin(); _iter35 != this->headers.end(); ++_iter35)
     {
-      xfer += (*_iter25).write(oprot);
+      xfer += (*_iter35).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1326,38 +1561,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Call::Call(const Call& other26) {
-  ticket = other26.ticket;
-  method = other26.method;
-  target = other26.target;
-  headers = other26.headers;
-  bodyBytes = other26.bodyBytes;
-  __isset = other26.__isset;
+Call::Call(const Call& other36) {
+  ticket = other36.ticket;
+  method = other36.method;
+  target = other36.target;
+  headers = other36.headers;
+  bodyBytes = other36.bodyBytes;
+  __isset = other36.__isset;
 }
-Call::Call(Call&& other27) noexcept {
-  ticket = std::move(other27.ticket);
-  method = std::move(other27.method);
-  target = std::move(other27.target);
-  headers = std::move(other27.headers);
-  bodyBytes = other27.bodyBytes;
-  __isset = other27.__isset;
+Call::Call(Call&& other37) noexcept {
+  ticket = std::move(other37.ticket);
+  method = std::move(other37.method);
+  target = std::move(other37.target);
+  headers = std::move(other37.headers);
+  bodyBytes = other37.bodyBytes;
+  __isset = other37.__isset;
 }
-Call& Call::operator=(const Call& other28) {
-  ticket = other28.ticket;
-  method = other28.method;
-  target = other28.target;
-  headers = other28.headers;
-  bodyBytes = other28.bodyBytes;
-  __isset = other28.__isset;
+Call& Call::operator=(const Call& other38) {
+  ticket = other38.ticket;
+  method = other38.method;
+  target = other38.target;
+  headers = other38.headers;
+  bodyBytes = other38.bodyBytes;
+  __isset = other38.__isset;
   return *this;
 }
-Call& Call::operator=(Call&& other29) noexcept {
-  ticket = std::move(other29.ticket);
-  method = std::move(other29.method);
-  target = std::move(other29.target);
-  headers = std::move(other29.headers);
-  bodyBytes = other29.bodyBytes;
-  __isset = other29.__isset;
+Call& Call::operator=(Call&& other39) noexcept {
+  ticket = std::move(other39.ticket);
+  method = std::move(other39.method);
+  target = std::move(other39.target);
+  headers = std::move(other39.headers);
+  bodyBytes = other39.bodyBytes;
+  __isset = other39.__isset;
   return *this;
 }
 void Call::printTo(std::ostream& out) const {
@@ -1447,22 +1682,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Data::Data(const Data& other30) {
-  bytes = other30.bytes;
-  __isset = other30.__isset;
+Data::Data(const Data& other40) {
+  bytes = other40.bytes;
+  __isset = other40.__isset;
 }
-Data::Data(Data&& other31) noexcept {
-  bytes = std::move(other31.bytes);
-  __isset = other31.__isset;
+Data::Data(Data&& other41) noexcept {
+  bytes = std::move(other41.bytes);
+  __isset = other41.__isset;
 }
-Data& Data::operator=(const Data& other32) {
-  bytes = other32.bytes;
-  __isset = other32.__isset;
+Data& Data::operator=(const Data& other42) {
+  bytes = other42.bytes;
+  __isset = other42.__isset;
   return *this;
 }
-Data& Data::operator=(Data&& other33) noexcept {
-  bytes = std::move(other33.bytes);
-  __isset = other33.__isset;
+Data& Data::operator=(Data&& other43) noexcept {
+  bytes = std::move(other43.bytes);
+  __isset = other43.__isset;
   return *this;
 }
 void Data::printTo(std::ostream& out) const {
@@ -1637,42 +1872,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Load::Load(const Load& other34) noexcept {
-  freeSlots = other34.freeSlots;
-  queued = other34.queued;
-  slots = other34.slots;
-  standing = other34.standing;
-  limitPerSecond = other34.limitPerSecond;
-  limitWaitMs = other34.limitWaitMs;
-  __isset = other34.__isset;
-}
-Load::Load(Load&& other35) noexcept {
-  freeSlots = other35.freeSlots;
-  queued = other35.queued;
-  slots = other35.slots;
-  standing = other35.standing;
-  limitPerSecond = other35.limitPerSecond;
-  limitWaitMs = other35.limitWaitMs;
-  __isset = other35.__isset;
-}
-Load& Load::operator=(const Load& other36) noexcept {
-  freeSlots = other36.freeSlots;
-  queued = other36.queued;
-  slots = other36.slots;
-  standing = other36.standing;
-  limitPerSecond = other36.limitPerSecond;
-  limitWaitMs = other36.limitWaitMs;
-  __isset = other36.__isset;
+Load::Load(const Load& other44) noexcept {
+  freeSlots = other44.freeSlots;
+  queued = other44.queued;
+  slots = other44.slots;
+  standing = other44.standing;
+  limitPerSecond = other44.limitPerSecond;
+  limitWaitMs = other44.limitWaitMs;
+  __isset = other44.__isset;
+}
+Load::Load(Load&& other45) noexcept {
+  freeSlots = other45.freeSlots;
+  queued = other45.queued;
+  slots = other45.slots;
+  standing = other45.standing;
+  limitPerSecond = other45.limitPerSecond;
+  limitWaitMs = other45.limitWaitMs;
+  __isset = other45.__isset;
+}
+Load& Load::operator=(const Load& other46) noexcept {
+  freeSlots = other46.freeSlots;
+  queued = other46.queued;
+  slots = other46.slots;
+  standing = other46.standing;
+  limitPerSecond = other46.limitPerSecond;
+  limitWaitMs = other46.limitWaitMs;
+  __isset = other46.__isset;
   return *this;
 }
-Load& Load::operator=(Load&& other37) noexcept {
-  freeSlots = other37.freeSlots;
-  queued = other37.queued;
-  slots = other37.slots;
-  standing = other37.standing;
-  limitPerSecond = other37.limitPerSecond;
-  limitWaitMs = other37.limitWaitMs;
-  __isset = other37.__isset;
+Load& Load::operator=(Load&& other47) noexcept {
+  freeSlots = other47.freeSlots;
+  queued = other47.queued;
+  slots = other47.slots;
+  standing = other47.standing;
+  limitPerSecond = other47.limitPerSecond;
+  limitWaitMs = other47.limitWaitMs;
+  __isset = other47.__isset;
   return *this;
 }
 void Load::printTo(std::ostream& out) const {
@@ -1715,6 +1950,11 @@
 void Answer::__set_runUs(const int64_t val) {
   this->runUs = val;
 }
+
+void Answer::__set_notice(const EndpointNotice& val) {
+  this->notice = val;
+__isset.notice = true;
+}
 std::ostream& operator<<(std::ostream& out, const Answer& obj)
 {
   obj.printTo(out);
@@ -1755,14 +1995,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->headers.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->headers.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->headers[_i42].read(iprot);
+              xfer += this->headers[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1803,6 +2043,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->notice.read(iprot);
+          this->__isset.notice = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1827,10 +2075,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter43;
-    for (_iter43 = this->headers.begin(); _iter43 != this->headers.end(); ++_iter43)
+    std::vector<Header> ::const_iterator _iter53;
+    for (_iter53 = this->headers.begin(); _iter53 != this->headers.end(); ++_iter53)
     {
-      xfer += (*_iter43).write(oprot);
+      xfer += (*_iter53).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1852,6 +2100,11 @@
   xfer += oprot->writeI64(this->runUs);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.notice) {
+    xfer += oprot->writeFieldBegin("notice", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->notice.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1865,45 +2118,50 @@
   swap(a.endpoint, b.endpoint);
   swap(a.load, b.load);
   swap(a.runUs, b.runUs);
+  swap(a.notice, b.notice);
   swap(a.__isset, b.__isset);
 }
 
-Answer::Answer(const Answer& other44) {
-  status = other44.status;
-  headers = other44.headers;
-  bodyBytes = other44.bodyBytes;
-  endpoint = other44.endpoint;
-  load = other44.load;
-  runUs = other44.runUs;
-  __isset = other44.__isset;
-}
-Answer::Answer(Answer&& other45) noexcept {
-  status = other45.status;
-  headers = std::move(other45.headers);
-  bodyBytes = other45.bodyBytes;
-  endpoint = std::move(other45.endpoint);
-  load = std::move(other45.load);
-  runUs = other45.runUs;
-  __isset = other45.__isset;
-}
-Answer& Answer::operator=(const Answer& other46) {
-  status = other46.status;
-  headers = other46.headers;
-  bodyBytes = other46.bodyBytes;
-  endpoint = other46.endpoint;
-  load = other46.load;
-  runUs = other46.runUs;
-  __isset = other46.__isset;
+Answer::Answer(const Answer& other54) {
+  status = other54.status;
+  headers = other54.headers;
+  bodyBytes = other54.bodyBytes;
+  endpoint = other54.endpoint;
+  load = other54.load;
+  runUs = other54.runUs;
+  notice = other54.notice;
+  __isset = other54.__isset;
+}
+Answer::Answer(Answer&& other55) noexcept {
+  status = other55.status;
+  headers = std::move(other55.headers);
+  bodyBytes = other55.bodyBytes;
+  endpoint = std::move(other55.endpoint);
+  load = std::move(other55.load);
+  runUs = other55.runUs;
+  notice = std::move(other55.notice);
+  __isset = other55.__isset;
+}
+Answer& Answer::operator=(const Answer& other56) {
+  status = other56.status;
+  headers = other56.headers;
+  bodyBytes = other56.bodyBytes;
+  endpoint = other56.endpoint;
+  load = other56.load;
+  runUs = other56.runUs;
+  notice = other56.notice;
+  __isset = other56.__isset;
   return *this;
 }
-Answer& Answer::operator=(Answer&& other47) noexcept {
-  status = other47.status;
-  headers = std::move(other47.headers);
-  bodyBytes = other47.bodyBytes;
-  endpoint = std::move(other47.endpoint);
-  load = std::move(other47.load);
-  runUs = other47.runUs;
-  __isset = other47.__isset;
+Answer& Answer::operator=(Answer&& other57) noexcept {
+  status = other57.status;
+  headers = std::move(other57.headers);
+  bodyBytes = other57.bodyBytes;
+  endpoint = std::move(other57.endpoint);
+  load = std::move(other57.load);
+  runUs = other57.runUs;
+  notice = std::move(other57.notice);
+  __isset = other57.__isset;
   return *this;
 }
 void Answer::printTo(std::ostream& out) const {
@@ -1915,6 +2173,7 @@
   out << ", " << "endpoint=" << to_string(endpoint);
   out << ", " << "load=" << to_string(load);
   out << ", " << "runUs=" << to_string(runUs);
+  out << ", " << "notice="; (__isset.notice ? (out << to_string(notice)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2113,50 +2372,50 @@
   swap(a.__isset, b.__isset);
 }
 
-Failure::Failure(const Failure& other48) {
-  kind = other48.kind;
-  run = other48.run;
-  detail = other48.detail;
-  retryAfterMs = other48.retryAfterMs;
-  load = other48.load;
-  endpoint = other48.endpoint;
-  isCrash = other48.isCrash;
-  hasReached = other48.hasReached;
-  __isset = other48.__isset;
-}
-Failure::Failure(Failure&& other49) noexcept {
-  kind = other49.kind;
-  run = other49.run;
-  detail = std::move(other49.detail);
-  retryAfterMs = other49.retryAfterMs;
-  load = std::move(other49.load);
-  endpoint = std::move(other49.endpoint);
-  isCrash = other49.isCrash;
-  hasReached = other49.hasReached;
-  __isset = other49.__isset;
-}
-Failure& Failure::operator=(const Failure& other50) {
-  kind = other50.kind;
-  run = other50.run;
-  detail = other50.detail;
-  retryAfterMs = other50.retryAfterMs;
-  load = other50.load;
-  endpoint = other50.endpoint;
-  isCrash = other50.isCrash;
-  hasReached = other50.hasReached;
-  __isset = other50.__isset;
+Failure::Failure(const Failure& other58) {
+  kind = other58.kind;
+  run = other58.run;
+  detail = other58.detail;
+  retryAfterMs = other58.retryAfterMs;
+  load = other58.load;
+  endpoint = other58.endpoint;
+  isCrash = other58.isCrash;
+  hasReached = other58.hasReached;
+  __isset = other58.__isset;
+}
+Failure::Failure(Failure&& other59) noexcept {
+  kind = other59.kind;
+  run = other59.run;
+  detail = std::move(other59.detail);
+  retryAfterMs = other59.retryAfterMs;
+  load = std::move(other59.load);
+  endpoint = std::move(other59.endpoint);
+  isCrash = other59.isCrash;
+  hasReached = other59.hasReached;
+  __isset = other59.__isset;
+}
+Failure& Failure::operator=(const Failure& other60) {
+  kind = other60.kind;
+  run = other60.run;
+  detail = other60.detail;
+  retryAfterMs = other60.retryAfterMs;
+  load = other60.load;
+  endpoint = other60.endpoint;
+  isCrash = other60.isCrash;
+  hasReached = other60.hasReached;
+  __isset = other60.__isset;
   return *this;
 }
-Failure& Failure::operator=(Failure&& other51) noexcept {
-  kind = other51.kind;
-  run = other51.run;
-  detail = std::move(other51.detail);
-  retryAfterMs = other51.retryAfterMs;
-  load = std::move(other51.load);
-  endpoint = std::move(other51.endpoint);
-  isCrash = other51.isCrash;
-  hasReached = other51.hasReached;
-  __isset = other51.__isset;
+Failure& Failure::operator=(Failure&& other61) noexcept {
+  kind = other61.kind;
+  run = other61.run;
+  detail = std::move(other61.detail);
+  retryAfterMs = other61.retryAfterMs;
+  load = std::move(other61.load);
+  endpoint = std::move(other61.endpoint);
+  isCrash = other61.isCrash;
+  hasReached = other61.hasReached;
+  __isset = other61.__isset;
   return *this;
 }
 void Failure::printTo(std::ostream& out) const {
@@ -2228,18 +2487,18 @@
   (void) b;
 }
 
-Cancel::Cancel(const Cancel& other52) noexcept {
-  (void) other52;
+Cancel::Cancel(const Cancel& other62) noexcept {
+  (void) other62;
 }
-Cancel::Cancel(Cancel&& other53) noexcept {
-  (void) other53;
+Cancel::Cancel(Cancel&& other63) noexcept {
+  (void) other63;
 }
-Cancel& Cancel::operator=(const Cancel& other54) noexcept {
-  (void) other54;
+Cancel& Cancel::operator=(const Cancel& other64) noexcept {
+  (void) other64;
   return *this;
 }
-Cancel& Cancel::operator=(Cancel&& other55) noexcept {
-  (void) other55;
+Cancel& Cancel::operator=(Cancel&& other65) noexcept {
+  (void) other65;
   return *this;
 }
 void Cancel::printTo(std::ostream& out) const {
@@ -2303,18 +2562,18 @@
   (void) b;
 }
 
-Keep::Keep(const Keep& other56) noexcept {
-  (void) other56;
+Keep::Keep(const Keep& other66) noexcept {
+  (void) other66;
 }
-Keep::Keep(Keep&& other57) noexcept {
-  (void) other57;
+Keep::Keep(Keep&& other67) noexcept {
+  (void) other67;
 }
-Keep& Keep::operator=(const Keep& other58) noexcept {
-  (void) other58;
+Keep& Keep::operator=(const Keep& other68) noexcept {
+  (void) other68;
   return *this;
 }
-Keep& Keep::operator=(Keep&& other59) noexcept {
-  (void) other59;
+Keep& Keep::operator=(Keep&& other69) noexcept {
+  (void) other69;
   return *this;
 }
 void Keep::printTo(std::ostream& out) const {
@@ -2450,34 +2709,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Revoke::Revoke(const Revoke& other60) {
-  attemptId = other60.attemptId;
-  gateBootId = other60.gateBootId;
-  timeoutMs = other60.timeoutMs;
-  askedNode = other60.askedNode;
-  __isset = other60.__isset;
-}
-Revoke::Revoke(Revoke&& other61) noexcept {
-  attemptId = std::move(other61.attemptId);
-  gateBootId = other61.gateBootId;
-  timeoutMs = other61.timeoutMs;
-  askedNode = std::move(other61.askedNode);
-  __isset = other61.__isset;
-}
-Revoke& Revoke::operator=(const Revoke& other62) {
-  attemptId = other62.attemptId;
-  gateBootId = other62.gateBootId;
-  timeoutMs = other62.timeoutMs;
-  askedNode = other62.askedNode;
-  __isset = other62.__isset;
+Revoke::Revoke(const Revoke& other70) {
+  attemptId = other70.attemptId;
+  gateBootId = other70.gateBootId;
+  timeoutMs = other70.timeoutMs;
+  askedNode = other70.askedNode;
+  __isset = other70.__isset;
+}
+Revoke::Revoke(Revoke&& other71) noexcept {
+  attemptId = std::move(other71.attemptId);
+  gateBootId = other71.gateBootId;
+  timeoutMs = other71.timeoutMs;
+  askedNode = std::move(other71.askedNode);
+  __isset = other71.__isset;
+}
+Revoke& Revoke::operator=(const Revoke& other72) {
+  attemptId = other72.attemptId;
+  gateBootId = other72.gateBootId;
+  timeoutMs = other72.timeoutMs;
+  askedNode = other72.askedNode;
+  __isset = other72.__isset;
   return *this;
 }
-Revoke& Revoke::operator=(Revoke&& other63) noexcept {
-  attemptId = std::move(other63.attemptId);
-  gateBootId = other63.gateBootId;
-  timeoutMs = other63.timeoutMs;
-  askedNode = std::move(other63.askedNode);
-  __isset = other63.__isset;
+Revoke& Revoke::operator=(Revoke&& other73) noexcept {
+  attemptId = std::move(other73.attemptId);
+  gateBootId = other73.gateBootId;
+  timeoutMs = other73.timeoutMs;
+  askedNode = std::move(other73.askedNode);
+  __isset = other73.__isset;
   return *this;
 }
 void Revoke::printTo(std::ostream& out) const {
@@ -2583,26 +2842,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Revoked::Revoked(const Revoked& other64) noexcept {
-  state = other64.state;
-  isUnreachable = other64.isUnreachable;
-  __isset = other64.__isset;
+Revoked::Revoked(const Revoked& other74) noexcept {
+  state = other74.state;
+  isUnreachable = other74.isUnreachable;
+  __isset = other74.__isset;
 }
-Revoked::Revoked(Revoked&& other65) noexcept {
-  state = other65.state;
-  isUnreachable = other65.isUnreachable;
-  __isset = other65.__isset;
+Revoked::Revoked(Revoked&& other75) noexcept {
+  state = other75.state;
+  isUnreachable = other75.isUnreachable;
+  __isset = other75.__isset;
 }
-Revoked& Revoked::operator=(const Revoked& other66) noexcept {
-  state = other66.state;
-  isUnreachable = other66.isUnreachable;
-  __isset = other66.__isset;
+Revoked& Revoked::operator=(const Revoked& other76) noexcept {
+  state = other76.state;
+  isUnreachable = other76.isUnreachable;
+  __isset = other76.__isset;
   return *this;
 }
-Revoked& Revoked::operator=(Revoked&& other67) noexcept {
-  state = other67.state;
-  isUnreachable = other67.isUnreachable;
-  __isset = other67.__isset;
+Revoked& Revoked::operator=(Revoked&& other77) noexcept {
+  state = other77.state;
+  isUnreachable = other77.isUnreachable;
+  __isset = other77.__isset;
   return *this;
 }
 void Revoked::printTo(std::ostream& out) const {
@@ -2669,14 +2928,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->headers.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->headers.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += this->headers[_i72].read(iprot);
+              xfer += this->headers[_i82].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2717,10 +2976,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter73;
-    for (_iter73 = this->headers.begin(); _iter73 != this->headers.end(); ++_iter73)
+    std::vector<Header> ::const_iterator _iter83;
+    for (_iter83 = this->headers.begin(); _iter83 != this->headers.end(); ++_iter83)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter83).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2743,30 +3002,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredAnswer::StoredAnswer(const StoredAnswer& other74) {
-  status = other74.status;
-  headers = other74.headers;
-  body = other74.body;
-  __isset = other74.__isset;
+StoredAnswer::StoredAnswer(const StoredAnswer& other84) {
+  status = other84.status;
+  headers = other84.headers;
+  body = other84.body;
+  __isset = other84.__isset;
 }
-StoredAnswer::StoredAnswer(StoredAnswer&& other75) noexcept {
-  status = other75.status;
-  headers = std::move(other75.headers);
-  body = std::move(other75.body);
-  __isset = other75.__isset;
+StoredAnswer::StoredAnswer(StoredAnswer&& other85) noexcept {
+  status = other85.status;
+  headers = std::move(other85.headers);
+  body = std::move(other85.body);
+  __isset = other85.__isset;
 }
-StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other76) {
-  status = other76.status;
-  headers = other76.headers;
-  body = other76.body;
-  __isset = other76.__isset;
+StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other86) {
+  status = other86.status;
+  headers = other86.headers;
+  body = other86.body;
+  __isset = other86.__isset;
   return *this;
 }
-StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other77) noexcept {
-  status = other77.status;
-  headers = std::move(other77.headers);
-  body = std::move(other77.body);
-  __isset = other77.__isset;
+StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other87) noexcept {
+  status = other87.status;
+  headers = std::move(other87.headers);
+  body = std::move(other87.body);
+  __isset = other87.__isset;
   return *this;
 }
 void StoredAnswer::printTo(std::ostream& out) const {
@@ -2941,42 +3200,42 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyRecord::KeyRecord(const KeyRecord& other78) {
-  key = other78.key;
-  requestId = other78.requestId;
-  fingerprint = other78.fingerprint;
-  state = other78.state;
-  answer = other78.answer;
-  lifetimeMs = other78.lifetimeMs;
-  __isset = other78.__isset;
-}
-KeyRecord::KeyRecord(KeyRecord&& other79) noexcept {
-  key = std::move(other79.key);
-  requestId = std::move(other79.requestId);
-  fingerprint = other79.fingerprint;
-  state = other79.state;
-  answer = std::move(other79.answer);
-  lifetimeMs = other79.lifetimeMs;
-  __isset = other79.__isset;
-}
-KeyRecord& KeyRecord::operator=(const KeyRecord& other80) {
-  key = other80.key;
-  requestId = other80.requestId;
-  fingerprint = other80.fingerprint;
-  state = other80.state;
-  answer = other80.answer;
-  lifetimeMs = other80.lifetimeMs;
-  __isset = other80.__isset;
+KeyRecord::KeyRecord(const KeyRecord& other88) {
+  key = other88.key;
+  requestId = other88.requestId;
+  fingerprint = other88.fingerprint;
+  state = other88.state;
+  answer = other88.answer;
+  lifetimeMs = other88.lifetimeMs;
+  __isset = other88.__isset;
+}
+KeyRecord::KeyRecord(KeyRecord&& other89) noexcept {
+  key = std::move(other89.key);
+  requestId = std::move(other89.requestId);
+  fingerprint = other89.fingerprint;
+  state = other89.state;
+  answer = std::move(other89.answer);
+  lifetimeMs = other89.lifetimeMs;
+  __isset = other89.__isset;
+}
+KeyRecord& KeyRecord::operator=(const KeyRecord& other90) {
+  key = other90.key;
+  requestId = other90.requestId;
+  fingerprint = other90.fingerprint;
+  state = other90.state;
+  answer = other90.answer;
+  lifetimeMs = other90.lifetimeMs;
+  __isset = other90.__isset;
   return *this;
 }
-KeyRecord& KeyRecord::operator=(KeyRecord&& other81) noexcept {
-  key = std::move(other81.key);
-  requestId = std::move(other81.requestId);
-  fingerprint = other81.fingerprint;
-  state = other81.state;
-  answer = std::move(other81.answer);
-  lifetimeMs = other81.lifetimeMs;
-  __isset = other81.__isset;
+KeyRecord& KeyRecord::operator=(KeyRecord&& other91) noexcept {
+  key = std::move(other91.key);
+  requestId = std::move(other91.requestId);
+  fingerprint = other91.fingerprint;
+  state = other91.state;
+  answer = std::move(other91.answer);
+  lifetimeMs = other91.lifetimeMs;
+  __isset = other91.__isset;
   return *this;
 }
 void KeyRecord::printTo(std::ostream& out) const {
@@ -3037,9 +3296,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast82;
-          xfer += iprot->readI32(ecast82);
-          this->operation = static_cast<KeyOperation::type>(ecast82);
+          int32_t ecast92;
+          xfer += iprot->readI32(ecast92);
+          this->operation = static_cast<KeyOperation::type>(ecast92);
           this->__isset.operation = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3103,30 +3362,30 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyRequest::KeyRequest(const KeyRequest& other83) {
-  operation = other83.operation;
-  record = other83.record;
-  rosterOffset = other83.rosterOffset;
-  __isset = other83.__isset;
+KeyRequest::KeyRequest(const KeyRequest& other93) {
+  operation = other93.operation;
+  record = other93.record;
+  rosterOffset = other93.rosterOffset;
+  __isset = other93.__isset;
 }
-KeyRequest::KeyRequest(KeyRequest&& other84) noexcept {
-  operation = other84.operation;
-  record = std::move(other84.record);
-  rosterOffset = other84.rosterOffset;
-  __isset = other84.__isset;
+KeyRequest::KeyRequest(KeyRequest&& other94) noexcept {
+  operation = other94.operation;
+  record = std::move(other94.record);
+  rosterOffset = other94.rosterOffset;
+  __isset = other94.__isset;
 }
-KeyRequest& KeyRequest::operator=(const KeyRequest& other85) {
-  operation = other85.operation;
-  record = other85.record;
-  rosterOffset = other85.rosterOffset;
-  __isset = other85.__isset;
+KeyRequest& KeyRequest::operator=(const KeyRequest& other95) {
+  operation = other95.operation;
+  record = other95.record;
+  rosterOffset = other95.rosterOffset;
+  __isset = other95.__isset;
   return *this;
 }
-KeyRequest& KeyRequest::operator=(KeyRequest&& other86) noexcept {
-  operation = other86.operation;
-  record = std::move(other86.record);
-  rosterOffset = other86.rosterOffset;
-  __isset = other86.__isset;
+KeyRequest& KeyRequest::operator=(KeyRequest&& other96) noexcept {
+  operation = other96.operation;
+  record = std::move(other96.record);
+  rosterOffset = other96.rosterOffset;
+  __isset = other96.__isset;
   return *this;
 }
 void KeyRequest::printTo(std::ostream& out) const {
@@ -3250,30 +3509,30 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyReply::KeyReply(const KeyReply& other87) {
-  verdict = other87.verdict;
-  record = other87.record;
-  rosterOffset = other87.rosterOffset;
-  __isset = other87.__isset;
+KeyReply::KeyReply(const KeyReply& other97) {
+  verdict = other97.verdict;
+  record = other97.record;
+  rosterOffset = other97.rosterOffset;
+  __isset = other97.__isset;
 }
-KeyReply::KeyReply(KeyReply&& other88) noexcept {
-  verdict = other88.verdict;
-  record = std::move(other88.record);
-  rosterOffset = other88.rosterOffset;
-  __isset = other88.__isset;
+KeyReply::KeyReply(KeyReply&& other98) noexcept {
+  verdict = other98.verdict;
+  record = std::move(other98.record);
+  rosterOffset = other98.rosterOffset;
+  __isset = other98.__isset;
 }
-KeyReply& KeyReply::operator=(const KeyReply& other89) {
-  verdict = other89.verdict;
-  record = other89.record;
-  rosterOffset = other89.rosterOffset;
-  __isset = other89.__isset;
+KeyReply& KeyReply::operator=(const KeyReply& other99) {
+  verdict = other99.verdict;
+  record = other99.record;
+  rosterOffset = other99.rosterOffset;
+  __isset = other99.__isset;
   return *this;
 }
-KeyReply& KeyReply::operator=(KeyReply&& other90) noexcept {
-  verdict = other90.verdict;
-  record = std::move(other90.record);
-  rosterOffset = other90.rosterOffset;
-  __isset = other90.__isset;
+KeyReply& KeyReply::operator=(KeyReply&& other100) noexcept {
+  verdict = other100.verdict;
+  record = std::move(other100.record);
+  rosterOffset = other100.rosterOffset;
+  __isset = other100.__isset;
   return *this;
 }
 void KeyReply::printTo(std::ostream& out) const {
@@ -3446,42 +3705,42 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointRecord::EndpointRecord(const EndpointRecord& other91) {
-  name = other91.name;
-  workspace = other91.workspace;
-  serviceName = other91.serviceName;
-  slots = other91.slots;
-  generation = other91.generation;
-  state = other91.state;
-  __isset = other91.__isset;
-}
-EndpointRecord::EndpointRecord(EndpointRecord&& other92) noexcept {
-  name = std::move(other92.name);
-  workspace = std::move(other92.workspace);
-  serviceName = std::move(other92.serviceName);
-  slots = other92.slots;
-  generation = other92.generation;
-  state = other92.state;
-  __isset = other92.__isset;
-}
-EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other93) {
-  name = other93.name;
-  workspace = other93.workspace;
-  serviceName = other93.serviceName;
-  slots = other93.slots;
-  generation = other93.generation;
-  state = other93.state;
-  __isset = other93.__isset;
+EndpointRecord::EndpointRecord(const EndpointRecord& other101) {
+  name = other101.name;
+  workspace = other101.workspace;
+  serviceName = other101.serviceName;
+  slots = other101.slots;
+  generation = other101.generation;
+  state = other101.state;
+  __isset = other101.__isset;
+}
+EndpointRecord::EndpointRecord(EndpointRecord&& other102) noexcept {
+  name = std::move(other102.name);
+  workspace = std::move(other102.workspace);
+  serviceName = std::move(other102.serviceName);
+  slots = other102.slots;
+  generation = other102.generation;
+  state = other102.state;
+  __isset = other102.__isset;
+}
+EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other103) {
+  name = other103.name;
+  workspace = other103.workspace;
+  serviceName = other103.serviceName;
+  slots = other103.slots;
+  generation = other103.generation;
+  state = other103.state;
+  __isset = other103.__isset;
   return *this;
 }
-EndpointRecord& EndpointRecord::operator=(EndpointRecord&& other94) noexcept {
-  name = std::move(other94.name);
-  workspace = std::move(other94.workspace);
-  serviceName = std::move(other94.serviceName);
-  slots = other94.slots;
-  generation = other94.generation;
-  state = other94.state;
-  __isset = other94.__isset;
+EndpointRecord& EndpointRecord::operator=(EndpointRecord&& other104) noexcept {
+  name = std::move(other104.name);
+  workspace = std::move(other104.workspace);
+  serviceName = std::move(other104.serviceName);
+  slots = other104.slots;
+  generation = other104.generation;
+  state = other104.state;
+  __isset = other104.__isset;
   return *this;
 }
 void EndpointRecord::printTo(std::ostream& out) const {
@@ -3589,26 +3848,26 @@
   swap(a.__isset, b.__isset);
 }
 
-DepartedRecord::DepartedRecord(const DepartedRecord& other95) {
-  name = other95.name;
-  startedAtMs = other95.startedAtMs;
-  __isset = other95.__isset;
+DepartedRecord::DepartedRecord(const DepartedRecord& other105) {
+  name = other105.name;
+  startedAtMs = other105.startedAtMs;
+  __isset = other105.__isset;
 }
-DepartedRecord::DepartedRecord(DepartedRecord&& other96) noexcept {
-  name = std::move(other96.name);
-  startedAtMs = other96.startedAtMs;
-  __isset = other96.__isset;
+DepartedRecord::DepartedRecord(DepartedRecord&& other106) noexcept {
+  name = std::move(other106.name);
+  startedAtMs = other106.startedAtMs;
+  __isset = other106.__isset;
 }
-DepartedRecord& DepartedRecord::operator=(const DepartedRecord& other97) {
-  name = other97.name;
-  startedAtMs = other97.startedAtMs;
-  __isset = other97.__isset;
+DepartedRecord& DepartedRecord::operator=(const DepartedRecord& other107) {
+  name = other107.name;
+  startedAtMs = other107.startedAtMs;
+  __isset = other107.__isset;
   return *this;
 }
-DepartedRecord& DepartedRecord::operator=(DepartedRecord&& other98) noexcept {
-  name = std::move(other98.name);
-  startedAtMs = other98.startedAtMs;
-  __isset = other98.__isset;
+DepartedRecord& DepartedRecord::operator=(DepartedRecord&& other108) noexcept {
+  name = std::move(other108.name);
+  startedAtMs = other108.startedAtMs;
+  __isset = other108.__isset;
   return *this;
 }
 void DepartedRecord::printTo(std::ostream& out) const {
@@ -3755,14 +4014,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size99;
-            ::apache::thrift::protocol::TType _etype102;
-            xfer += iprot->readListBegin(_etype102, _size99);
-            this->endpoints.resize(_size99);
-            uint32_t _i103;
-            for (_i103 = 0; _i103 < _size99; ++_i103)
+            uint32_t _size109;
+            ::apache::thrift::protocol::TType _etype112;
+            xfer += iprot->readListBegin(_etype112, _size109);
+            this->endpoints.resize(_size109);
+            uint32_t _i113;
+            for (_i113 = 0; _i113 < _size109; ++_i113)
             {
-              xfer += this->endpoints[_i103].read(iprot);
+              xfer += this->endpoints[_i113].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3791,14 +4050,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departed.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->departed.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->departed.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += this->departed[_i108].read(iprot);
+              xfer += this->departed[_i118].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3855,10 +4114,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter109;
-    for (_iter109 = this->endpoints.begin(); _iter109 != this->endpoints.end(); ++_iter109)
+    std::vector<EndpointRecord> ::const_iterator _iter119;
+    for (_iter119 = this->endpoints.begin(); _iter119 != this->endpoints.end(); ++_iter119)
     {
-      xfer += (*_iter109).write(oprot);
+      xfer += (*_iter119).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3875,10 +4134,10 @@
   xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departed.size()));
-    std::vector<DepartedRecord> ::const_iterator _iter110;
-    for (_iter110 = this->departed.begin(); _iter110 != this->departed.end(); ++_iter110)
+    std::vector<DepartedRecord> ::const_iterator _iter120;
+    for (_iter120 = this->departed.begin(); _iter120 != this->departed.end(); ++_iter120)
     {
-      xfer += (*_iter110).write(oprot);
+      xfer += (*_iter120).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3905,62 +4164,62 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other111) {
-  node = other111.node;
-  bootId = other111.bootId;
-  version = other111.version;
-  fleetAddress = other111.fleetAddress;
-  adminAddress = other111.adminAddress;
-  dataCentre = other111.dataCentre;
-  state = other111.state;
-  endpoints = other111.endpoints;
-  settingsOffset = other111.settingsOffset;
-  ledgerOffset = other111.ledgerOffset;
-  departed = other111.departed;
-  __isset = other111.__isset;
-}
-MemberRecord::MemberRecord(MemberRecord&& other112) noexcept {
-  node = std::move(other112.node);
-  bootId = other112.bootId;
-  version = other112.version;
-  fleetAddress = std::move(other112.fleetAddress);
-  adminAddress = std::move(other112.adminAddress);
-  dataCentre = std::move(other112.dataCentre);
-  state = other112.state;
-  endpoints = std::move(other112.endpoints);
-  settingsOffset = other112.settingsOffset;
-  ledgerOffset = other112.ledgerOffset;
-  departed = std::move(other112.departed);
-  __isset = other112.__isset;
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other113) {
-  node = other113.node;
-  bootId = other113.bootId;
-  version = other113.version;
-  fleetAddress = other113.fleetAddress;
-  adminAddress = other113.adminAddress;
-  dataCentre = other113.dataCentre;
-  state = other113.state;
-  endpoints = other113.endpoints;
-  settingsOffset = other113.settingsOffset;
-  ledgerOffset = other113.ledgerOffset;
-  departed = other113.departed;
-  __isset = other113.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other121) {
+  node = other121.node;
+  bootId = other121.bootId;
+  version = other121.version;
+  fleetAddress = other121.fleetAddress;
+  adminAddress = other121.adminAddress;
+  dataCentre = other121.dataCentre;
+  state = other121.state;
+  endpoints = other121.endpoints;
+  settingsOffset = other121.settingsOffset;
+  ledgerOffset = other121.ledgerOffset;
+  departed = other121.departed;
+  __isset = other121.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other122) noexcept {
+  node = std::move(other122.node);
+  bootId = other122.bootId;
+  version = other122.version;
+  fleetAddress = std::move(other122.fleetAddress);
+  adminAddress = std::move(other122.adminAddress);
+  dataCentre = std::move(other122.dataCentre);
+  state = other122.state;
+  endpoints = std::move(other122.endpoints);
+  settingsOffset = other122.settingsOffset;
+  ledgerOffset = other122.ledgerOffset;
+  departed = std::move(other122.departed);
+  __isset = other122.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other123) {
+  node = other123.node;
+  bootId = other123.bootId;
+  version = other123.version;
+  fleetAddress = other123.fleetAddress;
+  adminAddress = other123.adminAddress;
+  dataCentre = other123.dataCentre;
+  state = other123.state;
+  endpoints = other123.endpoints;
+  settingsOffset = other123.settingsOffset;
+  ledgerOffset = other123.ledgerOffset;
+  departed = other123.departed;
+  __isset = other123.__isset;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other114) noexcept {
-  node = std::move(other114.node);
-  bootId = other114.bootId;
-  version = other114.version;
-  fleetAddress = std::move(other114.fleetAddress);
-  adminAddress = std::move(other114.adminAddress);
-  dataCentre = std::move(other114.dataCentre);
-  state = other114.state;
-  endpoints = std::move(other114.endpoints);
-  settingsOffset = other114.settingsOffset;
-  ledgerOffset = other114.ledgerOffset;
-  departed = std::move(other114.departed);
-  __isset = other114.__isset;
+MemberRecord& MemberRecord::operator=(MemberRecord&& other124) noexcept {
+  node = std::move(other124.node);
+  bootId = other124.bootId;
+  version = other124.version;
+  fleetAddress = std::move(other124.fleetAddress);
+  adminAddress = std::move(other124.adminAddress);
+  dataCentre = std::move(other124.dataCentre);
+  state = other124.state;
+  endpoints = std::move(other124.endpoints);
+  settingsOffset = other124.settingsOffset;
+  ledgerOffset = other124.ledgerOffset;
+  departed = std::move(other124.departed);
+  __isset = other124.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -4036,17 +4295,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->crashes.clear();
-            uint32_t _size115;
-            ::apache::thrift::protocol::TType _ktype116;
-            ::apache::thrift::protocol::TType _vtype117;
-            xfer += iprot->readMapBegin(_ktype116, _vtype117, _size115);
-            uint32_t _i119;
-            for (_i119 = 0; _i119 < _size115; ++_i119)
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _ktype126;
+            ::apache::thrift::protocol::TType _vtype127;
+            xfer += iprot->readMapBegin(_ktype126, _vtype127, _size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
             {
-              std::string _key120;
-              xfer += iprot->readString(_key120);
-              int32_t& _val121 = this->crashes[_key120];
-              xfer += iprot->readI32(_val121);
+              std::string _key130;
+              xfer += iprot->readString(_key130);
+              int32_t& _val131 = this->crashes[_key130];
+              xfer += iprot->readI32(_val131);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4087,11 +4346,11 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crashes.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter122;
-    for (_iter122 = this->crashes.begin(); _iter122 != this->crashes.end(); ++_iter122)
+    std::map<std::string, int32_t> ::const_iterator _iter132;
+    for (_iter132 = this->crashes.begin(); _iter132 != this->crashes.end(); ++_iter132)
     {
-      xfer += oprot->writeString(_iter122->first);
-      xfer += oprot->writeI32(_iter122->second);
+      xfer += oprot->writeString(_iter132->first);
+      xfer += oprot->writeI32(_iter132->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -4114,30 +4373,30 @@
   swap(a.__isset, b.__isset);
 }
 
-QuarantineRecord::QuarantineRecord(const QuarantineRecord& other123) {
-  fingerprint = other123.fingerprint;
-  crashes = other123.crashes;
-  remainingMs = other123.remainingMs;
-  __isset = other123.__isset;
+QuarantineRecord::QuarantineRecord(const QuarantineRecord& other133) {
+  fingerprint = other133.fingerprint;
+  crashes = other133.crashes;
+  remainingMs = other133.remainingMs;
+  __isset = other133.__isset;
 }
-QuarantineRecord::QuarantineRecord(QuarantineRecord&& other124) noexcept {
-  fingerprint = other124.fingerprint;
-  crashes = std::move(other124.crashes);
-  remainingMs = other124.remainingMs;
-  __isset = other124.__isset;
+QuarantineRecord::QuarantineRecord(QuarantineRecord&& other134) noexcept {
+  fingerprint = other134.fingerprint;
+  crashes = std::move(other134.crashes);
+  remainingMs = other134.remainingMs;
+  __isset = other134.__isset;
 }
-QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other125) {
-  fingerprint = other125.fingerprint;
-  crashes = other125.crashes;
-  remainingMs = other125.remainingMs;
-  __isset = other125.__isset;
+QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other135) {
+  fingerprint = other135.fingerprint;
+  crashes = other135.crashes;
+  remainingMs = other135.remainingMs;
+  __isset = other135.__isset;
   return *this;
 }
-QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other126) noexcept {
-  fingerprint = other126.fingerprint;
-  crashes = std::move(other126.crashes);
-  remainingMs = other126.remainingMs;
-  __isset = other126.__isset;
+QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other136) noexcept {
+  fingerprint = other136.fingerprint;
+  crashes = std::move(other136.crashes);
+  remainingMs = other136.remainingMs;
+  __isset = other136.__isset;
   return *this;
 }
 void QuarantineRecord::printTo(std::ostream& out) const {
@@ -4242,26 +4501,26 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberUpdate::MemberUpdate(const MemberUpdate& other127) {
-  record = other127.record;
-  state = other127.state;
-  __isset = other127.__isset;
+MemberUpdate::MemberUpdate(const MemberUpdate& other137) {
+  record = other137.record;
+  state = other137.state;
+  __isset = other137.__isset;
 }
-MemberUpdate::MemberUpdate(MemberUpdate&& other128) noexcept {
-  record = std::move(other128.record);
-  state = other128.state;
-  __isset = other128.__isset;
+MemberUpdate::MemberUpdate(MemberUpdate&& other138) noexcept {
+  record = std::move(other138.record);
+  state = other138.state;
+  __isset = other138.__isset;
 }
-MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other129) {
-  record = other129.record;
-  state = other129.state;
-  __isset = other129.__isset;
+MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other139) {
+  record = other139.record;
+  state = other139.state;
+  __isset = other139.__isset;
   return *this;
 }
-MemberUpdate& MemberUpdate::operator=(MemberUpdate&& other130) noexcept {
-  record = std::move(other130.record);
-  state = other130.state;
-  __isset = other130.__isset;
+MemberUpdate& MemberUpdate::operator=(MemberUpdate&& other140) noexcept {
+  record = std::move(other140.record);
+  state = other140.state;
+  __isset = other140.__isset;
   return *this;
 }
 void MemberUpdate::printTo(std::ostream& out) const {
@@ -4348,17 +4607,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->states.clear();
-            uint32_t _size131;
-            ::apache::thrift::protocol::TType _ktype132;
-            ::apache::thrift::protocol::TType _vtype133;
-            xfer += iprot->readMapBegin(_ktype132, _vtype133, _size131);
-            uint32_t _i135;
-            for (_i135 = 0; _i135 < _size131; ++_i135)
+            uint32_t _size141;
+            ::apache::thrift::protocol::TType _ktype142;
+            ::apache::thrift::protocol::TType _vtype143;
+            xfer += iprot->readMapBegin(_ktype142, _vtype143, _size141);
+            uint32_t _i145;
+            for (_i145 = 0; _i145 < _size141; ++_i145)
             {
-              std::string _key136;
-              xfer += iprot->readString(_key136);
-              int32_t& _val137 = this->states[_key136];
-              xfer += iprot->readI32(_val137);
+              std::string _key146;
+              xfer += iprot->readString(_key146);
+              int32_t& _val147 = this->states[_key146];
+              xfer += iprot->readI32(_val147);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4399,11 +4658,11 @@
   xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->states.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter138;
-    for (_iter138 = this->states.begin(); _iter138 != this->states.end(); ++_iter138)
+    std::map<std::string, int32_t> ::const_iterator _iter148;
+    for (_iter148 = this->states.begin(); _iter148 != this->states.end(); ++_iter148)
     {
-      xfer += oprot->writeString(_iter138->first);
-      xfer += oprot->writeI32(_iter138->second);
+      xfer += oprot->writeString(_iter148->first);
+      xfer += oprot->writeI32(_iter148->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -4423,34 +4682,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StandingReport::StandingReport(const StandingReport& other139) {
-  node = other139.node;
-  bootId = other139.bootId;
-  sequence = other139.sequence;
-  states = other139.states;
-  __isset = other139.__isset;
-}
-StandingReport::StandingReport(StandingReport&& other140) noexcept {
-  node = std::move(other140.node);
-  bootId = other140.bootId;
-  sequence = other140.sequence;
-  states = std::move(other140.states);
-  __isset = other140.__isset;
-}
-StandingReport& StandingReport::operator=(const StandingReport& other141) {
-  node = other141.node;
-  bootId = other141.bootId;
-  sequence = other141.sequence;
-  states = other141.states;
-  __isset = other141.__isset;
+StandingReport::StandingReport(const StandingReport& other149) {
+  node = other149.node;
+  bootId = other149.bootId;
+  sequence = other149.sequence;
+  states = other149.states;
+  __isset = other149.__isset;
+}
+StandingReport::StandingReport(StandingReport&& other150) noexcept {
+  node = std::move(other150.node);
+  bootId = other150.bootId;
+  sequence = other150.sequence;
+  states = std::move(other150.states);
+  __isset = other150.__isset;
+}
+StandingReport& StandingReport::operator=(const StandingReport& other151) {
+  node = other151.node;
+  bootId = other151.bootId;
+  sequence = other151.sequence;
+  states = other151.states;
+  __isset = other151.__isset;
   return *this;
 }
-StandingReport& StandingReport::operator=(StandingReport&& other142) noexcept {
-  node = std::move(other142.node);
-  bootId = other142.bootId;
-  sequence = other142.sequence;
-  states = std::move(other142.states);
-  __isset = other142.__isset;
+StandingReport& StandingReport::operator=(StandingReport&& other152) noexcept {
+  node = std::move(other152.node);
+  bootId = other152.bootId;
+  sequence = other152.sequence;
+  states = std::move(other152.states);
+  __isset = other152.__isset;
   return *this;
 }
 void StandingReport::printTo(std::ostream& out) const {
@@ -4543,9 +4802,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast143;
-          xfer += iprot->readI32(ecast143);
-          this->kind = static_cast<GossipKind::type>(ecast143);
+          int32_t ecast153;
+          xfer += iprot->readI32(ecast153);
+          this->kind = static_cast<GossipKind::type>(ecast153);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4587,14 +4846,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size144;
-            ::apache::thrift::protocol::TType _etype147;
-            xfer += iprot->readListBegin(_etype147, _size144);
-            this->updates.resize(_size144);
-            uint32_t _i148;
-            for (_i148 = 0; _i148 < _size144; ++_i148)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->updates.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              xfer += this->updates[_i148].read(iprot);
+              xfer += this->updates[_i158].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4607,14 +4866,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size149;
-            ::apache::thrift::protocol::TType _etype152;
-            xfer += iprot->readListBegin(_etype152, _size149);
-            this->buckets.resize(_size149);
-            uint32_t _i153;
-            for (_i153 = 0; _i153 < _size149; ++_i153)
+            uint32_t _size159;
+            ::apache::thrift::protocol::TType _etype162;
+            xfer += iprot->readListBegin(_etype162, _size159);
+            this->buckets.resize(_size159);
+            uint32_t _i163;
+            for (_i163 = 0; _i163 < _size159; ++_i163)
             {
-              xfer += iprot->readI64(this->buckets[_i153]);
+              xfer += iprot->readI64(this->buckets[_i163]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4627,14 +4886,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size154;
-            ::apache::thrift::protocol::TType _etype157;
-            xfer += iprot->readListBegin(_etype157, _size154);
-            this->quarantines.resize(_size154);
-            uint32_t _i158;
-            for (_i158 = 0; _i158 < _size154; ++_i158)
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->quarantines.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
             {
-              xfer += this->quarantines[_i158].read(iprot);
+              xfer += this->quarantines[_i168].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4707,10 +4966,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<MemberUpdate> ::const_iterator _iter159;
-    for (_iter159 = this->updates.begin(); _iter159 != this->updates.end(); ++_iter159)
+    std::vector<MemberUpdate> ::const_iterator _iter169;
+    for (_iter169 = this->updates.begin(); _iter169 != this->updates.end(); ++_iter169)
     {
-      xfer += (*_iter159).write(oprot);
+      xfer += (*_iter169).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4719,10 +4978,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int64_t> ::const_iterator _iter160;
-    for (_iter160 = this->buckets.begin(); _iter160 != this->buckets.end(); ++_iter160)
+    std::vector<int64_t> ::const_iterator _iter170;
+    for (_iter170 = this->buckets.begin(); _iter170 != this->buckets.end(); ++_iter170)
     {
-      xfer += oprot->writeI64((*_iter160));
+      xfer += oprot->writeI64((*_iter170));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4731,10 +4990,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter161;
-    for (_iter161 = this->quarantines.begin(); _iter161 != this->quarantines.end(); ++_iter161)
+    std::vector<QuarantineRecord> ::const_iterator _iter171;
+    for (_iter171 = this->quarantines.begin(); _iter171 != this->quarantines.end(); ++_iter171)
     {
-      xfer += (*_iter161).write(oprot);
+      xfer += (*_iter171).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4775,62 +5034,62 @@
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other162) {
-  kind = other162.kind;
-  sender = other162.sender;
-  senderAddress = other162.senderAddress;
-  sequence = other162.sequence;
-  target = other162.target;
-  updates = other162.updates;
-  buckets = other162.buckets;
-  quarantines = other162.quarantines;
-  settingsNext = other162.settingsNext;
-  standings = other162.standings;
-  isSettingsFresh = other162.isSettingsFresh;
-  __isset = other162.__isset;
-}
-Gossip::Gossip(Gossip&& other163) noexcept {
-  kind = other163.kind;
-  sender = std::move(other163.sender);
-  senderAddress = std::move(other163.senderAddress);
-  sequence = other163.sequence;
-  target = std::move(other163.target);
-  updates = std::move(other163.updates);
-  buckets = std::move(other163.buckets);
-  quarantines = std::move(other163.quarantines);
-  settingsNext = other163.settingsNext;
-  standings = std::move(other163.standings);
-  isSettingsFresh = other163.isSettingsFresh;
-  __isset = other163.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other164) {
-  kind = other164.kind;
-  sender = other164.sender;
-  senderAddress = other164.senderAddress;
-  sequence = other164.sequence;
-  target = other164.target;
-  updates = other164.updates;
-  buckets = other164.buckets;
-  quarantines = other164.quarantines;
-  settingsNext = other164.settingsNext;
-  standings = other164.standings;
-  isSettingsFresh = other164.isSettingsFresh;
-  __isset = other164.__isset;
+Gossip::Gossip(const Gossip& other172) {
+  kind = other172.kind;
+  sender = other172.sender;
+  senderAddress = other172.senderAddress;
+  sequence = other172.sequence;
+  target = other172.target;
+  updates = other172.updates;
+  buckets = other172.buckets;
+  quarantines = other172.quarantines;
+  settingsNext = other172.settingsNext;
+  standings = other172.standings;
+  isSettingsFresh = other172.isSettingsFresh;
+  __isset = other172.__isset;
+}
+Gossip::Gossip(Gossip&& other173) noexcept {
+  kind = other173.kind;
+  sender = std::move(other173.sender);
+  senderAddress = std::move(other173.senderAddress);
+  sequence = other173.sequence;
+  target = std::move(other173.target);
+  updates = std::move(other173.updates);
+  buckets = std::move(other173.buckets);
+  quarantines = std::move(other173.quarantines);
+  settingsNext = other173.settingsNext;
+  standings = std::move(other173.standings);
+  isSettingsFresh = other173.isSettingsFresh;
+  __isset = other173.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other174) {
+  kind = other174.kind;
+  sender = other174.sender;
+  senderAddress = other174.senderAddress;
+  sequence = other174.sequence;
+  target = other174.target;
+  updates = other174.updates;
+  buckets = other174.buckets;
+  quarantines = other174.quarantines;
+  settingsNext = other174.settingsNext;
+  standings = other174.standings;
+  isSettingsFresh = other174.isSettingsFresh;
+  __isset = other174.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other165) noexcept {
-  kind = other165.kind;
-  sender = std::move(other165.sender);
-  senderAddress = std::move(other165.senderAddress);
-  sequence = other165.sequence;
-  target = std::move(other165.target);
-  updates = std::move(other165.updates);
-  buckets = std::move(other165.buckets);
-  quarantines = std::move(other165.quarantines);
-  settingsNext = other165.settingsNext;
-  standings = std::move(other165.standings);
-  isSettingsFresh = other165.isSettingsFresh;
-  __isset = other165.__isset;
+Gossip& Gossip::operator=(Gossip&& other175) noexcept {
+  kind = other175.kind;
+  sender = std::move(other175.sender);
+  senderAddress = std::move(other175.senderAddress);
+  sequence = other175.sequence;
+  target = std::move(other175.target);
+  updates = std::move(other175.updates);
+  buckets = std::move(other175.buckets);
+  quarantines = std::move(other175.quarantines);
+  settingsNext = other175.settingsNext;
+  standings = std::move(other175.standings);
+  isSettingsFresh = other175.isSettingsFresh;
+  __isset = other175.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -4994,38 +5253,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SettingsEntry::SettingsEntry(const SettingsEntry& other166) {
-  path = other166.path;
-  value = other166.value;
-  revision = other166.revision;
-  writtenOffset = other166.writtenOffset;
-  writtenAtMs = other166.writtenAtMs;
-  __isset = other166.__isset;
-}
-SettingsEntry::SettingsEntry(SettingsEntry&& other167) noexcept {
-  path = std::move(other167.path);
-  value = std::move(other167.value);
-  revision = other167.revision;
-  writtenOffset = other167.writtenOffset;
-  writtenAtMs = other167.writtenAtMs;
-  __isset = other167.__isset;
-}
-SettingsEntry& SettingsEntry::operator=(const SettingsEntry& other168) {
-  path = other168.path;
-  value = other168.value;
-  revision = other168.revision;
-  writtenOffset = other168.writtenOffset;
-  writtenAtMs = other168.writtenAtMs;
-  __isset = other168.__isset;
+SettingsEntry::SettingsEntry(const SettingsEntry& other176) {
+  path = other176.path;
+  value = other176.value;
+  revision = other176.revision;
+  writtenOffset = other176.writtenOffset;
+  writtenAtMs = other176.writtenAtMs;
+  __isset = other176.__isset;
+}
+SettingsEntry::SettingsEntry(SettingsEntry&& other177) noexcept {
+  path = std::move(other177.path);
+  value = std::move(other177.value);
+  revision = other177.revision;
+  writtenOffset = other177.writtenOffset;
+  writtenAtMs = other177.writtenAtMs;
+  __isset = other177.__isset;
+}
+SettingsEntry& SettingsEntry::operator=(const SettingsEntry& other178) {
+  path = other178.path;
+  value = other178.value;
+  revision = other178.revision;
+  writtenOffset = other178.writtenOffset;
+  writtenAtMs = other178.writtenAtMs;
+  __isset = other178.__isset;
   return *this;
 }
-SettingsEntry& SettingsEntry::operator=(SettingsEntry&& other169) noexcept {
-  path = std::move(other169.path);
-  value = std::move(other169.value);
-  revision = other169.revision;
-  writtenOffset = other169.writtenOffset;
-  writtenAtMs = other169.writtenAtMs;
-  __isset = other169.__isset;
+SettingsEntry& SettingsEntry::operator=(SettingsEntry&& other179) noexcept {
+  path = std::move(other179.path);
+  value = std::move(other179.value);
+  revision = other179.revision;
+  writtenOffset = other179.writtenOffset;
+  writtenAtMs = other179.writtenAtMs;
+  __isset = other179.__isset;
   return *this;
 }
 void SettingsEntry::printTo(std::ostream& out) const {
@@ -5166,34 +5425,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VerdictRecord::VerdictRecord(const VerdictRecord& other170) {
-  changeId = other170.changeId;
-  path = other170.path;
-  outcome = other170.outcome;
-  revision = other170.revision;
-  __isset = other170.__isset;
-}
-VerdictRecord::VerdictRecord(VerdictRecord&& other171) noexcept {
-  changeId = std::move(other171.changeId);
-  path = std::move(other171.path);
-  outcome = other171.outcome;
-  revision = other171.revision;
-  __isset = other171.__isset;
-}
-VerdictRecord& VerdictRecord::operator=(const VerdictRecord& other172) {
-  changeId = other172.changeId;
-  path = other172.path;
-  outcome = other172.outcome;
-  revision = other172.revision;
-  __isset = other172.__isset;
+VerdictRecord::VerdictRecord(const VerdictRecord& other180) {
+  changeId = other180.changeId;
+  path = other180.path;
+  outcome = other180.outcome;
+  revision = other180.revision;
+  __isset = other180.__isset;
+}
+VerdictRecord::VerdictRecord(VerdictRecord&& other181) noexcept {
+  changeId = std::move(other181.changeId);
+  path = std::move(other181.path);
+  outcome = other181.outcome;
+  revision = other181.revision;
+  __isset = other181.__isset;
+}
+VerdictRecord& VerdictRecord::operator=(const VerdictRecord& other182) {
+  changeId = other182.changeId;
+  path = other182.path;
+  outcome = other182.outcome;
+  revision = other182.revision;
+  __isset = other182.__isset;
   return *this;
 }
-VerdictRecord& VerdictRecord::operator=(VerdictRecord&& other173) noexcept {
-  changeId = std::move(other173.changeId);
-  path = std::move(other173.path);
-  outcome = other173.outcome;
-  revision = other173.revision;
-  __isset = other173.__isset;
+VerdictRecord& VerdictRecord::operator=(VerdictRecord&& other183) noexcept {
+  changeId = std::move(other183.changeId);
+  path = std::move(other183.path);
+  outcome = other183.outcome;
+  revision = other183.revision;
+  __isset = other183.__isset;
   return *this;
 }
 void VerdictRecord::printTo(std::ostream& out) const {
@@ -5261,18 +5520,18 @@
   (void) b;
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other174) noexcept {
-  (void) other174;
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other184) noexcept {
+  (void) other184;
 }
-SnapshotRequest::SnapshotRequest(SnapshotRequest&& other175) noexcept {
-  (void) other175;
+SnapshotRequest::SnapshotRequest(SnapshotRequest&& other185) noexcept {
+  (void) other185;
 }
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other176) noexcept {
-  (void) other176;
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other186) noexcept {
+  (void) other186;
   return *this;
 }
-SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other177) noexcept {
-  (void) other177;
+SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other187) noexcept {
+  (void) other187;
   return *this;
 }
 void SnapshotRequest::printTo(std::ostream& out) const {
@@ -5337,14 +5596,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->entries.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->entries.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
             {
-              xfer += this->entries[_i182].read(iprot);
+              xfer += this->entries[_i192].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5357,14 +5616,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->verdicts.clear();
-            uint32_t _size183;
-            ::apache::thrift::protocol::TType _etype186;
-            xfer += iprot->readListBegin(_etype186, _size183);
-            this->verdicts.resize(_size183);
-            uint32_t _i187;
-            for (_i187 = 0; _i187 < _size183; ++_i187)
+            uint32_t _size193;
+            ::apache::thrift::protocol::TType _etype196;
+            xfer += iprot->readListBegin(_etype196, _size193);
+            this->verdicts.resize(_size193);
+            uint32_t _i197;
+            for (_i197 = 0; _i197 < _size193; ++_i197)
             {
-              xfer += this->verdicts[_i187].read(iprot);
+              xfer += this->verdicts[_i197].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5397,10 +5656,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<SettingsEntry> ::const_iterator _iter188;
-    for (_iter188 = this->entries.begin(); _iter188 != this->entries.end(); ++_iter188)
+    std::vector<SettingsEntry> ::const_iterator _iter198;
+    for (_iter198 = this->entries.begin(); _iter198 != this->entries.end(); ++_iter198)
     {
-      xfer += (*_iter188).write(oprot);
+      xfer += (*_iter198).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5409,10 +5668,10 @@
   xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
-    std::vector<VerdictRecord> ::const_iterator _iter189;
-    for (_iter189 = this->verdicts.begin(); _iter189 != this->verdicts.end(); ++_iter189)
+    std::vector<VerdictRecord> ::const_iterator _iter199;
+    for (_iter199 = this->verdicts.begin(); _iter199 != this->verdicts.end(); ++_iter199)
     {
-      xfer += (*_iter189).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5431,30 +5690,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Snapshot::Snapshot(const Snapshot& other190) {
-  settingsOffset = other190.settingsOffset;
-  entries = other190.entries;
-  verdicts = other190.verdicts;
-  __isset = other190.__isset;
+Snapshot::Snapshot(const Snapshot& other200) {
+  settingsOffset = other200.settingsOffset;
+  entries = other200.entries;
+  verdicts = other200.verdicts;
+  __isset = other200.__isset;
 }
-Snapshot::Snapshot(Snapshot&& other191) noexcept {
-  settingsOffset = other191.settingsOffset;
-  entries = std::move(other191.entries);
-  verdicts = std::move(other191.verdicts);
-  __isset = other191.__isset;
+Snapshot::Snapshot(Snapshot&& other201) noexcept {
+  settingsOffset = other201.settingsOffset;
+  entries = std::move(other201.entries);
+  verdicts = std::move(other201.verdicts);
+  __isset = other201.__isset;
 }
-Snapshot& Snapshot::operator=(const Snapshot& other192) {
-  settingsOffset = other192.settingsOffset;
-  entries = other192.entries;
-  verdicts = other192.verdicts;
-  __isset = other192.__isset;
+Snapshot& Snapshot::operator=(const Snapshot& other202) {
+  settingsOffset = other202.settingsOffset;
+  entries = other202.entries;
+  verdicts = other202.verdicts;
+  __isset = other202.__isset;
   return *this;
 }
-Snapshot& Snapshot::operator=(Snapshot&& other193) noexcept {
-  settingsOffset = other193.settingsOffset;
-  entries = std::move(other193.entries);
-  verdicts = std::move(other193.verdicts);
-  __isset = other193.__isset;
+Snapshot& Snapshot::operator=(Snapshot&& other203) noexcept {
+  settingsOffset = other203.settingsOffset;
+  entries = std::move(other203.entries);
+  verdicts = std::move(other203.verdicts);
+  __isset = other203.__isset;
   return *this;
 }
 void Snapshot::printTo(std::ostream& out) const {
@@ -5865,90 +6124,90 @@
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other194) {
-  stream = other194.stream;
-  hello = other194.hello;
-  heartbeat = other194.heartbeat;
-  ticket = other194.ticket;
-  grant = other194.grant;
-  call = other194.call;
-  data = other194.data;
-  answer = other194.answer;
-  failure = other194.failure;
-  cancel = other194.cancel;
-  revoke = other194.revoke;
-  revoked = other194.revoked;
-  keyRequest = other194.keyRequest;
-  keyReply = other194.keyReply;
-  gossip = other194.gossip;
-  snapshotRequest = other194.snapshotRequest;
-  snapshot = other194.snapshot;
-  keep = other194.keep;
-  __isset = other194.__isset;
-}
-Frame::Frame(Frame&& other195) noexcept {
-  stream = other195.stream;
-  hello = std::move(other195.hello);
-  heartbeat = std::move(other195.heartbeat);
-  ticket = std::move(other195.ticket);
-  grant = std::move(other195.grant);
-  call = std::move(other195.call);
-  data = std::move(other195.data);
-  answer = std::move(other195.answer);
-  failure = std::move(other195.failure);
-  cancel = std::move(other195.cancel);
-  revoke = std::move(other195.revoke);
-  revoked = std::move(other195.revoked);
-  keyRequest = std::move(other195.keyRequest);
-  keyReply = std::move(other195.keyReply);
-  gossip = std::move(other195.gossip);
-  snapshotRequest = std::move(other195.snapshotRequest);
-  snapshot = std::move(other195.snapshot);
-  keep = std::move(other195.keep);
-  __isset = other195.__isset;
-}
-Frame& Frame::operator=(const Frame& other196) {
-  stream = other196.stream;
-  hello = other196.hello;
-  heartbeat = other196.heartbeat;
-  ticket = other196.ticket;
-  grant = other196.grant;
-  call = other196.call;
-  data = other196.data;
-  answer = other196.answer;
-  failure = other196.failure;
-  cancel = other196.cancel;
-  revoke = other196.revoke;
-  revoked = other196.revoked;
-  keyRequest = other196.keyRequest;
-  keyReply = other196.keyReply;
-  gossip = other196.gossip;
-  snapshotRequest = other196.snapshotRequest;
-  snapshot = other196.snapshot;
-  keep = other196.keep;
-  __isset = other196.__isset;
+Frame::Frame(const Frame& other204) {
+  stream = other204.stream;
+  hello = other204.hello;
+  heartbeat = other204.heartbeat;
+  ticket = other204.ticket;
+  grant = other204.grant;
+  call = other204.call;
+  data = other204.data;
+  answer = other204.answer;
+  failure = other204.failure;
+  cancel = other204.cancel;
+  revoke = other204.revoke;
+  revoked = other204.revoked;
+  keyRequest = other204.keyRequest;
+  keyReply = other204.keyReply;
+  gossip = other204.gossip;
+  snapshotRequest = other204.snapshotRequest;
+  snapshot = other204.snapshot;
+  keep = other204.keep;
+  __isset = other204.__isset;
+}
+Frame::Frame(Frame&& other205) noexcept {
+  stream = other205.stream;
+  hello = std::move(other205.hello);
+  heartbeat = std::move(other205.heartbeat);
+  ticket = std::move(other205.ticket);
+  grant = std::move(other205.grant);
+  call = std::move(other205.call);
+  data = std::move(other205.data);
+  answer = std::move(other205.answer);
+  failure = std::move(other205.failure);
+  cancel = std::move(other205.cancel);
+  revoke = std::move(other205.revoke);
+  revoked = std::move(other205.revoked);
+  keyRequest = std::move(other205.keyRequest);
+  keyReply = std::move(other205.keyReply);
+  gossip = std::move(other205.gossip);
+  snapshotRequest = std::move(other205.snapshotRequest);
+  snapshot = std::move(other205.snapshot);
+  keep = std::move(other205.keep);
+  __isset = other205.__isset;
+}
+Frame& Frame::operator=(const Frame& other206) {
+  stream = other206.stream;
+  hello = other206.hello;
+  heartbeat = other206.heartbeat;
+  ticket = other206.ticket;
+  grant = other206.grant;
+  call = other206.call;
+  data = other206.data;
+  answer = other206.answer;
+  failure = other206.failure;
+  cancel = other206.cancel;
+  revoke = other206.revoke;
+  revoked = other206.revoked;
+  keyRequest = other206.keyRequest;
+  keyReply = other206.keyReply;
+  gossip = other206.gossip;
+  snapshotRequest = other206.snapshotRequest;
+  snapshot = other206.snapshot;
+  keep = other206.keep;
+  __isset = other206.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other197) noexcept {
-  stream = other197.stream;
-  hello = std::move(other197.hello);
-  heartbeat = std::move(other197.heartbeat);
-  ticket = std::move(other197.ticket);
-  grant = std::move(other197.grant);
-  call = std::move(other197.call);
-  data = std::move(other197.data);
-  answer = std::move(other197.answer);
-  failure = std::move(other197.failure);
-  cancel = std::move(other197.cancel);
-  revoke = std::move(other197.revoke);
-  revoked = std::move(other197.revoked);
-  keyRequest = std::move(other197.keyRequest);
-  keyReply = std::move(other197.keyReply);
-  gossip = std::move(other197.gossip);
-  snapshotRequest = std::move(other197.snapshotRequest);
-  snapshot = std::move(other197.snapshot);
-  keep = std::move(other197.keep);
-  __isset = other197.__isset;
+Frame& Frame::operator=(Frame&& other207) noexcept {
+  stream = other207.stream;
+  hello = std::move(other207.hello);
+  heartbeat = std::move(other207.heartbeat);
+  ticket = std::move(other207.ticket);
+  grant = std::move(other207.grant);
+  call = std::move(other207.call);
+  data = std::move(other207.data);
+  answer = std::move(other207.answer);
+  failure = std::move(other207.failure);
+  cancel = std::move(other207.cancel);
+  revoke = std::move(other207.revoke);
+  revoked = std::move(other207.revoked);
+  keyRequest = std::move(other207.keyRequest);
+  keyReply = std::move(other207.keyReply);
+  gossip = std::move(other207.gossip);
+  snapshotRequest = std::move(other207.snapshotRequest);
+  snapshot = std::move(other207.snapshot);
+  keep = std::move(other207.keep);
+  __isset = other207.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -60,6 +60,8 @@
 
 class Heartbeat;
 
+class EndpointNotice;
+
 class Ticket;
 
 class Grant;
@@ -284,8 +286,83 @@
 
 std::ostream& operator<<(std::ostream& out, const Heartbeat& obj);
 
+typedef struct _EndpointNotice__isset {
+  _EndpointNotice__isset() : endpoint(false), incarnation(false), limit(false), isLeaving(false), ageMs(false) {}
+  bool endpoint :1;
+  bool incarnation :1;
+  bool limit :1;
+  bool isLeaving :1;
+  bool ageMs :1;
+} _EndpointNotice__isset;
+
+class EndpointNotice : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndpointNotice(const EndpointNotice&);
+  EndpointNotice(EndpointNotice&&) noexcept;
+  EndpointNotice& operator=(const EndpointNotice&);
+  EndpointNotice& operator=(EndpointNotice&&) noexcept;
+  EndpointNotice() noexcept
+                 : endpoint(),
+                   incarnation(),
+                   limit(0),
+                   isLeaving(0),
+                   ageMs(0) {
+  }
+
+  virtual ~EndpointNotice() noexcept;
+  std::string endpoint;
+  std::string incarnation;
+  double limit;
+  bool isLeaving;
+  int64_t ageMs;
+
+  _EndpointNotice__isset __isset;
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_incarnation(const std::string& val);
+
+  void __set_limit(const double val);
+
+  void __set_isLeaving(const bool val);
+
+  void __set_ageMs(const int64_t val);
+
+  bool operator == (const EndpointNotice & rhs) const
+  {
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (__isset.limit != rhs.__isset.limit)
+      return false;
+    else if (__isset.limit && !(limit == rhs.limit))
+      return false;
+    if (!(isLeaving == rhs.isLeaving))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    return true;
+  }
+  bool operator != (const EndpointNotice &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndpointNotice & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndpointNotice &a, EndpointNotice &b);
+
+std::ostream& operator<<(std::ostream& out, const EndpointNotice& obj);
+
 typedef struct _Ticket__isset {
-  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), awaitsClaim(false), knownCrashes(false), onlyIfFree(false), isRepeat(false), acceptsDoubtful(false), priority(false), isSerialized(false), isSpill(false), targetMs(false), isLastTry(false), maxWaitMs(false), acceptsSilent(false) {}
+  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), awaitsClaim(false), knownCrashes(false), onlyIfFree(false), isRepeat(false), acceptsDoubtful(false), priority(false), isSerialized(false), isSpill(false), targetMs(false), isLastTry(false), maxWaitMs(false), acceptsSilent(false), notices(false) {}
   bool attemptId :1;
   bool workspace :1;
   bool serviceName :1;
@@ -308,6 +385,7 @@
   bool isLastTry :1;
   bool maxWaitMs :1;
   bool acceptsSilent :1;
+  bool notices :1;
 } _Ticket__isset;
 
 class Ticket : public virtual ::apache::thrift::TBase {
@@ -365,6 +443,7 @@
   bool isLastTry;
   int64_t maxWaitMs;
   bool acceptsSilent;
+  std::vector<EndpointNotice>  notices;
 
   _Ticket__isset __isset;
 
@@ -412,6 +491,8 @@
 
   void __set_acceptsSilent(const bool val);
 
+  void __set_notices(const std::vector<EndpointNotice> & val);
+
   bool operator == (const Ticket & rhs) const
   {
     if (!(attemptId == rhs.attemptId))
@@ -458,6 +539,10 @@
       return false;
     if (!(acceptsSilent == rhs.acceptsSilent))
       return false;
+    if (__isset.notices != rhs.__isset.notices)
+      return false;
+    else if (__isset.notices && !(notices == rhs.notices))
+      return false;
     return true;
   }
   bool operator != (const Ticket &rhs) const {
@@ -722,13 +807,14 @@
 std::ostream& operator<<(std::ostream& out, const Load& obj);
 
 typedef struct _Answer__isset {
-  _Answer__isset() : status(false), headers(false), bodyBytes(false), endpoint(false), load(false), runUs(false) {}
+  _Answer__isset() : status(false), headers(false), bodyBytes(false), endpoint(false), load(false), runUs(false), notice(false) {}
   bool status :1;
   bool headers :1;
   bool bodyBytes :1;
   bool endpoint :1;
   bool load :1;
   bool runUs :1;
+  bool notice :1;
 } _Answer__isset;
 
 class Answer : public virtual ::apache::thrift::TBase {
@@ -752,6 +838,7 @@
   std::string endpoint;
   Load load;
   int64_t runUs;
+  EndpointNotice notice;
 
   _Answer__isset __isset;
 
@@ -767,6 +854,8 @@
 
   void __set_runUs(const int64_t val);
 
+  void __set_notice(const EndpointNotice& val);
+
   bool operator == (const Answer & rhs) const
   {
     if (!(status == rhs.status))
@@ -781,6 +870,10 @@
       return false;
     if (!(runUs == rhs.runUs))
       return false;
+    if (__isset.notice != rhs.__isset.notice)
+      return false;
+    else if (__isset.notice && !(notice == rhs.notice))
+      return false;
     return true;
   }
   bool operator != (const Answer &rhs) const {
--- a/src/hickorygladectl/commands.cpp
+++ b/src/hickorygladectl/commands.cpp
@@ -158,6 +158,15 @@
   return copy;
 }
 
+/// The limit that an own endpoint names, with the wait that it causes.
+std::string limitText(const json &endpoint) {
+  const json &limit = endpoint["limit"];
+  if (limit.is_null())
+    return "";
+  return ", limit " + limit.dump() + " requests/s, next in " +
+         endpoint["limit_wait_ms"].dump() + " ms";
+}
+
 void printStatus(const json &report, bool isJson) {
   if (isJson) {
     std::cout << report.dump() << std::endl;
@@ -177,7 +186,7 @@
               << textOf(it["service"]) << "  " << it["busy"] << " of "
               << it["slots"] << " slots busy  " << textOf(it["standing"])
               << " for " << it["for_ms"] << " ms: " << textOf(it["reason"])
-              << "\n";
+              << limitText(it) << "\n";
   for (const json &member : report["members"]) {
     std::cout << textOf(member["node"]) << "  " << textOf(member["state"])
               << (member["leaving"].get<bool>() ? " leaving" : "") << "  "
--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -83,7 +83,14 @@
       Links(ex, makeHello(Node, bootId, DataCentre), metrics.traffic()),
       Rng(std::uint64_t(bootId) + worker) {}
 
-void Entry::applyView(FleetViewPtr view) { View = std::move(view); }
+void Entry::applyView(FleetViewPtr view) {
+  View = std::move(view);
+  expireNotices(Notices, now());
+}
+
+void Entry::takeNotice(const std::string &service, HeardNotice notice) {
+  hearNotice(Notices, service, std::move(notice));
+}
 
 std::string Entry::nextId() {
   std::uint64_t hash = stableHash(Node, std::uint64_t(BootId));
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -5,9 +5,11 @@
 #include "libfleet/node/nodesettings.h"
 #include "libfleet/peers/peerlinks.h"
 #include "libhickoryglade/costmodel.h"
+#include "libhickoryglade/noticeboard.h"
 #include "libhickoryglade/retry.h"
 #include "libhickoryglade/splitter.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -65,6 +67,12 @@
         Metrics &metrics);
 
   PeerLinks &links() { return Links; }
+
+  /// Called with each notice that an answer brings, for the entries on other
+  /// threads of this node.
+  std::function<void(const std::string &service, const HeardNotice &)> OnNotice;
+  void takeNotice(const std::string &service, HeardNotice notice);
+
   void applyView(FleetViewPtr view);
 
   std::size_t inFlight() const { return InFlight; }
@@ -105,8 +113,8 @@
                                            std::size_t target);
   asio::awaitable<EntryResult> resolveOutcome(Attempt &attempt,
                                               std::size_t target);
-  std::optional<EntryResult> resultFrom(Attempt &attempt,
-                                        StreamEvent &event) const;
+  std::optional<EntryResult> resultFrom(Attempt &attempt, std::size_t target,
+                                        StreamEvent &event);
   asio::awaitable<bool> queryGate(Attempt &attempt, std::size_t target);
   asio::awaitable<bool> queryThroughPeer(Attempt &attempt, std::size_t target);
   std::string pickRelay(const Attempt &attempt, std::size_t target);
@@ -120,6 +128,10 @@
   wire::Ticket makeTicket(const Attempt &attempt, std::size_t target) const;
   void sendCall(Attempt &attempt, std::size_t target);
   void cancelStream(Attempt &attempt, std::size_t target);
+  void noteAnswer(Attempt &attempt, std::size_t target,
+                  const AnswerEvent &answer);
+  std::vector<wire::EndpointNotice> noticesFor(const Attempt &attempt,
+                                               std::size_t target) const;
   void noteLoad(const std::string &node, const std::string &service,
                 const wire::Load &load);
   Error toError(Attempt &attempt, const wire::Failure &failure) const;
@@ -150,6 +162,7 @@
   PeerLinks Links;
   FleetViewPtr View = std::make_shared<const FleetView>();
   std::map<std::string, GateLoadView> Loads;
+  NoticeBoard Notices;
   CostModel Costs;
   /// By service.
   std::map<std::string, MeanCost> MeanCosts;
--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -88,9 +88,51 @@
       IsDraining || context.Runs + 1 >= context.MatchedRoute.Policy.MaxAttempts;
   ticket.priority = context.MatchedRoute.Policy.Priority;
   ticket.isSerialized = attempt.IsSerialized;
+  auto notices = noticesFor(attempt, target);
+  if (!notices.empty())
+    ticket.__set_notices(std::move(notices));
   return ticket;
 }
 
+std::vector<wire::EndpointNotice> Entry::noticesFor(const Attempt &attempt,
+                                                    std::size_t target) const {
+  const GateView &gate = attempt.Targets[target].Gate;
+  std::vector<wire::EndpointNotice> all;
+  for (const HeardNotice &it : hickoryglade::noticesFor(
+           Notices, attempt.Request->MatchedRoute.Service,
+           {gate.Node, gate.BootId}, gate.EndpointHashes)) {
+    wire::EndpointNotice out;
+    out.endpoint = it.Endpoint;
+    out.incarnation = it.Incarnation;
+    out.isLeaving = it.Notice.IsLeaving;
+    if (it.Notice.Limit)
+      out.__set_limit(*it.Notice.Limit);
+    out.ageMs = toMillis(now() - it.HeardAt).count();
+    all.push_back(std::move(out));
+  }
+  return all;
+}
+
+/// Remembers what the endpoint said about itself in an answer.
+void Entry::noteAnswer(Attempt &attempt, std::size_t target,
+                       const AnswerEvent &answer) {
+  const GateView &gate = attempt.Targets[target].Gate;
+  HeardNotice notice;
+  notice.Endpoint = answer.Endpoint;
+  notice.Gate = {gate.Node, gate.BootId};
+  notice.HeardAt = now();
+  if (answer.Notice) {
+    notice.Incarnation = answer.Notice->incarnation;
+    notice.Notice.IsLeaving = answer.Notice->isLeaving;
+    if (answer.Notice->__isset.limit)
+      notice.Notice.Limit = answer.Notice->limit;
+  }
+  const std::string &service = attempt.Request->MatchedRoute.Service;
+  if (OnNotice)
+    OnNotice(service, notice);
+  takeNotice(service, std::move(notice));
+}
+
 void Entry::sendCall(Attempt &attempt, std::size_t target) {
   const HttpRequest &http = attempt.Request->Http;
   Attempt::Target &it = attempt.Targets[target];
@@ -242,6 +284,7 @@
       continue;
     if (auto *answer = std::get_if<AnswerEvent>(&event->Content)) {
       noteLoad(node, service, answer->Load);
+      noteAnswer(attempt, target, *answer);
       Costs.observe(attempt.Request->Class, answer->RunTime);
       co_return std::move(answer->Answer);
     }
@@ -282,7 +325,7 @@
         co_await attempt.Box->next(attempt.waitUntil());
     if (!event)
       break;
-    result = resultFrom(attempt, *event);
+    result = resultFrom(attempt, target, *event);
     cancelStream(attempt, target);
   }
   for (const Attempt::RelayedQuery &it : attempt.Relayed)
@@ -296,8 +339,8 @@
 
 /// Converts a gate's reply to the result of the attempt; nullopt if the gate
 /// has to be queried again.
-std::optional<EntryResult> Entry::resultFrom(Attempt &attempt,
-                                             StreamEvent &event) const {
+std::optional<EntryResult>
+Entry::resultFrom(Attempt &attempt, std::size_t target, StreamEvent &event) {
   if (auto *revoked = std::get_if<RevokedEvent>(&event.Content)) {
     if (revoked->IsUnreachable)
       return std::nullopt;
@@ -307,8 +350,10 @@
         isFenced ? "fenced before it started" : "the answer is no longer kept",
         DefaultRetryAfter};
   }
-  if (auto *answer = std::get_if<AnswerEvent>(&event.Content))
+  if (auto *answer = std::get_if<AnswerEvent>(&event.Content)) {
+    noteAnswer(attempt, target, *answer);
     return std::move(answer->Answer);
+  }
   if (auto *failure = std::get_if<wire::Failure>(&event.Content))
     return toError(attempt, *failure);
   if (std::holds_alternative<CancelledEvent>(event.Content))
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace hickoryglade::fleet {
 
@@ -137,6 +138,7 @@
     return sendFailure(
         ref, makeError(ErrorKind::WrongGeneration, "attempt seen twice"), "",
         "");
+  takeNotices(ticket);
   auto exchange = std::make_shared<Exchange>();
   exchange->Request = toTicket(ticket, channel->ageMs() - ticket.linkAgeMs);
   exchange->Origin = ref;
@@ -148,6 +150,7 @@
   auto channel = ref.Channel.lock();
   if (call.ticket.gateBootId != BootId)
     return sendFailure(ref, makeError(ErrorKind::WrongGeneration), "", "");
+  takeNotices(call.ticket);
   ExchangePtr &slot = Exchanges[call.ticket.attemptId];
   if (slot && (!slot->IsGranted || slot->HasCall))
     return sendFailure(
@@ -469,6 +472,8 @@
   wire::Frame frame =
       toFrame(*result.Answer, endpoint, wireLoad(service), result.RunTime);
   frame.stream = ref.Stream;
+  if (auto notice = wireNotice(endpoint))
+    frame.answer.__set_notice(*notice);
   channel->send(std::move(frame));
   channel->sendBody(ref.Stream, result.Answer->Content);
 }
@@ -495,6 +500,37 @@
   channel->send(std::move(frame));
 }
 
+/// Processes the notices that an entry sends along with a request.
+void GateService::takeNotices(const wire::Ticket &ticket) {
+  if (!ticket.__isset.notices)
+    return;
+  for (const wire::EndpointNotice &it : ticket.notices) {
+    EndpointNotice notice;
+    if (it.__isset.limit && it.limit >= 0 && std::isfinite(it.limit))
+      notice.Limit = it.limit;
+    notice.IsLeaving = it.isLeaving;
+    Millis age(std::max<std::int64_t>(it.ageMs, 0));
+    carryOut(noteForeignNotice(State, it.endpoint, it.incarnation, notice,
+                               now() - age, now()));
+  }
+}
+
+/// What the fleet must remember of an endpoint even if this process ends.
+std::optional<wire::EndpointNotice>
+GateService::wireNotice(const std::string &endpoint) const {
+  auto it = State.Endpoints.find(endpoint);
+  if (it == State.Endpoints.end() ||
+      !(it->second.Limit || it->second.IsLeaving))
+    return std::nullopt;
+  wire::EndpointNotice out;
+  out.endpoint = endpoint;
+  out.incarnation = it->second.Announced.Incarnation;
+  out.isLeaving = it->second.IsLeaving;
+  if (it->second.Limit)
+    out.__set_limit(it->second.Limit->PerSecond);
+  return out;
+}
+
 wire::Load GateService::wireLoad(const std::string &service) const {
   GateLoad load = loadOf(State, service, now());
   wire::Load out;
@@ -558,6 +594,7 @@
          {"busy", it.Holders.size()},
          {"limit",
           it.Limit ? nlohmann::json(it.Limit->PerSecond) : nlohmann::json()},
+         {"limit_wait_ms", toMillis(limitWaitOf(it, now())).count()},
          {"standing", toString(it.State)},
          {"reason", it.StateReason},
          {"for_ms", toMillis(now() - it.StateSince).count()},
--- a/src/libfleet/gate/gateservice.h
+++ b/src/libfleet/gate/gateservice.h
@@ -104,6 +104,9 @@
                    const EndpointResult *result = nullptr);
   void keepFinished(const ExchangePtr &exchange,
                     std::shared_ptr<const EndpointResult> result);
+  void takeNotices(const wire::Ticket &ticket);
+  std::optional<wire::EndpointNotice>
+  wireNotice(const std::string &endpoint) const;
   wire::Load wireLoad(const std::string &service) const;
   void scheduleTick();
   void publishEndpoints();
--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -341,10 +341,15 @@
     std::vector<GateView> &gates = view.Services[endpoint.Service].Gates;
     auto gate = std::ranges::find(gates, record.Node, &GateView::Node);
     if (gate == gates.end()) {
-      gates.push_back({record.Node, record.BootId, record.DataCentre,
-                       endpoint.Slots, standing});
+      gates.push_back({record.Node,
+                       record.BootId,
+                       record.DataCentre,
+                       endpoint.Slots,
+                       standing,
+                       {stableHash(endpoint.Name)}});
       continue;
     }
+    gate->EndpointHashes.push_back(stableHash(endpoint.Name));
     gate->Slots += endpoint.Slots;
     if (rankOf(standing) < rankOf(gate->State))
       gate->State = standing;
--- a/src/libfleet/node/fleetview.h
+++ b/src/libfleet/node/fleetview.h
@@ -20,6 +20,8 @@
   std::string DataCentre;
   int Slots = 0;
   Standing State = Standing::Healthy;
+  /// Hashes of the names of its endpoints.
+  std::vector<std::uint64_t> EndpointHashes;
 
   bool operator==(const GateView &) const = default;
 };
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -70,6 +70,8 @@
   HttpResponse readiness() const;
   asio::awaitable<bool> depart(std::string endpoint);
   void connectLocal(Entry &entry, Loop &loop);
+  void shareNotice(std::size_t from, const std::string &service,
+                   const HeardNotice &notice);
   void takeFrame(const std::shared_ptr<FrameChannel> &from, wire::Frame frame);
   asio::awaitable<std::optional<std::int64_t>>
   announce(Announcement announcement);
@@ -161,6 +163,11 @@
     Entries.push_back(std::make_unique<Entry>(
         Traffic[i]->Io.get_executor(), Config, BootId, i, Dialect, Counters));
     connectLocal(*Entries.back(), *Traffic[i]);
+    if (Traffic.size() > 1)
+      Entries.back()->OnNotice = [this, i](const std::string &service,
+                                           const HeardNotice &notice) {
+        shareNotice(i, service, notice);
+      };
     lanes.push_back(
         {Traffic[i]->Io.get_executor(),
          [entry = Entries.back().get()](HttpRequest request,
@@ -256,6 +263,16 @@
   entry.links().setLocal(Config.Node, *holder);
 }
 
+/// Passes a notice to the entries on the other threads.
+void Node::Impl::shareNotice(std::size_t from, const std::string &service,
+                             const HeardNotice &notice) {
+  for (std::size_t i = 0; i < Entries.size(); ++i)
+    if (i != from)
+      asio::post(Traffic[i]->Io, [this, i, service, notice] {
+        Entries[i]->takeNotice(service, notice);
+      });
+}
+
 void Node::Impl::takeFrame(const std::shared_ptr<FrameChannel> &from,
                            wire::Frame frame) {
   bool isVouch = frame.__isset.keyRequest &&
--- a/src/libfleet/peers/gateclient.cpp
+++ b/src/libfleet/peers/gateclient.cpp
@@ -81,9 +81,11 @@
   HttpResponse answer{
       stream.Head->status, fromWire(stream.Head->headers),
       std::make_shared<const std::string>(std::move(stream.Content))};
-  stream.Box->put(
-      {stream.Tag, AnswerEvent{std::move(answer), stream.Head->endpoint,
-                               stream.Head->load, Micros(stream.Head->runUs)}});
+  AnswerEvent event{std::move(answer), stream.Head->endpoint, stream.Head->load,
+                    Micros(stream.Head->runUs)};
+  if (stream.Head->__isset.notice)
+    event.Notice = stream.Head->notice;
+  stream.Box->put({stream.Tag, std::move(event)});
   closeStream(id);
 }
 
--- a/src/libfleet/peers/gateclient.h
+++ b/src/libfleet/peers/gateclient.h
@@ -22,6 +22,8 @@
   wire::Load Load;
   /// Duration of the exchange with the endpoint.
   Micros RunTime{0};
+  /// What the endpoint says about itself, if it names a limit or is leaving.
+  std::optional<wire::EndpointNotice> Notice = std::nullopt;
 };
 
 struct RevokedEvent {
--- a/src/libfleet/peers/revokerelay.cpp
+++ b/src/libfleet/peers/revokerelay.cpp
@@ -13,11 +13,13 @@
 /// Builds the frame that forwards a gate's reply, or reports the gate as
 /// unreachable.
 wire::Frame frameFor(const StreamEvent &event) {
-  if (const auto *answer = std::get_if<AnswerEvent>(&event.Content))
-    return toFrame(answer->Answer, answer->Endpoint, answer->Load,
-                   answer->RunTime);
   wire::Frame frame;
-  if (const auto *failure = std::get_if<wire::Failure>(&event.Content)) {
+  if (const auto *answer = std::get_if<AnswerEvent>(&event.Content)) {
+    frame = toFrame(answer->Answer, answer->Endpoint, answer->Load,
+                    answer->RunTime);
+    if (answer->Notice)
+      frame.answer.__set_notice(*answer->Notice);
+  } else if (const auto *failure = std::get_if<wire::Failure>(&event.Content)) {
     frame.__set_failure(*failure);
   } else {
     const auto *revoked = std::get_if<RevokedEvent>(&event.Content);
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -28,6 +28,9 @@
 /// Time for which a settle delay that has elapsed is remembered.
 constexpr Micros SettleRetention = std::chrono::seconds(10);
 
+/// Time for which a notice about an endpoint that is not here is kept.
+constexpr Micros ForeignNoticeRetention = std::chrono::seconds(60);
+
 void detectPause(Gate &gate, Instant now) {
   if (gate.TickDue && now - *gate.TickDue > PauseLimit)
     gate.HoldUntil = now + HoldAfterPause;
@@ -128,6 +131,15 @@
     setStanding(endpoint, Standing::Draining, "announced", now, actions);
   else if (endpoint.State == Standing::Draining && !endpoint.IsLeaving)
     setStanding(endpoint, Standing::Healthy, "announced", now, actions);
+  auto told = gate.ForeignNotices.find(announcement.Name);
+  if (told != gate.ForeignNotices.end()) {
+    ForeignNotice notice = std::move(told->second);
+    gate.ForeignNotices.erase(told);
+    GateActions more =
+        noteForeignNotice(gate, announcement.Name, notice.Incarnation,
+                          notice.Notice, notice.SaidAt, now);
+    std::ranges::move(more, std::back_inserter(actions));
+  }
   dispatch(gate, announcement.Service, now, actions);
   flushIfNoEndpoint(gate, announcement.Service, now, actions);
   return actions;
@@ -343,6 +355,23 @@
   return actions;
 }
 
+GateActions noteForeignNotice(Gate &gate, const std::string &endpoint,
+                              const std::string &incarnation,
+                              const EndpointNotice &notice, Instant saidAt,
+                              Instant now) {
+  auto it = gate.Endpoints.find(endpoint);
+  if (it == gate.Endpoints.end()) {
+    auto [known, isNew] = gate.ForeignNotices.try_emplace(endpoint);
+    if (isNew || known->second.SaidAt < saidAt)
+      known->second = {incarnation, notice, saidAt,
+                       now + ForeignNoticeRetention};
+    return {};
+  }
+  if (it->second.Announced.Incarnation != incarnation)
+    return {};
+  return noteNotice(gate, endpoint, notice, saidAt, now);
+}
+
 StartState revoke(Gate &gate, const std::string &attempt, Instant expiresAt,
                   Instant now, GateActions &actions) {
   StartState state = gate.Ledger.revoke(attempt, expiresAt);
@@ -390,6 +419,8 @@
       endpoint.Relapses = 0;
   }
   removeSilent(gate, now);
+  std::erase_if(gate.ForeignNotices,
+                [&](const auto &it) { return it.second.ExpiresAt <= now; });
   for (auto &[name, service] : gate.Services) {
     std::erase_if(service.SettleUntil, [&](const auto &it) {
       return now - it.second > SettleRetention;
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -85,6 +85,14 @@
   Instant ExpiresAt;
 };
 
+/// What an entry has told of an endpoint that has not announced itself here.
+struct ForeignNotice {
+  std::string Incarnation;
+  EndpointNotice Notice;
+  Instant SaidAt;
+  Instant ExpiresAt;
+};
+
 /// State of one node's gate. All requests to the endpoints announced to the
 /// node pass through it. Only the functions below change it; each takes the
 /// current time and returns the actions that the caller must carry out in
@@ -94,6 +102,8 @@
   std::string Node;
   std::map<std::string, GateEndpoint> Endpoints;
   std::map<std::string, DepartedEndpoint> Departed;
+  /// By endpoint.
+  std::map<std::string, ForeignNotice> ForeignNotices;
   /// Time without announcements after which an endpoint counts as gone.
   Micros AnnouncementLimit = std::chrono::milliseconds(1'900);
   std::map<std::string, GateService> Services;
@@ -151,6 +161,13 @@
                        const EndpointNotice &notice, Instant saidAt,
                        Instant now);
 
+/// Applies what an entry heard an endpoint say, through another gate or an
+/// earlier process of this one. It is kept until the endpoint announces itself.
+GateActions noteForeignNotice(Gate &gate, const std::string &endpoint,
+                              const std::string &incarnation,
+                              const EndpointNotice &notice, Instant saidAt,
+                              Instant now);
+
 /// Fences an attempt that has not started; returns the attempt's state.
 StartState revoke(Gate &gate, const std::string &attempt, Instant expiresAt,
                   Instant now, GateActions &actions);
--- a/src/libhickoryglade/gateendpoint.cpp
+++ b/src/libhickoryglade/gateendpoint.cpp
@@ -108,6 +108,15 @@
   return std::clamp(int(std::floor(tokens)) - grantedSlots(endpoint), 0, slots);
 }
 
+Micros limitWaitOf(const GateEndpoint &endpoint, Instant now) {
+  if (!endpoint.Limit)
+    return Micros{0};
+  const TokenBucket &bucket = endpoint.Limit->Tokens;
+  double missing = 1 + grantedSlots(endpoint) - tokensAt(bucket, now);
+  std::chrono::duration<double> wait(missing / bucket.PerSecond);
+  return std::max(std::chrono::duration_cast<Micros>(wait), Micros{0});
+}
+
 int longHeld(const GateEndpoint &endpoint, Instant now, Micros longAfter) {
   return int(std::ranges::count_if(endpoint.Holders, [&](const auto &it) {
     return it.Request.IsLong || (it.IsStarted && now - it.Since > longAfter);
--- a/src/libhickoryglade/gateendpoint.h
+++ b/src/libhickoryglade/gateendpoint.h
@@ -112,6 +112,9 @@
 /// limit allows.
 int openSlots(const GateEndpoint &endpoint, Instant now);
 
+/// Time until the endpoint's limit lets one more request start.
+Micros limitWaitOf(const GateEndpoint &endpoint, Instant now);
+
 /// Number of slots held by long requests or by requests that have run for
 /// longer than longAfter.
 int longHeld(const GateEndpoint &endpoint, Instant now, Micros longAfter);
--- a/tests/platform/serverstandin.cpp
+++ b/tests/platform/serverstandin.cpp
@@ -50,6 +50,8 @@
             {"left", headerValue(request.Headers, "Remaining-Milliseconds")},
             {"target", request.Target},
             {"body", *request.Content}};
+    if (WorkTime > Millis{0})
+      co_await sleepFor(WorkTime);
     if (Fault == "reset")
       co_return false;
     if (Fault == "hang") {
@@ -84,17 +86,16 @@
   asio::awaitable<void> sendHeartbeat() {
     std::string method = "POST";
     std::string target = "/rpc?call=instances.heartbeat&of=" + Self.Id;
-    std::string body = json{
-        {"service", Self.Service},
-        {"address", Self.Listen},
-        {"zone", "z"},
-        {"version", "v1"},
-        {"slots", 3},
-        {"state", State},
-        {"cold_remaining_s", 0},
-        {"born", Self.StartedAtMs},
-        {"sequence",
-         ++Sequence}}.dump();
+    std::string body = json{{"service", Self.Service},
+                            {"address", Self.Listen},
+                            {"zone", "z"},
+                            {"version", "v1"},
+                            {"slots", Slots},
+                            {"state", State},
+                            {"cold_remaining_s", 0},
+                            {"born", Self.StartedAtMs},
+                            {"sequence", ++Sequence}}
+                           .dump();
     std::string sent = State;
     CallResult result = co_await callHttp(Self.Control, method, target, body);
     if (result.Status == 200)
@@ -114,6 +115,8 @@
       Fault = in.value("fault", Fault);
       State = in.value("state", State);
       OwnHeaders = in.value("headers", OwnHeaders);
+      Slots = in.value("slots", Slots);
+      WorkTime = Millis(in.value("work_ms", WorkTime.count()));
       if (in.value("leave", false)) {
         State = "gone";
         std::string method = "POST";
@@ -136,6 +139,8 @@
   std::string Fault;
   /// Header lines of all answers, in which the server describes itself.
   std::string OwnHeaders;
+  int Slots = 3;
+  Millis WorkTime{0};
   std::string State = "ready";
   std::string Acked;
   std::map<std::string, int> Runs;
