entry: a gate whose slot was taken does not count as tried after a refusal elsewhere

Cause: the gate of a direct send stays noted as the latest one when the request goes on by tickets; when those are refused, the entry counts it as one that has failed the request, and leaves it out.

Sending tickets clears the note, as no gate has the request until one grants.

--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -215,6 +215,7 @@
 }
 
 asio::awaitable<EntryResult> Entry::sendTickets(Attempt &attempt) {
+  attempt.Request->LastGate.clear();
   std::size_t open = 0;
   for (std::size_t i = 0; i < attempt.Targets.size(); ++i) {
     bool isOpen = co_await openTarget(attempt, i);
