--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -88,9 +88,9 @@
       IsDraining || context.Runs + 1 >= context.MatchedRoute.Policy.MaxAttempts;
   ticket.priority = context.MatchedRoute.Policy.Priority;
   ticket.isSerialized = attempt.IsSerialized;
-  auto notices = noticesFor(attempt, target);
+  std::vector<wire::EndpointNotice> notices = noticesFor(attempt, target);
   if (!notices.empty())
-    ticket.__set_notices(std::move(notices));
+    ticket.__set_notices(notices);
   return ticket;
 }
 
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -348,7 +348,7 @@
     line["before"] = *action.Before;
   if (action.After)
     line["limit"] = *action.After;
-  logEvent(LogLevel::Warn, "endpoint_limit", std::move(line));
+  logEvent(LogLevel::Warn, "endpoint_limit", line);
   Counters.countLimitChange(action.Service, std::string(change));
   Counters.setLimit(action.Service, limitOf(State, action.Service));
 }
@@ -431,7 +431,7 @@
     line["limit"] = *result.Headers->Notice.Limit;
   if (result.Headers && result.Headers->Notice.IsLeaving)
     line["leaving"] = true;
-  logEvent(level, "endpoint_result", std::move(line));
+  logEvent(level, "endpoint_result", line);
 }
 
 /// Processes what the endpoint says about itself. A value that is not a limit
