--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -1,5 +1,6 @@
 #include "libfleet/gate/gateservice.h"
 
+#include "libfleet/gate/gateexchange.h"
 #include "libfleet/peers/gateclient.h"
 #include "libfleet/reporting/logging.h"
 #include "libfleet/reporting/metrics.h"
@@ -7,7 +8,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <cmath>
 
 namespace hickoryglade::fleet {
 
@@ -32,24 +32,6 @@
 
 } // namespace
 
-struct GateService::Exchange {
-  Ticket Request;
-  StreamRef Origin;
-  /// Streams that queried the result after the original link broke.
-  std::vector<StreamRef> Followers;
-  HttpRequest Http;
-  std::string Content;
-  std::size_t ExpectedBytes = 0;
-  bool HasCall = false;
-  bool IsGranted = false;
-  bool IsDone = false;
-  std::string Endpoint;
-  std::shared_ptr<ExchangeHandle> Handle = std::make_shared<ExchangeHandle>();
-  Instant ArrivedAt = now();
-  /// When the request was sent to the endpoint.
-  std::optional<Instant> SentAt;
-};
-
 GateService::GateService(asio::any_io_executor ex, const NodeSettings &settings,
                          std::int64_t bootId, const HttpDialect &dialect,
                          Metrics &metrics, Events events)
@@ -325,34 +307,6 @@
   publishEndpoints();
 }
 
-void GateService::carryOutOne(const HoldAction &action) {
-  auto it = Exchanges.find(action.AttemptId);
-  if (it == Exchanges.end())
-    return;
-  const std::string &attempt = action.AttemptId;
-  logEvent(LogLevel::Info, "gate_held",
-           {{"request", attempt.substr(0, attempt.rfind('/'))},
-            {"attempt", attempt},
-            {"expected_ms", toMillis(action.ExpectedWait).count()}});
-  Counters.countLimited(it->second->Request.Service, "held");
-}
-
-void GateService::carryOutOne(const LimitAction &action) {
-  std::string_view change = !action.After    ? "lifted"
-                            : !action.Before ? "named"
-                                             : "changed";
-  nlohmann::json line = {{"endpoint", action.Endpoint},
-                         {"service", action.Service},
-                         {"change", change}};
-  if (action.Before)
-    line["before"] = *action.Before;
-  if (action.After)
-    line["limit"] = *action.After;
-  logEvent(LogLevel::Warn, "endpoint_limit", line);
-  Counters.countLimitChange(action.Service, std::string(change));
-  Counters.setLimit(action.Service, limitOf(State, action.Service));
-}
-
 void GateService::carryOutOne(const EjectionAction &action) {
   Handlers.OnEjection(action);
 }
@@ -412,44 +366,6 @@
   carryOut(std::move(actions));
 }
 
-void GateService::logResult(const Exchange &exchange,
-                            const EndpointResult &result) const {
-  LogLevel level = result.Answer ? LogLevel::Info : LogLevel::Warn;
-  if (!isLogged(level))
-    return;
-  const std::string &attempt = exchange.Request.AttemptId;
-  auto from = exchange.Origin.Channel.lock();
-  nlohmann::json line = {{"request", attempt.substr(0, attempt.rfind('/'))},
-                         {"attempt", attempt},
-                         {"from", from ? from->peerName() : ""},
-                         {"endpoint", exchange.Endpoint},
-                         {"outcome", toString(result.Outcome)},
-                         {"status", result.Answer ? result.Answer->Status : 0},
-                         {"detail", result.Failure.Detail},
-                         {"ms", toMillis(result.RunTime).count()}};
-  if (result.Headers && result.Headers->Notice.Limit)
-    line["limit"] = *result.Headers->Notice.Limit;
-  if (result.Headers && result.Headers->Notice.IsLeaving)
-    line["leaving"] = true;
-  logEvent(level, "endpoint_result", line);
-}
-
-/// Processes what the endpoint says about itself. A value that is not a limit
-/// is logged once for each endpoint and value.
-void GateService::takeHeaders(const Exchange &exchange,
-                              const EndpointResult &result) {
-  if (!result.Headers)
-    return;
-  const std::string &bad = result.Headers->BadLimit;
-  if (!bad.empty() && BadLimits[exchange.Endpoint] != bad) {
-    BadLimits[exchange.Endpoint] = bad;
-    logEvent(LogLevel::Warn, "endpoint_limit_malformed",
-             {{"endpoint", exchange.Endpoint}, {"value", bad}});
-  }
-  carryOut(noteNotice(State, exchange.Endpoint, result.Headers->Notice,
-                      result.HeadAt, now()));
-}
-
 void GateService::keepFinished(const ExchangePtr &exchange,
                                std::shared_ptr<const EndpointResult> result) {
   ResultBytes += sizeOf(*result);
@@ -500,37 +416,6 @@
   channel->send(std::move(frame));
 }
 
-/// Processes the notices that an entry sends along with a request.
-void GateService::takeNotices(const wire::Ticket &ticket) {
-  if (!ticket.__isset.notices)
-    return;
-  for (const wire::EndpointNotice &it : ticket.notices) {
-    EndpointNotice notice;
-    if (it.__isset.limit && it.limit >= 0 && std::isfinite(it.limit))
-      notice.Limit = it.limit;
-    notice.IsLeaving = it.isLeaving;
-    Millis age(std::max<std::int64_t>(it.ageMs, 0));
-    carryOut(noteForeignNotice(State, it.endpoint, it.incarnation, notice,
-                               now() - age, now()));
-  }
-}
-
-/// What the fleet must remember of an endpoint even if this process ends.
-std::optional<wire::EndpointNotice>
-GateService::wireNotice(const std::string &endpoint) const {
-  auto it = State.Endpoints.find(endpoint);
-  if (it == State.Endpoints.end() ||
-      !(it->second.Limit || it->second.IsLeaving))
-    return std::nullopt;
-  wire::EndpointNotice out;
-  out.endpoint = endpoint;
-  out.incarnation = it->second.Announced.Incarnation;
-  out.isLeaving = it->second.IsLeaving;
-  if (it->second.Limit)
-    out.__set_limit(it->second.Limit->PerSecond);
-  return out;
-}
-
 wire::Load GateService::wireLoad(const std::string &service) const {
   GateLoad load = loadOf(State, service, now());
   wire::Load out;
