gate: a limit too large for an integer leaves all slots open

What callers would see: an endpoint that names a limit of 2e9 a second or more gets no requests at all. Cause, found while reading the change: the number of tokens was cast to int before it was bounded by the slots. Test: "a limit beyond any rate leaves all slots open" (0 == 3 before).

--- a/src/libhickoryglade/gateendpoint.cpp
+++ b/src/libhickoryglade/gateendpoint.cpp
@@ -105,7 +105,8 @@
   if (!endpoint.Limit)
     return slots;
   double tokens = tokensAt(endpoint.Limit->Tokens, now);
-  return std::clamp(int(std::floor(tokens)) - grantedSlots(endpoint), 0, slots);
+  double open = std::floor(tokens) - grantedSlots(endpoint);
+  return int(std::clamp(open, 0.0, double(slots)));
 }
 
 Micros limitWaitOf(const GateEndpoint &endpoint, Instant now) {
--- a/tests/kernel/test_limit.cpp
+++ b/tests/kernel/test_limit.cpp
@@ -101,6 +101,12 @@
   }
 }
 
+TEST_CASE("a limit beyond any rate leaves all slots open") {
+  Gate gate = limitedGate(1e32);
+  CHECK(loadOf(gate, "w/s", at(1)).FreeSlots == 3);
+  CHECK(loadOf(gate, "w/s", at(1)).LimitWait == Micros{0});
+}
+
 TEST_CASE("requests go on at a limit of 0 so that its end is noticed") {
   Gate gate = limitedGate(0);
   CHECK(play(gate, 0, 5'000, 100).size() == 2);
