settings: log polls of the source that take long and the notices that postpone them

The logs could not tell a poll that hangs from one that waits, nor whom a node believes that its settings are the newest. No logic changes: settings_poll gives the time of a poll that took a second or more and whether it was answered; settings_notice gives, once a second at most, the sender of a notice that keeps a node from reading the source.

--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -66,7 +66,9 @@
                  if (wasEmpty)
                    scheduleStandingRepeat();
                },
-               [this](std::int64_t next) { noteFreshSettings(next); },
+               [this](const std::string &sender, std::int64_t next) {
+                 noteFreshSettings(sender, next);
+               },
                [this](std::vector<DepartedRecord> departed) {
                  Handlers.OnDeparted(std::move(departed));
                }}),
--- a/src/libfleet/node/control.h
+++ b/src/libfleet/node/control.h
@@ -87,7 +87,7 @@
   void scheduleStandingRepeat();
   void startCatchUp();
   bool isReader() const;
-  void noteFreshSettings(std::int64_t next);
+  void noteFreshSettings(const std::string &sender, std::int64_t next);
   void scheduleFreshnessNotice();
   asio::awaitable<void> awaitPollDue();
   std::vector<std::string> membersWithNewestSettings() const;
@@ -124,6 +124,8 @@
   /// Time until which the settings count as the newest, by the last freshness
   /// notice from another node.
   Instant FreshUntil;
+  /// When a freshness notice was last logged.
+  Instant NoticeLoggedAt;
   TrafficCounters &Traffic;
   asio::steady_timer TrafficTimer;
   std::int64_t SpreadNext = 0;
--- a/src/libfleet/node/controlsettings.cpp
+++ b/src/libfleet/node/controlsettings.cpp
@@ -33,6 +33,9 @@
 constexpr Micros FreshnessPeriod = std::chrono::milliseconds(500);
 constexpr Micros FreshTerm = std::chrono::milliseconds(1'200);
 
+/// Interval at which a node logs the freshness notices that it gets.
+constexpr Micros NoticeLogPeriod = std::chrono::seconds(1);
+
 /// Number of members of the data centre to which a node sends the version of
 /// settings that it did not read from the source itself.
 constexpr std::size_t SettingsFanOut = 3;
@@ -41,9 +44,18 @@
 
 /// Ignores notices of older settings, and all while this node is behind: a node
 /// that cannot catch up must read the source itself.
-void Control::noteFreshSettings(std::int64_t next) {
-  if (next >= Settings.state().Next && !isBehind())
-    FreshUntil = now() + FreshTerm;
+void Control::noteFreshSettings(const std::string &sender, std::int64_t next) {
+  if (next < Settings.state().Next || isBehind())
+    return;
+  FreshUntil = now() + FreshTerm;
+  if (now() < NoticeLoggedAt + NoticeLogPeriod)
+    return;
+  NoticeLoggedAt = now();
+  logEvent(LogLevel::Info, "settings_notice",
+           {{"sender", sender},
+            {"settings_next", next},
+            {"source_age_ms",
+             toMillis(now() - Settings.sourceAnsweredAt()).count()}});
 }
 
 /// Starts to fetch newer settings from a member that reports having them, so
--- a/src/libfleet/peers/membershipservice.cpp
+++ b/src/libfleet/peers/membershipservice.cpp
@@ -154,7 +154,7 @@
     Handlers.OnNewerSettings();
   takeCrashes(*gossip);
   if (gossip->isSettingsFresh && Handlers.OnFreshSettings)
-    Handlers.OnFreshSettings(message->SettingsNext);
+    Handlers.OnFreshSettings(message->Sender, message->SettingsNext);
   if (gossip->__isset.standings)
     if (auto report = fromWire(gossip->standings))
       Handlers.OnStandings(*report);
--- a/src/libfleet/peers/membershipservice.h
+++ b/src/libfleet/peers/membershipservice.h
@@ -30,7 +30,8 @@
     std::function<void(const StandingReport &)> OnStandings;
     /// A node that reads the source of settings has reported this version as
     /// current.
-    std::function<void(std::int64_t next)> OnFreshSettings;
+    std::function<void(const std::string &sender, std::int64_t next)>
+        OnFreshSettings;
     std::function<void(std::vector<DepartedRecord>)> OnDeparted;
   };
 
--- a/src/libfleet/settings/settingsservice.cpp
+++ b/src/libfleet/settings/settingsservice.cpp
@@ -13,6 +13,8 @@
 constexpr Millis PollWait = std::chrono::seconds(5);
 constexpr Millis InitialBackoff = std::chrono::milliseconds(200);
 constexpr Millis MaxBackoff = std::chrono::seconds(2);
+/// Polls of a document source that take this long are logged when they end.
+constexpr Micros SlowPoll = std::chrono::seconds(1);
 constexpr Millis VerdictPoll = std::chrono::milliseconds(10);
 constexpr Millis RefreshPeriod = std::chrono::milliseconds(500);
 
@@ -105,7 +107,9 @@
   while (true) {
     if (Loaded)
       co_await Handlers.AwaitPollDue();
+    Instant askedAt = now();
     SettingsUpdate update = co_await Source->next();
+    reportSlowPoll(askedAt, update.IsReachable);
     if (update.IsReachable != IsReachable)
       logEvent(LogLevel::Warn,
                update.IsReachable ? "store_regained" : "store_lost",
@@ -125,6 +129,15 @@
   }
 }
 
+void SettingsService::reportSlowPoll(Instant askedAt, bool isAnswered) const {
+  Micros time = now() - askedAt;
+  if (time >= SlowPoll)
+    logEvent(LogLevel::Info, "settings_poll",
+             {{"answered", isAnswered},
+              {"ms", toMillis(time).count()},
+              {"settings_next", FoldedState.Next}});
+}
+
 void SettingsService::applyDocument(const SettingsUpdate &update) {
   if (!update.Faults.empty()) {
     Refused = {update.RefusedVersion, update.Faults, now()};
--- a/src/libfleet/settings/settingsservice.h
+++ b/src/libfleet/settings/settingsservice.h
@@ -63,6 +63,7 @@
 private:
   asio::awaitable<void> follow();
   asio::awaitable<void> pollDocuments();
+  void reportSlowPoll(Instant askedAt, bool isAnswered) const;
   void applyDocument(const SettingsUpdate &update);
   asio::awaitable<void> refresh();
   RecordPosition oldestSafe() const;
