--- a/tests/platform/platformfleet.cpp
+++ b/tests/platform/platformfleet.cpp
@@ -96,6 +96,7 @@
                    {"announcement_limit_ms", 3'000},
                    {"linger_ms", 500},
                    {"drain_limit_ms", 2'000}};
+  settings.update(ExtraSettings);
   std::ofstream(file(name + ".json")) << settings.dump();
   Processes[name] = ChildProcess({program("src/hickorygladed/hickorygladed"),
                                   "--settings", file(name + ".json")},
@@ -122,6 +123,14 @@
   TestFleet::await("configuration", isAccepted);
 }
 
+std::int64_t PlatformFleet::settingsOf(const std::string &node) {
+  HttpReply reply = callOnce(Nodes.at(node).Admin,
+                             {"GET", "/v1/status", {}, ""}, CallTimeout);
+  json status = json::parse(reply.Body, nullptr, false);
+  return status.is_object() ? status.value("settings_next", std::int64_t{0})
+                            : 0;
+}
+
 json PlatformFleet::controlStore(const json &change) {
   HttpReply reply =
       callOnce(Store, {"POST", "/_control", {}, change.dump()}, CallTimeout);
--- a/tests/platform/platformfleet.h
+++ b/tests/platform/platformfleet.h
@@ -30,6 +30,11 @@
   /// Sets the heartbeat period of servers that are started from now on.
   void setHeartbeatMs(int heartbeatMs) { HeartbeatMs = heartbeatMs; }
 
+  /// Sets further settings of nodes that are started from now on.
+  void setNodeSettings(nlohmann::json settings) {
+    ExtraSettings = std::move(settings);
+  }
+
   void startStore();
   void startNode(const std::string &name, const std::string &service = "s");
   /// Starts a server that only the given node reaches.
@@ -37,6 +42,8 @@
 
   /// Publishes a configuration as the operator does.
   void configure(const nlohmann::json &config);
+  /// Version up to which a node has the settings, as it reports itself.
+  std::int64_t settingsOf(const std::string &node);
   nlohmann::json controlStore(const nlohmann::json &change);
   nlohmann::json controlServer(const std::string &node,
                                const nlohmann::json &change);
@@ -71,6 +78,7 @@
   std::string LastId;
   std::atomic<int> Attempts = 0;
   int HeartbeatMs = 200;
+  nlohmann::json ExtraSettings = nlohmann::json::object();
 };
 
 /// Returns a configuration with a safe route at /safe/ and a non-idempotent one
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -132,10 +132,13 @@
                              std::shared_ptr<RawConnection> connection) {
     auto from = std::size_t(std::stoll(queryValue(target, "start_key")));
     int wait = std::stoi(queryValue(target, "wait_ms"));
+    int round = SilencedRounds;
     for (int ms = 0; ms < wait && Topics[name].Records.size() <= from &&
-                     !connection->isClosedByPeer();
+                     round == SilencedRounds && !connection->isClosedByPeer();
          ms += int(WaitStep.count()))
       co_await sleepFor(WaitStep);
+    while (round != SilencedRounds && !connection->isClosedByPeer())
+      co_await sleepFor(WaitStep);
     if (from < First)
       co_return co_await reply(connection, expired());
     const auto &records = Topics[name].Records;
@@ -152,6 +155,8 @@
       Mode = in.value("mode", Mode);
       LostAnswers = in.value("lost_answers", LostAnswers);
       First = in.value("first", First);
+      // Polls that wait at this moment are never answered.
+      SilencedRounds += in.value("silence_waiting", false);
     }
     co_return co_await reply(connection, counters());
   }
@@ -162,6 +167,7 @@
   int LostAnswers = 0;
   std::size_t First = 0;
   int Calls = 0;
+  int SilencedRounds = 0;
 };
 
 } // namespace
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -240,15 +240,10 @@
     rule["target_latency_s"] = 6;
     rule["action"]["timeout_s"] = 8;
   }
-  auto settingsOf = [&] {
-    std::string text = callOnce(fleet.node("n3").Admin,
-                                {"GET", "/v1/status", {}, ""}, CallTimeout)
-                           .Body;
-    return json::parse(text, nullptr, false).value("settings_next", 0);
-  };
-  int before = settingsOf();
+  std::int64_t before = fleet.settingsOf("n3");
   fleet.configure(config);
-  TestFleet::await("the new limits", [&] { return settingsOf() > before; });
+  TestFleet::await("the new limits",
+                   [&] { return fleet.settingsOf("n3") > before; });
   for (const char *node : {"n1", "n2"})
     fleet.controlServer(node, {{"fault", "hang"}});
   constexpr int slots = 6;
