settings: nobody is told that settings are newer than the sender knows

Cause: a notice said 'these settings are the newest' without saying as of when. A reader whose poll of the store hung counted the store as reachable until the call ended (12 s at most) and went on sending notices, and each one kept its data centre from reading the store for 1.2 s. Ruled out: documents too large or refused (no poll ended), a member that cannot catch up (no node had the version), frozen or killed readers (none).

Now each node keeps a time as of which no version was newer than its own (settingsfreshness). It comes from the store's answers (the time of asking; plus the wait if the store had nothing to the end of it) or from a notice, which carries its age. A node reads the store itself before that knowledge is older than settings_max_age_ms (0.6 of the platform's bound), in the order of ranks, so that the first one that is served tells the others. A poll that is not answered half a second after its wait counts as a lost store. This bounds the time for any node that the store serves, whatever the readers do: max age + one read.

One node polls for the fleet (settings_readers counts all data centres now) and tells its data centre and one member of each other one, which passes it on.

--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -253,8 +253,11 @@
   // Version of the sender's settings, if they come as whole documents.
   9: optional i64 settingsNext
   10: optional StandingReport standings
-  // The sender reads the source of the settings and has their newest version.
+  // The sender knows how current its settings are. Nodes of earlier releases
+  // take them for the newest at arrival.
   11: bool isSettingsFresh
+  // Time since the sender's settings are known to have been the newest.
+  12: optional i64 settingsAgeMs
 }
 
 struct SettingsEntry {
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -4772,6 +4772,11 @@
 void Gossip::__set_isSettingsFresh(const bool val) {
   this->isSettingsFresh = val;
 }
+
+void Gossip::__set_settingsAgeMs(const int64_t val) {
+  this->settingsAgeMs = val;
+__isset.settingsAgeMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -4926,6 +4931,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->settingsAgeMs);
+          this->__isset.settingsAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5013,6 +5026,11 @@
   xfer += oprot->writeBool(this->isSettingsFresh);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.settingsAgeMs) {
+    xfer += oprot->writeFieldBegin("settingsAgeMs", ::apache::thrift::protocol::T_I64, 12);
+    xfer += oprot->writeI64(this->settingsAgeMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5031,6 +5049,7 @@
   swap(a.settingsNext, b.settingsNext);
   swap(a.standings, b.standings);
   swap(a.isSettingsFresh, b.isSettingsFresh);
+  swap(a.settingsAgeMs, b.settingsAgeMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -5046,6 +5065,7 @@
   settingsNext = other172.settingsNext;
   standings = other172.standings;
   isSettingsFresh = other172.isSettingsFresh;
+  settingsAgeMs = other172.settingsAgeMs;
   __isset = other172.__isset;
 }
 Gossip::Gossip(Gossip&& other173) noexcept {
@@ -5060,6 +5080,7 @@
   settingsNext = other173.settingsNext;
   standings = std::move(other173.standings);
   isSettingsFresh = other173.isSettingsFresh;
+  settingsAgeMs = other173.settingsAgeMs;
   __isset = other173.__isset;
 }
 Gossip& Gossip::operator=(const Gossip& other174) {
@@ -5074,6 +5095,7 @@
   settingsNext = other174.settingsNext;
   standings = other174.standings;
   isSettingsFresh = other174.isSettingsFresh;
+  settingsAgeMs = other174.settingsAgeMs;
   __isset = other174.__isset;
   return *this;
 }
@@ -5089,6 +5111,7 @@
   settingsNext = other175.settingsNext;
   standings = std::move(other175.standings);
   isSettingsFresh = other175.isSettingsFresh;
+  settingsAgeMs = other175.settingsAgeMs;
   __isset = other175.__isset;
   return *this;
 }
@@ -5106,6 +5129,7 @@
   out << ", " << "settingsNext="; (__isset.settingsNext ? (out << to_string(settingsNext)) : (out << "<null>"));
   out << ", " << "standings="; (__isset.standings ? (out << to_string(standings)) : (out << "<null>"));
   out << ", " << "isSettingsFresh=" << to_string(isSettingsFresh);
+  out << ", " << "settingsAgeMs="; (__isset.settingsAgeMs ? (out << to_string(settingsAgeMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -1850,7 +1850,7 @@
 std::ostream& operator<<(std::ostream& out, const StandingReport& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : kind(false), sender(false), senderAddress(false), sequence(false), target(false), updates(false), buckets(false), quarantines(false), settingsNext(false), standings(false), isSettingsFresh(false) {}
+  _Gossip__isset() : kind(false), sender(false), senderAddress(false), sequence(false), target(false), updates(false), buckets(false), quarantines(false), settingsNext(false), standings(false), isSettingsFresh(false), settingsAgeMs(false) {}
   bool kind :1;
   bool sender :1;
   bool senderAddress :1;
@@ -1862,6 +1862,7 @@
   bool settingsNext :1;
   bool standings :1;
   bool isSettingsFresh :1;
+  bool settingsAgeMs :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -1878,7 +1879,8 @@
            sequence(0),
            target(),
            settingsNext(0),
-           isSettingsFresh(0) {
+           isSettingsFresh(0),
+           settingsAgeMs(0) {
   }
 
   virtual ~Gossip() noexcept;
@@ -1897,6 +1899,7 @@
   int64_t settingsNext;
   StandingReport standings;
   bool isSettingsFresh;
+  int64_t settingsAgeMs;
 
   _Gossip__isset __isset;
 
@@ -1922,6 +1925,8 @@
 
   void __set_isSettingsFresh(const bool val);
 
+  void __set_settingsAgeMs(const int64_t val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1950,6 +1955,10 @@
       return false;
     if (!(isSettingsFresh == rhs.isSettingsFresh))
       return false;
+    if (__isset.settingsAgeMs != rhs.__isset.settingsAgeMs)
+      return false;
+    else if (__isset.settingsAgeMs && !(settingsAgeMs == rhs.settingsAgeMs))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -66,9 +66,8 @@
                  if (wasEmpty)
                    scheduleStandingRepeat();
                },
-               [this](const std::string &sender, std::int64_t next) {
-                 noteFreshSettings(sender, next);
-               },
+               [this](const std::string &sender, std::int64_t next,
+                      Micros age) { noteSettingsAge(sender, next, age); },
                [this](std::vector<DepartedRecord> departed) {
                  Handlers.OnDeparted(std::move(departed));
                }}),
@@ -81,10 +80,11 @@
                 },
                 [this] { return fetchSnapshot(); },
                 [this](const std::string &what) { return refreshRank(what); },
-                [this] { return awaitPollDue(); }}),
+                [this] { return awaitPollDue(); },
+                [this] { shareFreshness(); }}),
       Leases(io, settings.LogAddress, settings.StreamPrefix + ".leases",
              {settings.Node, bootId}, metrics, leaseEvents()),
-      RebuildTimer(io), StandingTimer(io), FreshnessTimer(io),
+      RebuildTimer(io), StandingTimer(io), PollDueTimer(io),
       Traffic(metrics.traffic()), TrafficTimer(io) {
   OwnStandings.Node = settings.Node;
   OwnStandings.BootId = bootId;
@@ -211,8 +211,6 @@
   if (!status.ok())
     return status;
   Settings.start();
-  if (Directory && Config.SettingsReaders > 0)
-    scheduleFreshnessNotice();
   if (Directory)
     asio::co_spawn(Io, discoverNodes(), asio::detached);
   else
--- a/src/libfleet/node/control.h
+++ b/src/libfleet/node/control.h
@@ -86,11 +86,16 @@
   void reportStandings();
   void scheduleStandingRepeat();
   void startCatchUp();
-  bool isReader() const;
-  void noteFreshSettings(const std::string &sender, std::int64_t next);
-  void scheduleFreshnessNotice();
-  asio::awaitable<void> awaitPollDue();
+  bool isFirstInDataCentre() const;
+  ReadingPolicy readingPolicy() const;
+  std::optional<Micros> settingsAge() const;
+  void noteSettingsAge(const std::string &sender, std::int64_t next,
+                       Micros age);
+  void shareFreshness();
+  void relayFreshness(const std::string &sender);
+  asio::awaitable<Millis> awaitPollDue();
   std::vector<std::string> membersWithNewestSettings() const;
+  std::int64_t newestNext() const;
   bool isBehind() const;
   asio::awaitable<void> catchUp();
   void scheduleRebuild();
@@ -120,12 +125,12 @@
   StandingReport OwnStandings;
   StandingBoard Standings;
   asio::steady_timer StandingTimer;
-  asio::steady_timer FreshnessTimer;
-  /// Time until which the settings count as the newest, by the last freshness
-  /// notice from another node.
-  Instant FreshUntil;
-  /// When a freshness notice was last logged.
-  Instant NoticeLoggedAt;
+  bool HasAwaitedPoll = false;
+  /// Latest version among other nodes at this node's last poll of the source.
+  std::int64_t RequestedNext = 0;
+  asio::steady_timer PollDueTimer;
+  /// Node that last told this one that its settings are current.
+  std::string FreshnessSender;
   TrafficCounters &Traffic;
   asio::steady_timer TrafficTimer;
   std::int64_t SpreadNext = 0;
--- a/src/libfleet/node/controlreport.cpp
+++ b/src/libfleet/node/controlreport.cpp
@@ -69,6 +69,7 @@
   out.SettingsVersion = double(Settings.state().Next);
   out.SettingsInForce = now() - Settings.inForceSince();
   out.SourceAge = now() - Settings.sourceAnsweredAt();
+  out.SettingsAge = now() - Settings.freshness().AsOf;
   out.IsSourceReachable = Settings.isLogReachable();
   return out;
 }
@@ -140,6 +141,8 @@
       {"settings_in_force_ms",
        toMillis(now() - Settings.inForceSince()).count()},
       {"source_age_ms", toMillis(now() - Settings.sourceAnsweredAt()).count()},
+      {"settings_as_of_ms",
+       toMillis(now() - Settings.freshness().AsOf).count()},
       {"log_reachable", Settings.isLogReachable()},
       {"members", std::move(members)},
       {"quarantine", std::move(crashes)}};
--- a/src/libfleet/node/controlsettings.cpp
+++ b/src/libfleet/node/controlsettings.cpp
@@ -8,9 +8,10 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <utility>
 
 /// The part of a node's control plane that keeps the settings up to date: from
-/// their source if the node is a reader of its data centre, else from peers.
+/// their source if it is this node's turn to read it, else from peers.
 
 namespace hickoryglade::fleet {
 
@@ -19,85 +20,108 @@
 constexpr Micros SnapshotTimeout = std::chrono::milliseconds(800);
 constexpr std::size_t MaxSnapshotPeers = 3;
 
-/// Time in which most readers get a new settings document from the store. Only
-/// those that are still behind after it fetch the document from a peer.
+/// Time in which the first member of a data centre gets a new settings document
+/// from the store. It fetches the document from a peer if it is still behind
+/// after it.
 constexpr Millis CatchUpDelay = std::chrono::milliseconds(300);
 
-/// Random delay of nodes that don't read the store, so that they don't all
-/// fetch new settings from the first member that has them.
+/// Random delay of the other nodes, so that they don't all fetch new settings
+/// from the first member that has them.
 constexpr std::uint64_t CatchUpJitterMs = 120;
 
-/// Interval of a reader's freshness notices to its data centre, and how long
-/// each is valid. One notice may be lost before other nodes read the source
-/// themselves, and most of the 2 s in which a change must be in force remain.
-constexpr Micros FreshnessPeriod = std::chrono::milliseconds(500);
-constexpr Micros FreshTerm = std::chrono::milliseconds(1'200);
-
-/// Interval at which a node logs the freshness notices that it gets.
-constexpr Micros NoticeLogPeriod = std::chrono::seconds(1);
-
 /// Number of members of the data centre to which a node sends the version of
 /// settings that it did not read from the source itself.
 constexpr std::size_t SettingsFanOut = 3;
 
 } // namespace
 
-/// Ignores notices of older settings, and all while this node is behind: a node
+ReadingPolicy Control::readingPolicy() const {
+  return {std::size_t(Config.SettingsReaders), Config.SettingsMaxAge};
+}
+
+std::optional<Micros> Control::settingsAge() const {
+  Instant asOf = Settings.freshness().AsOf;
+  return asOf == Instant{} ? std::nullopt : std::optional(now() - asOf);
+}
+
+/// Ignores notices of other versions, and all while this node is behind: a node
 /// that cannot catch up must read the source itself.
-void Control::noteFreshSettings(const std::string &sender, std::int64_t next) {
-  if (next < Settings.state().Next || isBehind())
+void Control::noteSettingsAge(const std::string &sender, std::int64_t next,
+                              Micros age) {
+  Instant asOf = now() - age;
+  if (next < Settings.state().Next || isBehind() ||
+      asOf <= Settings.freshness().AsOf)
     return;
-  FreshUntil = now() + FreshTerm;
-  if (now() < NoticeLoggedAt + NoticeLogPeriod)
+  Settings.noteCurrent(asOf);
+  relayFreshness(sender);
+  if (sender == FreshnessSender)
     return;
-  NoticeLoggedAt = now();
+  FreshnessSender = sender;
   logEvent(LogLevel::Info, "settings_notice",
            {{"sender", sender},
             {"settings_next", next},
-            {"source_age_ms",
-             toMillis(now() - Settings.sourceAnsweredAt()).count()}});
+            {"age_ms", toMillis(age).count()}});
 }
 
 /// Starts to fetch newer settings from a member that reports having them, so
 /// that a node which the store does not serve gets them too.
 void Control::startCatchUp() {
-  if (!Directory || IsCatchingUp || !isBehind())
+  if (!Directory || !isBehind())
+    return;
+  PollDueTimer.cancel();
+  if (std::exchange(IsCatchingUp, true))
     return;
-  IsCatchingUp = true;
   asio::co_spawn(Io, catchUp(), asio::detached);
 }
 
-bool Control::isReader() const {
-  return Config.SettingsReaders == 0 || rankInDataCentre(Members.state()) <
-                                            std::size_t(Config.SettingsReaders);
+bool Control::isFirstInDataCentre() const {
+  return rankInDataCentre(Members.state()) == 0;
 }
 
-/// Waits while a reader's freshness notice is valid. At the start, every node
-/// waits once, since the readers are not known yet.
-asio::awaitable<void> Control::awaitPollDue() {
-  bool isStart = FreshUntil == Instant{};
-  if (isStart)
-    FreshUntil = now() + FreshTerm;
-  asio::steady_timer timer(Io);
-  while (now() < FreshUntil && (isStart || !isReader())) {
-    isStart = false;
-    timer.expires_at(toSteady(FreshUntil));
-    co_await timer.async_wait(asio::use_awaitable);
+/// At the start every node waits as long as any, since the members that read
+/// are not known yet. The first member of a data centre reads a new version
+/// from the source once it hears of it, and the others get it from there.
+asio::awaitable<Millis> Control::awaitPollDue() {
+  ReadingPolicy policy = readingPolicy();
+  bool isStart = policy.Readers > 0 && !std::exchange(HasAwaitedPoll, true);
+  auto due = [&] {
+    bool isNewVersion = isBehind() && newestNext() > RequestedNext;
+    if (isNewVersion && isFirstInDataCentre())
+      return Settings.freshness().AsOf;
+    return isStart ? Settings.freshness().AsOf + policy.MaxAge
+                   : readDue(Settings.freshness(), policy,
+                             readingPlace(Members.state()));
+  };
+  for (Instant at = due(); now() < at; at = due()) {
+    error_code ec;
+    PollDueTimer.expires_at(toSteady(at));
+    co_await PollDueTimer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ec));
   }
+  RequestedNext = newestNext();
+  bool isReader = policy.Readers == 0 ||
+                  readingPlace(Members.state()).Rank < policy.Readers;
+  co_return isReader ? toMillis(longestPollWait(policy)) : Millis(0);
 }
 
-/// Sends freshness notices to the data centre while this node reads the source
-/// of settings.
-void Control::scheduleFreshnessNotice() {
-  FreshnessTimer.expires_after(FreshnessPeriod);
-  FreshnessTimer.async_wait([this](const error_code &ec) {
-    if (ec || IsLeaving)
-      return;
-    if (isReader() && Settings.isLogReachable() && Settings.isLoaded() &&
-        !isBehind())
-      Members.sendSettingsVersion(peers(Members.state()).size(), true);
-    scheduleFreshnessNotice();
-  });
+/// Tells the data centre, and one member of each other one, how current this
+/// node's settings are known to be.
+void Control::shareFreshness() {
+  if (Config.SettingsReaders == 0 || IsLeaving || isBehind())
+    return;
+  std::vector<const Member *> targets = nearPeers(Members.state());
+  std::ranges::copy(firstMembersElsewhere(Members.state()),
+                    std::back_inserter(targets));
+  Members.sendSettingsVersion(targets, settingsAge());
+}
+
+/// Passes on to the data centre what a member elsewhere knows.
+void Control::relayFreshness(const std::string &sender) {
+  auto member = Members.state().Members.find(sender);
+  bool isElsewhere = member != Members.state().Members.end() &&
+                     member->second.Record.DataCentre != Config.DataCentre;
+  if (isElsewhere && isFirstInDataCentre() && !IsLeaving)
+    Members.sendSettingsVersion(nearPeers(Members.state()), settingsAge());
 }
 
 void Control::spreadSettings() {
@@ -105,15 +129,18 @@
   if (Config.SettingsReaders == 0 || next <= SpreadNext)
     return;
   SpreadNext = next;
-  bool isFresh = isReader() && Settings.isLogReachable();
-  Members.sendSettingsVersion(
-      isFresh ? peers(Members.state()).size() : SettingsFanOut, isFresh);
+  Members.sendSettingsVersion(isFirstInDataCentre()
+                                  ? nearPeers(Members.state())
+                                  : Members.someNearPeers(SettingsFanOut),
+                              settingsAge());
 }
 
-bool Control::isBehind() const {
-  return Members.state().NewestSettings.Next > Settings.state().Next;
+std::int64_t Control::newestNext() const {
+  return Members.state().NewestSettings.Next;
 }
 
+bool Control::isBehind() const { return newestNext() > Settings.state().Next; }
+
 /// Returns the addresses of members with the newest settings: those in the own
 /// data centre, or all if there are none.
 std::vector<std::string> Control::membersWithNewestSettings() const {
@@ -129,7 +156,7 @@
   asio::steady_timer timer(Io);
   while (isBehind()) {
     Millis delay = CatchUpDelay;
-    if (!isReader())
+    if (!isFirstInDataCentre())
       delay = Millis(std::uint64_t(wallMicros()) % CatchUpJitterMs);
     timer.expires_after(delay);
     co_await timer.async_wait(asio::use_awaitable);
--- a/src/libfleet/node/nodesettings.cpp
+++ b/src/libfleet/node/nodesettings.cpp
@@ -17,6 +17,8 @@
 
 constexpr int MaxTrafficThreads = 64;
 constexpr int MaxSettingsReaders = 1'000;
+constexpr int MinSettingsAgeMs = 100;
+constexpr int MaxSettingsAgeMs = 60'000;
 constexpr int MinRetentionMs = 1'000;
 constexpr int MaxRetentionMs = 2'000'000'000;
 constexpr int MaxDrainMs = 3'600'000;
@@ -184,6 +186,10 @@
   reader.readBoolean("accept_before_ready", settings.AcceptsBeforeReady);
   reader.readInteger("settings_readers", settings.SettingsReaders, 0,
                      MaxSettingsReaders);
+  int maxAgeMs = int(settings.SettingsMaxAge.count());
+  reader.readInteger("settings_max_age_ms", maxAgeMs, MinSettingsAgeMs,
+                     MaxSettingsAgeMs);
+  settings.SettingsMaxAge = Millis(maxAgeMs);
   reader.readBoolean("keep_standings_near", settings.KeepsStandingsNear);
   reader.readString("log_level", settings.LogLevel, false);
   if (std::ranges::find(LogLevels, settings.LogLevel) == LogLevels.end())
@@ -222,6 +228,7 @@
               {"service", settings.Service},
               {"accept_before_ready", settings.AcceptsBeforeReady},
               {"settings_readers", settings.SettingsReaders},
+              {"settings_max_age_ms", settings.SettingsMaxAge.count()},
               {"keep_standings_near", settings.KeepsStandingsNear},
               {"log_level", settings.LogLevel},
               {"listen",
--- a/src/libfleet/node/nodesettings.h
+++ b/src/libfleet/node/nodesettings.h
@@ -64,6 +64,9 @@
   /// Number of nodes in each data centre that poll the platform's settings
   /// documents for the others; 0 if every node polls them.
   int SettingsReaders = 0;
+  /// Age of the knowledge that the settings are the newest at which a node
+  /// reads the documents itself, although others poll them.
+  Millis SettingsMaxAge{1'200};
   /// True if short-lived standings of endpoints (suspect, on trial) are sent to
   /// the own data centre only. Other nodes learn them from replies.
   bool KeepsStandingsNear = false;
--- a/src/libfleet/peers/membershipservice.cpp
+++ b/src/libfleet/peers/membershipservice.cpp
@@ -25,6 +25,16 @@
 /// Members to which a node forwards a crash record that is new to it.
 constexpr std::size_t CrashFanOut = 4;
 
+/// Older knowledge of how current settings are is of no use to others.
+constexpr Micros MaxSettingsAge = std::chrono::minutes(1);
+
+std::optional<Micros> settingsAgeOf(const wire::Gossip &gossip) {
+  bool isUsable = gossip.__isset.settingsAgeMs && gossip.settingsAgeMs >= 0 &&
+                  gossip.settingsAgeMs <= toMillis(MaxSettingsAge).count();
+  return isUsable ? std::optional<Micros>(Millis(gossip.settingsAgeMs))
+                  : std::nullopt;
+}
+
 std::optional<udp::endpoint> toEndpoint(const std::string &address) {
   std::optional<Address> parsed = parseAddress(address);
   if (!parsed)
@@ -96,13 +106,22 @@
     sendBytes(peer->Record.FleetAddress, bytes, TrafficCause::Standings);
 }
 
-void MembershipService::sendSettingsVersion(std::size_t fanOut, bool isFresh) {
+std::vector<const Member *>
+MembershipService::someNearPeers(std::size_t fanOut) {
+  std::vector<const Member *> some = nearPeers(State);
+  std::ranges::shuffle(some, State.Rng);
+  some.resize(std::min(some.size(), fanOut));
+  return some;
+}
+
+void MembershipService::sendSettingsVersion(
+    const std::vector<const Member *> &targets, std::optional<Micros> age) {
   wire::Gossip gossip = ownGossip();
-  gossip.isSettingsFresh = isFresh;
+  if (age && *age <= MaxSettingsAge) {
+    gossip.isSettingsFresh = true;
+    gossip.__set_settingsAgeMs(std::chrono::ceil<Millis>(*age).count());
+  }
   std::string bytes = encodeGossip(gossip);
-  std::vector<const Member *> targets = nearPeers(State);
-  std::ranges::shuffle(targets, State.Rng);
-  targets.resize(std::min(targets.size(), fanOut));
   for (const Member *target : targets)
     sendBytes(target->Record.FleetAddress, bytes, TrafficCause::Settings);
 }
@@ -153,8 +172,8 @@
   if (State.NewestSettings.Next > newest && Handlers.OnNewerSettings)
     Handlers.OnNewerSettings();
   takeCrashes(*gossip);
-  if (gossip->isSettingsFresh && Handlers.OnFreshSettings)
-    Handlers.OnFreshSettings(message->Sender, message->SettingsNext);
+  if (auto age = settingsAgeOf(*gossip); age && Handlers.OnSettingsAge)
+    Handlers.OnSettingsAge(message->Sender, message->SettingsNext, *age);
   if (gossip->__isset.standings)
     if (auto report = fromWire(gossip->standings))
       Handlers.OnStandings(*report);
@@ -186,8 +205,8 @@
   if (!to)
     return;
   error_code ec;
-  // Standings and settings are sent within the data centre only.
-  bool isBroad = cause == TrafficCause::Membership;
+  // Standings are sent within the data centre only.
+  bool isBroad = cause != TrafficCause::Standings;
   Traffic.add(cause, isBroad && isFar(address), bytes.size());
   Socket.send_to(asio::buffer(bytes), *to, 0, ec);
 }
--- a/src/libfleet/peers/membershipservice.h
+++ b/src/libfleet/peers/membershipservice.h
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace hickoryglade::wire {
@@ -28,10 +29,11 @@
     /// A gossip message named a newer settings version than any before.
     std::function<void()> OnNewerSettings;
     std::function<void(const StandingReport &)> OnStandings;
-    /// A node that reads the source of settings has reported this version as
-    /// current.
-    std::function<void(const std::string &sender, std::int64_t next)>
-        OnFreshSettings;
+    /// A node has reported how long ago its version of the settings is known
+    /// to have been the newest.
+    std::function<void(const std::string &sender, std::int64_t next,
+                       Micros age)>
+        OnSettingsAge;
     std::function<void(std::vector<DepartedRecord>)> OnDeparted;
   };
 
@@ -59,9 +61,13 @@
   /// Sends a report to the members in this node's data centre.
   void broadcastStandings(const StandingReport &report);
 
-  /// Sends this node's settings version to up to `fanOut` random members in its
-  /// data centre.
-  void sendSettingsVersion(std::size_t fanOut, bool isFresh);
+  /// Sends this node's settings version to members, with the time since it is
+  /// known to have been the newest, if it is known.
+  void sendSettingsVersion(const std::vector<const Member *> &targets,
+                           std::optional<Micros> age);
+
+  /// Up to `fanOut` random members in this node's data centre.
+  std::vector<const Member *> someNearPeers(std::size_t fanOut);
 
 private:
   wire::Gossip ownGossip() const;
--- a/src/libfleet/reporting/metrics.cpp
+++ b/src/libfleet/reporting/metrics.cpp
@@ -110,6 +110,9 @@
                               "Time since the settings in force were taken")),
         SourceAge(gauge(registry, "hickoryglade_settings_source_age_seconds",
                         "Time since the settings' source last answered")),
+        SettingsAge(gauge(registry, "hickoryglade_settings_as_of_seconds",
+                          "Time since the settings in force are known to have "
+                          "been the newest")),
         SourceUp(gauge(registry, "hickoryglade_settings_source_up",
                        "1 if the settings' source answered the last call")),
         Traffic(counterFamily(registry, "hickoryglade_node_sent_bytes_total",
@@ -152,6 +155,7 @@
   prometheus::Gauge &SettingsVersion;
   prometheus::Gauge &SettingsInForce;
   prometheus::Gauge &SourceAge;
+  prometheus::Gauge &SettingsAge;
   prometheus::Gauge &SourceUp;
   prometheus::Family<prometheus::Counter> &Traffic;
   prometheus::Counter &ProcessorTime;
@@ -237,6 +241,7 @@
   All->SettingsVersion.Set(node.SettingsVersion);
   All->SettingsInForce.Set(secondsOf(node.SettingsInForce));
   All->SourceAge.Set(secondsOf(node.SourceAge));
+  All->SettingsAge.Set(secondsOf(node.SettingsAge));
   All->SourceUp.Set(node.IsSourceReachable ? 1 : 0);
   for (std::size_t i = 0; i < TrafficCauses; ++i)
     for (bool isFar : {false, true}) {
--- a/src/libfleet/reporting/metrics.h
+++ b/src/libfleet/reporting/metrics.h
@@ -26,6 +26,8 @@
   double SettingsVersion = 0;
   Micros SettingsInForce{0};
   Micros SourceAge{0};
+  /// Time since the settings in force are known to have been the newest.
+  Micros SettingsAge{0};
   bool IsSourceReachable = false;
 };
 
--- a/src/libfleet/settings/settingsservice.cpp
+++ b/src/libfleet/settings/settingsservice.cpp
@@ -13,6 +13,9 @@
 constexpr Millis PollWait = std::chrono::seconds(5);
 constexpr Millis InitialBackoff = std::chrono::milliseconds(200);
 constexpr Millis MaxBackoff = std::chrono::seconds(2);
+/// Time after which a document source that does not answer counts as lost.
+constexpr Millis SilenceLimit = std::chrono::milliseconds(500);
+
 /// Polls of a document source that take this long are logged when they end.
 constexpr Micros SlowPoll = std::chrono::seconds(1);
 constexpr Millis VerdictPoll = std::chrono::milliseconds(10);
@@ -34,7 +37,7 @@
                                  Metrics &metrics, Events events)
     : Io(io), LogAddress(logAddress), Stream(stream), Retention(retention),
       Reader(io.get_executor(), logAddress, stream), Counters(metrics),
-      Handlers(std::move(events)) {}
+      Handlers(std::move(events)), PollTimer(io) {}
 
 void SettingsService::useDocumentSource(
     std::unique_ptr<SettingsSource> source) {
@@ -105,18 +108,19 @@
 asio::awaitable<void> SettingsService::pollDocuments() {
   Millis backoff = InitialBackoff;
   while (true) {
+    Millis wait{0};
     if (Loaded)
-      co_await Handlers.AwaitPollDue();
+      wait = co_await Handlers.AwaitPollDue();
+    watchPoll(wait);
     Instant askedAt = now();
-    SettingsUpdate update = co_await Source->next();
+    SettingsUpdate update = co_await Source->next(wait);
+    PollTimer.cancel();
     reportSlowPoll(askedAt, update.IsReachable);
-    if (update.IsReachable != IsReachable)
-      logEvent(LogLevel::Warn,
-               update.IsReachable ? "store_regained" : "store_lost",
-               {{"settings_next", FoldedState.Next}});
-    noteReachable(update.IsReachable);
+    noteSourceReachable(update.IsReachable);
     applyDocument(update);
     if (IsReachable && Loaded) {
+      noteCurrent(update.AsOf);
+      Handlers.OnSourceRead();
       backoff = InitialBackoff;
       continue;
     }
@@ -129,6 +133,27 @@
   }
 }
 
+void SettingsService::noteSourceReachable(bool isReachable) {
+  if (isReachable != IsReachable)
+    logEvent(LogLevel::Warn, isReachable ? "store_regained" : "store_lost",
+             {{"settings_next", FoldedState.Next},
+              {"as_of_ms", toMillis(now() - Freshness.AsOf).count()}});
+  noteReachable(isReachable);
+}
+
+/// Counts the source as lost if it does not answer soon after the wait.
+void SettingsService::watchPoll(Millis wait) {
+  PollTimer.expires_after(wait + SilenceLimit);
+  PollTimer.async_wait([this](const error_code &ec) {
+    if (!ec)
+      noteSourceReachable(false);
+  });
+}
+
+void SettingsService::noteCurrent(Instant asOf) {
+  hickoryglade::noteCurrent(Freshness, asOf);
+}
+
 void SettingsService::reportSlowPoll(Instant askedAt, bool isAnswered) const {
   Micros time = now() - askedAt;
   if (time >= SlowPoll)
--- a/src/libfleet/settings/settingsservice.h
+++ b/src/libfleet/settings/settingsservice.h
@@ -3,6 +3,7 @@
 #include "libfleet/base/asio.h"
 #include "libfleet/log/logclient.h"
 #include "libfleet/settings/settingssource.h"
+#include "libhickoryglade/settingsfreshness.h"
 #include "libhickoryglade/settingslog.h"
 
 #include <functional>
@@ -25,8 +26,11 @@
     std::function<asio::awaitable<bool>()> FetchSnapshot;
     /// Rank of this node among all members for rewriting a given record.
     std::function<std::size_t(const std::string &what)> RefreshRank;
-    /// Waits while other nodes poll the document source on behalf of this one.
-    std::function<asio::awaitable<void>()> AwaitPollDue;
+    /// Waits until this node has to poll the document source. Returns how long
+    /// the poll may wait there for a change.
+    std::function<asio::awaitable<Millis>()> AwaitPollDue;
+    /// The document source has answered.
+    std::function<void()> OnSourceRead;
   };
 
   SettingsService(asio::io_context &io, std::string logAddress,
@@ -44,6 +48,12 @@
   bool isLoaded() const { return Loaded; }
   bool isLogReachable() const { return IsReachable; }
 
+  /// How current the settings in force are known to be; only with a document
+  /// source.
+  const SettingsFreshness &freshness() const { return Freshness; }
+  /// Notes that no version was newer than the one in force at a time.
+  void noteCurrent(Instant asOf);
+
   /// When the log or the document source last answered.
   Instant sourceAnsweredAt() const { return SourceAnsweredAt; }
   /// When the current version came into force on this node.
@@ -69,6 +79,8 @@
   RecordPosition oldestSafe() const;
   asio::awaitable<void> pause(Millis wait);
   void noteReachable(bool isReachable);
+  void noteSourceReachable(bool isReachable);
+  void watchPoll(Millis wait);
   void reportChange();
   void fold(const std::vector<LogRecord> &records);
   asio::awaitable<void> handleExpiredRecords(std::int64_t first);
@@ -85,7 +97,10 @@
   std::int64_t FirstKept = 0;
   bool Loaded = false;
   bool IsReachable = false;
+  /// Expires if a poll of the document source is not answered in time.
+  asio::steady_timer PollTimer;
   Instant SourceAnsweredAt;
+  SettingsFreshness Freshness;
   Instant InForceSince;
   std::int64_t ReportedNext = -1;
   std::optional<RefusedDocument> Refused;
--- a/src/libfleet/settings/settingssource.h
+++ b/src/libfleet/settings/settingssource.h
@@ -12,6 +12,9 @@
 struct SettingsUpdate {
   /// False if the source could not be reached.
   bool IsReachable = false;
+  /// A time at which the source had no document newer than the latest that it
+  /// has returned. Only set if it was reached.
+  Instant AsOf;
   /// The newest document, if no earlier poll has returned it.
   std::optional<SettingsDocument> Document;
   /// Reasons why the newest document was refused.
@@ -33,9 +36,9 @@
 public:
   virtual ~SettingsSource() = default;
 
-  /// Waits for an update. The source decides how long it waits before it
-  /// returns without one.
-  virtual asio::awaitable<SettingsUpdate> next() = 0;
+  /// Reads the newest document. If there is none that it has not returned yet,
+  /// waits for one for the given time at most.
+  virtual asio::awaitable<SettingsUpdate> next(Millis wait) = 0;
 };
 
 } // namespace hickoryglade::fleet
--- a/src/libhickoryglade/membership.cpp
+++ b/src/libhickoryglade/membership.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <bit>
 #include <iterator>
+#include <ranges>
 
 namespace hickoryglade {
 
@@ -540,6 +541,32 @@
       }));
 }
 
+std::vector<const Member *> firstMembersElsewhere(const Membership &state) {
+  auto rank = [](const Member *it) { return stableHash(it->Record.Node); };
+  std::map<std::string, const Member *> first;
+  for (const Member *it : peers(state)) {
+    if (it->Record.DataCentre == self(state).DataCentre)
+      continue;
+    auto [at, isNew] = first.try_emplace(it->Record.DataCentre, it);
+    if (!isNew && rank(it) < rank(at->second))
+      at->second = it;
+  }
+  std::vector<const Member *> all;
+  std::ranges::copy(first | std::views::values, std::back_inserter(all));
+  return all;
+}
+
+ReadingPlace readingPlace(const Membership &state) {
+  std::vector<const Member *> elsewhere = firstMembersElsewhere(state);
+  std::uint64_t own = stableHash(self(state).DataCentre);
+  auto before =
+      std::size_t(std::ranges::count_if(elsewhere, [&](const Member *it) {
+        return stableHash(it->Record.DataCentre) < own;
+      }));
+  return {rankInDataCentre(state) * (elsewhere.size() + 1) + before,
+          peers(state).size() + 1};
+}
+
 BucketHashes bucketHashes(const Membership &state) {
   BucketHashes hashes{};
   for (const auto &[node, member] : state.Members) {
--- a/src/libhickoryglade/membership.h
+++ b/src/libhickoryglade/membership.h
@@ -3,6 +3,7 @@
 #include "libhickoryglade/instant.h"
 #include "libhickoryglade/memberrecord.h"
 #include "libhickoryglade/random.h"
+#include "libhickoryglade/settingsfreshness.h"
 
 #include <array>
 #include <cstdint>
@@ -148,6 +149,13 @@
 /// they all agree; used to assign tasks to a few nodes of each data centre.
 std::size_t rankInDataCentre(const Membership &state);
 
+/// This node's place in the order in which members read the source of the
+/// settings: first one member of each data centre, then the second ones.
+ReadingPlace readingPlace(const Membership &state);
+
+/// The first member in rank of each other data centre.
+std::vector<const Member *> firstMembersElsewhere(const Membership &state);
+
 BucketHashes bucketHashes(const Membership &state);
 
 std::string_view toString(MemberState state);
