settings: log, count and report the store's incarnation

The store's answers name an incarnation that rises when it comes back from an older copy of itself. Nothing read it. No logic changes: store_restored in the log, hickoryglade_store_incarnation, store_incarnation in status.

--- a/src/libfleet/node/controlreport.cpp
+++ b/src/libfleet/node/controlreport.cpp
@@ -70,6 +70,7 @@
   out.SettingsInForce = now() - Settings.inForceSince();
   out.SourceAge = now() - Settings.sourceAnsweredAt();
   out.SettingsAge = now() - Settings.freshness().AsOf;
+  out.SourceIncarnation = Settings.sourceIncarnation();
   out.IsSourceReachable = Settings.isLogReachable();
   return out;
 }
@@ -143,6 +144,7 @@
       {"source_age_ms", toMillis(now() - Settings.sourceAnsweredAt()).count()},
       {"settings_as_of_ms",
        toMillis(now() - Settings.freshness().AsOf).count()},
+      {"store_incarnation", Settings.sourceIncarnation()},
       {"log_reachable", Settings.isLogReachable()},
       {"members", std::move(members)},
       {"quarantine", std::move(crashes)}};
--- a/src/libfleet/reporting/metrics.cpp
+++ b/src/libfleet/reporting/metrics.cpp
@@ -113,6 +113,9 @@
         SettingsAge(gauge(registry, "hickoryglade_settings_as_of_seconds",
                           "Time since the settings in force are known to have "
                           "been the newest")),
+        SourceIncarnation(gauge(registry, "hickoryglade_store_incarnation",
+                                "Rises when the store comes back from an older "
+                                "copy; 0 if it does not tell")),
         SourceUp(gauge(registry, "hickoryglade_settings_source_up",
                        "1 if the settings' source answered the last call")),
         Traffic(counterFamily(registry, "hickoryglade_node_sent_bytes_total",
@@ -156,6 +159,7 @@
   prometheus::Gauge &SettingsInForce;
   prometheus::Gauge &SourceAge;
   prometheus::Gauge &SettingsAge;
+  prometheus::Gauge &SourceIncarnation;
   prometheus::Gauge &SourceUp;
   prometheus::Family<prometheus::Counter> &Traffic;
   prometheus::Counter &ProcessorTime;
@@ -241,6 +245,7 @@
   All->SettingsVersion.Set(node.SettingsVersion);
   All->SettingsInForce.Set(secondsOf(node.SettingsInForce));
   All->SourceAge.Set(secondsOf(node.SourceAge));
+  All->SourceIncarnation.Set(double(node.SourceIncarnation));
   All->SettingsAge.Set(secondsOf(node.SettingsAge));
   All->SourceUp.Set(node.IsSourceReachable ? 1 : 0);
   for (std::size_t i = 0; i < TrafficCauses; ++i)
--- a/src/libfleet/reporting/metrics.h
+++ b/src/libfleet/reporting/metrics.h
@@ -3,6 +3,7 @@
 #include "libfleet/reporting/trafficcounters.h"
 #include "libhickoryglade/instant.h"
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -28,6 +29,7 @@
   Micros SourceAge{0};
   /// Time since the settings in force are known to have been the newest.
   Micros SettingsAge{0};
+  std::int64_t SourceIncarnation = 0;
   bool IsSourceReachable = false;
 };
 
--- a/src/libfleet/settings/settingsservice.cpp
+++ b/src/libfleet/settings/settingsservice.cpp
@@ -117,6 +117,8 @@
     PollTimer.cancel();
     reportSlowPoll(askedAt, update.IsReachable);
     noteSourceReachable(update.IsReachable);
+    if (update.IsReachable)
+      noteIncarnation(update.SourceIncarnation);
     applyDocument(update);
     if (IsReachable && Loaded) {
       noteCurrent(update.AsOf);
@@ -150,6 +152,15 @@
   });
 }
 
+void SettingsService::noteIncarnation(std::int64_t incarnation) {
+  if (SourceIncarnation != 0 && incarnation != SourceIncarnation)
+    logEvent(LogLevel::Warn, "store_restored",
+             {{"incarnation_before", SourceIncarnation},
+              {"incarnation", incarnation},
+              {"settings_next", FoldedState.Next}});
+  SourceIncarnation = incarnation;
+}
+
 void SettingsService::noteCurrent(Instant asOf) {
   hickoryglade::noteCurrent(Freshness, asOf);
 }
--- a/src/libfleet/settings/settingsservice.h
+++ b/src/libfleet/settings/settingsservice.h
@@ -54,6 +54,9 @@
   /// Notes that no version was newer than the one in force at a time.
   void noteCurrent(Instant asOf);
 
+  /// Incarnation of the document source at its last answer.
+  std::int64_t sourceIncarnation() const { return SourceIncarnation; }
+
   /// When the log or the document source last answered.
   Instant sourceAnsweredAt() const { return SourceAnsweredAt; }
   /// When the current version came into force on this node.
@@ -74,6 +77,7 @@
   asio::awaitable<void> follow();
   asio::awaitable<void> pollDocuments();
   void reportSlowPoll(Instant askedAt, bool isAnswered) const;
+  void noteIncarnation(std::int64_t incarnation);
   void applyDocument(const SettingsUpdate &update);
   asio::awaitable<void> refresh();
   RecordPosition oldestSafe() const;
@@ -101,6 +105,7 @@
   asio::steady_timer PollTimer;
   Instant SourceAnsweredAt;
   SettingsFreshness Freshness;
+  std::int64_t SourceIncarnation = 0;
   Instant InForceSince;
   std::int64_t ReportedNext = -1;
   std::optional<RefusedDocument> Refused;
--- a/src/libfleet/settings/settingssource.h
+++ b/src/libfleet/settings/settingssource.h
@@ -4,6 +4,7 @@
 #include "libhickoryglade/instant.h"
 #include "libhickoryglade/settingslog.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace hickoryglade::fleet {
@@ -15,6 +16,9 @@
   /// A time at which the source had no document newer than the latest that it
   /// has returned. Only set if it was reached.
   Instant AsOf;
+  /// Rises when the source comes back from an older copy of itself; 0 if the
+  /// source does not tell.
+  std::int64_t SourceIncarnation = 0;
   /// The newest document, if no earlier poll has returned it.
   std::optional<SettingsDocument> Document;
   /// Reasons why the newest document was refused.
