--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -8,7 +8,8 @@
 
 /// Stand-in for the platform's metadata store: keyed topics with appends, long
 /// polls and the newest value of each key. POST /_control switches faults on
-/// and off; POST /_operator publishes the operator's configuration.
+/// and off, takes a copy and goes back to it; POST /_operator publishes the
+/// operator's configuration.
 
 namespace hickoryglade::standins {
 
@@ -50,14 +51,14 @@
       co_return co_await control(request, connection);
     if (request.Target == "/_operator") {
       append("keyed.op", platform::encodeRecord({"config", *request.Content}));
-      co_return co_await reply(connection, answerBytes(200, "{}"));
+      co_return co_await reply(connection, answer(200, "{}"));
     }
     ++Calls;
     if (Mode == "silent")
       while (Mode == "silent" && !connection->isClosedByPeer())
         co_await sleepFor(WaitStep);
     if (Mode == "busy")
-      co_return co_await reply(connection, answerBytes(503, "{}"));
+      co_return co_await reply(connection, answer(503, "{}"));
     co_return co_await serve(request, connection);
   }
 
@@ -78,13 +79,18 @@
         --LostAnswers;
         co_return false;
       }
-      co_return co_await reply(connection, answerBytes(200, endOf(topic)));
+      co_return co_await reply(connection, answer(200, endOf(topic)));
     }
     if (target.starts_with("/log-newest"))
-      co_return co_await reply(connection, answerBytes(200, newest(topic)));
+      co_return co_await reply(connection, answer(200, newest(topic)));
     if (target.starts_with("/log-read"))
       co_return co_await read(target, topic, connection);
-    co_return co_await reply(connection, answerBytes(404, "{}"));
+    co_return co_await reply(connection, answer(404, "{}"));
+  }
+
+  std::string answer(int status, const std::string &body) const {
+    return answerBytes(status, body,
+                       "Store-Era: " + std::to_string(Era) + "\r\n");
   }
 
   std::string endOf(const std::string &topic) {
@@ -108,7 +114,7 @@
   }
 
   std::string expired() const {
-    return answerBytes(410, json{{"first_offset", First}}.dump());
+    return answer(410, json{{"first_offset", First}}.dump());
   }
 
   std::string counters() const {
@@ -139,13 +145,13 @@
       co_await sleepFor(WaitStep);
     while (round != SilencedRounds && !connection->isClosedByPeer())
       co_await sleepFor(WaitStep);
-    if (from < First)
+    if (from < First || from > Topics[name].Records.size())
       co_return co_await reply(connection, expired());
     const auto &records = Topics[name].Records;
     std::string body = bigEndian(records.size(), 8) + bigEndian(First, 8);
     for (std::size_t i = from; i < records.size(); ++i)
       body += records[i];
-    co_return co_await reply(connection, answerBytes(200, body));
+    co_return co_await reply(connection, answer(200, body));
   }
 
   asio::awaitable<bool> control(const HttpRequest &request,
@@ -155,6 +161,15 @@
       Mode = in.value("mode", Mode);
       LostAnswers = in.value("lost_answers", LostAnswers);
       First = in.value("first", First);
+      if (in.value("copy", false))
+        Copy = Topics;
+      if (in.value("restore", false)) {
+        Topics = Copy;
+        ++Era;
+      }
+      if (in.contains("config"))
+        append("keyed.op",
+               platform::encodeRecord({"config", in["config"].dump()}));
       // Polls that wait at this moment are never answered.
       SilencedRounds += in.value("silence_waiting", false);
     }
@@ -162,6 +177,8 @@
   }
 
   std::map<std::string, Topic> Topics;
+  std::map<std::string, Topic> Copy;
+  int Era = 1;
   /// One of ok, busy (answers 503) and silent (does not answer).
   std::string Mode = "ok";
   int LostAnswers = 0;
