settings: a position in the store counts only in the incarnation that gave it

Callers would see: after the store came back from an older copy, a confirmed change is not in force until the next one (CONFIG).

Cause: a position was a bare offset, but offsets are given out again. A node that had read up to offset 2 waits there; if the store has been written up to 2 again before the node asks, the other records look read. 410 is no sign then, and the answer's freshness made the node vouch for it.

A position now names the store's incarnation, and an answer of another one voids it, so that the newest document is read. Each connection and topic compares by itself; no signal between them is needed. Ruled out: waiting for a failed call. A node need not have asked during the outage.

--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -100,7 +100,7 @@
 
   void append(const std::string &name, const std::string &bytes) {
     Topic &topic = Topics[name];
-    auto records = platform::decodeRecords(std::string(16, '\0') + bytes, 0);
+    auto records = platform::decodeRecords(std::string(16, '\0') + bytes, {});
     if (!records)
       return;
     auto offset = std::int64_t(topic.Records.size());
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -242,13 +242,13 @@
 TEST_CASE("encoded records decode to the same keys and values") {
   std::string bytes = std::string(16, '\0') + encodeRecord({"k", "value"}) +
                       encodeRecord({"gone", ""});
-  auto records = decodeRecords(bytes, 5);
+  auto records = decodeRecords(bytes, {5, 1});
   REQUIRE(records);
-  CHECK(records->Next == 7);
+  CHECK(records->Next == StorePosition{7, 1});
   CHECK(records->Records ==
         std::vector<KeyedRecord>{{"k", "value"}, {"gone", ""}});
-  CHECK_FALSE(decodeRecords("short", 0));
-  CHECK_FALSE(decodeRecords(bytes.substr(0, bytes.size() - 1), 5));
+  CHECK_FALSE(decodeRecords("short", {}));
+  CHECK_FALSE(decodeRecords(bytes.substr(0, bytes.size() - 1), {5, 1}));
 }
 
 TEST_CASE("table pages are decoded and malformed ones rejected") {
@@ -321,7 +321,7 @@
     CHECK(document.has_value() == faults.empty());
     taken += document.has_value();
     parseEndpointMessage(heartbeatRequest(corrupt(validHeartbeat(), rng)));
-    decodeRecords(corrupt(records, rng), 0);
+    decodeRecords(corrupt(records, rng), {});
     decodePage(corrupt(page, rng));
   }
   CHECK(taken < CorruptedInputs);
--- a/tests/platform/test_storeclient.cpp
+++ b/tests/platform/test_storeclient.cpp
@@ -73,7 +73,7 @@
   CHECK(table.Status == StoreStatus::Done);
   CHECK(table.Values ==
         std::map<std::string, std::string>{{"a", "kept"}, {"c", "kept"}});
-  CHECK(table.Next == 4);
+  CHECK(table.Next == StorePosition{4, 2});
 }
 
 TEST_CASE("a store that is restored without end is not reachable",
