control: nodes register again after the store has lost the directory's entries

Callers would see: a node that starts after the store came back from an older copy finds no other node, or only such as are gone, and serves alone or not at all. Seen in our test only.

Cause: a node wrote its directory entry once a start, on the word of an acknowledgement that a restored store does not keep. The entry now remembers the incarnation that holds it. The incarnation comes with the store's answers and with notices between members; where it is later than the entry's, the first three members in rank of each data centre register again (a successor in rank too, when one of them leaves). They are enough for a node that starts, since gossip finds the rest. Price: 12 appends at four data centres, 39 at 5,300 nodes in 13; not one for each node, which would be 13 s of the store's writes at 400 a second. Ruled out: reading the directory to see whether the own entry is there (11 pages at 5,300 nodes).

--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -258,6 +258,8 @@
   11: bool isSettingsFresh
   // Time since the sender's settings are known to have been the newest.
   12: optional i64 settingsAgeMs
+  // Incarnation of the source of the settings, as far as the sender knows.
+  13: optional i64 sourceIncarnation
 }
 
 struct SettingsEntry {
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -4777,6 +4777,11 @@
   this->settingsAgeMs = val;
 __isset.settingsAgeMs = true;
 }
+
+void Gossip::__set_sourceIncarnation(const int64_t val) {
+  this->sourceIncarnation = val;
+__isset.sourceIncarnation = true;
+}
 std::ostream& operator<<(std::ostream& out, const Gossip& obj)
 {
   obj.printTo(out);
@@ -4939,6 +4944,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sourceIncarnation);
+          this->__isset.sourceIncarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5031,6 +5044,11 @@
     xfer += oprot->writeI64(this->settingsAgeMs);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.sourceIncarnation) {
+    xfer += oprot->writeFieldBegin("sourceIncarnation", ::apache::thrift::protocol::T_I64, 13);
+    xfer += oprot->writeI64(this->sourceIncarnation);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5050,6 +5068,7 @@
   swap(a.standings, b.standings);
   swap(a.isSettingsFresh, b.isSettingsFresh);
   swap(a.settingsAgeMs, b.settingsAgeMs);
+  swap(a.sourceIncarnation, b.sourceIncarnation);
   swap(a.__isset, b.__isset);
 }
 
@@ -5066,6 +5085,7 @@
   standings = other172.standings;
   isSettingsFresh = other172.isSettingsFresh;
   settingsAgeMs = other172.settingsAgeMs;
+  sourceIncarnation = other172.sourceIncarnation;
   __isset = other172.__isset;
 }
 Gossip::Gossip(Gossip&& other173) noexcept {
@@ -5081,6 +5101,7 @@
   standings = std::move(other173.standings);
   isSettingsFresh = other173.isSettingsFresh;
   settingsAgeMs = other173.settingsAgeMs;
+  sourceIncarnation = other173.sourceIncarnation;
   __isset = other173.__isset;
 }
 Gossip& Gossip::operator=(const Gossip& other174) {
@@ -5096,6 +5117,7 @@
   standings = other174.standings;
   isSettingsFresh = other174.isSettingsFresh;
   settingsAgeMs = other174.settingsAgeMs;
+  sourceIncarnation = other174.sourceIncarnation;
   __isset = other174.__isset;
   return *this;
 }
@@ -5112,6 +5134,7 @@
   standings = std::move(other175.standings);
   isSettingsFresh = other175.isSettingsFresh;
   settingsAgeMs = other175.settingsAgeMs;
+  sourceIncarnation = other175.sourceIncarnation;
   __isset = other175.__isset;
   return *this;
 }
@@ -5130,6 +5153,7 @@
   out << ", " << "standings="; (__isset.standings ? (out << to_string(standings)) : (out << "<null>"));
   out << ", " << "isSettingsFresh=" << to_string(isSettingsFresh);
   out << ", " << "settingsAgeMs="; (__isset.settingsAgeMs ? (out << to_string(settingsAgeMs)) : (out << "<null>"));
+  out << ", " << "sourceIncarnation="; (__isset.sourceIncarnation ? (out << to_string(sourceIncarnation)) : (out << "<null>"));
   out << ")";
 }
 
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -1850,7 +1850,7 @@
 std::ostream& operator<<(std::ostream& out, const StandingReport& obj);
 
 typedef struct _Gossip__isset {
-  _Gossip__isset() : kind(false), sender(false), senderAddress(false), sequence(false), target(false), updates(false), buckets(false), quarantines(false), settingsNext(false), standings(false), isSettingsFresh(false), settingsAgeMs(false) {}
+  _Gossip__isset() : kind(false), sender(false), senderAddress(false), sequence(false), target(false), updates(false), buckets(false), quarantines(false), settingsNext(false), standings(false), isSettingsFresh(false), settingsAgeMs(false), sourceIncarnation(false) {}
   bool kind :1;
   bool sender :1;
   bool senderAddress :1;
@@ -1863,6 +1863,7 @@
   bool standings :1;
   bool isSettingsFresh :1;
   bool settingsAgeMs :1;
+  bool sourceIncarnation :1;
 } _Gossip__isset;
 
 class Gossip : public virtual ::apache::thrift::TBase {
@@ -1880,7 +1881,8 @@
            target(),
            settingsNext(0),
            isSettingsFresh(0),
-           settingsAgeMs(0) {
+           settingsAgeMs(0),
+           sourceIncarnation(0) {
   }
 
   virtual ~Gossip() noexcept;
@@ -1900,6 +1902,7 @@
   StandingReport standings;
   bool isSettingsFresh;
   int64_t settingsAgeMs;
+  int64_t sourceIncarnation;
 
   _Gossip__isset __isset;
 
@@ -1927,6 +1930,8 @@
 
   void __set_settingsAgeMs(const int64_t val);
 
+  void __set_sourceIncarnation(const int64_t val);
+
   bool operator == (const Gossip & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -1959,6 +1964,10 @@
       return false;
     else if (__isset.settingsAgeMs && !(settingsAgeMs == rhs.settingsAgeMs))
       return false;
+    if (__isset.sourceIncarnation != rhs.__isset.sourceIncarnation)
+      return false;
+    else if (__isset.sourceIncarnation && !(sourceIncarnation == rhs.sourceIncarnation))
+      return false;
     return true;
   }
   bool operator != (const Gossip &rhs) const {
--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -28,6 +28,10 @@
 constexpr Millis DirectoryRetryDelay = std::chrono::milliseconds(500);
 constexpr Millis DiscoveryPeriod = std::chrono::seconds(2);
 
+/// Number of members of each data centre that register again after the store
+/// has lost entries.
+constexpr std::size_t RenewingMembers = 3;
+
 /// Maximum number of seeds from other data centres.
 constexpr std::size_t RemoteSeeds = 2;
 
@@ -50,27 +54,27 @@
       Links(io.get_executor(),
             makeHello(settings.Node, bootId, settings.DataCentre),
             metrics.traffic()),
-      Members(io, settings.FleetAddress, metrics.traffic(),
-              makeMembership(makeRecord(settings, bootId), settings.Seeds,
-                             std::uint64_t(bootId), now()),
-              {[this] { scheduleRebuild(); },
-               [this](std::uint64_t fingerprint, CrashRecord record) {
-                 if (mergeCrash(Crashes, fingerprint, record))
-                   scheduleRebuild();
-               },
-               [this] { startCatchUp(); },
-               [this](const StandingReport &report) {
-                 bool wasEmpty = Standings.Entries.empty();
-                 if (applyReport(Standings, report, now()))
-                   scheduleRebuild();
-                 if (wasEmpty)
-                   scheduleStandingRepeat();
-               },
-               [this](const std::string &sender, std::int64_t next,
-                      Micros age) { noteSettingsAge(sender, next, age); },
-               [this](std::vector<DepartedRecord> departed) {
-                 Handlers.OnDeparted(std::move(departed));
-               }}),
+      Members(
+          io, settings.FleetAddress, metrics.traffic(),
+          makeMembership(makeRecord(settings, bootId), settings.Seeds,
+                         std::uint64_t(bootId), now()),
+          {[this] { scheduleRebuild(); },
+           [this](std::uint64_t fingerprint, CrashRecord record) {
+             if (mergeCrash(Crashes, fingerprint, record))
+               scheduleRebuild();
+           },
+           [this] { startCatchUp(); },
+           [this](const StandingReport &report) {
+             bool wasEmpty = Standings.Entries.empty();
+             if (applyReport(Standings, report, now()))
+               scheduleRebuild();
+             if (wasEmpty)
+               scheduleStandingRepeat();
+           },
+           [this](const SettingsNotice &notice) { noteSettingsNotice(notice); },
+           [this](std::vector<DepartedRecord> departed) {
+             Handlers.OnDeparted(std::move(departed));
+           }}),
       Settings(io, settings.LogAddress, settings.StreamPrefix + ".settings",
                settings.LogRetention, metrics,
                {[this] {
@@ -184,28 +188,58 @@
   return seeds;
 }
 
+std::int64_t Control::storeIncarnation() const {
+  return std::max(Settings.sourceIncarnation(), HeardIncarnation);
+}
+
+/// After the store has lost entries, a few members of each data centre register
+/// again. They are enough for a node that starts, since gossip discovers the
+/// remaining nodes.
+bool Control::isRegistrationDue() const {
+  if (!RegisteredIn)
+    return true;
+  return *RegisteredIn < storeIncarnation() &&
+         rankInDataCentre(Members.state()) < RenewingMembers;
+}
+
 /// Registers this node in the directory and reads the directory until another
 /// node is known. Gossip discovers the remaining nodes.
 asio::awaitable<void> Control::discoverNodes() {
   asio::steady_timer timer(Io);
-  bool isRegistered = false;
+  bool isComplete = false;
   while (!IsLeaving) {
-    DirectoryEntry own{Config.AdvertisedAddress, Config.DataCentre};
-    if (!isRegistered)
-      isRegistered =
-          co_await Directory->registerNode(Config.Node, std::move(own));
-    auto entries = co_await Directory->list();
-    if (entries)
-      Members.addSeeds(chooseSeeds(std::move(*entries)));
-    else
-      logEvent(LogLevel::Warn, "directory_unreachable", json::object());
-    timer.expires_after(entries ? DiscoveryPeriod : DirectoryRetryDelay);
+    if (isRegistrationDue())
+      co_await registerNode();
+    bool isReached = true;
+    if (!isComplete) {
+      auto entries = co_await Directory->list();
+      isReached = entries.has_value();
+      if (isReached)
+        Members.addSeeds(chooseSeeds(std::move(*entries)));
+      else
+        logEvent(LogLevel::Warn, "directory_unreachable", json::object());
+    }
+    timer.expires_after(isReached ? DiscoveryPeriod : DirectoryRetryDelay);
     co_await timer.async_wait(asio::use_awaitable);
-    if (isRegistered && !peers(Members.state()).empty())
-      co_return;
+    isComplete = RegisteredIn && !peers(Members.state()).empty();
   }
 }
 
+asio::awaitable<void> Control::registerNode() {
+  bool isFirst = !RegisteredIn.has_value();
+  std::int64_t known = storeIncarnation();
+  DirectoryEntry own{Config.AdvertisedAddress, Config.DataCentre};
+  auto incarnation =
+      co_await Directory->registerNode(Config.Node, std::move(own));
+  if (!incarnation)
+    co_return;
+  // What others name may be wrong, so it leads to one attempt only.
+  RegisteredIn = std::max(*incarnation, known);
+  if (!isFirst)
+    logEvent(LogLevel::Info, "registered_again",
+             {{"incarnation", *incarnation}});
+}
+
 absl::Status Control::start() {
   absl::Status status = Members.start();
   if (!status.ok())
--- a/src/libfleet/node/control.h
+++ b/src/libfleet/node/control.h
@@ -89,8 +89,8 @@
   bool isFirstInDataCentre() const;
   ReadingPolicy readingPolicy() const;
   std::optional<Micros> settingsAge() const;
-  void noteSettingsAge(const std::string &sender, std::int64_t next,
-                       Micros age);
+  void noteSettingsNotice(const SettingsNotice &notice);
+  void sendSettingsNotice(const std::vector<const Member *> &targets);
   void shareFreshness();
   void relayFreshness(const std::string &sender);
   asio::awaitable<Millis> awaitPollDue();
@@ -103,6 +103,9 @@
   asio::awaitable<void> awaitReady();
   std::vector<std::string>
   chooseSeeds(std::vector<DirectoryEntry> entries) const;
+  std::int64_t storeIncarnation() const;
+  bool isRegistrationDue() const;
+  asio::awaitable<void> registerNode();
   asio::awaitable<void> discoverNodes();
   void addMember(FleetView &view, const Member &member) const;
 
@@ -126,6 +129,10 @@
   StandingBoard Standings;
   asio::steady_timer StandingTimer;
   bool HasAwaitedPoll = false;
+  /// Incarnation of the store that holds this node's directory entry.
+  std::optional<std::int64_t> RegisteredIn;
+  /// The store's latest incarnation among those that others have named.
+  std::int64_t HeardIncarnation = 0;
   /// Latest version among other nodes at this node's last poll of the source.
   std::int64_t RequestedNext = 0;
   asio::steady_timer PollDueTimer;
--- a/src/libfleet/node/controlsettings.cpp
+++ b/src/libfleet/node/controlsettings.cpp
@@ -44,23 +44,28 @@
   return asOf == Instant{} ? std::nullopt : std::optional(now() - asOf);
 }
 
-/// Ignores notices of other versions, and all while this node is behind: a node
+/// Ignores the age of other versions, and all while this node is behind: a node
 /// that cannot catch up must read the source itself.
-void Control::noteSettingsAge(const std::string &sender, std::int64_t next,
-                              Micros age) {
-  Instant asOf = now() - age;
-  if (next < Settings.state().Next || isBehind() ||
-      asOf <= Settings.freshness().AsOf)
+void Control::noteSettingsNotice(const SettingsNotice &notice) {
+  HeardIncarnation = std::max(HeardIncarnation, notice.SourceIncarnation);
+  if (!notice.Age || notice.Next < Settings.state().Next || isBehind())
+    return;
+  Instant asOf = now() - *notice.Age;
+  if (asOf <= Settings.freshness().AsOf)
     return;
   Settings.noteCurrent(asOf);
-  relayFreshness(sender);
-  if (sender == FreshnessSender)
+  relayFreshness(notice.Sender);
+  if (notice.Sender == FreshnessSender)
     return;
-  FreshnessSender = sender;
+  FreshnessSender = notice.Sender;
   logEvent(LogLevel::Info, "settings_notice",
-           {{"sender", sender},
-            {"settings_next", next},
-            {"age_ms", toMillis(age).count()}});
+           {{"sender", notice.Sender},
+            {"settings_next", notice.Next},
+            {"age_ms", toMillis(*notice.Age).count()}});
+}
+
+void Control::sendSettingsNotice(const std::vector<const Member *> &targets) {
+  Members.sendSettingsNotice(targets, settingsAge(), storeIncarnation());
 }
 
 /// Starts to fetch newer settings from a member that reports having them, so
@@ -112,7 +117,7 @@
   std::vector<const Member *> targets = nearPeers(Members.state());
   std::ranges::copy(firstMembersElsewhere(Members.state()),
                     std::back_inserter(targets));
-  Members.sendSettingsVersion(targets, settingsAge());
+  sendSettingsNotice(targets);
 }
 
 /// Passes on to the data centre what a member elsewhere knows.
@@ -121,7 +126,7 @@
   bool isElsewhere = member != Members.state().Members.end() &&
                      member->second.Record.DataCentre != Config.DataCentre;
   if (isElsewhere && isFirstInDataCentre() && !IsLeaving)
-    Members.sendSettingsVersion(nearPeers(Members.state()), settingsAge());
+    sendSettingsNotice(nearPeers(Members.state()));
 }
 
 void Control::spreadSettings() {
@@ -129,10 +134,9 @@
   if (Config.SettingsReaders == 0 || next <= SpreadNext)
     return;
   SpreadNext = next;
-  Members.sendSettingsVersion(isFirstInDataCentre()
-                                  ? nearPeers(Members.state())
-                                  : Members.someNearPeers(SettingsFanOut),
-                              settingsAge());
+  sendSettingsNotice(isFirstInDataCentre()
+                         ? nearPeers(Members.state())
+                         : Members.someNearPeers(SettingsFanOut));
 }
 
 std::int64_t Control::newestNext() const {
--- a/src/libfleet/peers/membershipservice.cpp
+++ b/src/libfleet/peers/membershipservice.cpp
@@ -114,13 +114,16 @@
   return some;
 }
 
-void MembershipService::sendSettingsVersion(
-    const std::vector<const Member *> &targets, std::optional<Micros> age) {
+void MembershipService::sendSettingsNotice(
+    const std::vector<const Member *> &targets, std::optional<Micros> age,
+    std::int64_t sourceIncarnation) {
   wire::Gossip gossip = ownGossip();
   if (age && *age <= MaxSettingsAge) {
     gossip.isSettingsFresh = true;
     gossip.__set_settingsAgeMs(std::chrono::ceil<Millis>(*age).count());
   }
+  if (sourceIncarnation > 0)
+    gossip.__set_sourceIncarnation(sourceIncarnation);
   std::string bytes = encodeGossip(gossip);
   for (const Member *target : targets)
     sendBytes(target->Record.FleetAddress, bytes, TrafficCause::Settings);
@@ -172,8 +175,12 @@
   if (State.NewestSettings.Next > newest && Handlers.OnNewerSettings)
     Handlers.OnNewerSettings();
   takeCrashes(*gossip);
-  if (auto age = settingsAgeOf(*gossip); age && Handlers.OnSettingsAge)
-    Handlers.OnSettingsAge(message->Sender, message->SettingsNext, *age);
+  bool isNotice =
+      gossip->__isset.settingsAgeMs || gossip->__isset.sourceIncarnation;
+  if (isNotice && Handlers.OnSettingsNotice)
+    Handlers.OnSettingsNotice(
+        {message->Sender, message->SettingsNext, settingsAgeOf(*gossip),
+         gossip->__isset.sourceIncarnation ? gossip->sourceIncarnation : 0});
   if (gossip->__isset.standings)
     if (auto report = fromWire(gossip->standings))
       Handlers.OnStandings(*report);
--- a/src/libfleet/peers/membershipservice.h
+++ b/src/libfleet/peers/membershipservice.h
@@ -19,6 +19,19 @@
 
 namespace hickoryglade::fleet {
 
+/// What a member knows of the settings and their source.
+struct SettingsNotice {
+  std::string Sender;
+  /// Version up to which the sender has the settings.
+  std::int64_t Next = 0;
+  /// Time since that version is known to have been the newest, if it is known.
+  std::optional<Micros> Age;
+  /// Incarnation of the source; 0 if it is not known.
+  std::int64_t SourceIncarnation = 0;
+
+  bool operator==(const SettingsNotice &) const = default;
+};
+
 /// Runs the membership protocol over UDP on the control thread.
 class MembershipService {
 public:
@@ -29,11 +42,7 @@
     /// A gossip message named a newer settings version than any before.
     std::function<void()> OnNewerSettings;
     std::function<void(const StandingReport &)> OnStandings;
-    /// A node has reported how long ago its version of the settings is known
-    /// to have been the newest.
-    std::function<void(const std::string &sender, std::int64_t next,
-                       Micros age)>
-        OnSettingsAge;
+    std::function<void(const SettingsNotice &)> OnSettingsNotice;
     std::function<void(std::vector<DepartedRecord>)> OnDeparted;
   };
 
@@ -61,10 +70,12 @@
   /// Sends a report to the members in this node's data centre.
   void broadcastStandings(const StandingReport &report);
 
-  /// Sends this node's settings version to members, with the time since it is
-  /// known to have been the newest, if it is known.
-  void sendSettingsVersion(const std::vector<const Member *> &targets,
-                           std::optional<Micros> age);
+  /// Sends members what this node knows of the settings: their version, the
+  /// time since it is known to have been the newest, and the source's
+  /// incarnation.
+  void sendSettingsNotice(const std::vector<const Member *> &targets,
+                          std::optional<Micros> age,
+                          std::int64_t sourceIncarnation);
 
   /// Up to `fanOut` random members in this node's data centre.
   std::vector<const Member *> someNearPeers(std::size_t fanOut);
--- a/src/libfleet/peers/nodedirectory.h
+++ b/src/libfleet/peers/nodedirectory.h
@@ -2,6 +2,7 @@
 
 #include "libfleet/base/asio.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -22,9 +23,11 @@
 public:
   virtual ~NodeDirectory() = default;
 
-  /// Registers a node; returns false if the directory is unreachable.
-  virtual asio::awaitable<bool> registerNode(std::string node,
-                                             DirectoryEntry entry) = 0;
+  /// Registers a node. Returns the directory's incarnation that holds the
+  /// entry, which rises when entries are lost (0 if it has none), or nullopt if
+  /// the directory is unreachable.
+  virtual asio::awaitable<std::optional<std::int64_t>>
+  registerNode(std::string node, DirectoryEntry entry) = 0;
 
   /// Removes a node that leaves the fleet permanently; returns false if the
   /// directory is unreachable.
