control: a node that starts gets ready with its members' settings if the store is behind them

Callers would see: a node that starts between the return of a store from an older copy and the operator's next write serves by settings that were replaced (CONFIG: came back older). Seen in our test only.

Cause: at its start a node takes the store's document, and was ready as soon as it knew one and another member, although that member's messages name a newer version. It fetched that a moment later, while it served already. It now gets ready only when it is not behind the members that it knows, or after 4 s, if nobody can give it the version.

--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -21,6 +21,9 @@
 constexpr Micros RebuildDelay = std::chrono::milliseconds(5);
 constexpr Micros VoucherTimeout = std::chrono::milliseconds(800);
 constexpr Millis ReadyPoll = std::chrono::milliseconds(100);
+/// Time after which a node gets ready although no member could give it the
+/// newer settings that one of them has named.
+constexpr Micros CatchUpLimit = std::chrono::seconds(4);
 constexpr Micros PeerDiscoveryWait = std::chrono::milliseconds(1'500);
 
 /// Delay before the directory is read again after a failure, and while no other
@@ -328,7 +331,8 @@
 }
 
 /// Calls OnReady once settings are loaded and another member is known. A node
-/// that discovers no member in time assumes that it is the first.
+/// that discovers no member in time assumes that it is the first. The store may
+/// be behind the members, so a node fetches their newer settings first.
 asio::awaitable<void> Control::awaitReady() {
   Instant start = now();
   asio::steady_timer timer(Io);
@@ -338,7 +342,8 @@
     co_await timer.async_wait(asio::use_awaitable);
     bool hasMembers = !peers(Members.state()).empty();
     bool hasWaited = now() - start > PeerDiscoveryWait;
-    isReady = Settings.isLoaded() && (hasMembers || hasWaited);
+    bool isCurrent = !isBehind() || now() - start > CatchUpLimit;
+    isReady = Settings.isLoaded() && (hasMembers || hasWaited) && isCurrent;
   }
   timer.expires_after(ReadyPoll);
   co_await timer.async_wait(asio::use_awaitable);
