settings: log a document that is older than the one in force, or another one of its version

settings_older tells that the store offers what was replaced, as after its return from an older copy; settings_conflict that two documents bear one version. Both change nothing: a node keeps the one that it took first. The test of holdsDocument is new; without the function it does not build.

--- a/src/libfleet/settings/settingsservice.cpp
+++ b/src/libfleet/settings/settingsservice.cpp
@@ -174,6 +174,19 @@
               {"settings_next", FoldedState.Next}});
 }
 
+/// A restored store may offer an older document than the one in force. Two
+/// documents of the same version are a mistake of the operator's; a node keeps
+/// the one that it took first.
+void SettingsService::reportUnused(const SettingsDocument &document) const {
+  std::int64_t inForce = FoldedState.Next - 1;
+  if (document.Version < inForce)
+    logEvent(LogLevel::Info, "settings_older",
+             {{"version", document.Version}, {"in_force", inForce}});
+  else if (!holdsDocument(FoldedState, document))
+    logEvent(LogLevel::Warn, "settings_conflict",
+             {{"version", document.Version}});
+}
+
 void SettingsService::applyDocument(const SettingsUpdate &update) {
   if (!update.Faults.empty()) {
     Refused = {update.RefusedVersion, update.Faults, now()};
@@ -185,8 +198,12 @@
               {"reason", update.Faults.front().Reason},
               {"faults", update.Faults.size()}});
   }
-  if (!update.Document || !replaceTree(FoldedState, *update.Document))
+  if (!update.Document)
     return;
+  if (!replaceTree(FoldedState, *update.Document)) {
+    reportUnused(*update.Document);
+    return;
+  }
   Loaded = true;
   Refused.reset();
   Counters.countSettingsRecord("accepted");
--- a/src/libfleet/settings/settingsservice.h
+++ b/src/libfleet/settings/settingsservice.h
@@ -78,6 +78,7 @@
   asio::awaitable<void> pollDocuments();
   void reportSlowPoll(Instant askedAt, bool isAnswered) const;
   void noteIncarnation(std::int64_t incarnation);
+  void reportUnused(const SettingsDocument &document) const;
   void applyDocument(const SettingsUpdate &update);
   asio::awaitable<void> refresh();
   RecordPosition oldestSafe() const;
--- a/src/libhickoryglade/settingslog.cpp
+++ b/src/libhickoryglade/settingslog.cpp
@@ -234,6 +234,15 @@
   return true;
 }
 
+bool holdsDocument(const SettingsState &state,
+                   const SettingsDocument &document) {
+  std::map<std::string, nlohmann::json> held;
+  for (const auto &[path, node] : state.Tree.Nodes)
+    if (!node.Value.is_null())
+      held.emplace(path, node.Value);
+  return held == document.Values;
+}
+
 void skipTo(SettingsState &state, std::int64_t first) {
   if (first <= state.Next)
     return;
--- a/src/libhickoryglade/settingslog.h
+++ b/src/libhickoryglade/settingslog.h
@@ -121,6 +121,10 @@
 /// if the document's version is not above the one in force.
 bool replaceTree(SettingsState &state, const SettingsDocument &document);
 
+/// True if the tree holds just what the document says.
+bool holdsDocument(const SettingsState &state,
+                   const SettingsDocument &document);
+
 /// Continues at the first retained record if records before it have expired.
 void skipTo(SettingsState &state, std::int64_t first);
 
--- a/tests/kernel/test_documents.cpp
+++ b/tests/kernel/test_documents.cpp
@@ -43,6 +43,15 @@
   CHECK(serviceAt(state) == "w/a");
 }
 
+TEST_CASE("a document in force is told from another one of the same version") {
+  SettingsState state;
+  replaceTree(state, document(5, "a"));
+  CHECK(holdsDocument(state, document(5, "a")));
+  CHECK_FALSE(holdsDocument(state, document(5, "b")));
+  replaceTree(state, document(6, "b"));
+  CHECK(holdsDocument(state, document(6, "b")));
+}
+
 TEST_CASE("merging a peer's tree removes routes that the peer has removed") {
   SettingsState ahead;
   replaceTree(ahead, document(5, "a"));
