settings, endpoints: odd entries of other writers are skipped, however deep or large

It could happen here: a settings document with 100,000 brackets at a field that is checked, or a change of the settings stream with such a value, ended the process (SIGSEGV): values are copied, compared and quoted recursively. Heartbeats, directory entries, leases and pages were parsed without recursion and did not end it.

--- a/src/libfleet/log/logclient.cpp
+++ b/src/libfleet/log/logclient.cpp
@@ -1,4 +1,5 @@
 #include "libfleet/log/logclient.h"
+#include "libhickoryglade/jsontext.h"
 
 #include <nlohmann/json.hpp>
 
@@ -41,7 +42,7 @@
 
 ReadResult parseRecords(const std::string &body) {
   ReadResult result;
-  json reply = json::parse(body, nullptr, false);
+  json reply = parseJson(body);
   if (!reply.is_object() || !isInteger(reply, "next") ||
       !reply.contains("records") || !reply["records"].is_array())
     return result;
@@ -59,7 +60,7 @@
 
 ReadResult parseExpired(const std::string &body) {
   ReadResult result;
-  json reply = json::parse(body, nullptr, false);
+  json reply = parseJson(body);
   if (!reply.is_object() || !isInteger(reply, "first"))
     return result;
   result.First = reply["first"];
@@ -83,7 +84,7 @@
   if (reply->Status == 429) {
     result.Status = LogStatus::Overloaded;
   } else if (reply->Status == 201) {
-    json body = json::parse(*reply->Content, nullptr, false);
+    json body = parseJson(*reply->Content);
     if (body.is_object() && isInteger(body, "offset")) {
       result.Status = LogStatus::Done;
       result.Offset = body["offset"];
--- a/src/libfleet/node/adminfront.cpp
+++ b/src/libfleet/node/adminfront.cpp
@@ -5,6 +5,7 @@
 #include "libfleet/node/control.h"
 #include "libfleet/reporting/logging.h"
 #include "libfleet/reporting/metrics.h"
+#include "libhickoryglade/jsontext.h"
 #include "libhickoryglade/routetable.h"
 
 #include <nlohmann/json.hpp>
@@ -50,7 +51,7 @@
 
 std::optional<Announcement> parseAnnouncement(const std::string &body,
                                               std::string &reason) {
-  json object = json::parse(body, nullptr, false);
+  json object = parseJson(body);
   if (!object.is_object()) {
     reason = "must be a JSON object";
     return std::nullopt;
@@ -90,7 +91,7 @@
 
 std::optional<SettingsChange> parseChange(const std::string &body,
                                           std::string &reason) {
-  json object = json::parse(body, nullptr, false, true);
+  json object = parseJson(body, JsonComments::Ignored);
   if (!object.is_object()) {
     reason = "must be a JSON object";
     return std::nullopt;
--- a/src/libfleet/peers/wireconvert.cpp
+++ b/src/libfleet/peers/wireconvert.cpp
@@ -1,4 +1,5 @@
 #include "libfleet/peers/wireconvert.h"
+#include "libhickoryglade/jsontext.h"
 
 #include <algorithm>
 
@@ -189,7 +190,7 @@
   SettingsState state;
   state.Next = snapshot.settingsOffset;
   for (const wire::SettingsEntry &entry : snapshot.entries) {
-    auto value = nlohmann::json::parse(entry.value, nullptr, false);
+    nlohmann::json value = parseJson(entry.value);
     if (value.is_discarded() || !settingsPathFault(entry.path).empty())
       continue;
     if (!value.is_null() && !checkSettingsValue(entry.path, value).empty())
--- a/src/libhickoryglade/leaseledger.cpp
+++ b/src/libhickoryglade/leaseledger.cpp
@@ -1,4 +1,5 @@
 #include "libhickoryglade/leaseledger.h"
+#include "libhickoryglade/jsontext.h"
 
 #include <nlohmann/json.hpp>
 
@@ -150,7 +151,7 @@
 }
 
 std::optional<LeaseRecord> decodeLease(const std::string &data) {
-  json in = json::parse(data, nullptr, false);
+  json in = parseJson(data);
   if (!in.is_object() || !in.contains("action") || !in.contains("kind"))
     return std::nullopt;
   auto action = parseName<LeaseAction>(ActionNames, in["action"]);
--- a/src/libhickoryglade/settingslog.cpp
+++ b/src/libhickoryglade/settingslog.cpp
@@ -1,4 +1,5 @@
 #include "libhickoryglade/settingslog.h"
+#include "libhickoryglade/jsontext.h"
 
 #include <algorithm>
 #include <array>
@@ -159,7 +160,7 @@
   if (offset < state.Next)
     return {};
   state.Next = offset + 1;
-  json record = json::parse(data, nullptr, false);
+  json record = parseJson(data);
   if (!record.is_object() || !record.contains("type") ||
       !record.contains("path") || !record["path"].is_string())
     return rejected("not a settings record");
--- a/tests/platform/platformfleet.cpp
+++ b/tests/platform/platformfleet.cpp
@@ -114,10 +114,9 @@
                    file("server.err"));
 }
 
-void PlatformFleet::configure(const json &config) {
+void PlatformFleet::configureText(const std::string &config) {
   auto isAccepted = [&] {
-    return callOnce(Store, {"POST", "/_operator", {}, config.dump()},
-                    CallTimeout)
+    return callOnce(Store, {"POST", "/_operator", {}, config}, CallTimeout)
                .Status == 200;
   };
   TestFleet::await("configuration", isAccepted);
@@ -131,6 +130,19 @@
                             : 0;
 }
 
+void PlatformFleet::appendToStore(const std::string &topic,
+                                  const std::string &key,
+                                  const std::string &value) {
+  std::string content = char(key.size()) + key + value;
+  std::string record;
+  for (int shift : {24, 16, 8, 0})
+    record += char((content.size() >> shift) & 0xff);
+  callOnce(
+      Store,
+      {"POST", "/log-append?topic=" + topic + "&part=0", {}, record + content},
+      CallTimeout);
+}
+
 json PlatformFleet::controlStore(const json &change) {
   HttpReply reply =
       callOnce(Store, {"POST", "/_control", {}, change.dump()}, CallTimeout);
--- a/tests/platform/platformfleet.h
+++ b/tests/platform/platformfleet.h
@@ -41,9 +41,13 @@
   void startServer(const std::string &node, const std::string &service = "s");
 
   /// Publishes a configuration as the operator does.
-  void configure(const nlohmann::json &config);
+  void configure(const nlohmann::json &config) { configureText(config.dump()); }
+  void configureText(const std::string &config);
   /// Version up to which a node has the settings, as it reports itself.
   std::int64_t settingsOf(const std::string &node);
+  /// Writes a record to a keyed topic of the store.
+  void appendToStore(const std::string &topic, const std::string &key,
+                     const std::string &value);
   nlohmann::json controlStore(const nlohmann::json &change);
   nlohmann::json controlServer(const std::string &node,
                                const nlohmann::json &change);
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -215,6 +215,39 @@
   CHECK(countServed(fleet, 20) == 20);
 }
 
+TEST_CASE("odd entries of other writers end no node and change nothing",
+          "[platform]") {
+  PlatformFleet fleet;
+  startAll(fleet);
+  constexpr std::size_t depth = 100'000;
+  std::string deep = std::string(depth, '[') + std::string(depth, ']');
+  for (const std::string &body :
+       {deep, "{\"service\":" + deep + "}", std::string("{\"slots\":1e400}")}) {
+    for (const char *node : {"n1", "n2", "n3"}) {
+      HttpCall call{"POST",
+                    "/rpc?call=instances.heartbeat&of=i-" + std::string(node),
+                    {},
+                    body};
+      CHECK(callOnce(fleet.node(node).Admin, call, CallTimeout).Status == 400);
+      callOnce(fleet.node(node).Ready, call, CallTimeout);
+      fleet.call(node, "POST", "/once/x", body);
+    }
+    fleet.appendToStore("keyed.hickoryglade-nodes", "odd", body);
+  }
+  fleet.appendToStore("keyed.hickoryglade-nodes", "n9", "127.0.0.1:65536 dc-1");
+  fleet.configureText("{\"version\":" + deep + "}");
+  fleet.configureText("{\"version\":1e400}");
+  fleet.configure(defaultConfig(3));
+  TestFleet::await("the settings", [&] { return fleet.settingsOf("n1") > 3; });
+  fleet.startNode("n4");
+  TestFleet::await("the new node", [&] {
+    return fleet.call("n4", "GET", "/safe/x").Status == 200;
+  });
+  for (const char *node : {"n1", "n2", "n3"})
+    CHECK(fleet.process(node).isRunning());
+  CHECK(countServed(fleet, 20) == 20);
+}
+
 TEST_CASE("no request fails during a graceful stop or SIGHUP", "[platform]") {
   PlatformFleet fleet;
   startAll(fleet);
