gate: a connection is not used for an attempt that failed on it

It could happen here: an endpoint that has refused an attempt keeps the connection, the attempt comes back to the same endpoint on it, with the same id, and the endpoint writes its earlier refusal once more. The copy was taken for the answer: the caller was told that the request had not run, or it went to a second endpoint, while it ran (REFUSED, TWICE). Copies for other attempts were told apart by their id before, and a connection with bytes left in it was not used again; tests show both.

A connection now remembers the requests that were refused or failed on it and is not used for them again; after 64 of them it is closed. Ruled out: closing the connection after each refusal, which would cost a handshake for each under load.

codecs.repeated-refusal failed before (the second attempt ended as refused), passes now.

--- a/src/libfleet/gate/endpointclient.cpp
+++ b/src/libfleet/gate/endpointclient.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <ranges>
 
 namespace hickoryglade::fleet {
 
@@ -28,6 +29,9 @@
 constexpr Micros IdleLimitNonIdempotent = std::chrono::seconds(1);
 
 constexpr std::size_t MaxIdleConnections = 16;
+
+/// A connection that has carried more failures is not used again.
+constexpr std::size_t MaxFailedIds = 64;
 constexpr std::uint64_t MaxResponseBytes = 64 * 1024 * 1024;
 
 EndpointResult failed(AttemptOutcome outcome, ErrorKind kind, RunState run,
@@ -98,9 +102,15 @@
     return ec == asio::error::would_block;
   }
 
+  bool hasFailed(const std::string &id) const {
+    return std::ranges::find(FailedIds, id) != FailedIds.end();
+  }
+
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
   Instant IdleSince;
+  /// Requests that the endpoint refused or failed on this connection.
+  std::vector<std::string> FailedIds;
 };
 
 EndpointClient::EndpointClient(asio::any_io_executor ex,
@@ -110,16 +120,22 @@
 EndpointClient::~EndpointClient() = default;
 
 EndpointClient::ConnectionPtr
-EndpointClient::takeIdle(const std::string &address, bool isIdempotent) {
-  std::list<ConnectionPtr> &idle = Idle[address];
-  Micros limit = isIdempotent ? IdleLimit : IdleLimitNonIdempotent;
+EndpointClient::takeIdle(const EndpointCall &call) {
+  std::list<ConnectionPtr> &idle = Idle[call.Address];
+  Micros limit = call.IsIdempotent ? IdleLimit : IdleLimitNonIdempotent;
   std::erase_if(idle, [](const ConnectionPtr &it) {
     return now() - it->IdleSince > IdleLimit || !it->isReusable();
   });
-  if (idle.empty() || now() - idle.back()->IdleSince > limit)
+  // A repeated answer to an earlier attempt cannot be told from the answer to a
+  // new attempt with the same id.
+  std::string id = headerValue(call.Request.Headers, Dialect.RequestIdHeader);
+  auto it = std::ranges::find_if(
+      std::views::reverse(idle),
+      [&](const ConnectionPtr &c) { return !c->hasFailed(id); });
+  if (it == idle.rend() || now() - (*it)->IdleSince > limit)
     return nullptr;
-  ConnectionPtr connection = std::move(idle.back());
-  idle.pop_back();
+  ConnectionPtr connection = std::move(*it);
+  idle.erase(std::next(it).base());
   return connection;
 }
 
@@ -241,7 +257,10 @@
     if (match != ResponseMatch::Own)
       co_return failed(AttemptOutcome::Failed, ErrorKind::EndpointFailed,
                        RunState::Unknown, "the answer is not the endpoint's");
-    if (isKept && isInOrder && connection->Buffer.size() == 0 &&
+    if (response.Status / 100 != 2)
+      connection->FailedIds.push_back(id);
+    bool hasRoom = connection->FailedIds.size() <= MaxFailedIds;
+    if (isKept && isInOrder && hasRoom && connection->Buffer.size() == 0 &&
         repeatsId(Dialect, response, id))
       putIdle(call.Address, connection);
     EndpointHeaders said =
@@ -273,7 +292,7 @@
 asio::awaitable<EndpointResult>
 EndpointClient::exchange(EndpointCall call,
                          std::shared_ptr<ExchangeHandle> handle) {
-  ConnectionPtr connection = takeIdle(call.Address, call.IsIdempotent);
+  ConnectionPtr connection = takeIdle(call);
   if (!connection)
     connection = co_await connect(call.Address, call.Deadline, handle);
   if (!connection)
--- a/src/libfleet/gate/endpointclient.h
+++ b/src/libfleet/gate/endpointclient.h
@@ -57,7 +57,7 @@
   struct Connection;
   using ConnectionPtr = std::shared_ptr<Connection>;
 
-  ConnectionPtr takeIdle(const std::string &address, bool isIdempotent);
+  ConnectionPtr takeIdle(const EndpointCall &call);
   void putIdle(const std::string &address, ConnectionPtr connection);
   asio::awaitable<ConnectionPtr>
   connect(std::string address, Instant deadline,
