settings: a node's first wait is not prolonged by what others know

A node that has just started waits once before it polls the store, since it does not know the readers yet. The wait ended at the maximum age of what it knows, so each notice of another member prolonged it: the node that should poll all the time could wait for ever while the others, in their turn, read at the maximum age. A change then took up to 1.2 s to be noticed, where the reader notices it at once; the bound held. The wait now ends a maximum age after it began.

--- a/src/libfleet/node/control.h
+++ b/src/libfleet/node/control.h
@@ -128,7 +128,8 @@
   StandingReport OwnStandings;
   StandingBoard Standings;
   asio::steady_timer StandingTimer;
-  bool HasAwaitedPoll = false;
+  /// Time until which this node does not read again after its start.
+  Instant StartEnd;
   /// Incarnation of the store that holds this node's directory entry.
   std::optional<std::int64_t> RegisteredIn;
   /// The store's latest incarnation among those that others have named.
--- a/src/libfleet/node/controlsettings.cpp
+++ b/src/libfleet/node/controlsettings.cpp
@@ -88,14 +88,15 @@
 /// from the source once it hears of it, and the others get it from there.
 asio::awaitable<Millis> Control::awaitPollDue() {
   ReadingPolicy policy = readingPolicy();
-  bool isStart = policy.Readers > 0 && !std::exchange(HasAwaitedPoll, true);
+  if (StartEnd == Instant{})
+    StartEnd = policy.Readers > 0 ? now() + policy.MaxAge : now();
   auto due = [&] {
     bool isNewVersion = isBehind() && newestNext() > RequestedNext;
     if (isNewVersion && isFirstInDataCentre())
       return Settings.freshness().AsOf;
-    return isStart ? Settings.freshness().AsOf + policy.MaxAge
-                   : readDue(Settings.freshness(), policy,
-                             readingPlace(Members.state()));
+    return now() < StartEnd ? StartEnd
+                            : readDue(Settings.freshness(), policy,
+                                      readingPlace(Members.state()));
   };
   for (Instant at = due(); now() < at; at = due()) {
     error_code ec;
--- a/tests/platform/platformfleet.cpp
+++ b/tests/platform/platformfleet.cpp
@@ -122,10 +122,15 @@
   TestFleet::await("configuration", isAccepted);
 }
 
-std::int64_t PlatformFleet::settingsOf(const std::string &node) {
+json PlatformFleet::statusOf(const std::string &node) {
   HttpReply reply = callOnce(Nodes.at(node).Admin,
                              {"GET", "/v1/status", {}, ""}, CallTimeout);
   json status = json::parse(reply.Body, nullptr, false);
+  return status.is_object() ? status : json();
+}
+
+std::int64_t PlatformFleet::settingsOf(const std::string &node) {
+  json status = statusOf(node);
   return status.is_object() ? status.value("settings_next", std::int64_t{0})
                             : 0;
 }
--- a/tests/platform/platformfleet.h
+++ b/tests/platform/platformfleet.h
@@ -43,6 +43,8 @@
   /// Publishes a configuration as the operator does.
   void configure(const nlohmann::json &config) { configureText(config.dump()); }
   void configureText(const std::string &config);
+  /// A node's status report; null if it does not answer.
+  nlohmann::json statusOf(const std::string &node);
   /// Version up to which a node has the settings, as it reports itself.
   std::int64_t settingsOf(const std::string &node);
   /// Writes a record to a keyed topic of the store.
--- a/tests/platform/test_freshness.cpp
+++ b/tests/platform/test_freshness.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <thread>
 
 using namespace hickoryglade::testing;
 using nlohmann::json;
@@ -15,11 +16,15 @@
 
 const std::vector<std::string> Nodes = {"n1", "n2", "n3", "n4"};
 
-/// Starts a data centre of four nodes that share the reading of settings.
-void startReaders(PlatformFleet &fleet) {
-  fleet.setNodeSettings({{"settings_readers", 2}});
+/// Starts four nodes in up to two data centres that share the reading of
+/// settings.
+void startReaders(PlatformFleet &fleet, int dataCentres) {
   fleet.startStore();
-  for (const std::string &node : Nodes) {
+  for (std::size_t i = 0; i < Nodes.size(); ++i) {
+    const std::string &node = Nodes[i];
+    std::string dataCentre = "dc-" + std::to_string(i % dataCentres);
+    fleet.setNodeSettings(
+        {{"settings_readers", 1}, {"data_centre", dataCentre}});
     fleet.startNode(node);
     fleet.startServer(node);
   }
@@ -37,8 +42,9 @@
 
 TEST_CASE("a change is in force in time while polls of the store hang",
           "[freshness]") {
+  int dataCentres = GENERATE(1, 2);
   PlatformFleet fleet;
-  startReaders(fleet);
+  startReaders(fleet, dataCentres);
   for (int version : {3, 4, 5}) {
     fleet.controlStore({{"silence_waiting", true}});
     fleet.configure(defaultConfig(version));
@@ -47,3 +53,18 @@
         [&] { return isInForce(fleet, version); }, PropagationMs);
   }
 }
+
+TEST_CASE("one node polls the store for all data centres", "[freshness]") {
+  PlatformFleet fleet;
+  startReaders(fleet, 2);
+  constexpr int pollMs = 500;
+  constexpr int polls = 10;
+  int before = fleet.controlStore(json::object())["calls"];
+  std::this_thread::sleep_for(std::chrono::milliseconds(polls * pollMs));
+  int calls = fleet.controlStore(json::object())["calls"].get<int>() - before;
+  // Two nodes that poll would make twice as many calls.
+  CHECK(calls >= polls / 2);
+  CHECK(calls < 2 * polls);
+  for (const std::string &node : Nodes)
+    CHECK(fleet.statusOf(node)["settings_as_of_ms"].get<int>() < PropagationMs);
+}
