--- a/tests/platform/platformfleet.cpp
+++ b/tests/platform/platformfleet.cpp
@@ -103,6 +103,22 @@
                                  file(name + ".err"));
 }
 
+void PlatformFleet::startNodes() {
+  for (const char *node : {"n1", "n2"}) {
+    startNode(node);
+    startServer(node);
+  }
+  startNode("n3", "t");
+  startServer("n3", "t");
+  configure(defaultConfig(1));
+  awaitServing();
+}
+
+void PlatformFleet::startDefault() {
+  startStore();
+  startNodes();
+}
+
 void PlatformFleet::startServer(const std::string &node,
                                 const std::string &service) {
   std::string &at = Servers[node];
--- a/tests/platform/platformfleet.h
+++ b/tests/platform/platformfleet.h
@@ -40,6 +40,12 @@
   /// Starts a server that only the given node reaches.
   void startServer(const std::string &node, const std::string &service = "s");
 
+  /// Starts two nodes with a server each and a third whose server belongs to
+  /// another service, and waits until all of them serve.
+  void startNodes();
+  /// Starts the store and these nodes.
+  void startDefault();
+
   /// Publishes a configuration as the operator does.
   void configure(const nlohmann::json &config) { configureText(config.dump()); }
   void configureText(const std::string &config);
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -13,20 +13,6 @@
 
 constexpr auto CallTimeout = std::chrono::milliseconds(3'000);
 
-/// Starts two nodes with a server each, and a third whose server belongs to
-/// another service.
-void startAll(PlatformFleet &fleet) {
-  fleet.startStore();
-  for (const char *node : {"n1", "n2"}) {
-    fleet.startNode(node);
-    fleet.startServer(node);
-  }
-  fleet.startNode("n3", "t");
-  fleet.startServer("n3", "t");
-  fleet.configure(defaultConfig(1));
-  fleet.awaitServing();
-}
-
 int countServed(PlatformFleet &fleet, int calls) {
   int served = 0;
   for (int i = 0; i < calls; ++i)
@@ -51,7 +37,7 @@
 TEST_CASE("requests reach servers with target and body unchanged",
           "[platform]") {
   PlatformFleet fleet;
-  startAll(fleet);
+  fleet.startDefault();
   HttpReply reply = fleet.call("n3", "POST", "/once/a?b=c", "the body");
   CHECK(reply.Status == 200);
   CHECK(reply.header("Response-Signature") == "proof");
@@ -76,7 +62,7 @@
 TEST_CASE("nodes apply newer configurations and ignore older or invalid ones",
           "[platform]") {
   PlatformFleet fleet;
-  startAll(fleet);
+  fleet.startDefault();
   auto servedBy = [&](const std::string &server) {
     return fleet.call("n1", "GET", "/safe/x").Body.starts_with(server);
   };
@@ -98,7 +84,7 @@
 TEST_CASE("nodes serve without the store and apply settings once it returns",
           "[platform]") {
   PlatformFleet fleet;
-  startAll(fleet);
+  fleet.startDefault();
   fleet.controlStore({{"mode", "silent"}});
   CHECK(countServed(fleet, 20) == 20);
   CHECK(fleet.readiness("n1") == 200);
@@ -116,7 +102,7 @@
 TEST_CASE("a server gets no requests once its departure is acknowledged",
           "[platform]") {
   PlatformFleet fleet;
-  startAll(fleet);
+  fleet.startDefault();
   json how = GENERATE(json{{"state", "draining"}}, json{{"leave", true}});
   std::string wanted = how.contains("state") ? "draining" : "gone";
   fleet.controlServer("n1", how);
@@ -131,7 +117,7 @@
 TEST_CASE("a request that may have run is retried only on a safe route",
           "[platform]") {
   PlatformFleet fleet;
-  startAll(fleet);
+  fleet.startDefault();
   for (const char *node : {"n1", "n2"})
     fleet.controlServer(node, {{"fault", "reset"}});
   HttpReply once = fleet.call("n3", "POST", "/once/x", "pay");
@@ -147,7 +133,7 @@
 TEST_CASE("a request that all servers shed is answered 503 without a run",
           "[platform]") {
   PlatformFleet fleet;
-  startAll(fleet);
+  fleet.startDefault();
   for (const char *node : {"n1", "n2"})
     fleet.controlServer(node, {{"fault", "shed"}});
   HttpReply reply = fleet.call("n3", "POST", "/once/x", "pay");
@@ -160,7 +146,7 @@
 
 TEST_CASE("stray and unsigned answers do not reach a client", "[platform]") {
   PlatformFleet fleet;
-  startAll(fleet);
+  fleet.startDefault();
   auto callWith = [&](const std::string &fault) {
     for (const char *node : {"n1", "n2"})
       fleet.controlServer(node, {{"fault", fault}});
@@ -175,7 +161,7 @@
 
 TEST_CASE("nodes rejoin after all of them were killed", "[platform]") {
   PlatformFleet fleet;
-  startAll(fleet);
+  fleet.startDefault();
   for (const char *node : {"n1", "n2", "n3"}) {
     fleet.process(node).signal(SIGKILL);
     fleet.process(node).wait();
@@ -190,7 +176,7 @@
 TEST_CASE("malformed heartbeats and requests are rejected without side effects",
           "[platform]") {
   PlatformFleet fleet;
-  startAll(fleet);
+  fleet.startDefault();
   auto heartbeat = [&](const std::string &id, const std::string &body) {
     HttpCall call{"POST", "/rpc?call=instances.heartbeat&of=" + id, {}, body};
     return callOnce(fleet.node("n1").Admin, call, CallTimeout).Status;
@@ -218,7 +204,7 @@
 TEST_CASE("odd entries of other writers end no node and change nothing",
           "[platform]") {
   PlatformFleet fleet;
-  startAll(fleet);
+  fleet.startDefault();
   constexpr std::size_t depth = 100'000;
   std::string deep = std::string(depth, '[') + std::string(depth, ']');
   for (const std::string &body :
@@ -250,7 +236,7 @@
 
 TEST_CASE("no request fails during a graceful stop or SIGHUP", "[platform]") {
   PlatformFleet fleet;
-  startAll(fleet);
+  fleet.startDefault();
   fleet.process("n2").signal(SIGHUP);
   CHECK(countServed(fleet, 10) == 10);
   CHECK(fleet.process("n2").isRunning());
@@ -267,7 +253,7 @@
 TEST_CASE("a stopping node answers requests that it could not finish",
           "[platform]") {
   PlatformFleet fleet;
-  startAll(fleet);
+  fleet.startDefault();
   json config = defaultConfig(2);
   for (json &rule : config["listeners"][0]["route_rules"]) {
     rule["target_latency_s"] = 6;
@@ -318,7 +304,7 @@
 TEST_CASE("status and metrics report a node's state and its reasons",
           "[platform]") {
   PlatformFleet fleet;
-  startAll(fleet);
+  fleet.startDefault();
   fleet.controlServer("n1", {{"fault", "reset"}});
   for (int i = 0; i < 6; ++i)
     fleet.call("n1", "GET", "/safe/x");
--- a/tests/platform/test_restored.cpp
+++ b/tests/platform/test_restored.cpp
@@ -14,22 +14,15 @@
 /// Bound on the time until a change is in force, as the platform sets it.
 constexpr int PropagationMs = 2'000;
 
-/// Starts two nodes with a server each, and a third whose server belongs to
-/// another service.
+/// Starts the default fleet with a copy of the store that is older than all its
+/// records.
 void startAll(PlatformFleet &fleet, int readers = 1) {
   fleet.setNodeSettings({{"settings_readers", readers}});
   fleet.startStore();
   TestFleet::await("the store", [&] {
     return fleet.controlStore({{"copy", true}}).is_object();
   });
-  for (const char *node : {"n1", "n2"}) {
-    fleet.startNode(node);
-    fleet.startServer(node);
-  }
-  fleet.startNode("n3", "t");
-  fleet.startServer("n3", "t");
-  fleet.configure(defaultConfig(1));
-  fleet.awaitServing();
+  fleet.startNodes();
 }
 
 bool isInForce(PlatformFleet &fleet, int version) {
