gate: an acknowledged departure is kept for an endpoint that is not known

Cause: withdraw did nothing for an endpoint that the gate did not know, and the node answered 200. A node that has just been restarted knows its server only from the next heartbeat; a departure before it was forgotten, and a heartbeat that came seconds late brought the server back. Evidence: the log of can-1 has a start at 17.84 s, nothing at 18.12 s when it acknowledged, and 'announced' at 20.21 s.

The departure is now recorded with the server's start, or the time of the message, known or not.

--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -441,6 +441,15 @@
   carryOut(withdraw(State, name, now()));
 }
 
+void GateService::departEndpoint(const DepartedRecord &departed) {
+  if (!State.Endpoints.contains(departed.Name))
+    logEvent(
+        LogLevel::Info, "unknown_endpoint_departed",
+        {{"endpoint", departed.Name}, {"started_at_ms", departed.StartedAtMs}});
+  carryOut(hickoryglade::noteDeparted(State, departed, now()));
+  publishEndpoints();
+}
+
 void GateService::noteDeparted(const std::vector<DepartedRecord> &departed) {
   for (const DepartedRecord &it : departed) {
     logEvent(LogLevel::Info, "endpoint_departed_before",
--- a/src/libfleet/gate/gateservice.h
+++ b/src/libfleet/gate/gateservice.h
@@ -47,6 +47,9 @@
   /// Returns the generation of the endpoint after the announcement.
   std::int64_t announceEndpoint(const Announcement &facts);
   void withdrawEndpoint(const std::string &name);
+  /// Withdraws an endpoint, also one that has not announced itself to this
+  /// process, for its later announcements too.
+  void departEndpoint(const DepartedRecord &departed);
   void noteDeparted(const std::vector<DepartedRecord> &departed);
   void applyEjection(const std::string &endpoint, std::optional<Instant> until);
   void applyView(const FleetViewPtr &view);
--- a/src/libfleet/node/adminfront.cpp
+++ b/src/libfleet/node/adminfront.cpp
@@ -221,7 +221,8 @@
     co_return errorAnswer(400, malformed->Reason);
   }
   if (auto *departure = std::get_if<Departure>(&message)) {
-    bool isDone = co_await Handlers.OnDepart(departure->Name);
+    DepartedRecord departed{departure->Name, departure->StartedAtMs};
+    bool isDone = co_await Handlers.OnDepart(std::move(departed));
     co_return isDone ? jsonAnswer(200, json::object())
                      : errorAnswer(503, "the node is leaving");
   }
--- a/src/libfleet/node/adminfront.h
+++ b/src/libfleet/node/adminfront.h
@@ -3,6 +3,7 @@
 #include "libfleet/http/httpserver.h"
 #include "libfleet/node/platformadapter.h"
 #include "libhickoryglade/announcement.h"
+#include "libhickoryglade/memberrecord.h"
 
 #include <nlohmann/json.hpp>
 
@@ -26,8 +27,9 @@
     std::function<asio::awaitable<std::optional<std::int64_t>>(Announcement)>
         OnAnnounce;
     std::function<void(std::string)> OnWithdraw;
-    /// As OnWithdraw, but completes only once the endpoint is withdrawn.
-    std::function<asio::awaitable<bool>(std::string)> OnDepart;
+    /// As OnWithdraw, but completes only once the endpoint is withdrawn, and
+    /// holds for later announcements of the process that left.
+    std::function<asio::awaitable<bool>(DepartedRecord)> OnDepart;
     /// Describes the endpoints of this node, with the reasons for their
     /// standing.
     std::function<nlohmann::json()> ReportGate;
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -68,7 +68,7 @@
   bool reload(const NodeSettings &settings);
   void applyView(const FleetViewPtr &view);
   HttpResponse readiness() const;
-  asio::awaitable<bool> depart(std::string endpoint);
+  asio::awaitable<bool> depart(DepartedRecord departed);
   void connectLocal(Entry &entry, Loop &loop);
   void shareNotice(std::size_t from, const std::string &service,
                    const HeardNotice &notice);
@@ -193,8 +193,8 @@
   adminEvents.OnWithdraw = [this](std::string name) {
     Gate->withdrawEndpoint(name);
   };
-  adminEvents.OnDepart = [this](std::string name) {
-    return depart(std::move(name));
+  adminEvents.OnDepart = [this](DepartedRecord departed) {
+    return depart(std::move(departed));
   };
   adminEvents.ReportGate = [this] { return Gate->report(); };
   if (Platform)
@@ -242,8 +242,8 @@
 
 /// Returns once no more requests are sent to an endpoint that has left. Called
 /// on the gate's thread, like announce().
-asio::awaitable<bool> Node::Impl::depart(std::string endpoint) {
-  Gate->withdrawEndpoint(endpoint);
+asio::awaitable<bool> Node::Impl::depart(DepartedRecord departed) {
+  Gate->departEndpoint(departed);
   co_return true;
 }
 
--- a/src/libfleet/node/platformadapter.h
+++ b/src/libfleet/node/platformadapter.h
@@ -16,6 +16,8 @@
 /// Notice that an endpoint has left.
 struct Departure {
   std::string Name;
+  /// The process that left, and all earlier ones, started until then.
+  std::int64_t StartedAtMs = 0;
 };
 
 /// A message that cannot be parsed, with the reason.
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <csignal>
 #include <future>
 
@@ -234,6 +236,40 @@
   CHECK(countServed(fleet, 20) == 20);
 }
 
+// The node may have been restarted since the server's last heartbeat.
+TEST_CASE("an acknowledged departure binds a node that did not know the server",
+          "[departure]") {
+  PlatformFleet fleet;
+  fleet.startDefault();
+  std::string born = GENERATE("1000", "");
+  auto post = [&](const std::string &call, const std::string &body) {
+    HttpCall request{
+        "POST", "/rpc?call=instances." + call + "&of=i-late", {}, body};
+    return callOnce(fleet.node("n3").Admin, request, CallTimeout).Status;
+  };
+  CHECK(post("deregister", born.empty() ? "" : "{\"born\":" + born + "}") ==
+        200);
+  json late = {{"service", "t"},       {"address", "127.0.0.1:1"},
+               {"slots", 3},           {"state", "ready"},
+               {"sequence", 4},        {"born", 1'000},
+               {"cold_remaining_s", 0}};
+  CHECK(post("heartbeat", late.dump()) == 200);
+  auto isKnown = [&] {
+    json known = fleet.statusOf("n3")["own_endpoints"];
+    return std::ranges::any_of(
+        known, [](const json &it) { return it["name"] == "i-late"; });
+  };
+  CHECK_FALSE(isKnown());
+  // The server starts again under the same id.
+  late["born"] = std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::chrono::system_clock::now().time_since_epoch())
+                     .count() +
+                 1'000;
+  late["sequence"] = 1;
+  CHECK(post("heartbeat", late.dump()) == 200);
+  CHECK(isKnown());
+}
+
 TEST_CASE("no request fails during a graceful stop or SIGHUP", "[platform]") {
   PlatformFleet fleet;
   fleet.startDefault();
