--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Clients on all machines look up the same page at alpha. One of the seven
-# servers of alpha crashes and is back three seconds later.
+# Clients on all machines look up the same page at alpha and place equal orders
+# there. One of the seven servers of alpha crashes and is back three seconds later.
 set -u
 source "$(dirname "$0")/../tools/fleet.sh"
 
@@ -11,7 +11,7 @@
 }
 
 start_store
-configure "$root/review/tools/config.json"
+configure "$case_folder/config.json"
 for n in 1 2 3 4 5 6 7; do
   start_machine "$n" alpha "z-$((n % 4))"
   start_alpha "$n"
@@ -21,8 +21,10 @@
 
 note "clients start"
 for n in 1 2 3 4 5 6 7; do
-  start_client "$n" "look-$n" --path /look/2f --threads 4 --every-ms 750 \
+  start_client "$n" "look-$n" --path /look/2f --threads 3 --every-ms 750 \
     --for-ms 40000 --deadline-ms 10000
+  start_client "$n" "order-$n" --method POST --path /order/7 --body-bytes 300 \
+    --threads 3 --every-ms 750 --for-ms 40000 --deadline-ms 12000
 done
 
 sleep 5
@@ -39,11 +41,15 @@
 # DENIED: more than 5 + one in 500 of all requests are ended with a 3xx or 4xx
 # of the fleet's own (other than 408, 421, 429) though they are proper and the
 # configuration allows them, by machines in touch.
-all=$(grep -c ' sent look' "$record")
-denied=$(awk '$2 == "answer" && $4 ~ /^[34]/ && $4 !~ /408|421|429/ &&
-  $6 == "unsigned" { ++n } END { print n + 0 }' "$record")
+denied() { # PREFIX
+  awk -v from="$1" '$2 == "answer" && index($3, from) == 1 && $4 ~ /^[34]/ &&
+    $4 !~ /408|421|429/ && $6 == "unsigned" { ++n } END { print n + 0 }' "$record"
+}
+all=$(grep -c ' sent ' "$record")
 served=$(grep -c ' answer .* 200 .* signed' "$record")
-echo "requests: $all, served: $served, denied: $denied"
+looks=$(denied look-)
+orders=$(denied order-)
+echo "requests: $all, served: $served, denied: $looks lookups, $orders orders"
 [ "$served" -gt 20 ] || exit 2
-[ "$denied" -gt $((5 + all / 500)) ] && exit 1
+[ $((looks + orders)) -gt $((5 + all / 500)) ] && exit 1
 exit 0
