--- a/review/tools/standin.cc
+++ b/review/tools/standin.cc
@@ -478,6 +478,17 @@
                                  : std::atoi(request.Start.c_str() + at + 2);
 }
 
+/// What follows the first headers of an answer that has no end.
+std::string endlessPart(const std::string &mode) {
+  if (mode == "endless-head")
+    return "X-Long: ";
+  if (mode == "endless-chunk")
+    return "Transfer-Encoding: chunked\r\n\r\n1;";
+  if (mode == "endless-trailer")
+    return "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: ";
+  return "\r\n";
+}
+
 bool serveRequest(int fd, const Message &request) {
   std::string id = request.header("attempt-id");
   std::string own = option("id", "");
@@ -494,11 +505,9 @@
   std::string signature = "Response-Signature: " + own + "." + id + "\r\n";
   std::string mode = fault();
   bool isKept = false;
-  if (mode == "endless-body") {
-    sendWithoutEnd(fd, "HTTP/1.1 200 OK\r\n" + headers + signature + "\r\n");
-  } else if (mode == "endless-chunk") {
+  if (mode.starts_with("endless")) {
     sendWithoutEnd(fd, "HTTP/1.1 200 OK\r\n" + headers + signature +
-                           "Transfer-Encoding: chunked\r\n\r\n1;");
+                           endlessPart(mode));
   } else if (work(fd, workTime(request))) {
     isKept = sendAll(fd, answer("200 OK", headers + signature, own));
     record("done " + own + " " + id);
