--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,6 +4,7 @@
 # machines 3 to 6 place orders at alpha; clients on machines 1 and 2 look things
 # up at beta, whose servers are sound.
 set -u
+trouble=${TROUBLE:-1}
 source "$(dirname "$0")/../tools/fleet.sh"
 
 start_store
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,6 +2,7 @@
 # Clients on all machines look up the same page at alpha and place equal orders
 # there. One of the seven servers of alpha crashes and is back three seconds later.
 set -u
+trouble=${TROUBLE:-1}
 source "$(dirname "$0")/../tools/fleet.sh"
 
 declare -A server
--- a/review/tools/fleet.sh
+++ b/review/tools/fleet.sh
@@ -6,7 +6,6 @@
 case_folder=$(cd "$(dirname "$0")" && pwd)
 standin=$root/target/review/standin
 record=$case_folder/record.txt
-trouble=${TROUBLE:-1}
 folder=$(mktemp -d)
 started=()
 
