--- a/src/hickorygladectl/adminclient.cpp
+++ b/src/hickorygladectl/adminclient.cpp
@@ -14,13 +14,20 @@
 
 namespace {
 
+/// Bounds on a node's reply, and on bytes that the parser has not consumed.
+constexpr std::uint64_t MaxReplyBytes = 64 * 1024 * 1024;
+constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
+
 struct Exchange {
-  explicit Exchange(asio::io_context &io) : Stream(io) {}
+  explicit Exchange(asio::io_context &io)
+      : Stream(io), Buffer(MaxUnparsedBytes) {
+    Answer.body_limit(MaxReplyBytes);
+  }
 
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
   http::request<http::string_body> Request;
-  http::response<http::string_body> Answer;
+  http::response_parser<http::string_body> Answer;
   error_code Fault = asio::error::would_block;
 };
 
@@ -31,7 +38,13 @@
   if (!ec)
     co_await http::async_write(it.Stream, it.Request,
                                asio::redirect_error(asio::use_awaitable, ec));
+  // The header is read by itself: an eager parser ignores the limit for a body
+  // whose length it names.
   if (!ec)
+    co_await http::async_read_header(
+        it.Stream, it.Buffer, it.Answer,
+        asio::redirect_error(asio::use_awaitable, ec));
+  if (!ec && !it.Answer.is_done())
     co_await http::async_read(it.Stream, it.Buffer, it.Answer,
                               asio::redirect_error(asio::use_awaitable, ec));
   it.Fault = ec;
@@ -62,8 +75,8 @@
   if (exchange.Fault)
     return absl::UnavailableError(address + ": " + exchange.Fault.message());
   AdminReply reply{
-      int(exchange.Answer.result_int()),
-      nlohmann::json::parse(exchange.Answer.body(), nullptr, false)};
+      int(exchange.Answer.get().result_int()),
+      nlohmann::json::parse(exchange.Answer.get().body(), nullptr, false)};
   if (reply.Body.is_discarded())
     return absl::UnavailableError(address + ": the answer is not JSON");
   return reply;
--- a/src/hickorygladed/main.cpp
+++ b/src/hickorygladed/main.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <getopt.h>
 #include <iostream>
+#include <malloc.h>
 #include <sstream>
 
 /// The daemon: reads its settings and runs a node until a signal stops it.
@@ -18,6 +19,11 @@
 
 constexpr int ExitUsage = 2;
 
+/// Size from which memory is returned to the system once it is freed. Without a
+/// fixed value the allocator raises it with each long body that it frees, and
+/// then keeps memory in fragments.
+constexpr int MmapBytes = 128 * 1024;
+
 constexpr const char *Usage =
     R"(Usage: hickorygladed --settings FILE [--check | --print-settings]
 
@@ -153,6 +159,7 @@
   sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  mallopt(M_MMAP_THRESHOLD, MmapBytes);
 
   fleet::startLogging(settings->Node, settings->LogLevel);
   fleet::Node node(*settings);
--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -76,11 +76,12 @@
 
 Entry::Entry(asio::any_io_executor ex, const NodeSettings &settings,
              std::int64_t bootId, std::size_t worker,
-             const HttpDialect &dialect, Metrics &metrics)
+             const HttpDialect &dialect, BodyBudgetPtr budget, Metrics &metrics)
     : Executor(ex), Node(settings.Node), DataCentre(settings.DataCentre),
       Service(settings.Service), HasKeepers(settings.Platform.empty()),
       BootId(bootId), Worker(worker), Dialect(dialect), Counters(metrics),
-      Links(ex, makeHello(Node, bootId, DataCentre), metrics.traffic()),
+      Links(ex, makeHello(Node, bootId, DataCentre), std::move(budget),
+            metrics.traffic()),
       Rng(std::uint64_t(bootId) + worker) {}
 
 void Entry::applyView(FleetViewPtr view) {
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -64,7 +64,7 @@
 public:
   Entry(asio::any_io_executor ex, const NodeSettings &settings,
         std::int64_t bootId, std::size_t worker, const HttpDialect &dialect,
-        Metrics &metrics);
+        BodyBudgetPtr budget, Metrics &metrics);
 
   PeerLinks &links() { return Links; }
 
--- a/src/libfleet/gate/endpointclient.cpp
+++ b/src/libfleet/gate/endpointclient.cpp
@@ -34,6 +34,14 @@
 constexpr std::size_t MaxFailedIds = 64;
 constexpr std::uint64_t MaxResponseBytes = 64 * 1024 * 1024;
 
+/// Bound on bytes that the parser has not consumed, such as an incomplete
+/// header line, chunk size line or trailer.
+constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
+
+/// Bound on interim responses and late responses to earlier requests that may
+/// precede the response to a request.
+constexpr int MaxSkippedResponses = 16;
+
 EndpointResult failed(AttemptOutcome outcome, ErrorKind kind, RunState run,
                       std::string detail) {
   return {outcome,
@@ -42,9 +50,12 @@
           Micros{0}};
 }
 
-http::request<http::string_body> toBeast(const HttpRequest &request,
-                                         const std::string &address) {
-  http::request<http::string_body> out;
+using RequestMessage = http::request<http::span_body<const char>>;
+using ResponseParser = http::response_parser<http::string_body>;
+
+/// The message refers to the request's body.
+RequestMessage toBeast(const HttpRequest &request, const std::string &address) {
+  RequestMessage out;
   out.method_string(request.Method);
   out.target(request.Target);
   out.version(11);
@@ -57,7 +68,7 @@
   }
   if (!hasHost)
     out.set(http::field::host, address);
-  out.body() = *request.Content;
+  out.body() = {request.Content->data(), request.Content->size()};
   bool hasBody = !request.Content->empty() || request.Method == "POST" ||
                  request.Method == "PUT" || request.Method == "PATCH";
   if (hasBody)
@@ -86,10 +97,25 @@
   return hasNoBody || parser.content_length() || parser.chunked();
 }
 
+/// True if the endpoint sent bytes that are not HTTP or exceed a bound, as
+/// opposed to a connection that ended.
+bool isMalformed(const error_code &ec) {
+  static const error_code anyFault =
+      http::make_error_code(http::error::bad_value);
+  return ec.category() == anyFault.category() &&
+         ec != http::error::end_of_stream && ec != http::error::partial_message;
+}
+
+bool isInterim(int status) {
+  constexpr int switchingProtocols = 101;
+  return status / 100 == 1 && status != switchingProtocols;
+}
+
 } // namespace
 
 struct EndpointClient::Connection {
-  explicit Connection(const asio::any_io_executor &ex) : Stream(ex) {}
+  explicit Connection(const asio::any_io_executor &ex)
+      : Stream(ex), Buffer(MaxUnparsedBytes) {}
 
   /// False if the endpoint has closed the connection or sent bytes outside a
   /// response.
@@ -109,13 +135,29 @@
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
   Instant IdleSince;
+  bool IsPooled = false;
   /// Requests that the endpoint refused or failed on this connection.
   std::vector<std::string> FailedIds;
 };
 
+/// A response whose body is being read.
+struct EndpointClient::Incoming {
+  ConnectionPtr Source;
+  ResponseParser &Parser;
+  HeldBytes Held;
+  bool IsBrokenOff = false;
+
+  void breakOff() {
+    IsBrokenOff = true;
+    std::string().swap(Parser.get().body());
+    Held.resize(0);
+    Source->Stream.close();
+  }
+};
+
 EndpointClient::EndpointClient(asio::any_io_executor ex,
-                               const HttpDialect &dialect)
-    : Executor(std::move(ex)), Dialect(dialect) {}
+                               const HttpDialect &dialect, BodyBudgetPtr budget)
+    : Executor(std::move(ex)), Dialect(dialect), Budget(std::move(budget)) {}
 
 EndpointClient::~EndpointClient() = default;
 
@@ -135,6 +177,7 @@
   if (it == idle.rend() || now() - (*it)->IdleSince > limit)
     return nullptr;
   ConnectionPtr connection = std::move(*it);
+  connection->IsPooled = false;
   idle.erase(std::next(it).base());
   return connection;
 }
@@ -142,6 +185,7 @@
 void EndpointClient::putIdle(const std::string &address,
                              ConnectionPtr connection) {
   connection->IdleSince = now();
+  connection->IsPooled = true;
   std::list<ConnectionPtr> &idle = Idle[address];
   idle.push_back(std::move(connection));
   if (idle.size() > MaxIdleConnections)
@@ -208,47 +252,102 @@
   return EndpointResult{outcome, std::move(response), {}, Micros{0}};
 }
 
-/// Reads responses until one belongs to the request: late responses to earlier
-/// requests may come first.
+/// A response that is not HTTP or has no end is a failure of the endpoint, but
+/// no sign that its process has ended.
+asio::awaitable<EndpointResult>
+EndpointClient::classifyReadError(std::string address, error_code ec,
+                                  ErrorKind kind) {
+  if (ec == beast::error::timeout)
+    co_return failed(AttemptOutcome::TimedOut, ErrorKind::DeadlineExceeded,
+                     RunState::Unknown, "the endpoint did not answer in time");
+  if (!isMalformed(ec))
+    co_return co_await classifyLoss(std::move(address), kind, ec.message());
+  bool isTooLong =
+      ec == http::error::body_limit || ec == http::error::buffer_overflow;
+  co_return failed(AttemptOutcome::Failed,
+                   isTooLong ? ErrorKind::AnswerTooLong : kind,
+                   RunState::Unknown, "not a valid answer: " + ec.message());
+}
+
+/// Makes room for a response by breaking off those that hold more. Returns
+/// false if the response itself has to be broken off.
+bool EndpointClient::makeRoom(Incoming &incoming, std::size_t bytes) {
+  while (!incoming.Held.resize(bytes)) {
+    auto largest = std::ranges::max_element(
+        Reading, {}, [](const Incoming *it) { return it->Held.bytes(); });
+    if ((*largest)->Held.bytes() <= incoming.Held.bytes())
+      return false;
+    (*largest)->breakOff();
+  }
+  return true;
+}
+
+/// Returns no_buffer_space if the body was broken off.
+asio::awaitable<error_code> EndpointClient::readBody(Incoming &incoming,
+                                                     bool isHead) {
+  ResponseParser &parser = incoming.Parser;
+  error_code ec;
+  if (isHead || parser.is_done())
+    co_return ec;
+  Reading.push_back(&incoming);
+  parser.eager(true);
+  while (!ec && !parser.is_done()) {
+    co_await http::async_read_some(
+        incoming.Source->Stream, incoming.Source->Buffer, parser,
+        asio::redirect_error(asio::use_awaitable, ec));
+    bool hasRoom =
+        !incoming.IsBrokenOff && makeRoom(incoming, parser.get().body().size());
+    if (!hasRoom) {
+      incoming.breakOff();
+      ec = asio::error::no_buffer_space;
+    }
+  }
+  std::erase(Reading, &incoming);
+  co_return ec;
+}
+
+/// Reads responses until one belongs to the request: interim responses and late
+/// responses to earlier requests may come first.
 asio::awaitable<EndpointResult>
 EndpointClient::readResponse(ConnectionPtr connection, const EndpointCall &call,
                              std::shared_ptr<bool> isWritten) {
   bool isHead = call.Request.Method == "HEAD";
   std::string id = headerValue(call.Request.Headers, Dialect.RequestIdHeader);
   bool isInOrder = true;
-  while (true) {
-    http::response_parser<http::string_body> parser;
+  for (int skipped = 0; skipped <= MaxSkippedResponses; ++skipped) {
+    ResponseParser parser;
     parser.body_limit(MaxResponseBytes);
     parser.skip(isHead);
     error_code ec;
     co_await http::async_read_header(
         connection->Stream, connection->Buffer, parser,
         asio::redirect_error(asio::use_awaitable, ec));
-    bool hasHead = !ec;
+    if (ec)
+      co_return co_await classifyReadError(call.Address, ec,
+                                           ErrorKind::EndpointFailed);
     Instant headAt = now();
     // Copied before the body is read, since the parser adds trailer fields.
     HttpResponse response;
     response.Status = int(parser.get().result_int());
+    if (isInterim(response.Status))
+      continue;
     response.Headers = endToEndHeaders(parser.get());
-    bool isFramed = hasHead && isLengthKnown(parser, isHead);
-    if (hasHead && !isFramed && !Dialect.MayLackLength)
+    bool isFramed = isLengthKnown(parser, isHead);
+    if (!isFramed && !Dialect.MayLackLength)
       co_return failed(AttemptOutcome::Failed, ErrorKind::AnswerTruncated,
                        RunState::Unknown, "the answer's length is not known");
-    if (hasHead && !parser.is_done())
-      co_await http::async_read(connection->Stream, connection->Buffer, parser,
-                                asio::redirect_error(asio::use_awaitable, ec));
-    if (ec == beast::error::timeout)
-      co_return failed(AttemptOutcome::TimedOut, ErrorKind::DeadlineExceeded,
+    Incoming incoming{connection, parser, {Budget, BodyUse::Answer}};
+    ec = co_await readBody(incoming, isHead);
+    if (ec == asio::error::no_buffer_space)
+      co_return failed(AttemptOutcome::Failed, ErrorKind::AnswerTooLong,
                        RunState::Unknown,
-                       "the endpoint did not answer in time");
+                       "broken off, since no memory is left for long answers");
     if (ec)
-      co_return co_await classifyLoss(call.Address,
-                                      hasHead ? ErrorKind::AnswerTruncated
-                                              : ErrorKind::EndpointFailed,
-                                      ec.message());
+      co_return co_await classifyReadError(call.Address, ec,
+                                           ErrorKind::AnswerTruncated);
     bool isKept = parser.keep_alive() && isFramed && *isWritten;
     response.Content =
-        std::make_shared<const std::string>(std::move(parser.get().body()));
+        makeBody(std::move(parser.get().body()), std::move(incoming.Held));
     ResponseMatch match = matchResponse(Dialect, response, id);
     if (match == ResponseMatch::Late && isKept) {
       isInOrder = false;
@@ -271,6 +370,9 @@
     result.HeadAt = headAt;
     co_return result;
   }
+  co_return failed(AttemptOutcome::Failed, ErrorKind::EndpointFailed,
+                   RunState::Unknown,
+                   "too many answers that are not the request's");
 }
 
 namespace {
@@ -279,8 +381,9 @@
 /// respond before it has read all of the request.
 template <typename Connection>
 asio::awaitable<void> writeRequest(std::shared_ptr<Connection> connection,
-                                   http::request<http::string_body> message,
+                                   HttpRequest request, std::string address,
                                    std::shared_ptr<bool> isWritten) {
+  RequestMessage message = toBeast(request, address);
   error_code ec;
   co_await http::async_write(connection->Stream, message,
                              asio::redirect_error(asio::use_awaitable, ec));
@@ -305,10 +408,14 @@
   connection->Stream.expires_at(toSteady(call.Deadline));
   auto isWritten = std::make_shared<bool>(false);
   asio::co_spawn(
-      Executor,
-      writeRequest(connection, toBeast(call.Request, call.Address), isWritten),
+      Executor, writeRequest(connection, call.Request, call.Address, isWritten),
       asio::detached);
   EndpointResult result = co_await readResponse(connection, call, isWritten);
+  // Ends what the endpoint may still send. One that has answered early may read
+  // the rest of the request.
+  bool isWriting = result.Answer && !*isWritten;
+  if (!connection->IsPooled && !isWriting)
+    connection->Stream.close();
   if (handle->IsCancelled)
     co_return failed(AttemptOutcome::Cancelled, ErrorKind::Cancelled,
                      RunState::Unknown, "given up");
--- a/src/libfleet/gate/endpointclient.h
+++ b/src/libfleet/gate/endpointclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libfleet/base/asio.h"
+#include "libfleet/http/bodybudget.h"
 #include "libfleet/http/endpointheaders.h"
 #include "libhickoryglade/gate.h"
 
@@ -9,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace hickoryglade::fleet {
 
@@ -42,9 +44,13 @@
 
 /// HTTP/1.1 client for endpoints with a pool of connections, each of which
 /// carries one exchange at a time. Used from one thread only.
+///
+/// Bodies of responses are read within a budget. If it is used up, the response
+/// that holds most is broken off, so that the others can be completed.
 class EndpointClient {
 public:
-  EndpointClient(asio::any_io_executor ex, const HttpDialect &dialect);
+  EndpointClient(asio::any_io_executor ex, const HttpDialect &dialect,
+                 BodyBudgetPtr budget);
   ~EndpointClient();
 
   asio::awaitable<EndpointResult>
@@ -56,6 +62,7 @@
 private:
   struct Connection;
   using ConnectionPtr = std::shared_ptr<Connection>;
+  struct Incoming;
 
   ConnectionPtr takeIdle(const EndpointCall &call);
   void putIdle(const std::string &address, ConnectionPtr connection);
@@ -65,14 +72,21 @@
   asio::awaitable<EndpointResult> readResponse(ConnectionPtr connection,
                                                const EndpointCall &call,
                                                std::shared_ptr<bool> isWritten);
+  asio::awaitable<EndpointResult>
+  classifyReadError(std::string address, error_code ec, ErrorKind kind);
   EndpointResult classifyResponse(HttpResponse response) const;
+  asio::awaitable<error_code> readBody(Incoming &incoming, bool isHead);
+  bool makeRoom(Incoming &incoming, std::size_t bytes);
   asio::awaitable<bool> isListening(std::string address);
   asio::awaitable<EndpointResult>
   classifyLoss(std::string address, ErrorKind kind, std::string detail);
 
   asio::any_io_executor Executor;
   const HttpDialect &Dialect;
+  BodyBudgetPtr Budget;
   std::map<std::string, std::list<ConnectionPtr>> Idle;
+  /// Responses whose body is being read.
+  std::vector<Incoming *> Reading;
 };
 
 } // namespace hickoryglade::fleet
--- a/src/libfleet/gate/gateexchange.h
+++ b/src/libfleet/gate/gateexchange.h
@@ -13,6 +13,8 @@
   std::vector<StreamRef> Followers;
   HttpRequest Http;
   std::string Content;
+  /// Set once the body arrives in parts.
+  std::optional<HeldBytes> Held;
   std::size_t ExpectedBytes = 0;
   bool HasCall = false;
   bool IsGranted = false;
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -34,9 +34,10 @@
 
 GateService::GateService(asio::any_io_executor ex, const NodeSettings &settings,
                          std::int64_t bootId, const HttpDialect &dialect,
-                         Metrics &metrics, Events events)
+                         BodyBudgetPtr budget, Metrics &metrics, Events events)
     : Executor(ex), Timer(ex), BootId(bootId), Dialect(dialect),
-      Counters(metrics), Handlers(std::move(events)), Client(ex, dialect) {
+      Counters(metrics), Handlers(std::move(events)), Budget(budget),
+      Client(ex, dialect, std::move(budget)) {
   State.Node = settings.Node;
   State.AnnouncementLimit = settings.AnnouncementLimit;
   State.Rng.seed(std::uint64_t(bootId));
@@ -151,7 +152,7 @@
   exchange->ExpectedBytes =
       std::size_t(std::max<std::int64_t>(call.bodyBytes, 0));
   if (exchange->ExpectedBytes == 0)
-    bodyComplete(exchange);
+    bodyComplete(exchange, std::make_shared<const std::string>());
 }
 
 GateService::ExchangePtr GateService::findByStream(const StreamRef &ref) const {
@@ -167,14 +168,37 @@
   ExchangePtr exchange = findByStream(ref);
   if (!exchange || !exchange->HasCall || exchange->Http.Content)
     return;
+  if (!exchange->Held) {
+    exchange->Held.emplace(Budget, BodyUse::Request);
+    if (!exchange->Held->resize(exchange->ExpectedBytes))
+      return refuseBody(exchange);
+  }
   exchange->Content += data.bytes;
   if (exchange->Content.size() >= exchange->ExpectedBytes)
-    bodyComplete(exchange);
+    bodyComplete(exchange, makeBody(std::move(exchange->Content),
+                                    std::move(*exchange->Held)));
+}
+
+void GateService::takeBody(const std::shared_ptr<FrameChannel> &from,
+                           std::int64_t stream, Body body) {
+  ExchangePtr exchange = findByStream({from, stream});
+  if (exchange && exchange->HasCall && !exchange->Http.Content)
+    bodyComplete(exchange, std::move(body));
+  scheduleTick();
+}
+
+/// Refuses a request whose body has no room here; another gate may have room.
+void GateService::refuseBody(const ExchangePtr &exchange) {
+  const std::string &attempt = exchange->Request.AttemptId;
+  Error reason{ErrorKind::SlotTaken, RunState::NotRun,
+               "no memory is left for long bodies", Millis{0}};
+  GateActions actions = cancel(State, attempt, now());
+  actions.insert(actions.begin(), RefuseAction{attempt, reason});
+  carryOut(std::move(actions));
 }
 
-void GateService::bodyComplete(const ExchangePtr &exchange) {
-  exchange->Http.Content =
-      std::make_shared<const std::string>(std::move(exchange->Content));
+void GateService::bodyComplete(const ExchangePtr &exchange, Body body) {
+  exchange->Http.Content = std::move(body);
   const std::string &attempt = exchange->Request.AttemptId;
   if (exchange->IsGranted)
     carryOut(claim(State, attempt, now()));
--- a/src/libfleet/gate/gateservice.h
+++ b/src/libfleet/gate/gateservice.h
@@ -35,8 +35,8 @@
   };
 
   GateService(asio::any_io_executor ex, const NodeSettings &settings,
-              std::int64_t bootId, const HttpDialect &dialect, Metrics &metrics,
-              Events events);
+              std::int64_t bootId, const HttpDialect &dialect,
+              BodyBudgetPtr budget, Metrics &metrics, Events events);
 
   void start();
 
@@ -44,6 +44,10 @@
   /// gate.
   void takeFrame(const std::shared_ptr<FrameChannel> &from, wire::Frame frame);
 
+  /// Processes the whole body of a request from an entry of this node.
+  void takeBody(const std::shared_ptr<FrameChannel> &from, std::int64_t stream,
+                Body body);
+
   /// Returns the generation of the endpoint after the announcement.
   std::int64_t announceEndpoint(const Announcement &facts);
   void withdrawEndpoint(const std::string &name);
@@ -81,7 +85,8 @@
   void takeCancel(const StreamRef &ref);
   void takeKeep(const StreamRef &ref);
   void takeRevoke(const StreamRef &ref, const wire::Revoke &revoke);
-  void bodyComplete(const ExchangePtr &exchange);
+  void bodyComplete(const ExchangePtr &exchange, Body body);
+  void refuseBody(const ExchangePtr &exchange);
   Ticket toTicket(const wire::Ticket &in, std::int64_t lagMs) const;
   ExchangePtr findByStream(const StreamRef &ref) const;
 
@@ -122,6 +127,7 @@
   const HttpDialect &Dialect;
   Metrics &Counters;
   Events Handlers;
+  BodyBudgetPtr Budget;
   EndpointClient Client;
   Gate State;
   std::map<std::string, ExchangePtr> Exchanges;
--- a/src/libfleet/http/httpclient.cpp
+++ b/src/libfleet/http/httpclient.cpp
@@ -2,10 +2,13 @@
 
 #include "libfleet/base/address.h"
 #include "libfleet/base/clock.h"
+#include "libfleet/reporting/logging.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <nlohmann/json.hpp>
+
 #include <netinet/tcp.h>
 
 #include <algorithm>
@@ -18,7 +21,15 @@
 namespace {
 
 constexpr Millis ConnectLimit = std::chrono::seconds(1);
-constexpr std::uint64_t MaxResponseBytes = 64 * 1024 * 1024;
+/// Several times what a server sends that keeps to the limits of a read.
+constexpr std::uint64_t MaxResponseBytes = 16 * 1024 * 1024;
+
+/// Bound on bytes that the parser has not consumed, such as an incomplete chunk
+/// size line or trailer.
+constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
+
+/// Bound on interim responses before the final one.
+constexpr int MaxInterimResponses = 16;
 
 /// Longest pause within a response that has begun.
 constexpr Millis PauseLimit = std::chrono::seconds(2);
@@ -47,8 +58,12 @@
 
 } // namespace
 
+class HttpClient::ResponseParser
+    : public http::response_parser<http::string_body> {};
+
 struct HttpClient::Connection {
-  explicit Connection(const asio::any_io_executor &ex) : Stream(ex) {}
+  explicit Connection(const asio::any_io_executor &ex)
+      : Stream(ex), Buffer(MaxUnparsedBytes) {}
 
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
@@ -77,6 +92,30 @@
   co_return true;
 }
 
+// The header is read by itself: an eager parser ignores the limit for a body
+// whose length it names.
+/// Reads one response, which may take as long as it keeps arriving.
+asio::awaitable<void> HttpClient::readResponse(Connection &connection,
+                                               ResponseParser &parser,
+                                               Millis limit, error_code &ec) {
+  parser.body_limit(MaxResponseBytes);
+  Millis pause = std::min(limit, PauseLimit);
+  std::optional<Instant> end;
+  while (!ec && !parser.is_done()) {
+    co_await http::async_read_some(
+        connection.Stream, connection.Buffer, parser,
+        asio::redirect_error(asio::use_awaitable, ec));
+    if (OnProgress)
+      OnProgress();
+    if (!end)
+      end = now() + TransferLimit;
+    if (now() >= *end)
+      ec = asio::error::timed_out;
+    connection.Stream.expires_after(pause);
+    parser.eager(parser.is_header_done());
+  }
+}
+
 asio::awaitable<std::optional<HttpResponse>>
 HttpClient::call(std::string method, std::string target, std::string content,
                  Millis limit) {
@@ -96,35 +135,31 @@
   error_code ec;
   co_await http::async_write(Current->Stream, request,
                              asio::redirect_error(asio::use_awaitable, ec));
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(MaxResponseBytes);
-  parser.eager(true);
-  Millis pause = std::min(limit, PauseLimit);
-  std::optional<Instant> end;
-  while (!ec && !parser.is_done()) {
-    co_await http::async_read_some(
-        Current->Stream, Current->Buffer, parser,
-        asio::redirect_error(asio::use_awaitable, ec));
-    if (OnProgress)
-      OnProgress();
-    if (!end)
-      end = now() + TransferLimit;
-    if (now() >= *end)
-      ec = asio::error::timed_out;
-    Current->Stream.expires_after(pause);
+  // Interim responses may come first.
+  std::optional<ResponseParser> parser;
+  constexpr unsigned leastFinal = 200;
+  for (int n = 0; !ec && n <= MaxInterimResponses; ++n) {
+    co_await readResponse(*Current, parser.emplace(), limit, ec);
+    if (parser->get().result_int() >= leastFinal)
+      break;
   }
+  if (!ec && parser->get().result_int() < leastFinal)
+    ec = http::make_error_code(http::error::bad_status);
   if (ec) {
+    logEvent(LogLevel::Debug, "http_call_failed",
+             {{"server", Address}, {"reason", ec.message()}});
     Current = nullptr;
     co_return std::nullopt;
   }
   HttpResponse response;
-  response.Status = int(parser.get().result_int());
-  for (const auto &field : parser.get())
+  response.Status = int(parser->get().result_int());
+  for (const auto &field : parser->get())
     response.Headers.push_back(
         {std::string(field.name_string()), std::string(field.value())});
   response.Content =
-      std::make_shared<const std::string>(std::move(parser.get().body()));
-  if (!parser.keep_alive())
+      std::make_shared<const std::string>(std::move(parser->get().body()));
+  // Bytes after the response would be taken for the next one.
+  if (!parser->keep_alive() || Current->Buffer.size() > 0)
     Current = nullptr;
   co_return response;
 }
--- a/src/libfleet/http/httpclient.h
+++ b/src/libfleet/http/httpclient.h
@@ -33,8 +33,12 @@
 
 private:
   struct Connection;
+  class ResponseParser;
 
   asio::awaitable<bool> connect();
+  asio::awaitable<void> readResponse(Connection &connection,
+                                     ResponseParser &parser, Millis limit,
+                                     error_code &ec);
 
   asio::any_io_executor Executor;
   std::string Address;
--- a/src/libfleet/http/httpserver.cpp
+++ b/src/libfleet/http/httpserver.cpp
@@ -24,6 +24,15 @@
 
 constexpr std::size_t ReadBytes = 8 * 1024;
 
+/// Bound on bytes beside the header that the parser has not consumed, such as
+/// an incomplete chunk size line or trailer.
+constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
+
+/// Time for which the body of a request waits for room in the budget, and the
+/// pause between checks.
+constexpr Micros RoomWait = std::chrono::seconds(1);
+constexpr Micros RoomPoll = std::chrono::milliseconds(10);
+
 /// Limits on reading and discarding the rest of a rejected request.
 constexpr auto DiscardLimit = std::chrono::seconds(2);
 constexpr std::size_t MaxDiscardedBytes = 64 * 1024 * 1024;
@@ -88,20 +97,23 @@
   std::shared_ptr<ServerState> State;
 };
 
-HttpRequest fromBeast(http::request<http::string_body> &&in) {
+HttpRequest fromBeast(http::request<http::string_body> &&in, HeldBytes held) {
   HttpRequest request;
   request.Method = std::string(in.method_string());
   request.Target = std::string(in.target());
   for (const auto &field : in)
     request.Headers.push_back(
         {std::string(field.name_string()), std::string(field.value())});
-  request.Content = std::make_shared<const std::string>(std::move(in.body()));
+  request.Content = makeBody(std::move(in.body()), std::move(held));
   return request;
 }
 
-http::response<http::string_body>
-toBeast(const HttpResponse &response, const std::string &method, bool isKept) {
-  http::response<http::string_body> out;
+using ResponseBody = http::span_body<const char>;
+
+/// The message refers to the response's body.
+http::response<ResponseBody> toBeast(const HttpResponse &response,
+                                     const std::string &method, bool isKept) {
+  http::response<ResponseBody> out;
   out.version(11);
   out.result(unsigned(response.Status));
   for (const HttpHeader &it : response.Headers)
@@ -114,7 +126,7 @@
     out.content_length(response.Content->size());
     return out;
   }
-  out.body() = *response.Content;
+  out.body() = {response.Content->data(), response.Content->size()};
   out.prepare_payload();
   return out;
 }
@@ -129,6 +141,8 @@
     return 431;
   if (ec == http::error::body_limit)
     return 413;
+  if (ec == asio::error::no_buffer_space)
+    return 503;
   if (ec.category() == http::make_error_code(http::error::bad_value).category())
     return ec == http::error::partial_message ? 0 : 400;
   return 0;
@@ -157,7 +171,7 @@
                                     std::string method, bool isKept,
                                     error_code &ec) {
   auto message = toBeast(response, method, isKept);
-  http::response_serializer<http::string_body> serializer(message);
+  http::response_serializer<ResponseBody> serializer(message);
   serializer.split(method == "HEAD");
   session->Stream.expires_after(WriteLimit);
   if (method == "HEAD")
@@ -202,10 +216,46 @@
 
 using RequestParser = http::request_parser<http::string_body>;
 
+/// Waits until the budget has room for a body of this length; meanwhile the
+/// rest of the body stays unread.
+asio::awaitable<bool> awaitRoom(std::shared_ptr<Session> session,
+                                HeldBytes &held, std::size_t bytes) {
+  Instant until = now() + RoomWait;
+  while (!held.resize(bytes)) {
+    if (now() >= until)
+      co_return false;
+    asio::steady_timer pause(session->Stream.get_executor(), RoomPoll);
+    co_await pause.async_wait(asio::use_awaitable);
+  }
+  co_return true;
+}
+
+/// Sets no_buffer_space if the budget has no room for the body.
+asio::awaitable<void> readBody(std::shared_ptr<Session> session,
+                               RequestParser &parser, HeldBytes &held,
+                               error_code &ec) {
+  auto length = parser.content_length();
+  std::size_t expected = length ? std::size_t(*length) : 0;
+  bool hasRoom = co_await awaitRoom(session, held, expected);
+  session->Stream.expires_after(BodyLimit);
+  parser.eager(true);
+  while (hasRoom && !ec && !parser.is_done()) {
+    co_await http::async_read_some(
+        session->Stream, session->Buffer, parser,
+        asio::redirect_error(asio::use_awaitable, ec));
+    std::size_t bytes = parser.get().body().size();
+    if (bytes > held.bytes())
+      hasRoom = co_await awaitRoom(session, held, bytes);
+  }
+  if (!hasRoom)
+    ec = asio::error::no_buffer_space;
+}
+
 asio::awaitable<void> readRequest(std::shared_ptr<Session> session,
-                                  RequestParser &parser,
+                                  RequestParser &parser, HeldBytes &held,
                                   const HttpLimits &limits, error_code &ec) {
   parser.header_limit(limits.HeaderBytes);
+  session->Buffer.max_size(limits.HeaderBytes + MaxUnparsedBytes);
   parser.body_limit(limits.BodyBytes.load());
   // The stream's own timeout would close the connection before the error
   // response is written.
@@ -227,15 +277,14 @@
     ec = beast::error::timeout;
   if (ec || parser.is_done())
     co_return;
-  session->Stream.expires_after(BodyLimit);
-  co_await http::async_read(session->Stream, session->Buffer, parser,
-                            asio::redirect_error(asio::use_awaitable, ec));
+  co_await readBody(session, parser, held, ec);
 }
 
 asio::awaitable<void> serve(std::shared_ptr<Session> session,
                             HttpServer::Worker worker, HttpFaultHandler onFault,
                             std::shared_ptr<ServerState> state,
-                            std::shared_ptr<HttpLimits> limits) {
+                            std::shared_ptr<HttpLimits> limits,
+                            BodyBudgetPtr budget) {
   error_code ec;
   session->Stream.socket().set_option(tcp::no_delay(true), ec);
   for (bool isFirst = true;; isFirst = false) {
@@ -249,16 +298,19 @@
       break;
     BusyGuard guard(state);
     RequestParser parser;
-    co_await readRequest(session, parser, *limits, ec);
+    HeldBytes held(budget, BodyUse::Request);
+    co_await readRequest(session, parser, held, *limits, ec);
     if (ec) {
       if (int status = faultStatus(ec)) {
+        std::string().swap(parser.get().body());
+        held.resize(0);
         co_await writeResponse(session, onFault(status), "GET", false, ec);
         co_await discardRest(session);
       }
       break;
     }
     bool isKept = parser.keep_alive() && !state->IsStopping;
-    HttpRequest request = fromBeast(parser.release());
+    HttpRequest request = fromBeast(parser.release(), std::move(held));
     std::string method = request.Method;
     auto scope = std::make_shared<CallScope>();
     auto isServed = std::make_shared<bool>(false);
@@ -283,10 +335,11 @@
 } // namespace
 
 HttpServer::HttpServer(asio::any_io_executor ex, std::string address,
-                       std::vector<Worker> workers, HttpFaultHandler onFault)
+                       std::vector<Worker> workers, HttpFaultHandler onFault,
+                       BodyBudgetPtr budget)
     : Executor(ex), Address(std::move(address)), Acceptor(ex),
       Workers(std::move(workers)), OnFault(std::move(onFault)),
-      State(std::make_shared<ServerState>()) {}
+      Budget(std::move(budget)), State(std::make_shared<ServerState>()) {}
 
 absl::Status HttpServer::listen() { return bindAddress(Acceptor, Address); }
 
@@ -327,7 +380,7 @@
   auto session = std::make_shared<Session>(
       Session{beast::tcp_stream(std::move(socket)), {}});
   asio::co_spawn(worker.Executor,
-                 serve(session, worker, OnFault, State, Limits),
+                 serve(session, worker, OnFault, State, Limits, Budget),
                  asio::detached);
 }
 
--- a/src/libfleet/http/httpserver.h
+++ b/src/libfleet/http/httpserver.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libfleet/base/asio.h"
+#include "libfleet/http/bodybudget.h"
 #include "libfleet/http/callscope.h"
 #include "libfleet/http/httpmessage.h"
 #include "libhickoryglade/instant.h"
@@ -34,7 +35,8 @@
 struct ServerState;
 
 /// HTTP/1.1 server that distributes its connections over workers in turn. Each
-/// worker's executor must be run by one thread.
+/// worker's executor must be run by one thread. Bodies of requests are read
+/// within a budget: long ones wait, unread, for room in it.
 class HttpServer {
 public:
   struct Worker {
@@ -46,7 +48,8 @@
   };
 
   HttpServer(asio::any_io_executor ex, std::string address,
-             std::vector<Worker> workers, HttpFaultHandler onFault);
+             std::vector<Worker> workers, HttpFaultHandler onFault,
+             BodyBudgetPtr budget);
 
   HttpLimits &limits() { return *Limits; }
 
@@ -76,6 +79,7 @@
   tcp::acceptor Acceptor;
   std::vector<Worker> Workers;
   HttpFaultHandler OnFault;
+  BodyBudgetPtr Budget;
   void serveNext(Worker &worker, tcp::socket socket);
 
   /// State shared with the connections.
--- a/src/libfleet/log/logclient.cpp
+++ b/src/libfleet/log/logclient.cpp
@@ -14,7 +14,8 @@
 using nlohmann::json;
 
 constexpr Millis CallLimit = std::chrono::seconds(3);
-constexpr int RecordsPerRead = 500;
+/// Records of the greatest length fit into one response of HttpClient.
+constexpr int RecordsPerRead = 150;
 constexpr Millis DefaultRetryAfter = std::chrono::seconds(1);
 
 Millis retryAfterOf(const HttpResponse &answer) {
--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -53,11 +53,12 @@
 } // namespace
 
 Control::Control(asio::io_context &io, const NodeSettings &settings,
-                 std::int64_t bootId, Metrics &metrics, Events events)
+                 std::int64_t bootId, BodyBudgetPtr budget, Metrics &metrics,
+                 Events events)
     : Io(io), Config(settings), BootId(bootId), Handlers(std::move(events)),
       Links(io.get_executor(),
             makeHello(settings.Node, bootId, settings.DataCentre),
-            metrics.traffic()),
+            std::move(budget), metrics.traffic()),
       Members(
           io, settings.FleetAddress, metrics.traffic(),
           makeMembership(makeRecord(settings, bootId), settings.Seeds,
--- a/src/libfleet/node/control.h
+++ b/src/libfleet/node/control.h
@@ -39,7 +39,8 @@
   };
 
   Control(asio::io_context &io, const NodeSettings &settings,
-          std::int64_t bootId, Metrics &metrics, Events events);
+          std::int64_t bootId, BodyBudgetPtr budget, Metrics &metrics,
+          Events events);
 
   /// Reads settings and discovers nodes through the platform instead of the
   /// log.
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -36,6 +36,7 @@
   ErrorKind kind = status == 431   ? ErrorKind::HeadersTooLarge
                    : status == 413 ? ErrorKind::BodyTooLarge
                    : status == 408 ? ErrorKind::RequestTimeout
+                   : status == 503 ? ErrorKind::Overloaded
                                    : ErrorKind::BadRequest;
   const ErrorInfo &row = errorInfo(kind);
   HttpResponse answer;
@@ -86,6 +87,7 @@
   NodeSettings Config;
   std::int64_t BootId = wallMicros();
   Metrics Counters;
+  BodyBudgetPtr Bodies;
   Loop ControlLoop;
   std::vector<std::unique_ptr<Loop>> Traffic;
   std::unique_ptr<Control> NodeControl;
@@ -106,7 +108,9 @@
   std::atomic<bool> IsLeaving = false;
 };
 
-Node::Impl::Impl(NodeSettings settings) : Config(std::move(settings)) {
+Node::Impl::Impl(NodeSettings settings)
+    : Config(std::move(settings)),
+      Bodies(std::make_shared<BodyBudget>(Config.BodyBytes)) {
   for (int i = 0; i < Config.TrafficThreads; ++i)
     Traffic.push_back(std::make_unique<Loop>());
   if (!Config.Platform.empty()) {
@@ -118,7 +122,7 @@
   asio::any_io_executor gateThread = Traffic[0]->Io.get_executor();
 
   NodeControl = std::make_unique<Control>(
-      control, Config, BootId, Counters,
+      control, Config, BootId, Bodies, Counters,
       Control::Events{
           [this](FleetViewPtr view) { applyView(view); },
           [this] {
@@ -158,12 +162,13 @@
     });
   };
   Gate = std::make_unique<GateService>(gateThread, Config, BootId, Dialect,
-                                       Counters, std::move(gateEvents));
+                                       Bodies, Counters, std::move(gateEvents));
 
   std::vector<HttpServer::Worker> lanes;
   for (std::size_t i = 0; i < Traffic.size(); ++i) {
-    Entries.push_back(std::make_unique<Entry>(
-        Traffic[i]->Io.get_executor(), Config, BootId, i, Dialect, Counters));
+    Entries.push_back(std::make_unique<Entry>(Traffic[i]->Io.get_executor(),
+                                              Config, BootId, i, Dialect,
+                                              Bodies, Counters));
     connectLocal(*Entries.back(), *Traffic[i]);
     if (Traffic.size() > 1)
       Entries.back()->OnNotice = [this, i](const std::string &service,
@@ -186,8 +191,9 @@
       [this](const std::shared_ptr<FrameChannel> &from, wire::Frame frame) {
         takeFrame(from, std::move(frame));
       });
-  CallerHttp = std::make_unique<HttpServer>(
-      gateThread, Config.HttpAddress, std::move(lanes), rejectedRequestAnswer);
+  CallerHttp = std::make_unique<HttpServer>(gateThread, Config.HttpAddress,
+                                            std::move(lanes),
+                                            rejectedRequestAnswer, Bodies);
   AdminFront::Events adminEvents;
   adminEvents.OnAnnounce = [this](Announcement announcement) {
     return announce(std::move(announcement));
@@ -211,7 +217,7 @@
        false}};
   AdminHttp = std::make_unique<HttpServer>(gateThread, Config.AdminAddress,
                                            std::move(adminLanes),
-                                           rejectedRequestAnswer);
+                                           rejectedRequestAnswer, Bodies);
   if (!Config.MetricsAddress.empty())
     MetricsHttp = std::make_unique<HttpServer>(
         gateThread, Config.MetricsAddress,
@@ -221,7 +227,7 @@
                return Admin->serveMetrics(std::move(request));
              },
              false}},
-        rejectedRequestAnswer);
+        rejectedRequestAnswer, Bodies);
   if (Config.ReadyAddress.empty())
     return;
   std::vector<HttpServer::Worker> readyLanes{
@@ -231,7 +237,7 @@
        false}};
   ReadyHttp = std::make_unique<HttpServer>(gateThread, Config.ReadyAddress,
                                            std::move(readyLanes),
-                                           rejectedRequestAnswer);
+                                           rejectedRequestAnswer, Bodies);
 }
 
 HttpResponse Node::Impl::readiness() const {
@@ -255,13 +261,21 @@
   auto holder = std::make_shared<std::shared_ptr<GateClient>>();
   auto toEntry = std::make_shared<LocalChannel>(
       loop.Io.get_executor(), Config.Node,
-      [holder](wire::Frame frame) { (*holder)->takeFrame(std::move(frame)); });
-  auto toGate =
-      std::make_shared<LocalChannel>(Traffic[0]->Io.get_executor(), Config.Node,
-                                     [this, toEntry](wire::Frame frame) {
-                                       takeFrame(toEntry, std::move(frame));
-                                     });
-  *holder = std::make_shared<GateClient>(toGate);
+      LocalChannel::Receiver{[holder](wire::Frame frame) {
+                               (*holder)->takeFrame(std::move(frame));
+                             },
+                             [holder](std::int64_t stream, Body body) {
+                               (*holder)->takeBody(stream, std::move(body));
+                             }});
+  auto toGate = std::make_shared<LocalChannel>(
+      Traffic[0]->Io.get_executor(), Config.Node,
+      LocalChannel::Receiver{[this, toEntry](wire::Frame frame) {
+                               takeFrame(toEntry, std::move(frame));
+                             },
+                             [this, toEntry](std::int64_t stream, Body body) {
+                               Gate->takeBody(toEntry, stream, std::move(body));
+                             }});
+  *holder = std::make_shared<GateClient>(toGate, Bodies);
   entry.links().setLocal(Config.Node, *holder);
 }
 
--- a/src/libfleet/node/nodesettings.cpp
+++ b/src/libfleet/node/nodesettings.cpp
@@ -20,6 +20,9 @@
 constexpr int MinSettingsAgeMs = 100;
 constexpr int MaxSettingsAgeMs = 60'000;
 constexpr double MaxLinkMbps = 1'000'000;
+constexpr int MinBodyMegabytes = 8;
+constexpr int MaxBodyMegabytes = 1'000'000;
+constexpr std::size_t BytesPerMegabyte = 1024 * 1024;
 constexpr int MinRetentionMs = 1'000;
 constexpr int MaxRetentionMs = 2'000'000'000;
 constexpr int MaxDrainMs = 3'600'000;
@@ -206,6 +209,10 @@
   double linkMbps = settings.LinkMbps;
   reader.readNumber("link_mbps", linkMbps, 0, MaxLinkMbps);
   settings.LinkMbps = int(linkMbps);
+  int bodyMegabytes = int(settings.BodyBytes / BytesPerMegabyte);
+  reader.readInteger("body_memory_mb", bodyMegabytes, MinBodyMegabytes,
+                     MaxBodyMegabytes);
+  settings.BodyBytes = std::size_t(bodyMegabytes) * BytesPerMegabyte;
   reader.readBoolean("keep_standings_near", settings.KeepsStandingsNear);
   reader.readString("log_level", settings.LogLevel, false);
   if (std::ranges::find(LogLevels, settings.LogLevel) == LogLevels.end())
@@ -246,6 +253,7 @@
               {"settings_readers", settings.SettingsReaders},
               {"settings_max_age_ms", settings.SettingsMaxAge.count()},
               {"link_mbps", settings.LinkMbps},
+              {"body_memory_mb", settings.BodyBytes / BytesPerMegabyte},
               {"keep_standings_near", settings.KeepsStandingsNear},
               {"log_level", settings.LogLevel},
               {"listen",
--- a/src/libfleet/node/nodesettings.h
+++ b/src/libfleet/node/nodesettings.h
@@ -70,6 +70,9 @@
   /// Rate of the VM's link in Mbit/s; 0 if it is not known. Nodes with the
   /// widest links of a data centre read the settings for the others.
   int LinkMbps = 0;
+  /// Bytes of long bodies of requests and responses that the process holds at a
+  /// time.
+  std::size_t BodyBytes = std::size_t{64} * 1024 * 1024;
   /// True if short-lived standings of endpoints (suspect, on trial) are sent to
   /// the own data centre only. Other nodes learn them from replies.
   bool KeepsStandingsNear = false;
--- a/src/libfleet/peers/gateclient.cpp
+++ b/src/libfleet/peers/gateclient.cpp
@@ -1,5 +1,10 @@
 #include "libfleet/peers/gateclient.h"
 
+#include "libfleet/reporting/logging.h"
+#include "libhickoryglade/errorkind.h"
+
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <iterator>
 
@@ -12,8 +17,9 @@
 
 } // namespace
 
-GateClient::GateClient(std::shared_ptr<FrameChannel> channel)
-    : Channel(std::move(channel)) {}
+GateClient::GateClient(std::shared_ptr<FrameChannel> channel,
+                       BodyBudgetPtr budget)
+    : Channel(std::move(channel)), Budget(std::move(budget)) {}
 
 std::int64_t GateClient::open(std::shared_ptr<StreamMailbox> mailbox,
                               std::size_t tag) {
@@ -70,7 +76,7 @@
     return false;
   stream.Head = std::move(head);
   if (stream.Head->bodyBytes == 0)
-    finishAnswer(id, stream);
+    finishAnswer(id, stream, std::make_shared<const std::string>());
   return true;
 }
 
@@ -114,19 +120,54 @@
   auto expected = std::size_t(stream.Head->bodyBytes);
   if (stream.Content.size() + data.bytes.size() > expected)
     return false;
+  if (!stream.Held) {
+    stream.Held.emplace(Budget, BodyUse::Answer);
+    if (!stream.Held->resize(expected)) {
+      rejectAnswer(id, stream);
+      return true;
+    }
+  }
   if (stream.Content.empty())
     stream.Content = std::move(data.bytes);
   else
     stream.Content += data.bytes;
   if (stream.Content.size() == expected)
-    finishAnswer(id, stream);
+    finishAnswer(id, stream,
+                 makeBody(std::move(stream.Content), std::move(*stream.Held)));
   return true;
 }
 
-void GateClient::finishAnswer(std::int64_t id, Stream &stream) {
-  HttpResponse answer{
-      stream.Head->status, fromWire(stream.Head->headers),
-      std::make_shared<const std::string>(std::move(stream.Content))};
+void GateClient::takeBody(std::int64_t id, Body body) {
+  auto it = Streams.find(id);
+  if (it != Streams.end() && it->second.Head)
+    finishAnswer(id, it->second, std::move(body));
+}
+
+/// Fails a stream whose response has no room. The endpoint has run the request.
+void GateClient::rejectAnswer(std::int64_t id, Stream &stream) {
+  wire::Failure failure;
+  failure.kind = int(ErrorKind::AnswerTooLong);
+  failure.run = int(RunState::Unknown);
+  failure.detail = "no memory is left here for long answers";
+  failure.load = stream.Head->load;
+  failure.endpoint = stream.Head->endpoint;
+  failure.hasReached = true;
+  logEvent(LogLevel::Warn, "answer_rejected",
+           {{"endpoint", failure.endpoint},
+            {"gate", Channel->peerName()},
+            {"bytes", stream.Head->bodyBytes},
+            {"held", Budget->used()}});
+  stream.Box->put({stream.Tag, std::move(failure)});
+  wire::Frame cancel;
+  cancel.stream = id;
+  cancel.__set_cancel({});
+  Channel->send(std::move(cancel));
+  closeStream(id);
+}
+
+void GateClient::finishAnswer(std::int64_t id, Stream &stream, Body body) {
+  HttpResponse answer{stream.Head->status, fromWire(stream.Head->headers),
+                      std::move(body)};
   AnswerEvent event{std::move(answer), stream.Head->endpoint, stream.Head->load,
                     Micros(stream.Head->runUs)};
   if (stream.Head->__isset.notice)
--- a/src/libfleet/peers/gateclient.h
+++ b/src/libfleet/peers/gateclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libfleet/base/mailbox.h"
+#include "libfleet/http/bodybudget.h"
 #include "libfleet/peers/framechannel.h"
 
 #include "fleet_types.h"
@@ -66,7 +67,8 @@
 /// reassembles responses. Frames of closed streams are dropped.
 class GateClient {
 public:
-  explicit GateClient(std::shared_ptr<FrameChannel> channel);
+  /// Bodies of responses are reassembled within the budget.
+  GateClient(std::shared_ptr<FrameChannel> channel, BodyBudgetPtr budget);
 
   /// Opens a stream whose events go to the mailbox.
   std::int64_t open(std::shared_ptr<StreamMailbox> mailbox, std::size_t tag);
@@ -78,6 +80,9 @@
   /// Returns false if the frame violates the protocol.
   bool takeFrame(wire::Frame frame);
 
+  /// Processes the whole body of a response.
+  void takeBody(std::int64_t id, Body body);
+
   /// Closes all streams with a LostEvent after the channel was lost.
   void failStreams();
 
@@ -93,6 +98,7 @@
     /// Likewise for settings.
     std::optional<wire::SnapshotHead> SettingsHead = std::nullopt;
     std::string Content;
+    std::optional<HeldBytes> Held = std::nullopt;
   };
 
   bool takeData(std::int64_t id, Stream &stream, wire::Data data);
@@ -100,11 +106,13 @@
   bool takeSettingsHead(std::int64_t id, Stream &stream,
                         wire::SnapshotHead head);
   bool takeSettingsData(std::int64_t id, Stream &stream, wire::Data data);
-  void finishAnswer(std::int64_t id, Stream &stream);
+  void finishAnswer(std::int64_t id, Stream &stream, Body body);
+  void rejectAnswer(std::int64_t id, Stream &stream);
   void finishSettings(std::int64_t id, Stream &stream);
   void notifyStreamCount();
 
   std::shared_ptr<FrameChannel> Channel;
+  BodyBudgetPtr Budget;
   std::map<std::int64_t, Stream> Streams;
   std::int64_t NextStream = 1;
 };
--- a/src/libfleet/peers/localchannel.cpp
+++ b/src/libfleet/peers/localchannel.cpp
@@ -8,7 +8,7 @@
       Receive(std::move(receiver)), OpenedAt(now()) {}
 
 void LocalChannel::send(wire::Frame frame) {
-  asio::post(To, [receive = Receive, it = std::move(frame)]() mutable {
+  asio::post(To, [receive = Receive.OnFrame, it = std::move(frame)]() mutable {
     receive(std::move(it));
   });
 }
@@ -16,11 +16,10 @@
 void LocalChannel::sendBody(std::int64_t stream, Body body, BodyKind) {
   if (body->empty())
     return;
-  wire::Frame frame;
-  frame.stream = stream;
-  frame.data.bytes = *body;
-  frame.__isset.data = true;
-  send(std::move(frame));
+  asio::post(
+      To, [receive = Receive.OnBody, stream, it = std::move(body)]() mutable {
+        receive(stream, std::move(it));
+      });
 }
 
 std::int64_t LocalChannel::ageMs() const {
--- a/src/libfleet/peers/localchannel.h
+++ b/src/libfleet/peers/localchannel.h
@@ -12,10 +12,14 @@
 namespace hickoryglade::fleet {
 
 /// One direction of the channel between an entry and the gate of its own node:
-/// frames are passed without being encoded.
+/// frames are passed without being encoded, and bodies without being copied.
 class LocalChannel : public FrameChannel {
 public:
-  using Receiver = std::function<void(wire::Frame)>;
+  /// The callbacks for what is sent, called on the receiver's thread.
+  struct Receiver {
+    std::function<void(wire::Frame)> OnFrame;
+    std::function<void(std::int64_t stream, Body body)> OnBody;
+  };
 
   LocalChannel(asio::any_io_executor to, std::string node, Receiver receiver);
 
--- a/src/libfleet/peers/peerlinks.cpp
+++ b/src/libfleet/peers/peerlinks.cpp
@@ -23,8 +23,9 @@
 } // namespace
 
 PeerLinks::PeerLinks(asio::any_io_executor ex, wire::Hello own,
-                     TrafficCounters &traffic)
-    : Executor(std::move(ex)), Own(std::move(own)), Traffic(traffic) {}
+                     BodyBudgetPtr budget, TrafficCounters &traffic)
+    : Executor(std::move(ex)), Own(std::move(own)), Budget(std::move(budget)),
+      Traffic(traffic) {}
 
 void PeerLinks::setLocal(std::string node, std::shared_ptr<GateClient> client) {
   LocalNode = std::move(node);
@@ -85,7 +86,7 @@
   peer.Connection =
       std::make_shared<Link>(std::move(*socket), Own, Traffic,
                              TrafficCause::Requests, eventsFor(node, slot));
-  peer.Client = std::make_shared<GateClient>(peer.Connection);
+  peer.Client = std::make_shared<GateClient>(peer.Connection, Budget);
   *slot = peer.Client.get();
   peer.Client->OnStreamCount = [link = peer.Connection.get()](std::size_t n) {
     link->setBusy(n > 0);
--- a/src/libfleet/peers/peerlinks.h
+++ b/src/libfleet/peers/peerlinks.h
@@ -14,7 +14,7 @@
 /// use and reopened after a loss.
 class PeerLinks {
 public:
-  PeerLinks(asio::any_io_executor ex, wire::Hello own,
+  PeerLinks(asio::any_io_executor ex, wire::Hello own, BodyBudgetPtr budget,
             TrafficCounters &traffic);
 
   /// Sets the client that is used for the local node instead of a link.
@@ -52,6 +52,7 @@
 
   asio::any_io_executor Executor;
   wire::Hello Own;
+  BodyBudgetPtr Budget;
   TrafficCounters &Traffic;
   std::string LocalNode;
   std::shared_ptr<GateClient> Local;
--- a/src/libhickoryglade/errorkind.cpp
+++ b/src/libhickoryglade/errorkind.cpp
@@ -10,7 +10,7 @@
 constexpr RunState NotRun = RunState::NotRun;
 constexpr RunState Unknown = RunState::Unknown;
 
-constexpr std::array<ErrorInfo, 28> Answers{{
+constexpr std::array<ErrorInfo, 29> Answers{{
     {ErrorKind::BadRequest, "bad_request", 400, NotRun, false,
      "The request is malformed"},
     {ErrorKind::HeadersTooLarge, "headers_too_large", 431, NotRun, false,
@@ -67,6 +67,8 @@
      "The content has crashed an endpoint and runs at one gate only"},
     {ErrorKind::EndpointLimited, "endpoint_limited", 503, NotRun, true,
      "The limits that the endpoints name let it start too late"},
+    {ErrorKind::AnswerTooLong, "answer_too_long", 502, Unknown, true,
+     "The endpoint's answer exceeds the memory for answers"},
 }};
 
 } // namespace
--- a/src/libhickoryglade/errorkind.h
+++ b/src/libhickoryglade/errorkind.h
@@ -41,6 +41,7 @@
   RetriesExhausted,
   ContentSuspect,
   EndpointLimited,
+  AnswerTooLong,
 };
 
 /// Properties of an error kind and of the answer to the caller.
--- a/tests/platform/serverstandin.cpp
+++ b/tests/platform/serverstandin.cpp
@@ -19,6 +19,8 @@
 /// Longer than the time-out of any caller in the tests.
 constexpr Millis HangTime{20'000};
 
+constexpr std::size_t EndlessPieceBytes = 64 * 1024;
+
 struct Identity {
   std::string Listen;
   std::string Control;
@@ -58,6 +60,12 @@
       co_await sleepFor(HangTime);
       co_return false;
     }
+    if (Fault == "endless") {
+      co_await connection->write("HTTP/1.1 200 OK\r\n" + echo + Proof + "\r\n");
+      while (!connection->isClosedByPeer())
+        co_await connection->write(std::string(EndlessPieceBytes, 'a'));
+      co_return false;
+    }
     if (Fault == "error")
       co_return co_await reply(connection, answerBytes(500, "", echo + Proof));
     if (Fault == "stray") {
--- a/tests/platform/test_endpointclient.cpp
+++ b/tests/platform/test_endpointclient.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr Millis CallLimit{1'000};
+constexpr std::size_t MaxHeldBytes = 64 * 1024 * 1024;
 
 /// Bytes that a server sends for the n-th request on its c-th connection, both
 /// counted from 1, and whether it closes the connection then.
@@ -69,7 +70,8 @@
         co_return !reaction.IsClosing;
       });
   HttpDialect dialect = platform::makeDialect();
-  EndpointClient client(io.get_executor(), dialect);
+  EndpointClient client(io.get_executor(), dialect,
+                        std::make_shared<BodyBudget>(MaxHeldBytes));
   std::vector<EndpointResult> results;
   auto run = [&]() -> asio::awaitable<void> {
     for (const std::string &id : ids) {
