--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -74,6 +74,9 @@
   23: bool acceptsSilent
   // Notices that this process of the gate may not know.
   24: optional list<EndpointNotice> notices
+  // The sender understands Overdue. For senders of earlier releases the gate
+  // itself ends runs that are overdue.
+  25: bool decidesRetry
 }
 
 struct Grant {
@@ -138,6 +141,14 @@
 // The sender is stopping and will not retry the request at another gate.
 struct Keep {}
 
+// The attempt is overdue at an endpoint that stalls. It goes on unless the
+// receiver replies with GiveUp.
+struct Overdue {}
+
+// The sender retries an overdue attempt at another gate; the receiver ends it
+// and replies with a Failure.
+struct GiveUp {}
+
 // Queries the state of an attempt and fences it if it has not started.
 struct Revoke {
   1: string attemptId
@@ -349,4 +360,6 @@
   17: optional Snapshot snapshot
   18: optional Keep keep
   19: optional SnapshotHead snapshotHead
+  20: optional Overdue overdue
+  21: optional GiveUp giveUp
 }
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -786,6 +786,10 @@
   this->notices = val;
 __isset.notices = true;
 }
+
+void Ticket::__set_decidesRetry(const bool val) {
+  this->decidesRetry = val;
+}
 std::ostream& operator<<(std::ostream& out, const Ticket& obj)
 {
   obj.printTo(out);
@@ -1010,6 +1014,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 25:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->decidesRetry);
+          this->__isset.decidesRetry = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1128,6 +1140,10 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("decidesRetry", ::apache::thrift::protocol::T_BOOL, 25);
+  xfer += oprot->writeBool(this->decidesRetry);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1158,6 +1174,7 @@
   swap(a.maxWaitMs, b.maxWaitMs);
   swap(a.acceptsSilent, b.acceptsSilent);
   swap(a.notices, b.notices);
+  swap(a.decidesRetry, b.decidesRetry);
   swap(a.__isset, b.__isset);
 }
 
@@ -1185,6 +1202,7 @@
   maxWaitMs = other22.maxWaitMs;
   acceptsSilent = other22.acceptsSilent;
   notices = other22.notices;
+  decidesRetry = other22.decidesRetry;
   __isset = other22.__isset;
 }
 Ticket::Ticket(Ticket&& other23) noexcept {
@@ -1211,6 +1229,7 @@
   maxWaitMs = other23.maxWaitMs;
   acceptsSilent = other23.acceptsSilent;
   notices = std::move(other23.notices);
+  decidesRetry = other23.decidesRetry;
   __isset = other23.__isset;
 }
 Ticket& Ticket::operator=(const Ticket& other24) {
@@ -1237,6 +1256,7 @@
   maxWaitMs = other24.maxWaitMs;
   acceptsSilent = other24.acceptsSilent;
   notices = other24.notices;
+  decidesRetry = other24.decidesRetry;
   __isset = other24.__isset;
   return *this;
 }
@@ -1264,6 +1284,7 @@
   maxWaitMs = other25.maxWaitMs;
   acceptsSilent = other25.acceptsSilent;
   notices = std::move(other25.notices);
+  decidesRetry = other25.decidesRetry;
   __isset = other25.__isset;
   return *this;
 }
@@ -1293,6 +1314,7 @@
   out << ", " << "maxWaitMs=" << to_string(maxWaitMs);
   out << ", " << "acceptsSilent=" << to_string(acceptsSilent);
   out << ", " << "notices="; (__isset.notices ? (out << to_string(notices)) : (out << "<null>"));
+  out << ", " << "decidesRetry=" << to_string(decidesRetry);
   out << ")";
 }
 
@@ -2583,6 +2605,156 @@
 }
 
 
+Overdue::~Overdue() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const Overdue& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Overdue::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Overdue::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Overdue");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Overdue &a, Overdue &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+Overdue::Overdue(const Overdue& other70) noexcept {
+  (void) other70;
+}
+Overdue::Overdue(Overdue&& other71) noexcept {
+  (void) other71;
+}
+Overdue& Overdue::operator=(const Overdue& other72) noexcept {
+  (void) other72;
+  return *this;
+}
+Overdue& Overdue::operator=(Overdue&& other73) noexcept {
+  (void) other73;
+  return *this;
+}
+void Overdue::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Overdue(";
+  out << ")";
+}
+
+
+GiveUp::~GiveUp() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const GiveUp& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GiveUp::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GiveUp::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GiveUp");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GiveUp &a, GiveUp &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+GiveUp::GiveUp(const GiveUp& other74) noexcept {
+  (void) other74;
+}
+GiveUp::GiveUp(GiveUp&& other75) noexcept {
+  (void) other75;
+}
+GiveUp& GiveUp::operator=(const GiveUp& other76) noexcept {
+  (void) other76;
+  return *this;
+}
+GiveUp& GiveUp::operator=(GiveUp&& other77) noexcept {
+  (void) other77;
+  return *this;
+}
+void GiveUp::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GiveUp(";
+  out << ")";
+}
+
+
 Revoke::~Revoke() noexcept {
 }
 
@@ -2709,34 +2881,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Revoke::Revoke(const Revoke& other70) {
-  attemptId = other70.attemptId;
-  gateBootId = other70.gateBootId;
-  timeoutMs = other70.timeoutMs;
-  askedNode = other70.askedNode;
-  __isset = other70.__isset;
-}
-Revoke::Revoke(Revoke&& other71) noexcept {
-  attemptId = std::move(other71.attemptId);
-  gateBootId = other71.gateBootId;
-  timeoutMs = other71.timeoutMs;
-  askedNode = std::move(other71.askedNode);
-  __isset = other71.__isset;
-}
-Revoke& Revoke::operator=(const Revoke& other72) {
-  attemptId = other72.attemptId;
-  gateBootId = other72.gateBootId;
-  timeoutMs = other72.timeoutMs;
-  askedNode = other72.askedNode;
-  __isset = other72.__isset;
+Revoke::Revoke(const Revoke& other78) {
+  attemptId = other78.attemptId;
+  gateBootId = other78.gateBootId;
+  timeoutMs = other78.timeoutMs;
+  askedNode = other78.askedNode;
+  __isset = other78.__isset;
+}
+Revoke::Revoke(Revoke&& other79) noexcept {
+  attemptId = std::move(other79.attemptId);
+  gateBootId = other79.gateBootId;
+  timeoutMs = other79.timeoutMs;
+  askedNode = std::move(other79.askedNode);
+  __isset = other79.__isset;
+}
+Revoke& Revoke::operator=(const Revoke& other80) {
+  attemptId = other80.attemptId;
+  gateBootId = other80.gateBootId;
+  timeoutMs = other80.timeoutMs;
+  askedNode = other80.askedNode;
+  __isset = other80.__isset;
   return *this;
 }
-Revoke& Revoke::operator=(Revoke&& other73) noexcept {
-  attemptId = std::move(other73.attemptId);
-  gateBootId = other73.gateBootId;
-  timeoutMs = other73.timeoutMs;
-  askedNode = std::move(other73.askedNode);
-  __isset = other73.__isset;
+Revoke& Revoke::operator=(Revoke&& other81) noexcept {
+  attemptId = std::move(other81.attemptId);
+  gateBootId = other81.gateBootId;
+  timeoutMs = other81.timeoutMs;
+  askedNode = std::move(other81.askedNode);
+  __isset = other81.__isset;
   return *this;
 }
 void Revoke::printTo(std::ostream& out) const {
@@ -2842,26 +3014,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Revoked::Revoked(const Revoked& other74) noexcept {
-  state = other74.state;
-  isUnreachable = other74.isUnreachable;
-  __isset = other74.__isset;
+Revoked::Revoked(const Revoked& other82) noexcept {
+  state = other82.state;
+  isUnreachable = other82.isUnreachable;
+  __isset = other82.__isset;
 }
-Revoked::Revoked(Revoked&& other75) noexcept {
-  state = other75.state;
-  isUnreachable = other75.isUnreachable;
-  __isset = other75.__isset;
+Revoked::Revoked(Revoked&& other83) noexcept {
+  state = other83.state;
+  isUnreachable = other83.isUnreachable;
+  __isset = other83.__isset;
 }
-Revoked& Revoked::operator=(const Revoked& other76) noexcept {
-  state = other76.state;
-  isUnreachable = other76.isUnreachable;
-  __isset = other76.__isset;
+Revoked& Revoked::operator=(const Revoked& other84) noexcept {
+  state = other84.state;
+  isUnreachable = other84.isUnreachable;
+  __isset = other84.__isset;
   return *this;
 }
-Revoked& Revoked::operator=(Revoked&& other77) noexcept {
-  state = other77.state;
-  isUnreachable = other77.isUnreachable;
-  __isset = other77.__isset;
+Revoked& Revoked::operator=(Revoked&& other85) noexcept {
+  state = other85.state;
+  isUnreachable = other85.isUnreachable;
+  __isset = other85.__isset;
   return *this;
 }
 void Revoked::printTo(std::ostream& out) const {
@@ -2928,14 +3100,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->headers.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size86;
+            ::apache::thrift::protocol::TType _etype89;
+            xfer += iprot->readListBegin(_etype89, _size86);
+            this->headers.resize(_size86);
+            uint32_t _i90;
+            for (_i90 = 0; _i90 < _size86; ++_i90)
             {
-              xfer += this->headers[_i82].read(iprot);
+              xfer += this->headers[_i90].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2976,10 +3148,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter83;
-    for (_iter83 = this->headers.begin(); _iter83 != this->headers.end(); ++_iter83)
+    std::vector<Header> ::const_iterator _iter91;
+    for (_iter91 = this->headers.begin(); _iter91 != this->headers.end(); ++_iter91)
     {
-      xfer += (*_iter83).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3002,30 +3174,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredAnswer::StoredAnswer(const StoredAnswer& other84) {
-  status = other84.status;
-  headers = other84.headers;
-  body = other84.body;
-  __isset = other84.__isset;
+StoredAnswer::StoredAnswer(const StoredAnswer& other92) {
+  status = other92.status;
+  headers = other92.headers;
+  body = other92.body;
+  __isset = other92.__isset;
 }
-StoredAnswer::StoredAnswer(StoredAnswer&& other85) noexcept {
-  status = other85.status;
-  headers = std::move(other85.headers);
-  body = std::move(other85.body);
-  __isset = other85.__isset;
+StoredAnswer::StoredAnswer(StoredAnswer&& other93) noexcept {
+  status = other93.status;
+  headers = std::move(other93.headers);
+  body = std::move(other93.body);
+  __isset = other93.__isset;
 }
-StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other86) {
-  status = other86.status;
-  headers = other86.headers;
-  body = other86.body;
-  __isset = other86.__isset;
+StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other94) {
+  status = other94.status;
+  headers = other94.headers;
+  body = other94.body;
+  __isset = other94.__isset;
   return *this;
 }
-StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other87) noexcept {
-  status = other87.status;
-  headers = std::move(other87.headers);
-  body = std::move(other87.body);
-  __isset = other87.__isset;
+StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other95) noexcept {
+  status = other95.status;
+  headers = std::move(other95.headers);
+  body = std::move(other95.body);
+  __isset = other95.__isset;
   return *this;
 }
 void StoredAnswer::printTo(std::ostream& out) const {
@@ -3200,42 +3372,42 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyRecord::KeyRecord(const KeyRecord& other88) {
-  key = other88.key;
-  requestId = other88.requestId;
-  fingerprint = other88.fingerprint;
-  state = other88.state;
-  answer = other88.answer;
-  lifetimeMs = other88.lifetimeMs;
-  __isset = other88.__isset;
-}
-KeyRecord::KeyRecord(KeyRecord&& other89) noexcept {
-  key = std::move(other89.key);
-  requestId = std::move(other89.requestId);
-  fingerprint = other89.fingerprint;
-  state = other89.state;
-  answer = std::move(other89.answer);
-  lifetimeMs = other89.lifetimeMs;
-  __isset = other89.__isset;
-}
-KeyRecord& KeyRecord::operator=(const KeyRecord& other90) {
-  key = other90.key;
-  requestId = other90.requestId;
-  fingerprint = other90.fingerprint;
-  state = other90.state;
-  answer = other90.answer;
-  lifetimeMs = other90.lifetimeMs;
-  __isset = other90.__isset;
+KeyRecord::KeyRecord(const KeyRecord& other96) {
+  key = other96.key;
+  requestId = other96.requestId;
+  fingerprint = other96.fingerprint;
+  state = other96.state;
+  answer = other96.answer;
+  lifetimeMs = other96.lifetimeMs;
+  __isset = other96.__isset;
+}
+KeyRecord::KeyRecord(KeyRecord&& other97) noexcept {
+  key = std::move(other97.key);
+  requestId = std::move(other97.requestId);
+  fingerprint = other97.fingerprint;
+  state = other97.state;
+  answer = std::move(other97.answer);
+  lifetimeMs = other97.lifetimeMs;
+  __isset = other97.__isset;
+}
+KeyRecord& KeyRecord::operator=(const KeyRecord& other98) {
+  key = other98.key;
+  requestId = other98.requestId;
+  fingerprint = other98.fingerprint;
+  state = other98.state;
+  answer = other98.answer;
+  lifetimeMs = other98.lifetimeMs;
+  __isset = other98.__isset;
   return *this;
 }
-KeyRecord& KeyRecord::operator=(KeyRecord&& other91) noexcept {
-  key = std::move(other91.key);
-  requestId = std::move(other91.requestId);
-  fingerprint = other91.fingerprint;
-  state = other91.state;
-  answer = std::move(other91.answer);
-  lifetimeMs = other91.lifetimeMs;
-  __isset = other91.__isset;
+KeyRecord& KeyRecord::operator=(KeyRecord&& other99) noexcept {
+  key = std::move(other99.key);
+  requestId = std::move(other99.requestId);
+  fingerprint = other99.fingerprint;
+  state = other99.state;
+  answer = std::move(other99.answer);
+  lifetimeMs = other99.lifetimeMs;
+  __isset = other99.__isset;
   return *this;
 }
 void KeyRecord::printTo(std::ostream& out) const {
@@ -3296,9 +3468,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast92;
-          xfer += iprot->readI32(ecast92);
-          this->operation = static_cast<KeyOperation::type>(ecast92);
+          int32_t ecast100;
+          xfer += iprot->readI32(ecast100);
+          this->operation = static_cast<KeyOperation::type>(ecast100);
           this->__isset.operation = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3362,30 +3534,30 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyRequest::KeyRequest(const KeyRequest& other93) {
-  operation = other93.operation;
-  record = other93.record;
-  rosterOffset = other93.rosterOffset;
-  __isset = other93.__isset;
+KeyRequest::KeyRequest(const KeyRequest& other101) {
+  operation = other101.operation;
+  record = other101.record;
+  rosterOffset = other101.rosterOffset;
+  __isset = other101.__isset;
 }
-KeyRequest::KeyRequest(KeyRequest&& other94) noexcept {
-  operation = other94.operation;
-  record = std::move(other94.record);
-  rosterOffset = other94.rosterOffset;
-  __isset = other94.__isset;
+KeyRequest::KeyRequest(KeyRequest&& other102) noexcept {
+  operation = other102.operation;
+  record = std::move(other102.record);
+  rosterOffset = other102.rosterOffset;
+  __isset = other102.__isset;
 }
-KeyRequest& KeyRequest::operator=(const KeyRequest& other95) {
-  operation = other95.operation;
-  record = other95.record;
-  rosterOffset = other95.rosterOffset;
-  __isset = other95.__isset;
+KeyRequest& KeyRequest::operator=(const KeyRequest& other103) {
+  operation = other103.operation;
+  record = other103.record;
+  rosterOffset = other103.rosterOffset;
+  __isset = other103.__isset;
   return *this;
 }
-KeyRequest& KeyRequest::operator=(KeyRequest&& other96) noexcept {
-  operation = other96.operation;
-  record = std::move(other96.record);
-  rosterOffset = other96.rosterOffset;
-  __isset = other96.__isset;
+KeyRequest& KeyRequest::operator=(KeyRequest&& other104) noexcept {
+  operation = other104.operation;
+  record = std::move(other104.record);
+  rosterOffset = other104.rosterOffset;
+  __isset = other104.__isset;
   return *this;
 }
 void KeyRequest::printTo(std::ostream& out) const {
@@ -3509,30 +3681,30 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyReply::KeyReply(const KeyReply& other97) {
-  verdict = other97.verdict;
-  record = other97.record;
-  rosterOffset = other97.rosterOffset;
-  __isset = other97.__isset;
+KeyReply::KeyReply(const KeyReply& other105) {
+  verdict = other105.verdict;
+  record = other105.record;
+  rosterOffset = other105.rosterOffset;
+  __isset = other105.__isset;
 }
-KeyReply::KeyReply(KeyReply&& other98) noexcept {
-  verdict = other98.verdict;
-  record = std::move(other98.record);
-  rosterOffset = other98.rosterOffset;
-  __isset = other98.__isset;
+KeyReply::KeyReply(KeyReply&& other106) noexcept {
+  verdict = other106.verdict;
+  record = std::move(other106.record);
+  rosterOffset = other106.rosterOffset;
+  __isset = other106.__isset;
 }
-KeyReply& KeyReply::operator=(const KeyReply& other99) {
-  verdict = other99.verdict;
-  record = other99.record;
-  rosterOffset = other99.rosterOffset;
-  __isset = other99.__isset;
+KeyReply& KeyReply::operator=(const KeyReply& other107) {
+  verdict = other107.verdict;
+  record = other107.record;
+  rosterOffset = other107.rosterOffset;
+  __isset = other107.__isset;
   return *this;
 }
-KeyReply& KeyReply::operator=(KeyReply&& other100) noexcept {
-  verdict = other100.verdict;
-  record = std::move(other100.record);
-  rosterOffset = other100.rosterOffset;
-  __isset = other100.__isset;
+KeyReply& KeyReply::operator=(KeyReply&& other108) noexcept {
+  verdict = other108.verdict;
+  record = std::move(other108.record);
+  rosterOffset = other108.rosterOffset;
+  __isset = other108.__isset;
   return *this;
 }
 void KeyReply::printTo(std::ostream& out) const {
@@ -3705,42 +3877,42 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointRecord::EndpointRecord(const EndpointRecord& other101) {
-  name = other101.name;
-  workspace = other101.workspace;
-  serviceName = other101.serviceName;
-  slots = other101.slots;
-  generation = other101.generation;
-  state = other101.state;
-  __isset = other101.__isset;
-}
-EndpointRecord::EndpointRecord(EndpointRecord&& other102) noexcept {
-  name = std::move(other102.name);
-  workspace = std::move(other102.workspace);
-  serviceName = std::move(other102.serviceName);
-  slots = other102.slots;
-  generation = other102.generation;
-  state = other102.state;
-  __isset = other102.__isset;
-}
-EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other103) {
-  name = other103.name;
-  workspace = other103.workspace;
-  serviceName = other103.serviceName;
-  slots = other103.slots;
-  generation = other103.generation;
-  state = other103.state;
-  __isset = other103.__isset;
+EndpointRecord::EndpointRecord(const EndpointRecord& other109) {
+  name = other109.name;
+  workspace = other109.workspace;
+  serviceName = other109.serviceName;
+  slots = other109.slots;
+  generation = other109.generation;
+  state = other109.state;
+  __isset = other109.__isset;
+}
+EndpointRecord::EndpointRecord(EndpointRecord&& other110) noexcept {
+  name = std::move(other110.name);
+  workspace = std::move(other110.workspace);
+  serviceName = std::move(other110.serviceName);
+  slots = other110.slots;
+  generation = other110.generation;
+  state = other110.state;
+  __isset = other110.__isset;
+}
+EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other111) {
+  name = other111.name;
+  workspace = other111.workspace;
+  serviceName = other111.serviceName;
+  slots = other111.slots;
+  generation = other111.generation;
+  state = other111.state;
+  __isset = other111.__isset;
   return *this;
 }
-EndpointRecord& EndpointRecord::operator=(EndpointRecord&& other104) noexcept {
-  name = std::move(other104.name);
-  workspace = std::move(other104.workspace);
-  serviceName = std::move(other104.serviceName);
-  slots = other104.slots;
-  generation = other104.generation;
-  state = other104.state;
-  __isset = other104.__isset;
+EndpointRecord& EndpointRecord::operator=(EndpointRecord&& other112) noexcept {
+  name = std::move(other112.name);
+  workspace = std::move(other112.workspace);
+  serviceName = std::move(other112.serviceName);
+  slots = other112.slots;
+  generation = other112.generation;
+  state = other112.state;
+  __isset = other112.__isset;
   return *this;
 }
 void EndpointRecord::printTo(std::ostream& out) const {
@@ -3848,26 +4020,26 @@
   swap(a.__isset, b.__isset);
 }
 
-DepartedRecord::DepartedRecord(const DepartedRecord& other105) {
-  name = other105.name;
-  startedAtMs = other105.startedAtMs;
-  __isset = other105.__isset;
+DepartedRecord::DepartedRecord(const DepartedRecord& other113) {
+  name = other113.name;
+  startedAtMs = other113.startedAtMs;
+  __isset = other113.__isset;
 }
-DepartedRecord::DepartedRecord(DepartedRecord&& other106) noexcept {
-  name = std::move(other106.name);
-  startedAtMs = other106.startedAtMs;
-  __isset = other106.__isset;
+DepartedRecord::DepartedRecord(DepartedRecord&& other114) noexcept {
+  name = std::move(other114.name);
+  startedAtMs = other114.startedAtMs;
+  __isset = other114.__isset;
 }
-DepartedRecord& DepartedRecord::operator=(const DepartedRecord& other107) {
-  name = other107.name;
-  startedAtMs = other107.startedAtMs;
-  __isset = other107.__isset;
+DepartedRecord& DepartedRecord::operator=(const DepartedRecord& other115) {
+  name = other115.name;
+  startedAtMs = other115.startedAtMs;
+  __isset = other115.__isset;
   return *this;
 }
-DepartedRecord& DepartedRecord::operator=(DepartedRecord&& other108) noexcept {
-  name = std::move(other108.name);
-  startedAtMs = other108.startedAtMs;
-  __isset = other108.__isset;
+DepartedRecord& DepartedRecord::operator=(DepartedRecord&& other116) noexcept {
+  name = std::move(other116.name);
+  startedAtMs = other116.startedAtMs;
+  __isset = other116.__isset;
   return *this;
 }
 void DepartedRecord::printTo(std::ostream& out) const {
@@ -4018,14 +4190,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size109;
-            ::apache::thrift::protocol::TType _etype112;
-            xfer += iprot->readListBegin(_etype112, _size109);
-            this->endpoints.resize(_size109);
-            uint32_t _i113;
-            for (_i113 = 0; _i113 < _size109; ++_i113)
+            uint32_t _size117;
+            ::apache::thrift::protocol::TType _etype120;
+            xfer += iprot->readListBegin(_etype120, _size117);
+            this->endpoints.resize(_size117);
+            uint32_t _i121;
+            for (_i121 = 0; _i121 < _size117; ++_i121)
             {
-              xfer += this->endpoints[_i113].read(iprot);
+              xfer += this->endpoints[_i121].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4054,14 +4226,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departed.clear();
-            uint32_t _size114;
-            ::apache::thrift::protocol::TType _etype117;
-            xfer += iprot->readListBegin(_etype117, _size114);
-            this->departed.resize(_size114);
-            uint32_t _i118;
-            for (_i118 = 0; _i118 < _size114; ++_i118)
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->departed.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
             {
-              xfer += this->departed[_i118].read(iprot);
+              xfer += this->departed[_i126].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4126,10 +4298,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter119;
-    for (_iter119 = this->endpoints.begin(); _iter119 != this->endpoints.end(); ++_iter119)
+    std::vector<EndpointRecord> ::const_iterator _iter127;
+    for (_iter127 = this->endpoints.begin(); _iter127 != this->endpoints.end(); ++_iter127)
     {
-      xfer += (*_iter119).write(oprot);
+      xfer += (*_iter127).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4146,10 +4318,10 @@
   xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departed.size()));
-    std::vector<DepartedRecord> ::const_iterator _iter120;
-    for (_iter120 = this->departed.begin(); _iter120 != this->departed.end(); ++_iter120)
+    std::vector<DepartedRecord> ::const_iterator _iter128;
+    for (_iter128 = this->departed.begin(); _iter128 != this->departed.end(); ++_iter128)
     {
-      xfer += (*_iter120).write(oprot);
+      xfer += (*_iter128).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4181,66 +4353,66 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other121) {
-  node = other121.node;
-  bootId = other121.bootId;
-  version = other121.version;
-  fleetAddress = other121.fleetAddress;
-  adminAddress = other121.adminAddress;
-  dataCentre = other121.dataCentre;
-  state = other121.state;
-  endpoints = other121.endpoints;
-  settingsOffset = other121.settingsOffset;
-  ledgerOffset = other121.ledgerOffset;
-  departed = other121.departed;
-  linkMbps = other121.linkMbps;
-  __isset = other121.__isset;
-}
-MemberRecord::MemberRecord(MemberRecord&& other122) noexcept {
-  node = std::move(other122.node);
-  bootId = other122.bootId;
-  version = other122.version;
-  fleetAddress = std::move(other122.fleetAddress);
-  adminAddress = std::move(other122.adminAddress);
-  dataCentre = std::move(other122.dataCentre);
-  state = other122.state;
-  endpoints = std::move(other122.endpoints);
-  settingsOffset = other122.settingsOffset;
-  ledgerOffset = other122.ledgerOffset;
-  departed = std::move(other122.departed);
-  linkMbps = other122.linkMbps;
-  __isset = other122.__isset;
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other123) {
-  node = other123.node;
-  bootId = other123.bootId;
-  version = other123.version;
-  fleetAddress = other123.fleetAddress;
-  adminAddress = other123.adminAddress;
-  dataCentre = other123.dataCentre;
-  state = other123.state;
-  endpoints = other123.endpoints;
-  settingsOffset = other123.settingsOffset;
-  ledgerOffset = other123.ledgerOffset;
-  departed = other123.departed;
-  linkMbps = other123.linkMbps;
-  __isset = other123.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other129) {
+  node = other129.node;
+  bootId = other129.bootId;
+  version = other129.version;
+  fleetAddress = other129.fleetAddress;
+  adminAddress = other129.adminAddress;
+  dataCentre = other129.dataCentre;
+  state = other129.state;
+  endpoints = other129.endpoints;
+  settingsOffset = other129.settingsOffset;
+  ledgerOffset = other129.ledgerOffset;
+  departed = other129.departed;
+  linkMbps = other129.linkMbps;
+  __isset = other129.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other130) noexcept {
+  node = std::move(other130.node);
+  bootId = other130.bootId;
+  version = other130.version;
+  fleetAddress = std::move(other130.fleetAddress);
+  adminAddress = std::move(other130.adminAddress);
+  dataCentre = std::move(other130.dataCentre);
+  state = other130.state;
+  endpoints = std::move(other130.endpoints);
+  settingsOffset = other130.settingsOffset;
+  ledgerOffset = other130.ledgerOffset;
+  departed = std::move(other130.departed);
+  linkMbps = other130.linkMbps;
+  __isset = other130.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other131) {
+  node = other131.node;
+  bootId = other131.bootId;
+  version = other131.version;
+  fleetAddress = other131.fleetAddress;
+  adminAddress = other131.adminAddress;
+  dataCentre = other131.dataCentre;
+  state = other131.state;
+  endpoints = other131.endpoints;
+  settingsOffset = other131.settingsOffset;
+  ledgerOffset = other131.ledgerOffset;
+  departed = other131.departed;
+  linkMbps = other131.linkMbps;
+  __isset = other131.__isset;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other124) noexcept {
-  node = std::move(other124.node);
-  bootId = other124.bootId;
-  version = other124.version;
-  fleetAddress = std::move(other124.fleetAddress);
-  adminAddress = std::move(other124.adminAddress);
-  dataCentre = std::move(other124.dataCentre);
-  state = other124.state;
-  endpoints = std::move(other124.endpoints);
-  settingsOffset = other124.settingsOffset;
-  ledgerOffset = other124.ledgerOffset;
-  departed = std::move(other124.departed);
-  linkMbps = other124.linkMbps;
-  __isset = other124.__isset;
+MemberRecord& MemberRecord::operator=(MemberRecord&& other132) noexcept {
+  node = std::move(other132.node);
+  bootId = other132.bootId;
+  version = other132.version;
+  fleetAddress = std::move(other132.fleetAddress);
+  adminAddress = std::move(other132.adminAddress);
+  dataCentre = std::move(other132.dataCentre);
+  state = other132.state;
+  endpoints = std::move(other132.endpoints);
+  settingsOffset = other132.settingsOffset;
+  ledgerOffset = other132.ledgerOffset;
+  departed = std::move(other132.departed);
+  linkMbps = other132.linkMbps;
+  __isset = other132.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -4327,17 +4499,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->crashes.clear();
-            uint32_t _size125;
-            ::apache::thrift::protocol::TType _ktype126;
-            ::apache::thrift::protocol::TType _vtype127;
-            xfer += iprot->readMapBegin(_ktype126, _vtype127, _size125);
-            uint32_t _i129;
-            for (_i129 = 0; _i129 < _size125; ++_i129)
+            uint32_t _size133;
+            ::apache::thrift::protocol::TType _ktype134;
+            ::apache::thrift::protocol::TType _vtype135;
+            xfer += iprot->readMapBegin(_ktype134, _vtype135, _size133);
+            uint32_t _i137;
+            for (_i137 = 0; _i137 < _size133; ++_i137)
             {
-              std::string _key130;
-              xfer += iprot->readString(_key130);
-              int32_t& _val131 = this->crashes[_key130];
-              xfer += iprot->readI32(_val131);
+              std::string _key138;
+              xfer += iprot->readString(_key138);
+              int32_t& _val139 = this->crashes[_key138];
+              xfer += iprot->readI32(_val139);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4358,17 +4530,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->crashAgesMs.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _ktype133;
-            ::apache::thrift::protocol::TType _vtype134;
-            xfer += iprot->readMapBegin(_ktype133, _vtype134, _size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _ktype141;
+            ::apache::thrift::protocol::TType _vtype142;
+            xfer += iprot->readMapBegin(_ktype141, _vtype142, _size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              std::string _key137;
-              xfer += iprot->readString(_key137);
-              int64_t& _val138 = this->crashAgesMs[_key137];
-              xfer += iprot->readI64(_val138);
+              std::string _key145;
+              xfer += iprot->readString(_key145);
+              int64_t& _val146 = this->crashAgesMs[_key145];
+              xfer += iprot->readI64(_val146);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4409,11 +4581,11 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crashes.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter139;
-    for (_iter139 = this->crashes.begin(); _iter139 != this->crashes.end(); ++_iter139)
+    std::map<std::string, int32_t> ::const_iterator _iter147;
+    for (_iter147 = this->crashes.begin(); _iter147 != this->crashes.end(); ++_iter147)
     {
-      xfer += oprot->writeString(_iter139->first);
-      xfer += oprot->writeI32(_iter139->second);
+      xfer += oprot->writeString(_iter147->first);
+      xfer += oprot->writeI32(_iter147->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -4427,11 +4599,11 @@
     xfer += oprot->writeFieldBegin("crashAgesMs", ::apache::thrift::protocol::T_MAP, 4);
     {
       xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->crashAgesMs.size()));
-      std::map<std::string, int64_t> ::const_iterator _iter140;
-      for (_iter140 = this->crashAgesMs.begin(); _iter140 != this->crashAgesMs.end(); ++_iter140)
+      std::map<std::string, int64_t> ::const_iterator _iter148;
+      for (_iter148 = this->crashAgesMs.begin(); _iter148 != this->crashAgesMs.end(); ++_iter148)
       {
-        xfer += oprot->writeString(_iter140->first);
-        xfer += oprot->writeI64(_iter140->second);
+        xfer += oprot->writeString(_iter148->first);
+        xfer += oprot->writeI64(_iter148->second);
       }
       xfer += oprot->writeMapEnd();
     }
@@ -4457,38 +4629,38 @@
   swap(a.__isset, b.__isset);
 }
 
-QuarantineRecord::QuarantineRecord(const QuarantineRecord& other141) {
-  fingerprint = other141.fingerprint;
-  crashes = other141.crashes;
-  remainingMs = other141.remainingMs;
-  crashAgesMs = other141.crashAgesMs;
-  completedAgeMs = other141.completedAgeMs;
-  __isset = other141.__isset;
-}
-QuarantineRecord::QuarantineRecord(QuarantineRecord&& other142) noexcept {
-  fingerprint = other142.fingerprint;
-  crashes = std::move(other142.crashes);
-  remainingMs = other142.remainingMs;
-  crashAgesMs = std::move(other142.crashAgesMs);
-  completedAgeMs = other142.completedAgeMs;
-  __isset = other142.__isset;
-}
-QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other143) {
-  fingerprint = other143.fingerprint;
-  crashes = other143.crashes;
-  remainingMs = other143.remainingMs;
-  crashAgesMs = other143.crashAgesMs;
-  completedAgeMs = other143.completedAgeMs;
-  __isset = other143.__isset;
+QuarantineRecord::QuarantineRecord(const QuarantineRecord& other149) {
+  fingerprint = other149.fingerprint;
+  crashes = other149.crashes;
+  remainingMs = other149.remainingMs;
+  crashAgesMs = other149.crashAgesMs;
+  completedAgeMs = other149.completedAgeMs;
+  __isset = other149.__isset;
+}
+QuarantineRecord::QuarantineRecord(QuarantineRecord&& other150) noexcept {
+  fingerprint = other150.fingerprint;
+  crashes = std::move(other150.crashes);
+  remainingMs = other150.remainingMs;
+  crashAgesMs = std::move(other150.crashAgesMs);
+  completedAgeMs = other150.completedAgeMs;
+  __isset = other150.__isset;
+}
+QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other151) {
+  fingerprint = other151.fingerprint;
+  crashes = other151.crashes;
+  remainingMs = other151.remainingMs;
+  crashAgesMs = other151.crashAgesMs;
+  completedAgeMs = other151.completedAgeMs;
+  __isset = other151.__isset;
   return *this;
 }
-QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other144) noexcept {
-  fingerprint = other144.fingerprint;
-  crashes = std::move(other144.crashes);
-  remainingMs = other144.remainingMs;
-  crashAgesMs = std::move(other144.crashAgesMs);
-  completedAgeMs = other144.completedAgeMs;
-  __isset = other144.__isset;
+QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other152) noexcept {
+  fingerprint = other152.fingerprint;
+  crashes = std::move(other152.crashes);
+  remainingMs = other152.remainingMs;
+  crashAgesMs = std::move(other152.crashAgesMs);
+  completedAgeMs = other152.completedAgeMs;
+  __isset = other152.__isset;
   return *this;
 }
 void QuarantineRecord::printTo(std::ostream& out) const {
@@ -4595,26 +4767,26 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberUpdate::MemberUpdate(const MemberUpdate& other145) {
-  record = other145.record;
-  state = other145.state;
-  __isset = other145.__isset;
+MemberUpdate::MemberUpdate(const MemberUpdate& other153) {
+  record = other153.record;
+  state = other153.state;
+  __isset = other153.__isset;
 }
-MemberUpdate::MemberUpdate(MemberUpdate&& other146) noexcept {
-  record = std::move(other146.record);
-  state = other146.state;
-  __isset = other146.__isset;
+MemberUpdate::MemberUpdate(MemberUpdate&& other154) noexcept {
+  record = std::move(other154.record);
+  state = other154.state;
+  __isset = other154.__isset;
 }
-MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other147) {
-  record = other147.record;
-  state = other147.state;
-  __isset = other147.__isset;
+MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other155) {
+  record = other155.record;
+  state = other155.state;
+  __isset = other155.__isset;
   return *this;
 }
-MemberUpdate& MemberUpdate::operator=(MemberUpdate&& other148) noexcept {
-  record = std::move(other148.record);
-  state = other148.state;
-  __isset = other148.__isset;
+MemberUpdate& MemberUpdate::operator=(MemberUpdate&& other156) noexcept {
+  record = std::move(other156.record);
+  state = other156.state;
+  __isset = other156.__isset;
   return *this;
 }
 void MemberUpdate::printTo(std::ostream& out) const {
@@ -4701,17 +4873,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->states.clear();
-            uint32_t _size149;
-            ::apache::thrift::protocol::TType _ktype150;
-            ::apache::thrift::protocol::TType _vtype151;
-            xfer += iprot->readMapBegin(_ktype150, _vtype151, _size149);
-            uint32_t _i153;
-            for (_i153 = 0; _i153 < _size149; ++_i153)
+            uint32_t _size157;
+            ::apache::thrift::protocol::TType _ktype158;
+            ::apache::thrift::protocol::TType _vtype159;
+            xfer += iprot->readMapBegin(_ktype158, _vtype159, _size157);
+            uint32_t _i161;
+            for (_i161 = 0; _i161 < _size157; ++_i161)
             {
-              std::string _key154;
-              xfer += iprot->readString(_key154);
-              int32_t& _val155 = this->states[_key154];
-              xfer += iprot->readI32(_val155);
+              std::string _key162;
+              xfer += iprot->readString(_key162);
+              int32_t& _val163 = this->states[_key162];
+              xfer += iprot->readI32(_val163);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4752,11 +4924,11 @@
   xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->states.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter156;
-    for (_iter156 = this->states.begin(); _iter156 != this->states.end(); ++_iter156)
+    std::map<std::string, int32_t> ::const_iterator _iter164;
+    for (_iter164 = this->states.begin(); _iter164 != this->states.end(); ++_iter164)
     {
-      xfer += oprot->writeString(_iter156->first);
-      xfer += oprot->writeI32(_iter156->second);
+      xfer += oprot->writeString(_iter164->first);
+      xfer += oprot->writeI32(_iter164->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -4776,34 +4948,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StandingReport::StandingReport(const StandingReport& other157) {
-  node = other157.node;
-  bootId = other157.bootId;
-  sequence = other157.sequence;
-  states = other157.states;
-  __isset = other157.__isset;
-}
-StandingReport::StandingReport(StandingReport&& other158) noexcept {
-  node = std::move(other158.node);
-  bootId = other158.bootId;
-  sequence = other158.sequence;
-  states = std::move(other158.states);
-  __isset = other158.__isset;
-}
-StandingReport& StandingReport::operator=(const StandingReport& other159) {
-  node = other159.node;
-  bootId = other159.bootId;
-  sequence = other159.sequence;
-  states = other159.states;
-  __isset = other159.__isset;
+StandingReport::StandingReport(const StandingReport& other165) {
+  node = other165.node;
+  bootId = other165.bootId;
+  sequence = other165.sequence;
+  states = other165.states;
+  __isset = other165.__isset;
+}
+StandingReport::StandingReport(StandingReport&& other166) noexcept {
+  node = std::move(other166.node);
+  bootId = other166.bootId;
+  sequence = other166.sequence;
+  states = std::move(other166.states);
+  __isset = other166.__isset;
+}
+StandingReport& StandingReport::operator=(const StandingReport& other167) {
+  node = other167.node;
+  bootId = other167.bootId;
+  sequence = other167.sequence;
+  states = other167.states;
+  __isset = other167.__isset;
   return *this;
 }
-StandingReport& StandingReport::operator=(StandingReport&& other160) noexcept {
-  node = std::move(other160.node);
-  bootId = other160.bootId;
-  sequence = other160.sequence;
-  states = std::move(other160.states);
-  __isset = other160.__isset;
+StandingReport& StandingReport::operator=(StandingReport&& other168) noexcept {
+  node = std::move(other168.node);
+  bootId = other168.bootId;
+  sequence = other168.sequence;
+  states = std::move(other168.states);
+  __isset = other168.__isset;
   return *this;
 }
 void StandingReport::printTo(std::ostream& out) const {
@@ -4910,9 +5082,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast161;
-          xfer += iprot->readI32(ecast161);
-          this->kind = static_cast<GossipKind::type>(ecast161);
+          int32_t ecast169;
+          xfer += iprot->readI32(ecast169);
+          this->kind = static_cast<GossipKind::type>(ecast169);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -4954,14 +5126,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size162;
-            ::apache::thrift::protocol::TType _etype165;
-            xfer += iprot->readListBegin(_etype165, _size162);
-            this->updates.resize(_size162);
-            uint32_t _i166;
-            for (_i166 = 0; _i166 < _size162; ++_i166)
+            uint32_t _size170;
+            ::apache::thrift::protocol::TType _etype173;
+            xfer += iprot->readListBegin(_etype173, _size170);
+            this->updates.resize(_size170);
+            uint32_t _i174;
+            for (_i174 = 0; _i174 < _size170; ++_i174)
             {
-              xfer += this->updates[_i166].read(iprot);
+              xfer += this->updates[_i174].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4974,14 +5146,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size167;
-            ::apache::thrift::protocol::TType _etype170;
-            xfer += iprot->readListBegin(_etype170, _size167);
-            this->buckets.resize(_size167);
-            uint32_t _i171;
-            for (_i171 = 0; _i171 < _size167; ++_i171)
+            uint32_t _size175;
+            ::apache::thrift::protocol::TType _etype178;
+            xfer += iprot->readListBegin(_etype178, _size175);
+            this->buckets.resize(_size175);
+            uint32_t _i179;
+            for (_i179 = 0; _i179 < _size175; ++_i179)
             {
-              xfer += iprot->readI64(this->buckets[_i171]);
+              xfer += iprot->readI64(this->buckets[_i179]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4994,14 +5166,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size172;
-            ::apache::thrift::protocol::TType _etype175;
-            xfer += iprot->readListBegin(_etype175, _size172);
-            this->quarantines.resize(_size172);
-            uint32_t _i176;
-            for (_i176 = 0; _i176 < _size172; ++_i176)
+            uint32_t _size180;
+            ::apache::thrift::protocol::TType _etype183;
+            xfer += iprot->readListBegin(_etype183, _size180);
+            this->quarantines.resize(_size180);
+            uint32_t _i184;
+            for (_i184 = 0; _i184 < _size180; ++_i184)
             {
-              xfer += this->quarantines[_i176].read(iprot);
+              xfer += this->quarantines[_i184].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5098,10 +5270,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<MemberUpdate> ::const_iterator _iter177;
-    for (_iter177 = this->updates.begin(); _iter177 != this->updates.end(); ++_iter177)
+    std::vector<MemberUpdate> ::const_iterator _iter185;
+    for (_iter185 = this->updates.begin(); _iter185 != this->updates.end(); ++_iter185)
     {
-      xfer += (*_iter177).write(oprot);
+      xfer += (*_iter185).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5110,10 +5282,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int64_t> ::const_iterator _iter178;
-    for (_iter178 = this->buckets.begin(); _iter178 != this->buckets.end(); ++_iter178)
+    std::vector<int64_t> ::const_iterator _iter186;
+    for (_iter186 = this->buckets.begin(); _iter186 != this->buckets.end(); ++_iter186)
     {
-      xfer += oprot->writeI64((*_iter178));
+      xfer += oprot->writeI64((*_iter186));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5122,10 +5294,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter179;
-    for (_iter179 = this->quarantines.begin(); _iter179 != this->quarantines.end(); ++_iter179)
+    std::vector<QuarantineRecord> ::const_iterator _iter187;
+    for (_iter187 = this->quarantines.begin(); _iter187 != this->quarantines.end(); ++_iter187)
     {
-      xfer += (*_iter179).write(oprot);
+      xfer += (*_iter187).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5183,74 +5355,74 @@
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other180) {
-  kind = other180.kind;
-  sender = other180.sender;
-  senderAddress = other180.senderAddress;
-  sequence = other180.sequence;
-  target = other180.target;
-  updates = other180.updates;
-  buckets = other180.buckets;
-  quarantines = other180.quarantines;
-  settingsNext = other180.settingsNext;
-  standings = other180.standings;
-  isSettingsFresh = other180.isSettingsFresh;
-  settingsAgeMs = other180.settingsAgeMs;
-  sourceIncarnation = other180.sourceIncarnation;
-  isReadingSettings = other180.isReadingSettings;
-  __isset = other180.__isset;
-}
-Gossip::Gossip(Gossip&& other181) noexcept {
-  kind = other181.kind;
-  sender = std::move(other181.sender);
-  senderAddress = std::move(other181.senderAddress);
-  sequence = other181.sequence;
-  target = std::move(other181.target);
-  updates = std::move(other181.updates);
-  buckets = std::move(other181.buckets);
-  quarantines = std::move(other181.quarantines);
-  settingsNext = other181.settingsNext;
-  standings = std::move(other181.standings);
-  isSettingsFresh = other181.isSettingsFresh;
-  settingsAgeMs = other181.settingsAgeMs;
-  sourceIncarnation = other181.sourceIncarnation;
-  isReadingSettings = other181.isReadingSettings;
-  __isset = other181.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other182) {
-  kind = other182.kind;
-  sender = other182.sender;
-  senderAddress = other182.senderAddress;
-  sequence = other182.sequence;
-  target = other182.target;
-  updates = other182.updates;
-  buckets = other182.buckets;
-  quarantines = other182.quarantines;
-  settingsNext = other182.settingsNext;
-  standings = other182.standings;
-  isSettingsFresh = other182.isSettingsFresh;
-  settingsAgeMs = other182.settingsAgeMs;
-  sourceIncarnation = other182.sourceIncarnation;
-  isReadingSettings = other182.isReadingSettings;
-  __isset = other182.__isset;
+Gossip::Gossip(const Gossip& other188) {
+  kind = other188.kind;
+  sender = other188.sender;
+  senderAddress = other188.senderAddress;
+  sequence = other188.sequence;
+  target = other188.target;
+  updates = other188.updates;
+  buckets = other188.buckets;
+  quarantines = other188.quarantines;
+  settingsNext = other188.settingsNext;
+  standings = other188.standings;
+  isSettingsFresh = other188.isSettingsFresh;
+  settingsAgeMs = other188.settingsAgeMs;
+  sourceIncarnation = other188.sourceIncarnation;
+  isReadingSettings = other188.isReadingSettings;
+  __isset = other188.__isset;
+}
+Gossip::Gossip(Gossip&& other189) noexcept {
+  kind = other189.kind;
+  sender = std::move(other189.sender);
+  senderAddress = std::move(other189.senderAddress);
+  sequence = other189.sequence;
+  target = std::move(other189.target);
+  updates = std::move(other189.updates);
+  buckets = std::move(other189.buckets);
+  quarantines = std::move(other189.quarantines);
+  settingsNext = other189.settingsNext;
+  standings = std::move(other189.standings);
+  isSettingsFresh = other189.isSettingsFresh;
+  settingsAgeMs = other189.settingsAgeMs;
+  sourceIncarnation = other189.sourceIncarnation;
+  isReadingSettings = other189.isReadingSettings;
+  __isset = other189.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other190) {
+  kind = other190.kind;
+  sender = other190.sender;
+  senderAddress = other190.senderAddress;
+  sequence = other190.sequence;
+  target = other190.target;
+  updates = other190.updates;
+  buckets = other190.buckets;
+  quarantines = other190.quarantines;
+  settingsNext = other190.settingsNext;
+  standings = other190.standings;
+  isSettingsFresh = other190.isSettingsFresh;
+  settingsAgeMs = other190.settingsAgeMs;
+  sourceIncarnation = other190.sourceIncarnation;
+  isReadingSettings = other190.isReadingSettings;
+  __isset = other190.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other183) noexcept {
-  kind = other183.kind;
-  sender = std::move(other183.sender);
-  senderAddress = std::move(other183.senderAddress);
-  sequence = other183.sequence;
-  target = std::move(other183.target);
-  updates = std::move(other183.updates);
-  buckets = std::move(other183.buckets);
-  quarantines = std::move(other183.quarantines);
-  settingsNext = other183.settingsNext;
-  standings = std::move(other183.standings);
-  isSettingsFresh = other183.isSettingsFresh;
-  settingsAgeMs = other183.settingsAgeMs;
-  sourceIncarnation = other183.sourceIncarnation;
-  isReadingSettings = other183.isReadingSettings;
-  __isset = other183.__isset;
+Gossip& Gossip::operator=(Gossip&& other191) noexcept {
+  kind = other191.kind;
+  sender = std::move(other191.sender);
+  senderAddress = std::move(other191.senderAddress);
+  sequence = other191.sequence;
+  target = std::move(other191.target);
+  updates = std::move(other191.updates);
+  buckets = std::move(other191.buckets);
+  quarantines = std::move(other191.quarantines);
+  settingsNext = other191.settingsNext;
+  standings = std::move(other191.standings);
+  isSettingsFresh = other191.isSettingsFresh;
+  settingsAgeMs = other191.settingsAgeMs;
+  sourceIncarnation = other191.sourceIncarnation;
+  isReadingSettings = other191.isReadingSettings;
+  __isset = other191.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -5417,38 +5589,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SettingsEntry::SettingsEntry(const SettingsEntry& other184) {
-  path = other184.path;
-  value = other184.value;
-  revision = other184.revision;
-  writtenOffset = other184.writtenOffset;
-  writtenAtMs = other184.writtenAtMs;
-  __isset = other184.__isset;
-}
-SettingsEntry::SettingsEntry(SettingsEntry&& other185) noexcept {
-  path = std::move(other185.path);
-  value = std::move(other185.value);
-  revision = other185.revision;
-  writtenOffset = other185.writtenOffset;
-  writtenAtMs = other185.writtenAtMs;
-  __isset = other185.__isset;
-}
-SettingsEntry& SettingsEntry::operator=(const SettingsEntry& other186) {
-  path = other186.path;
-  value = other186.value;
-  revision = other186.revision;
-  writtenOffset = other186.writtenOffset;
-  writtenAtMs = other186.writtenAtMs;
-  __isset = other186.__isset;
+SettingsEntry::SettingsEntry(const SettingsEntry& other192) {
+  path = other192.path;
+  value = other192.value;
+  revision = other192.revision;
+  writtenOffset = other192.writtenOffset;
+  writtenAtMs = other192.writtenAtMs;
+  __isset = other192.__isset;
+}
+SettingsEntry::SettingsEntry(SettingsEntry&& other193) noexcept {
+  path = std::move(other193.path);
+  value = std::move(other193.value);
+  revision = other193.revision;
+  writtenOffset = other193.writtenOffset;
+  writtenAtMs = other193.writtenAtMs;
+  __isset = other193.__isset;
+}
+SettingsEntry& SettingsEntry::operator=(const SettingsEntry& other194) {
+  path = other194.path;
+  value = other194.value;
+  revision = other194.revision;
+  writtenOffset = other194.writtenOffset;
+  writtenAtMs = other194.writtenAtMs;
+  __isset = other194.__isset;
   return *this;
 }
-SettingsEntry& SettingsEntry::operator=(SettingsEntry&& other187) noexcept {
-  path = std::move(other187.path);
-  value = std::move(other187.value);
-  revision = other187.revision;
-  writtenOffset = other187.writtenOffset;
-  writtenAtMs = other187.writtenAtMs;
-  __isset = other187.__isset;
+SettingsEntry& SettingsEntry::operator=(SettingsEntry&& other195) noexcept {
+  path = std::move(other195.path);
+  value = std::move(other195.value);
+  revision = other195.revision;
+  writtenOffset = other195.writtenOffset;
+  writtenAtMs = other195.writtenAtMs;
+  __isset = other195.__isset;
   return *this;
 }
 void SettingsEntry::printTo(std::ostream& out) const {
@@ -5589,34 +5761,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VerdictRecord::VerdictRecord(const VerdictRecord& other188) {
-  changeId = other188.changeId;
-  path = other188.path;
-  outcome = other188.outcome;
-  revision = other188.revision;
-  __isset = other188.__isset;
-}
-VerdictRecord::VerdictRecord(VerdictRecord&& other189) noexcept {
-  changeId = std::move(other189.changeId);
-  path = std::move(other189.path);
-  outcome = other189.outcome;
-  revision = other189.revision;
-  __isset = other189.__isset;
-}
-VerdictRecord& VerdictRecord::operator=(const VerdictRecord& other190) {
-  changeId = other190.changeId;
-  path = other190.path;
-  outcome = other190.outcome;
-  revision = other190.revision;
-  __isset = other190.__isset;
+VerdictRecord::VerdictRecord(const VerdictRecord& other196) {
+  changeId = other196.changeId;
+  path = other196.path;
+  outcome = other196.outcome;
+  revision = other196.revision;
+  __isset = other196.__isset;
+}
+VerdictRecord::VerdictRecord(VerdictRecord&& other197) noexcept {
+  changeId = std::move(other197.changeId);
+  path = std::move(other197.path);
+  outcome = other197.outcome;
+  revision = other197.revision;
+  __isset = other197.__isset;
+}
+VerdictRecord& VerdictRecord::operator=(const VerdictRecord& other198) {
+  changeId = other198.changeId;
+  path = other198.path;
+  outcome = other198.outcome;
+  revision = other198.revision;
+  __isset = other198.__isset;
   return *this;
 }
-VerdictRecord& VerdictRecord::operator=(VerdictRecord&& other191) noexcept {
-  changeId = std::move(other191.changeId);
-  path = std::move(other191.path);
-  outcome = other191.outcome;
-  revision = other191.revision;
-  __isset = other191.__isset;
+VerdictRecord& VerdictRecord::operator=(VerdictRecord&& other199) noexcept {
+  changeId = std::move(other199.changeId);
+  path = std::move(other199.path);
+  outcome = other199.outcome;
+  revision = other199.revision;
+  __isset = other199.__isset;
   return *this;
 }
 void VerdictRecord::printTo(std::ostream& out) const {
@@ -5707,22 +5879,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other192) {
-  digest = other192.digest;
-  __isset = other192.__isset;
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other200) {
+  digest = other200.digest;
+  __isset = other200.__isset;
 }
-SnapshotRequest::SnapshotRequest(SnapshotRequest&& other193) noexcept {
-  digest = std::move(other193.digest);
-  __isset = other193.__isset;
+SnapshotRequest::SnapshotRequest(SnapshotRequest&& other201) noexcept {
+  digest = std::move(other201.digest);
+  __isset = other201.__isset;
 }
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other194) {
-  digest = other194.digest;
-  __isset = other194.__isset;
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other202) {
+  digest = other202.digest;
+  __isset = other202.__isset;
   return *this;
 }
-SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other195) noexcept {
-  digest = std::move(other195.digest);
-  __isset = other195.__isset;
+SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other203) noexcept {
+  digest = std::move(other203.digest);
+  __isset = other203.__isset;
   return *this;
 }
 void SnapshotRequest::printTo(std::ostream& out) const {
@@ -5800,14 +5972,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size196;
-            ::apache::thrift::protocol::TType _etype199;
-            xfer += iprot->readListBegin(_etype199, _size196);
-            this->entries.resize(_size196);
-            uint32_t _i200;
-            for (_i200 = 0; _i200 < _size196; ++_i200)
+            uint32_t _size204;
+            ::apache::thrift::protocol::TType _etype207;
+            xfer += iprot->readListBegin(_etype207, _size204);
+            this->entries.resize(_size204);
+            uint32_t _i208;
+            for (_i208 = 0; _i208 < _size204; ++_i208)
             {
-              xfer += this->entries[_i200].read(iprot);
+              xfer += this->entries[_i208].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5820,14 +5992,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->verdicts.clear();
-            uint32_t _size201;
-            ::apache::thrift::protocol::TType _etype204;
-            xfer += iprot->readListBegin(_etype204, _size201);
-            this->verdicts.resize(_size201);
-            uint32_t _i205;
-            for (_i205 = 0; _i205 < _size201; ++_i205)
+            uint32_t _size209;
+            ::apache::thrift::protocol::TType _etype212;
+            xfer += iprot->readListBegin(_etype212, _size209);
+            this->verdicts.resize(_size209);
+            uint32_t _i213;
+            for (_i213 = 0; _i213 < _size209; ++_i213)
             {
-              xfer += this->verdicts[_i205].read(iprot);
+              xfer += this->verdicts[_i213].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5848,14 +6020,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size206;
-            ::apache::thrift::protocol::TType _etype209;
-            xfer += iprot->readListBegin(_etype209, _size206);
-            this->buckets.resize(_size206);
-            uint32_t _i210;
-            for (_i210 = 0; _i210 < _size206; ++_i210)
+            uint32_t _size214;
+            ::apache::thrift::protocol::TType _etype217;
+            xfer += iprot->readListBegin(_etype217, _size214);
+            this->buckets.resize(_size214);
+            uint32_t _i218;
+            for (_i218 = 0; _i218 < _size214; ++_i218)
             {
-              xfer += iprot->readI32(this->buckets[_i210]);
+              xfer += iprot->readI32(this->buckets[_i218]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5896,10 +6068,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<SettingsEntry> ::const_iterator _iter211;
-    for (_iter211 = this->entries.begin(); _iter211 != this->entries.end(); ++_iter211)
+    std::vector<SettingsEntry> ::const_iterator _iter219;
+    for (_iter219 = this->entries.begin(); _iter219 != this->entries.end(); ++_iter219)
     {
-      xfer += (*_iter211).write(oprot);
+      xfer += (*_iter219).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5908,10 +6080,10 @@
   xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
-    std::vector<VerdictRecord> ::const_iterator _iter212;
-    for (_iter212 = this->verdicts.begin(); _iter212 != this->verdicts.end(); ++_iter212)
+    std::vector<VerdictRecord> ::const_iterator _iter220;
+    for (_iter220 = this->verdicts.begin(); _iter220 != this->verdicts.end(); ++_iter220)
     {
-      xfer += (*_iter212).write(oprot);
+      xfer += (*_iter220).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5924,10 +6096,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int32_t> ::const_iterator _iter213;
-    for (_iter213 = this->buckets.begin(); _iter213 != this->buckets.end(); ++_iter213)
+    std::vector<int32_t> ::const_iterator _iter221;
+    for (_iter221 = this->buckets.begin(); _iter221 != this->buckets.end(); ++_iter221)
     {
-      xfer += oprot->writeI32((*_iter213));
+      xfer += oprot->writeI32((*_iter221));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5953,42 +6125,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Snapshot::Snapshot(const Snapshot& other214) {
-  settingsOffset = other214.settingsOffset;
-  entries = other214.entries;
-  verdicts = other214.verdicts;
-  bucketCount = other214.bucketCount;
-  buckets = other214.buckets;
-  treeHash = other214.treeHash;
-  __isset = other214.__isset;
-}
-Snapshot::Snapshot(Snapshot&& other215) noexcept {
-  settingsOffset = other215.settingsOffset;
-  entries = std::move(other215.entries);
-  verdicts = std::move(other215.verdicts);
-  bucketCount = other215.bucketCount;
-  buckets = std::move(other215.buckets);
-  treeHash = other215.treeHash;
-  __isset = other215.__isset;
-}
-Snapshot& Snapshot::operator=(const Snapshot& other216) {
-  settingsOffset = other216.settingsOffset;
-  entries = other216.entries;
-  verdicts = other216.verdicts;
-  bucketCount = other216.bucketCount;
-  buckets = other216.buckets;
-  treeHash = other216.treeHash;
-  __isset = other216.__isset;
+Snapshot::Snapshot(const Snapshot& other222) {
+  settingsOffset = other222.settingsOffset;
+  entries = other222.entries;
+  verdicts = other222.verdicts;
+  bucketCount = other222.bucketCount;
+  buckets = other222.buckets;
+  treeHash = other222.treeHash;
+  __isset = other222.__isset;
+}
+Snapshot::Snapshot(Snapshot&& other223) noexcept {
+  settingsOffset = other223.settingsOffset;
+  entries = std::move(other223.entries);
+  verdicts = std::move(other223.verdicts);
+  bucketCount = other223.bucketCount;
+  buckets = std::move(other223.buckets);
+  treeHash = other223.treeHash;
+  __isset = other223.__isset;
+}
+Snapshot& Snapshot::operator=(const Snapshot& other224) {
+  settingsOffset = other224.settingsOffset;
+  entries = other224.entries;
+  verdicts = other224.verdicts;
+  bucketCount = other224.bucketCount;
+  buckets = other224.buckets;
+  treeHash = other224.treeHash;
+  __isset = other224.__isset;
   return *this;
 }
-Snapshot& Snapshot::operator=(Snapshot&& other217) noexcept {
-  settingsOffset = other217.settingsOffset;
-  entries = std::move(other217.entries);
-  verdicts = std::move(other217.verdicts);
-  bucketCount = other217.bucketCount;
-  buckets = std::move(other217.buckets);
-  treeHash = other217.treeHash;
-  __isset = other217.__isset;
+Snapshot& Snapshot::operator=(Snapshot&& other225) noexcept {
+  settingsOffset = other225.settingsOffset;
+  entries = std::move(other225.entries);
+  verdicts = std::move(other225.verdicts);
+  bucketCount = other225.bucketCount;
+  buckets = std::move(other225.buckets);
+  treeHash = other225.treeHash;
+  __isset = other225.__isset;
   return *this;
 }
 void Snapshot::printTo(std::ostream& out) const {
@@ -6096,26 +6268,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SourcePosition::SourcePosition(const SourcePosition& other218) noexcept {
-  offset = other218.offset;
-  incarnation = other218.incarnation;
-  __isset = other218.__isset;
+SourcePosition::SourcePosition(const SourcePosition& other226) noexcept {
+  offset = other226.offset;
+  incarnation = other226.incarnation;
+  __isset = other226.__isset;
 }
-SourcePosition::SourcePosition(SourcePosition&& other219) noexcept {
-  offset = other219.offset;
-  incarnation = other219.incarnation;
-  __isset = other219.__isset;
+SourcePosition::SourcePosition(SourcePosition&& other227) noexcept {
+  offset = other227.offset;
+  incarnation = other227.incarnation;
+  __isset = other227.__isset;
 }
-SourcePosition& SourcePosition::operator=(const SourcePosition& other220) noexcept {
-  offset = other220.offset;
-  incarnation = other220.incarnation;
-  __isset = other220.__isset;
+SourcePosition& SourcePosition::operator=(const SourcePosition& other228) noexcept {
+  offset = other228.offset;
+  incarnation = other228.incarnation;
+  __isset = other228.__isset;
   return *this;
 }
-SourcePosition& SourcePosition::operator=(SourcePosition&& other221) noexcept {
-  offset = other221.offset;
-  incarnation = other221.incarnation;
-  __isset = other221.__isset;
+SourcePosition& SourcePosition::operator=(SourcePosition&& other229) noexcept {
+  offset = other229.offset;
+  incarnation = other229.incarnation;
+  __isset = other229.__isset;
   return *this;
 }
 void SourcePosition::printTo(std::ostream& out) const {
@@ -6291,42 +6463,42 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotHead::SnapshotHead(const SnapshotHead& other222) noexcept {
-  settingsOffset = other222.settingsOffset;
-  contentBytes = other222.contentBytes;
-  plainBytes = other222.plainBytes;
-  isBusy = other222.isBusy;
-  position = other222.position;
-  settingsAgeMs = other222.settingsAgeMs;
-  __isset = other222.__isset;
-}
-SnapshotHead::SnapshotHead(SnapshotHead&& other223) noexcept {
-  settingsOffset = other223.settingsOffset;
-  contentBytes = other223.contentBytes;
-  plainBytes = other223.plainBytes;
-  isBusy = other223.isBusy;
-  position = std::move(other223.position);
-  settingsAgeMs = other223.settingsAgeMs;
-  __isset = other223.__isset;
-}
-SnapshotHead& SnapshotHead::operator=(const SnapshotHead& other224) noexcept {
-  settingsOffset = other224.settingsOffset;
-  contentBytes = other224.contentBytes;
-  plainBytes = other224.plainBytes;
-  isBusy = other224.isBusy;
-  position = other224.position;
-  settingsAgeMs = other224.settingsAgeMs;
-  __isset = other224.__isset;
+SnapshotHead::SnapshotHead(const SnapshotHead& other230) noexcept {
+  settingsOffset = other230.settingsOffset;
+  contentBytes = other230.contentBytes;
+  plainBytes = other230.plainBytes;
+  isBusy = other230.isBusy;
+  position = other230.position;
+  settingsAgeMs = other230.settingsAgeMs;
+  __isset = other230.__isset;
+}
+SnapshotHead::SnapshotHead(SnapshotHead&& other231) noexcept {
+  settingsOffset = other231.settingsOffset;
+  contentBytes = other231.contentBytes;
+  plainBytes = other231.plainBytes;
+  isBusy = other231.isBusy;
+  position = std::move(other231.position);
+  settingsAgeMs = other231.settingsAgeMs;
+  __isset = other231.__isset;
+}
+SnapshotHead& SnapshotHead::operator=(const SnapshotHead& other232) noexcept {
+  settingsOffset = other232.settingsOffset;
+  contentBytes = other232.contentBytes;
+  plainBytes = other232.plainBytes;
+  isBusy = other232.isBusy;
+  position = other232.position;
+  settingsAgeMs = other232.settingsAgeMs;
+  __isset = other232.__isset;
   return *this;
 }
-SnapshotHead& SnapshotHead::operator=(SnapshotHead&& other225) noexcept {
-  settingsOffset = other225.settingsOffset;
-  contentBytes = other225.contentBytes;
-  plainBytes = other225.plainBytes;
-  isBusy = other225.isBusy;
-  position = std::move(other225.position);
-  settingsAgeMs = other225.settingsAgeMs;
-  __isset = other225.__isset;
+SnapshotHead& SnapshotHead::operator=(SnapshotHead&& other233) noexcept {
+  settingsOffset = other233.settingsOffset;
+  contentBytes = other233.contentBytes;
+  plainBytes = other233.plainBytes;
+  isBusy = other233.isBusy;
+  position = std::move(other233.position);
+  settingsAgeMs = other233.settingsAgeMs;
+  __isset = other233.__isset;
   return *this;
 }
 void SnapshotHead::printTo(std::ostream& out) const {
@@ -6439,6 +6611,16 @@
   this->snapshotHead = val;
 __isset.snapshotHead = true;
 }
+
+void Frame::__set_overdue(const Overdue& val) {
+  this->overdue = val;
+__isset.overdue = true;
+}
+
+void Frame::__set_giveUp(const GiveUp& val) {
+  this->giveUp = val;
+__isset.giveUp = true;
+}
 std::ostream& operator<<(std::ostream& out, const Frame& obj)
 {
   obj.printTo(out);
@@ -6619,6 +6801,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->overdue.read(iprot);
+          this->__isset.overdue = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->giveUp.read(iprot);
+          this->__isset.giveUp = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6730,6 +6928,16 @@
     xfer += this->snapshotHead.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.overdue) {
+    xfer += oprot->writeFieldBegin("overdue", ::apache::thrift::protocol::T_STRUCT, 20);
+    xfer += this->overdue.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.giveUp) {
+    xfer += oprot->writeFieldBegin("giveUp", ::apache::thrift::protocol::T_STRUCT, 21);
+    xfer += this->giveUp.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6756,97 +6964,107 @@
   swap(a.snapshot, b.snapshot);
   swap(a.keep, b.keep);
   swap(a.snapshotHead, b.snapshotHead);
+  swap(a.overdue, b.overdue);
+  swap(a.giveUp, b.giveUp);
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other226) {
-  stream = other226.stream;
-  hello = other226.hello;
-  heartbeat = other226.heartbeat;
-  ticket = other226.ticket;
-  grant = other226.grant;
-  call = other226.call;
-  data = other226.data;
-  answer = other226.answer;
-  failure = other226.failure;
-  cancel = other226.cancel;
-  revoke = other226.revoke;
-  revoked = other226.revoked;
-  keyRequest = other226.keyRequest;
-  keyReply = other226.keyReply;
-  gossip = other226.gossip;
-  snapshotRequest = other226.snapshotRequest;
-  snapshot = other226.snapshot;
-  keep = other226.keep;
-  snapshotHead = other226.snapshotHead;
-  __isset = other226.__isset;
-}
-Frame::Frame(Frame&& other227) noexcept {
-  stream = other227.stream;
-  hello = std::move(other227.hello);
-  heartbeat = std::move(other227.heartbeat);
-  ticket = std::move(other227.ticket);
-  grant = std::move(other227.grant);
-  call = std::move(other227.call);
-  data = std::move(other227.data);
-  answer = std::move(other227.answer);
-  failure = std::move(other227.failure);
-  cancel = std::move(other227.cancel);
-  revoke = std::move(other227.revoke);
-  revoked = std::move(other227.revoked);
-  keyRequest = std::move(other227.keyRequest);
-  keyReply = std::move(other227.keyReply);
-  gossip = std::move(other227.gossip);
-  snapshotRequest = std::move(other227.snapshotRequest);
-  snapshot = std::move(other227.snapshot);
-  keep = std::move(other227.keep);
-  snapshotHead = std::move(other227.snapshotHead);
-  __isset = other227.__isset;
-}
-Frame& Frame::operator=(const Frame& other228) {
-  stream = other228.stream;
-  hello = other228.hello;
-  heartbeat = other228.heartbeat;
-  ticket = other228.ticket;
-  grant = other228.grant;
-  call = other228.call;
-  data = other228.data;
-  answer = other228.answer;
-  failure = other228.failure;
-  cancel = other228.cancel;
-  revoke = other228.revoke;
-  revoked = other228.revoked;
-  keyRequest = other228.keyRequest;
-  keyReply = other228.keyReply;
-  gossip = other228.gossip;
-  snapshotRequest = other228.snapshotRequest;
-  snapshot = other228.snapshot;
-  keep = other228.keep;
-  snapshotHead = other228.snapshotHead;
-  __isset = other228.__isset;
+Frame::Frame(const Frame& other234) {
+  stream = other234.stream;
+  hello = other234.hello;
+  heartbeat = other234.heartbeat;
+  ticket = other234.ticket;
+  grant = other234.grant;
+  call = other234.call;
+  data = other234.data;
+  answer = other234.answer;
+  failure = other234.failure;
+  cancel = other234.cancel;
+  revoke = other234.revoke;
+  revoked = other234.revoked;
+  keyRequest = other234.keyRequest;
+  keyReply = other234.keyReply;
+  gossip = other234.gossip;
+  snapshotRequest = other234.snapshotRequest;
+  snapshot = other234.snapshot;
+  keep = other234.keep;
+  snapshotHead = other234.snapshotHead;
+  overdue = other234.overdue;
+  giveUp = other234.giveUp;
+  __isset = other234.__isset;
+}
+Frame::Frame(Frame&& other235) noexcept {
+  stream = other235.stream;
+  hello = std::move(other235.hello);
+  heartbeat = std::move(other235.heartbeat);
+  ticket = std::move(other235.ticket);
+  grant = std::move(other235.grant);
+  call = std::move(other235.call);
+  data = std::move(other235.data);
+  answer = std::move(other235.answer);
+  failure = std::move(other235.failure);
+  cancel = std::move(other235.cancel);
+  revoke = std::move(other235.revoke);
+  revoked = std::move(other235.revoked);
+  keyRequest = std::move(other235.keyRequest);
+  keyReply = std::move(other235.keyReply);
+  gossip = std::move(other235.gossip);
+  snapshotRequest = std::move(other235.snapshotRequest);
+  snapshot = std::move(other235.snapshot);
+  keep = std::move(other235.keep);
+  snapshotHead = std::move(other235.snapshotHead);
+  overdue = std::move(other235.overdue);
+  giveUp = std::move(other235.giveUp);
+  __isset = other235.__isset;
+}
+Frame& Frame::operator=(const Frame& other236) {
+  stream = other236.stream;
+  hello = other236.hello;
+  heartbeat = other236.heartbeat;
+  ticket = other236.ticket;
+  grant = other236.grant;
+  call = other236.call;
+  data = other236.data;
+  answer = other236.answer;
+  failure = other236.failure;
+  cancel = other236.cancel;
+  revoke = other236.revoke;
+  revoked = other236.revoked;
+  keyRequest = other236.keyRequest;
+  keyReply = other236.keyReply;
+  gossip = other236.gossip;
+  snapshotRequest = other236.snapshotRequest;
+  snapshot = other236.snapshot;
+  keep = other236.keep;
+  snapshotHead = other236.snapshotHead;
+  overdue = other236.overdue;
+  giveUp = other236.giveUp;
+  __isset = other236.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other229) noexcept {
-  stream = other229.stream;
-  hello = std::move(other229.hello);
-  heartbeat = std::move(other229.heartbeat);
-  ticket = std::move(other229.ticket);
-  grant = std::move(other229.grant);
-  call = std::move(other229.call);
-  data = std::move(other229.data);
-  answer = std::move(other229.answer);
-  failure = std::move(other229.failure);
-  cancel = std::move(other229.cancel);
-  revoke = std::move(other229.revoke);
-  revoked = std::move(other229.revoked);
-  keyRequest = std::move(other229.keyRequest);
-  keyReply = std::move(other229.keyReply);
-  gossip = std::move(other229.gossip);
-  snapshotRequest = std::move(other229.snapshotRequest);
-  snapshot = std::move(other229.snapshot);
-  keep = std::move(other229.keep);
-  snapshotHead = std::move(other229.snapshotHead);
-  __isset = other229.__isset;
+Frame& Frame::operator=(Frame&& other237) noexcept {
+  stream = other237.stream;
+  hello = std::move(other237.hello);
+  heartbeat = std::move(other237.heartbeat);
+  ticket = std::move(other237.ticket);
+  grant = std::move(other237.grant);
+  call = std::move(other237.call);
+  data = std::move(other237.data);
+  answer = std::move(other237.answer);
+  failure = std::move(other237.failure);
+  cancel = std::move(other237.cancel);
+  revoke = std::move(other237.revoke);
+  revoked = std::move(other237.revoked);
+  keyRequest = std::move(other237.keyRequest);
+  keyReply = std::move(other237.keyReply);
+  gossip = std::move(other237.gossip);
+  snapshotRequest = std::move(other237.snapshotRequest);
+  snapshot = std::move(other237.snapshot);
+  keep = std::move(other237.keep);
+  snapshotHead = std::move(other237.snapshotHead);
+  overdue = std::move(other237.overdue);
+  giveUp = std::move(other237.giveUp);
+  __isset = other237.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -6871,6 +7089,8 @@
   out << ", " << "snapshot="; (__isset.snapshot ? (out << to_string(snapshot)) : (out << "<null>"));
   out << ", " << "keep="; (__isset.keep ? (out << to_string(keep)) : (out << "<null>"));
   out << ", " << "snapshotHead="; (__isset.snapshotHead ? (out << to_string(snapshotHead)) : (out << "<null>"));
+  out << ", " << "overdue="; (__isset.overdue ? (out << to_string(overdue)) : (out << "<null>"));
+  out << ", " << "giveUp="; (__isset.giveUp ? (out << to_string(giveUp)) : (out << "<null>"));
   out << ")";
 }
 
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -80,6 +80,10 @@
 
 class Keep;
 
+class Overdue;
+
+class GiveUp;
+
 class Revoke;
 
 class Revoked;
@@ -366,7 +370,7 @@
 std::ostream& operator<<(std::ostream& out, const EndpointNotice& obj);
 
 typedef struct _Ticket__isset {
-  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), awaitsClaim(false), knownCrashes(false), onlyIfFree(false), isRepeat(false), acceptsDoubtful(false), priority(false), isSerialized(false), isSpill(false), targetMs(false), isLastTry(false), maxWaitMs(false), acceptsSilent(false), notices(false) {}
+  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), awaitsClaim(false), knownCrashes(false), onlyIfFree(false), isRepeat(false), acceptsDoubtful(false), priority(false), isSerialized(false), isSpill(false), targetMs(false), isLastTry(false), maxWaitMs(false), acceptsSilent(false), notices(false), decidesRetry(false) {}
   bool attemptId :1;
   bool workspace :1;
   bool serviceName :1;
@@ -390,6 +394,7 @@
   bool maxWaitMs :1;
   bool acceptsSilent :1;
   bool notices :1;
+  bool decidesRetry :1;
 } _Ticket__isset;
 
 class Ticket : public virtual ::apache::thrift::TBase {
@@ -421,7 +426,8 @@
            targetMs(0),
            isLastTry(0),
            maxWaitMs(0),
-           acceptsSilent(0) {
+           acceptsSilent(0),
+           decidesRetry(0) {
   }
 
   virtual ~Ticket() noexcept;
@@ -448,6 +454,7 @@
   int64_t maxWaitMs;
   bool acceptsSilent;
   std::vector<EndpointNotice>  notices;
+  bool decidesRetry;
 
   _Ticket__isset __isset;
 
@@ -497,6 +504,8 @@
 
   void __set_notices(const std::vector<EndpointNotice> & val);
 
+  void __set_decidesRetry(const bool val);
+
   bool operator == (const Ticket & rhs) const
   {
     if (!(attemptId == rhs.attemptId))
@@ -547,6 +556,8 @@
       return false;
     else if (__isset.notices && !(notices == rhs.notices))
       return false;
+    if (!(decidesRetry == rhs.decidesRetry))
+      return false;
     return true;
   }
   bool operator != (const Ticket &rhs) const {
@@ -1055,6 +1066,72 @@
 
 std::ostream& operator<<(std::ostream& out, const Keep& obj);
 
+
+class Overdue : public virtual ::apache::thrift::TBase {
+ public:
+
+  Overdue(const Overdue&) noexcept;
+  Overdue(Overdue&&) noexcept;
+  Overdue& operator=(const Overdue&) noexcept;
+  Overdue& operator=(Overdue&&) noexcept;
+  Overdue() noexcept {
+  }
+
+  virtual ~Overdue() noexcept;
+
+  bool operator == (const Overdue & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const Overdue &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Overdue & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Overdue &a, Overdue &b);
+
+std::ostream& operator<<(std::ostream& out, const Overdue& obj);
+
+
+class GiveUp : public virtual ::apache::thrift::TBase {
+ public:
+
+  GiveUp(const GiveUp&) noexcept;
+  GiveUp(GiveUp&&) noexcept;
+  GiveUp& operator=(const GiveUp&) noexcept;
+  GiveUp& operator=(GiveUp&&) noexcept;
+  GiveUp() noexcept {
+  }
+
+  virtual ~GiveUp() noexcept;
+
+  bool operator == (const GiveUp & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const GiveUp &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GiveUp & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GiveUp &a, GiveUp &b);
+
+std::ostream& operator<<(std::ostream& out, const GiveUp& obj);
+
 typedef struct _Revoke__isset {
   _Revoke__isset() : attemptId(false), gateBootId(false), timeoutMs(false), askedNode(false) {}
   bool attemptId :1;
@@ -2420,7 +2497,7 @@
 std::ostream& operator<<(std::ostream& out, const SnapshotHead& obj);
 
 typedef struct _Frame__isset {
-  _Frame__isset() : stream(false), hello(false), heartbeat(false), ticket(false), grant(false), call(false), data(false), answer(false), failure(false), cancel(false), revoke(false), revoked(false), keyRequest(false), keyReply(false), gossip(false), snapshotRequest(false), snapshot(false), keep(false), snapshotHead(false) {}
+  _Frame__isset() : stream(false), hello(false), heartbeat(false), ticket(false), grant(false), call(false), data(false), answer(false), failure(false), cancel(false), revoke(false), revoked(false), keyRequest(false), keyReply(false), gossip(false), snapshotRequest(false), snapshot(false), keep(false), snapshotHead(false), overdue(false), giveUp(false) {}
   bool stream :1;
   bool hello :1;
   bool heartbeat :1;
@@ -2440,6 +2517,8 @@
   bool snapshot :1;
   bool keep :1;
   bool snapshotHead :1;
+  bool overdue :1;
+  bool giveUp :1;
 } _Frame__isset;
 
 class Frame : public virtual ::apache::thrift::TBase {
@@ -2473,6 +2552,8 @@
   Snapshot snapshot;
   Keep keep;
   SnapshotHead snapshotHead;
+  Overdue overdue;
+  GiveUp giveUp;
 
   _Frame__isset __isset;
 
@@ -2514,6 +2595,10 @@
 
   void __set_snapshotHead(const SnapshotHead& val);
 
+  void __set_overdue(const Overdue& val);
+
+  void __set_giveUp(const GiveUp& val);
+
   bool operator == (const Frame & rhs) const
   {
     if (!(stream == rhs.stream))
@@ -2590,6 +2675,14 @@
       return false;
     else if (__isset.snapshotHead && !(snapshotHead == rhs.snapshotHead))
       return false;
+    if (__isset.overdue != rhs.__isset.overdue)
+      return false;
+    else if (__isset.overdue && !(overdue == rhs.overdue))
+      return false;
+    if (__isset.giveUp != rhs.__isset.giveUp)
+      return false;
+    else if (__isset.giveUp && !(giveUp == rhs.giveUp))
+      return false;
     return true;
   }
   bool operator != (const Frame &rhs) const {
--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -232,7 +232,12 @@
   int freeTries = 0;
   std::optional<HttpResponse> failure;
   for (int number = 1;; ++number) {
+    context.CountedAttempts = number - freeTries;
     EntryResult result = co_await tryOnce(context, number);
+    bool isPaid = std::exchange(context.IsRetryPaid, false);
+    bool isAnswer = std::holds_alternative<HttpResponse>(result);
+    if (isAnswer && std::exchange(isPaid, false))
+      budget.giveBack();
     if (isFinalResponse(result, context.IsIdempotent))
       co_return result;
     bool isErrorResponse = std::holds_alternative<HttpResponse>(result);
@@ -255,11 +260,11 @@
     context.Runs += error.Run == RunState::Unknown;
     if (error.Run == RunState::Unknown && context.Arrivals == 0)
       context.Arrivals = 1;
-    RetryDecision answer =
-        decideRetry({error, context.IsIdempotent, number - freeTries,
-                     context.Deadline - now(), context.Cost.Expected,
-                     context.Runs, context.MatchedRoute.Policy.MaxAttempts},
-                    budget);
+    RetryDecision answer = decideRetry(
+        {error, context.IsIdempotent, number - freeTries,
+         context.Deadline - now(), context.Cost.Expected, context.Runs,
+         context.MatchedRoute.Policy.MaxAttempts, isPaid},
+        budget);
     Counters.countRetryDecision(std::string(answer.Reason));
     logEvent(LogLevel::Warn, "attempt_failed",
              {{"request", context.Id},
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -9,6 +9,7 @@
 #include "libhickoryglade/retry.h"
 #include "libhickoryglade/splitter.h"
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -45,6 +46,10 @@
   int Arrivals = 0;
   /// Attempts that an endpoint may have run.
   int Runs = 0;
+  /// Attempts that count against the limit of attempts.
+  int CountedAttempts = 0;
+  /// A token for the next retry has been taken.
+  bool IsRetryPaid = false;
   /// Refusals by gates that had no free slot.
   int CapacityRefusals = 0;
   /// Refusals by gates whose endpoints were doubtful.
@@ -77,6 +82,9 @@
 
   std::size_t inFlight() const { return InFlight; }
 
+  /// From now on no attempt is given up for a retry. Thread-safe.
+  void stopRetries() { IsDraining = true; }
+
   /// Called when the node begins to stop and will exit at `end`: makes the
   /// gates let open attempts finish in place.
   void beginDrain(Instant end);
@@ -135,6 +143,8 @@
   void noteLoad(const std::string &node, const std::string &service,
                 const wire::Load &load);
   Error toError(Attempt &attempt, const wire::Failure &failure) const;
+  void takeOverdue(Attempt &attempt, std::size_t target);
+  std::string_view reasonToStay(const Attempt &attempt, std::size_t target);
   HttpResponse problem(const Error &error, const std::string &id,
                        Micros timeLeft);
   Millis allowedTime(const HttpRequest &request, const ServicePolicy &policy,
@@ -174,7 +184,7 @@
   Random Rng;
   std::uint64_t Requests = 0;
   std::size_t InFlight = 0;
-  bool IsDraining = false;
+  std::atomic<bool> IsDraining = false;
   /// When the node exits; set while it is stopping.
   std::optional<Instant> EndsAt;
   std::set<Attempt *> Attempts;
--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -84,6 +84,7 @@
   ticket.acceptsSilent = context.DoubtRefusals >= MaxDoubtRefusals;
   if (attempt.IsWaitBounded)
     ticket.maxWaitMs = context.MatchedRoute.Policy.NearWait.count();
+  ticket.decidesRetry = true;
   ticket.isLastTry =
       IsDraining || context.Runs + 1 >= context.MatchedRoute.Policy.MaxAttempts;
   ticket.priority = context.MatchedRoute.Policy.Priority;
@@ -301,6 +302,10 @@
       noteLoad(node, service, failure->load);
       co_return toError(attempt, *failure);
     }
+    if (std::holds_alternative<OverdueEvent>(event->Content)) {
+      takeOverdue(attempt, target);
+      continue;
+    }
     if (std::holds_alternative<RevokedEvent>(event->Content))
       co_return makeError(ErrorKind::GateLost, "the gate holds no answer",
                           DefaultRetryAfter);
@@ -312,6 +317,52 @@
   }
 }
 
+/// Gives up an overdue attempt if another one may still complete the request.
+/// Takes the token for that retry at once, so that it cannot be refused later.
+void Entry::takeOverdue(Attempt &attempt, std::size_t target) {
+  std::string_view reason = reasonToStay(attempt, target);
+  Attempt::Target &it = attempt.Targets[target];
+  logEvent(LogLevel::Info, "overdue",
+           {{"request", attempt.Request->Id},
+            {"attempt", attempt.Id},
+            {"gate", it.Gate.Node},
+            {"gives_up", reason.empty()},
+            {"reason", reason}});
+  if (!reason.empty())
+    return;
+  wire::Frame frame;
+  frame.stream = it.Stream;
+  frame.__set_giveUp({});
+  it.Client->channel().send(std::move(frame));
+}
+
+/// Why an overdue attempt goes on; empty if it is to be given up.
+std::string_view Entry::reasonToStay(const Attempt &attempt,
+                                     std::size_t target) {
+  RequestContext &context = *attempt.Request;
+  if (IsDraining)
+    return "the node is stopping";
+  if (context.IsRetryPaid)
+    return "it has been given up already";
+  std::vector<Candidate> all = candidates(context, now());
+  std::erase_if(all, [&](const Candidate &it) {
+    return it.Node == attempt.Targets[target].Gate.Node;
+  });
+  bool hasRoom = hasRoomElsewhere(all, context.IsIdempotent,
+                                  maxLimitLoad(context, context.Deadline));
+  if (!hasRoom)
+    return "no endpoint elsewhere";
+  RetryDecision decision = decideRetry(
+      {makeError(ErrorKind::EndpointFailed), context.IsIdempotent,
+       context.CountedAttempts, context.Deadline - now(), context.Cost.Expected,
+       context.Runs + 1, context.MatchedRoute.Policy.MaxAttempts},
+      Budgets[context.MatchedRoute.Service]);
+  if (decision.Verdict == RetryVerdict::GiveUp)
+    return decision.Reason;
+  context.IsRetryPaid = true;
+  return {};
+}
+
 /// After the link is lost, queries the gate for the outcome of the attempt over
 /// a new link, or through a node that may still reach the gate. The gate fences
 /// an attempt that has not started, and otherwise sends its result.
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -80,6 +80,8 @@
     takeCancel(ref);
   else if (frame.__isset.keep)
     takeKeep(ref);
+  else if (frame.__isset.giveUp)
+    takeGiveUp(ref);
   else if (frame.__isset.revoke)
     takeRevoke(ref, frame.revoke);
   scheduleTick();
@@ -107,6 +109,7 @@
   out.IsSpill = in.isSpill;
   out.Priority = in.priority;
   out.IsLastTry = in.isLastTry;
+  out.DecidesRetry = in.decidesRetry;
   if (in.maxWaitMs > 0)
     out.MaxWait = Millis(in.maxWaitMs);
   out.IsSerialized = in.isSerialized;
@@ -147,6 +150,9 @@
   ExchangePtr exchange = slot;
   exchange->Origin = ref;
   exchange->HasCall = true;
+  // The entry may have begun to stop since it sent the ticket.
+  if (call.ticket.isLastTry)
+    markLastTry(*exchange);
   exchange->Http = {std::move(call.method), std::move(call.target),
                     fromWire(call.headers), nullptr};
   exchange->ExpectedBytes =
@@ -217,7 +223,18 @@
 void GateService::takeKeep(const StreamRef &ref) {
   ExchangePtr exchange = findByStream(ref);
   if (exchange)
-    keep(State, exchange->Request.AttemptId);
+    markLastTry(*exchange);
+}
+
+void GateService::markLastTry(Exchange &exchange) {
+  exchange.Request.IsLastTry = true;
+  keep(State, exchange.Request.AttemptId);
+}
+
+void GateService::takeGiveUp(const StreamRef &ref) {
+  ExchangePtr exchange = findByStream(ref);
+  if (exchange)
+    carryOut(giveUpOverdue(State, exchange->Request.AttemptId));
 }
 
 void GateService::takeRevoke(const StreamRef &ref,
@@ -317,6 +334,20 @@
   finish(exchange, {outcome, std::nullopt, action.Reason, runTime});
 }
 
+void GateService::carryOutOne(const OverdueAction &action) {
+  auto it = Exchanges.find(action.AttemptId);
+  if (it == Exchanges.end())
+    return;
+  auto channel = it->second->Origin.Channel.lock();
+  // Nobody waits for the answer of an idempotent request whose link is lost.
+  if (!channel || !channel->isOpen())
+    return carryOut(giveUpOverdue(State, action.AttemptId));
+  wire::Frame frame;
+  frame.stream = it->second->Origin.Stream;
+  frame.__set_overdue({});
+  channel->send(std::move(frame));
+}
+
 void GateService::carryOutOne(const StandingAction &action) {
   logEvent(LogLevel::Info, "endpoint_standing",
            {{"endpoint", action.Endpoint},
--- a/src/libfleet/gate/gateservice.h
+++ b/src/libfleet/gate/gateservice.h
@@ -84,6 +84,8 @@
   void takeData(const StreamRef &ref, wire::Data data);
   void takeCancel(const StreamRef &ref);
   void takeKeep(const StreamRef &ref);
+  void takeGiveUp(const StreamRef &ref);
+  void markLastTry(Exchange &exchange);
   void takeRevoke(const StreamRef &ref, const wire::Revoke &revoke);
   void bodyComplete(const ExchangePtr &exchange, Body body);
   void refuseBody(const ExchangePtr &exchange);
@@ -95,6 +97,7 @@
   void carryOutOne(const GrantAction &action);
   void carryOutOne(const RefuseAction &action);
   void carryOutOne(const AbortAction &action);
+  void carryOutOne(const OverdueAction &action);
   void carryOutOne(const StandingAction &action);
   void carryOutOne(const HoldAction &action);
   void carryOutOne(const LimitAction &action);
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -466,6 +466,9 @@
 }
 
 bool Node::Impl::stop() {
+  // First, since the calls below wait for the other threads.
+  for (const auto &it : Entries)
+    it->stopRetries();
   Instant begin = now();
   Instant end = begin + Config.Linger + Config.DrainLimit;
   logEvent(LogLevel::Info, "stopping",
--- a/src/libfleet/peers/gateclient.cpp
+++ b/src/libfleet/peers/gateclient.cpp
@@ -57,6 +57,10 @@
     put(GrantEvent{std::move(frame.grant.endpoint)});
     return true;
   }
+  if (frame.__isset.overdue) {
+    put(OverdueEvent{});
+    return true;
+  }
   if (frame.__isset.failure)
     put(std::move(frame.failure));
   else if (frame.__isset.revoked)
--- a/src/libfleet/peers/gateclient.h
+++ b/src/libfleet/peers/gateclient.h
@@ -27,6 +27,9 @@
   std::optional<wire::EndpointNotice> Notice = std::nullopt;
 };
 
+/// The attempt is overdue at an endpoint that stalls.
+struct OverdueEvent {};
+
 struct RevokedEvent {
   int State = 0;
   /// The node that relayed the query could not reach the gate.
@@ -55,9 +58,9 @@
 struct StreamEvent {
   /// The tag that was passed to GateClient::open().
   std::size_t Tag = 0;
-  std::variant<GrantEvent, AnswerEvent, wire::Failure, RevokedEvent,
-               wire::KeyReply, wire::Snapshot, SettingsEvent, ProgressEvent,
-               LostEvent, CancelledEvent, StoppedEvent>
+  std::variant<GrantEvent, OverdueEvent, AnswerEvent, wire::Failure,
+               RevokedEvent, wire::KeyReply, wire::Snapshot, SettingsEvent,
+               ProgressEvent, LostEvent, CancelledEvent, StoppedEvent>
       Content;
 };
 
--- a/src/libhickoryglade/fairqueue.cpp
+++ b/src/libhickoryglade/fairqueue.cpp
@@ -68,6 +68,14 @@
   return false;
 }
 
+void FairQueue::markLastTry(const std::string &attempt) {
+  for (auto &[workspace, flow] : Flows) {
+    auto it = std::ranges::find(flow.Tickets, attempt, &Ticket::AttemptId);
+    if (it != flow.Tickets.end())
+      it->IsLastTry = true;
+  }
+}
+
 std::vector<Ticket> FairQueue::takeExpired(Instant now) {
   return takeWhere(
       [&](const Ticket &it) { return it.Deadline <= now + it.ExpectedCost; });
--- a/src/libhickoryglade/fairqueue.h
+++ b/src/libhickoryglade/fairqueue.h
@@ -25,6 +25,9 @@
   /// Returns false if the attempt is not in the queue.
   bool remove(const std::string &attempt);
 
+  /// Marks a waiting ticket as the last try of its request.
+  void markLastTry(const std::string &attempt);
+
   /// Removes and returns the tickets whose deadline leaves no time to run.
   std::vector<Ticket> takeExpired(Instant now);
 
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -280,6 +280,8 @@
 }
 
 void keep(Gate &gate, const std::string &attempt) {
+  for (auto &[name, service] : gate.Services)
+    service.Queue.markLastTry(attempt);
   auto held = gate.EndpointByAttempt.find(attempt);
   if (held == gate.EndpointByAttempt.end())
     return;
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -145,9 +145,14 @@
 /// Starts a granted request whose body has arrived.
 GateActions claim(Gate &gate, const std::string &attempt, Instant now);
 
-/// Marks a request as its last try, so that it is not aborted for a retry.
+/// Marks a request, waiting or running, as its last try, so that it is not
+/// aborted for a retry.
 void keep(Gate &gate, const std::string &attempt);
 
+/// Aborts a running request that was reported as overdue, since its entry
+/// retries it at another endpoint.
+GateActions giveUpOverdue(const Gate &gate, const std::string &attempt);
+
 /// Removes a waiting request, releases its slot or aborts it.
 GateActions cancel(Gate &gate, const std::string &attempt, Instant now);
 
--- a/src/libhickoryglade/gateaction.h
+++ b/src/libhickoryglade/gateaction.h
@@ -43,6 +43,14 @@
   bool operator==(const AbortAction &) const = default;
 };
 
+/// Report to the entry that an attempt is overdue at an endpoint that stalls;
+/// the entry may give it up with giveUpOverdue().
+struct OverdueAction {
+  std::string AttemptId;
+
+  bool operator==(const OverdueAction &) const = default;
+};
+
 /// Announce an endpoint's changed standing to the other members.
 struct StandingAction {
   std::string Endpoint;
@@ -100,8 +108,8 @@
 
 using GateAction =
     std::variant<StartAction, GrantAction, RefuseAction, AbortAction,
-                 StandingAction, HoldAction, LimitAction, EjectionAction,
-                 CrashAction, ContentClearedAction>;
+                 OverdueAction, StandingAction, HoldAction, LimitAction,
+                 EjectionAction, CrashAction, ContentClearedAction>;
 using GateActions = std::vector<GateAction>;
 
 } // namespace hickoryglade
--- a/src/libhickoryglade/gateendpoint.h
+++ b/src/libhickoryglade/gateendpoint.h
@@ -19,6 +19,8 @@
   Instant Since;
   /// False while the slot is held for a body that has not arrived.
   bool IsStarted = false;
+  /// When the entry was last told that the request is overdue.
+  std::optional<Instant> ReportedAt = std::nullopt;
 };
 
 /// A request whose connection broke while it ran.
--- a/src/libhickoryglade/gatehealth.cpp
+++ b/src/libhickoryglade/gatehealth.cpp
@@ -19,6 +19,14 @@
 /// Weight in the moving average; two failures in a row raise it above 0.5.
 constexpr double LatestOutcomeWeight = 0.3;
 
+/// Pause between reports of the same request, since its entry may find room
+/// elsewhere later.
+constexpr Micros OverdueReportPeriod = std::chrono::milliseconds(200);
+
+Error stallError() {
+  return makeError(ErrorKind::EndpointFailed, "the endpoint stalls");
+}
+
 void markSuspect(GateEndpoint &endpoint, const std::string &reason,
                  bool isUnhealthy, Instant now, GateActions &actions) {
   if (endpoint.State == Standing::Trial)
@@ -63,17 +71,25 @@
   updateFailureShare(endpoint, true);
 }
 
-/// Aborts overdue idempotent requests of a stalled endpoint, so that the entry
-/// can retry them at another endpoint.
-void abortOverdue(const GateEndpoint &endpoint, const ServicePolicy &policy,
-                  Instant now, GateActions &actions) {
-  std::vector<std::string> overdue;
-  for (const SlotHolder &holder : endpoint.Holders)
-    if (holder.IsStarted && shouldRetryElsewhere(holder, policy, now))
-      overdue.push_back(holder.Request.AttemptId);
-  for (const std::string &attempt : overdue)
-    actions.push_back(AbortAction{
-        attempt, makeError(ErrorKind::EndpointFailed, "the endpoint stalls")});
+/// Reports overdue idempotent requests of a stalled endpoint to their entries,
+/// which can retry them at another endpoint. Only the entry knows whether it
+/// still can: it may be stopping, or have no retry left. Entries of earlier
+/// releases leave the decision to the gate.
+void reportOverdue(GateEndpoint &endpoint, const ServicePolicy &policy,
+                   Instant now, GateActions &actions) {
+  for (SlotHolder &holder : endpoint.Holders) {
+    if (!holder.IsStarted || !shouldRetryElsewhere(holder, policy, now))
+      continue;
+    const std::string &attempt = holder.Request.AttemptId;
+    bool isReported =
+        holder.ReportedAt && now - *holder.ReportedAt < OverdueReportPeriod;
+    if (!holder.Request.DecidesRetry) {
+      actions.push_back(AbortAction{attempt, stallError()});
+    } else if (!isReported) {
+      holder.ReportedAt = now;
+      actions.push_back(OverdueAction{attempt});
+    }
+  }
 }
 
 /// Reports the end of an incarnation of an endpoint once for each content that
@@ -119,6 +135,19 @@
       StandingAction{endpoint.Announced.Name, state, std::move(reason)});
 }
 
+GateActions giveUpOverdue(const Gate &gate, const std::string &attempt) {
+  auto held = gate.EndpointByAttempt.find(attempt);
+  if (held == gate.EndpointByAttempt.end())
+    return {};
+  bool isStarted = std::ranges::any_of(
+      gate.Endpoints.at(held->second).Holders, [&](const SlotHolder &it) {
+        return it.Request.AttemptId == attempt && it.IsStarted;
+      });
+  if (!isStarted)
+    return {};
+  return {AbortAction{attempt, stallError()}};
+}
+
 void assessHealth(Gate &gate, GateEndpoint &endpoint, Instant now,
                   GateActions &actions) {
   const ServicePolicy &policy =
@@ -131,7 +160,7 @@
   endpoint.IsHanging = endpoint.IsHanging || assessment.IsHanging;
   bool isUnhealthy = assessment.Verdict == HealthVerdict::Unhealthy;
   if (isUnhealthy || endpoint.IsHanging)
-    abortOverdue(endpoint, policy, now, actions);
+    reportOverdue(endpoint, policy, now, actions);
   if (assessment.Verdict == HealthVerdict::Healthy)
     return;
   bool isNewlyDoubtful =
--- a/src/libhickoryglade/retry.cpp
+++ b/src/libhickoryglade/retry.cpp
@@ -84,7 +84,8 @@
     return {RetryVerdict::GiveUp, "attempts exhausted"};
   if (context.TimeLeft <= context.ExpectedCost)
     return {RetryVerdict::GiveUp, "no time left"};
-  if (!isFreeRetry(context.Failure.Kind) && !budget.tryTake())
+  bool isFree = context.IsPaid || isFreeRetry(context.Failure.Kind);
+  if (!isFree && !budget.tryTake())
     return {RetryVerdict::GiveUp, "retry budget exhausted"};
   return {RetryVerdict::Retry, "another attempt may succeed"};
 }
--- a/src/libhickoryglade/retry.h
+++ b/src/libhickoryglade/retry.h
@@ -19,6 +19,8 @@
 
   void noteFresh(int percent);
   bool tryTake();
+  /// Returns a token that was not used.
+  void giveBack() { Tokens += 1; }
 
 private:
   static constexpr double DefaultReserve = 10;
@@ -47,6 +49,8 @@
   /// Attempts that an endpoint may have run, and their limit.
   int Runs = 0;
   int MaxRuns = 4;
+  /// True if a token for this retry has been taken already.
+  bool IsPaid = false;
 };
 
 struct RetryDecision {
--- a/src/libhickoryglade/ticket.h
+++ b/src/libhickoryglade/ticket.h
@@ -48,6 +48,9 @@
   int Priority = 0;
   /// True if the request cannot be retried at another endpoint.
   bool IsLastTry = false;
+  /// True if the entry decides whether a run that is overdue is given up for a
+  /// retry; otherwise the gate does.
+  bool DecidesRetry = false;
 
   /// Longest wait that the entry allows; the gate's settings apply if empty.
   std::optional<Micros> MaxWait;
--- a/tests/kernel/test_hang.cpp
+++ b/tests/kernel/test_hang.cpp
@@ -290,3 +290,42 @@
     isRefused = isRefused || std::holds_alternative<RefuseAction>(it);
   CHECK(isRefused);
 }
+
+// Guards against work that is broken off because its entry had begun to stop
+// while it waited for a slot.
+TEST_CASE("a request that waited when its entry began to stop is not aborted") {
+  Gate gate = warmGate();
+  for (int i = 0; i < 7; ++i)
+    offer(gate, ticket("first" + std::to_string(i), false), at(100));
+  offer(gate, ticket("waiting", true), at(100));
+  REQUIRE_FALSE(gate.EndpointByAttempt.contains("waiting"));
+  keep(gate, "waiting");
+  complete(gate, "first0", AttemptOutcome::Answered, at(300));
+  REQUIRE(gate.EndpointByAttempt.contains("waiting"));
+  for (int ms = 350; ms <= 9'000; ms += 50)
+    for (const std::string &id : aborted(tick(gate, at(ms))))
+      CHECK(id != "waiting");
+}
+
+// Only the entry knows whether it is stopping and has a retry left.
+TEST_CASE("a hanging request is aborted only if its entry gives it up") {
+  Gate gate = warmGate();
+  Ticket lookup = ticket("lookup", true);
+  lookup.DecidesRetry = true;
+  offer(gate, lookup, at(100));
+  std::vector<int> reportedAt;
+  for (int ms = 150; ms <= 5'000; ms += 50) {
+    GateActions actions = tick(gate, at(ms));
+    CHECK(aborted(actions).empty());
+    if (std::ranges::find(actions, GateAction(OverdueAction{"lookup"})) !=
+        actions.end())
+      reportedAt.push_back(ms);
+  }
+  REQUIRE(reportedAt.size() > 2);
+  CHECK(reportedAt[0] < 3 * Cost);
+  CHECK(reportedAt[1] - reportedAt[0] >= 200);
+  CHECK(aborted(giveUpOverdue(gate, "lookup")) ==
+        std::vector<std::string>{"lookup"});
+  complete(gate, "lookup", AttemptOutcome::Failed, at(5'000));
+  CHECK(giveUpOverdue(gate, "lookup").empty());
+}
--- a/tests/platform/platformfleet.cpp
+++ b/tests/platform/platformfleet.cpp
@@ -97,6 +97,7 @@
                    {"announcement_limit_ms", 3'000},
                    {"linger_ms", 500},
                    {"drain_limit_ms", 2'000}};
+  settings["platform"]["root_defaults"].update(RootDefaults);
   settings.update(ExtraSettings);
   std::ofstream(file(name + ".json")) << settings.dump();
   Processes[name] = ChildProcess({program("src/hickorygladed/hickorygladed"),
--- a/tests/platform/platformfleet.h
+++ b/tests/platform/platformfleet.h
@@ -39,6 +39,11 @@
     ExtraSettings = std::move(settings);
   }
 
+  /// Sets further defaults of the settings tree of such nodes.
+  void setRootDefaults(nlohmann::json defaults) {
+    RootDefaults = std::move(defaults);
+  }
+
   void startStore();
   void startNode(const std::string &name, const std::string &service = "s");
   /// Starts a node whose traffic with other nodes and the store goes through
@@ -104,6 +109,7 @@
   std::atomic<int> Attempts = 0;
   int HeartbeatMs = 200;
   nlohmann::json ExtraSettings = nlohmann::json::object();
+  nlohmann::json RootDefaults = nlohmann::json::object();
 };
 
 /// Returns a configuration with a safe route at /safe/ and a non-idempotent one
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -26,15 +26,16 @@
   return served;
 }
 
-/// Publishes a time limit of 8 s for all routes, and waits until n3 applies it.
+/// Publishes a time limit for all routes, and waits until n3 applies it.
 /// Its status names a version a moment before requests are routed by it, so
 /// that a new route has to tell.
-void raiseTimeLimits(PlatformFleet &fleet, int targetSeconds) {
+void raiseTimeLimits(PlatformFleet &fleet, int targetSeconds,
+                     int limitSeconds = 8) {
   json config = defaultConfig(2);
   json &rules = config["listeners"][0]["route_rules"];
   for (json &rule : rules) {
     rule["target_latency_s"] = targetSeconds;
-    rule["action"]["timeout_s"] = 8;
+    rule["action"]["timeout_s"] = limitSeconds;
   }
   json marker = rules[0];
   marker["name"] = "marker";
@@ -450,3 +451,57 @@
     CHECK(metrics.find(name) != std::string::npos);
   }
 }
+
+// Guards against lookups that wait for a slot when their node gets SIGTERM, run
+// later, and are then broken off for a retry that the node no longer makes.
+TEST_CASE("lookups that wait when their node begins to stop run to their end",
+          "[waiting-at-stop]") {
+  using std::chrono::milliseconds;
+  constexpr int usualMs = 850;
+  constexpr int workMs = 2'300;
+  // Long enough for two runs, one after the other, but not for half of one
+  // more.
+  constexpr int lingerMs = 500;
+  constexpr int drainMs = 4'800;
+  constexpr int slots = 3;
+  constexpr int waiting = 3;
+  PlatformFleet fleet;
+  fleet.setNodeSettings({{"linger_ms", lingerMs}, {"drain_limit_ms", drainMs}});
+  fleet.setRootDefaults(
+      {{"health", "completion_odds"}, {"stall_after_ms", 500}});
+  fleet.startStore();
+  fleet.startNode("n1");
+  fleet.startServer("n1");
+  fleet.startNode("n3", "other");
+  fleet.startServer("n3", "other");
+  fleet.configure(defaultConfig(1));
+  fleet.awaitServing();
+  raiseTimeLimits(fleet, 9, 10);
+  auto setWork = [&](int ms) { fleet.controlServer("n1", {{"work_ms", ms}}); };
+  auto send = [&](const std::string &id) {
+    HttpCall call{"GET",
+                  "/safe/x",
+                  {{"Host", "h.example"},
+                   {"Attempt-Id", id},
+                   {"Remaining-Milliseconds", "10000"}},
+                  ""};
+    return callOnce(fleet.node("n3").Http, call, milliseconds(12'000));
+  };
+  setWork(usualMs);
+  for (int i = 0; i < 8; ++i)
+    REQUIRE(send("usual-" + std::to_string(i)).Status == 200);
+  setWork(workMs);
+  std::vector<std::future<HttpReply>> replies;
+  for (int i = 0; i < slots + waiting; ++i) {
+    replies.push_back(
+        std::async(std::launch::async, send, "slow-" + std::to_string(i)));
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  std::this_thread::sleep_for(milliseconds(200));
+  fleet.process("n3").signal(SIGTERM);
+  for (auto &it : replies) {
+    HttpReply reply = it.get();
+    INFO(reply.Body);
+    CHECK(reply.Status == 200);
+  }
+}
