http: let long bodies wait for room in the budget

Cause: a budget of 64 MiB holds 8 such requests or answers, and what did not fit was given up after 1 s or at once, although room became free a moment later. Tried and not enough: a wait of 0.5 s for every answer; then seven endless answers are broken off one by one in 3.5 s (platform.endless-server: lookups passed their deadline).

Now a caller's body waits up to 5 s, an answer up to 0.5 s, but only while bodies that become free soon hold a part of the budget; bodies from other nodes, which cannot wait, may exceed it by half.

--- a/src/libfleet/gate/endpointclient.cpp
+++ b/src/libfleet/gate/endpointclient.cpp
@@ -38,6 +38,11 @@
 /// header line, chunk size line or trailer.
 constexpr std::size_t MaxUnparsedBytes = 64 * 1024;
 
+/// Time for which the body of a response waits for room in the budget, and the
+/// pause between checks.
+constexpr Micros RoomWait = std::chrono::milliseconds(500);
+constexpr Micros RoomPoll = std::chrono::milliseconds(5);
+
 /// Bound on interim responses and late responses to earlier requests that may
 /// precede the response to a request.
 constexpr int MaxSkippedResponses = 16;
@@ -269,17 +274,33 @@
                    RunState::Unknown, "not a valid answer: " + ec.message());
 }
 
-/// Makes room for a response by breaking off those that hold more. Returns
-/// false if the response itself has to be broken off.
-bool EndpointClient::makeRoom(Incoming &incoming, std::size_t bytes) {
-  while (!incoming.Held.resize(bytes)) {
+/// True if bodies that are not being read here hold a part of the budget, which
+/// becomes free soon.
+bool EndpointClient::mayGetRoom() const {
+  std::size_t reading = 0;
+  for (const Incoming *it : Reading)
+    reading += it->Held.bytes();
+  return Budget->used() > reading;
+}
+
+/// Waits for room, and then breaks off the responses that hold most. Returns
+/// false if that is the response itself.
+asio::awaitable<bool> EndpointClient::makeRoom(Incoming &incoming,
+                                               std::size_t bytes) {
+  Instant until = now() + RoomWait;
+  while (!incoming.IsBrokenOff && !incoming.Held.resize(bytes)) {
+    if (now() < until && mayGetRoom()) {
+      asio::steady_timer pause(Executor, RoomPoll);
+      co_await pause.async_wait(asio::use_awaitable);
+      continue;
+    }
     auto largest = std::ranges::max_element(
         Reading, {}, [](const Incoming *it) { return it->Held.bytes(); });
     if ((*largest)->Held.bytes() <= incoming.Held.bytes())
-      return false;
+      co_return false;
     (*largest)->breakOff();
   }
-  return true;
+  co_return !incoming.IsBrokenOff;
 }
 
 /// Returns no_buffer_space if the body was broken off.
@@ -295,8 +316,7 @@
     co_await http::async_read_some(
         incoming.Source->Stream, incoming.Source->Buffer, parser,
         asio::redirect_error(asio::use_awaitable, ec));
-    bool hasRoom =
-        !incoming.IsBrokenOff && makeRoom(incoming, parser.get().body().size());
+    bool hasRoom = co_await makeRoom(incoming, parser.get().body().size());
     if (!hasRoom) {
       incoming.breakOff();
       ec = asio::error::no_buffer_space;
@@ -407,8 +427,12 @@
                      RunState::NotRun, "given up before it was sent");
   connection->Stream.expires_at(toSteady(call.Deadline));
   auto isWritten = std::make_shared<bool>(false);
+  // The body is held no longer than until it is written.
+  HttpRequest sent = call.Request;
+  call.Request.Content = nullptr;
   asio::co_spawn(
-      Executor, writeRequest(connection, call.Request, call.Address, isWritten),
+      Executor,
+      writeRequest(connection, std::move(sent), call.Address, isWritten),
       asio::detached);
   EndpointResult result = co_await readResponse(connection, call, isWritten);
   // Ends what the endpoint may still send. One that has answered early may read
--- a/src/libfleet/gate/endpointclient.h
+++ b/src/libfleet/gate/endpointclient.h
@@ -45,8 +45,9 @@
 /// HTTP/1.1 client for endpoints with a pool of connections, each of which
 /// carries one exchange at a time. Used from one thread only.
 ///
-/// Bodies of responses are read within a budget. If it is used up, the response
-/// that holds most is broken off, so that the others can be completed.
+/// Bodies of responses are read within a budget. If it is used up, they wait
+/// unread, and if that does not help, the response that holds most is broken
+/// off, so that the others can be completed.
 class EndpointClient {
 public:
   EndpointClient(asio::any_io_executor ex, const HttpDialect &dialect,
@@ -76,7 +77,8 @@
   classifyReadError(std::string address, error_code ec, ErrorKind kind);
   EndpointResult classifyResponse(HttpResponse response) const;
   asio::awaitable<error_code> readBody(Incoming &incoming, bool isHead);
-  bool makeRoom(Incoming &incoming, std::size_t bytes);
+  bool mayGetRoom() const;
+  asio::awaitable<bool> makeRoom(Incoming &incoming, std::size_t bytes);
   asio::awaitable<bool> isListening(std::string address);
   asio::awaitable<EndpointResult>
   classifyLoss(std::string address, ErrorKind kind, std::string detail);
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -175,9 +175,10 @@
   if (!exchange || !exchange->HasCall || exchange->Http.Content)
     return;
   if (!exchange->Held) {
-    exchange->Held.emplace(Budget, BodyUse::Request);
+    exchange->Held.emplace(Budget, BodyUse::Relayed);
     if (!exchange->Held->resize(exchange->ExpectedBytes))
       return refuseBody(exchange);
+    exchange->Content.reserve(exchange->ExpectedBytes);
   }
   exchange->Content += data.bytes;
   if (exchange->Content.size() >= exchange->ExpectedBytes)
@@ -390,7 +391,7 @@
   auto it = State.Endpoints.find(endpoint);
   if (it == State.Endpoints.end() || exchange->IsDone)
     co_return;
-  HttpRequest request = exchange->Http;
+  HttpRequest request = std::exchange(exchange->Http, HttpRequest{});
   std::string attempt = exchange->Request.AttemptId;
   if (!Dialect.IsIdFromCaller)
     request.Headers.push_back(
--- a/src/libfleet/http/bodybudget.cpp
+++ b/src/libfleet/http/bodybudget.cpp
@@ -1,19 +1,26 @@
 #include "libfleet/http/bodybudget.h"
 
+#include <numeric>
 #include <utility>
 
 namespace hickoryglade::fleet {
 
 namespace {
 
-/// Answers keep the rest of the budget, since requests that run cannot be
-/// completed without them.
+/// Endpoints' responses keep the rest of the budget, since requests that run
+/// cannot be completed without them.
 constexpr std::size_t RequestShareDivisor = 2;
 
 std::size_t counted(std::size_t bytes) {
   return bytes > BodyBudget::SmallBytes ? bytes : 0;
 }
 
+/// Bodies of other nodes cannot wait unread, as the others can, so they may
+/// exceed the budget by half.
+std::size_t limitOf(BodyUse use, std::size_t limit) {
+  return use == BodyUse::Relayed ? limit + limit / 2 : limit;
+}
+
 } // namespace
 
 // A single body is always admitted: it would otherwise never be, however long
@@ -24,13 +31,13 @@
   if (from == to)
     return true;
   std::lock_guard lock(Lock);
-  std::size_t &own = use == BodyUse::Request ? Requests : Answers;
+  std::size_t &own = Used[std::size_t(use)];
   std::size_t sameUse = own - from;
-  std::size_t all = Requests + Answers - from;
-  bool isAlone = use == BodyUse::Request ? sameUse == 0 : all == 0;
-  bool hasShare =
-      use == BodyUse::Answer || sameUse + to <= Limit / RequestShareDivisor;
-  bool fits = isAlone || (hasShare && all + to <= Limit);
+  std::size_t all = std::accumulate(Used.begin(), Used.end(), std::size_t{0});
+  bool isRequest = use == BodyUse::Request;
+  bool isAlone = isRequest ? sameUse == 0 : all == from;
+  bool hasShare = !isRequest || sameUse + to <= Limit / RequestShareDivisor;
+  bool fits = isAlone || (hasShare && all - from + to <= limitOf(use, Limit));
   if (to > from && !fits)
     return false;
   own = sameUse + to;
@@ -39,7 +46,7 @@
 
 std::size_t BodyBudget::used() const {
   std::lock_guard lock(Lock);
-  return Requests + Answers;
+  return std::accumulate(Used.begin(), Used.end(), std::size_t{0});
 }
 
 HeldBytes::HeldBytes(HeldBytes &&other) noexcept
--- a/src/libfleet/http/bodybudget.h
+++ b/src/libfleet/http/bodybudget.h
@@ -2,14 +2,22 @@
 
 #include "libfleet/http/httpmessage.h"
 
+#include <array>
 #include <cstddef>
 #include <memory>
 #include <mutex>
 
 namespace hickoryglade::fleet {
 
-/// What a body belongs to.
-enum class BodyUse { Request, Answer };
+/// Where a body comes from.
+enum class BodyUse {
+  /// A caller's request.
+  Request,
+  /// An endpoint's response.
+  Answer,
+  /// Another node, which holds it whole.
+  Relayed,
+};
 
 /// Bound on the bytes of long bodies that a process holds at a time, whichever
 /// exchanges they belong to. Thread-safe.
@@ -30,8 +38,8 @@
 private:
   std::size_t Limit;
   mutable std::mutex Lock;
-  std::size_t Requests = 0;
-  std::size_t Answers = 0;
+  /// Bytes by use.
+  std::array<std::size_t, 3> Used{};
 };
 
 using BodyBudgetPtr = std::shared_ptr<BodyBudget>;
--- a/src/libfleet/http/httpserver.cpp
+++ b/src/libfleet/http/httpserver.cpp
@@ -30,7 +30,7 @@
 
 /// Time for which the body of a request waits for room in the budget, and the
 /// pause between checks.
-constexpr Micros RoomWait = std::chrono::seconds(1);
+constexpr Micros RoomWait = std::chrono::seconds(5);
 constexpr Micros RoomPoll = std::chrono::milliseconds(10);
 
 /// Limits on reading and discarding the rest of a rejected request.
--- a/src/libfleet/peers/gateclient.cpp
+++ b/src/libfleet/peers/gateclient.cpp
@@ -125,13 +125,14 @@
   if (stream.Content.size() + data.bytes.size() > expected)
     return false;
   if (!stream.Held) {
-    stream.Held.emplace(Budget, BodyUse::Answer);
+    stream.Held.emplace(Budget, BodyUse::Relayed);
     if (!stream.Held->resize(expected)) {
       rejectAnswer(id, stream);
       return true;
     }
+    stream.Content.reserve(expected);
   }
-  if (stream.Content.empty())
+  if (data.bytes.size() == expected)
     stream.Content = std::move(data.bytes);
   else
     stream.Content += data.bytes;
--- a/tests/platform/test_endless.cpp
+++ b/tests/platform/test_endless.cpp
@@ -398,6 +398,8 @@
   HeldBytes second(budget, BodyUse::Request);
   CHECK_FALSE(second.resize(Megabyte));
   CHECK(second.resize(BodyBudget::SmallBytes));
+  HeldBytes relayed(budget, BodyUse::Relayed);
+  CHECK_FALSE(relayed.resize(Megabyte));
   HeldBytes answer(budget, BodyUse::Answer);
   CHECK_FALSE(answer.resize(Megabyte));
   CHECK(answer.resize(BodyBudget::SmallBytes));
@@ -406,6 +408,11 @@
   // Requests leave room for answers.
   CHECK_FALSE(second.resize(TestBudget / 2));
   CHECK(answer.resize(TestBudget / 2));
+  CHECK_FALSE(answer.resize(TestBudget));
+  // Bodies of other nodes may exceed the budget by half.
+  CHECK(relayed.resize(TestBudget / 2));
+  CHECK_FALSE(relayed.resize(TestBudget));
+  relayed.resize(0);
   Body shared = makeBody("x", std::move(answer));
   CHECK(budget->used() == 2 * Megabyte + TestBudget / 2);
   shared = nullptr;
@@ -434,7 +441,7 @@
   auto channel = std::make_shared<RecordingChannel>();
   auto budget = std::make_shared<BodyBudget>(TestBudget);
   HeldBytes other(budget, BodyUse::Answer);
-  REQUIRE(other.resize(TestBudget));
+  REQUIRE(other.resize(2 * TestBudget));
   GateClient client(channel, budget);
   auto box = std::make_shared<StreamMailbox>(io.get_executor());
   auto receive = [&](std::int64_t bytes, std::size_t sent) {
--- a/tests/platform/test_memory.cpp
+++ b/tests/platform/test_memory.cpp
@@ -68,6 +68,12 @@
   for (auto &it : orders)
     for (auto [status, n] : it.get())
       orderStatuses[status] += n;
+  std::string seen;
+  for (auto [status, n] : lookupStatuses)
+    seen += std::to_string(n) + " lookups: " + std::to_string(status) + "; ";
+  for (auto [status, n] : orderStatuses)
+    seen += std::to_string(n) + " orders: " + std::to_string(status) + "; ";
+  INFO(seen);
   CHECK(fleet.process("n1").isRunning());
   CHECK(most > 0);
   CHECK(most < MemoryLimitKb);
