http: answer a request that has arrived when idle connections are closed

Cause: when a stopping node stops accepting, it cancels the wait on each idle connection. If a request had arrived and the process had not been scheduled since, the wait was cancelled with the request unread in the kernel; the connection was closed, which resets it. The cancel was also posted by a list that another thread may have outdated, so that it could hit a connection in use; a test for that passes before and after (not reproduced). Besides, a stop did not wait for idle connections to close.

Now a cancelled wait reads what has arrived and serves it, a connection in use is left alone, and a stopped server is busy while idle connections are open. codecs.server-stop failed before (first test) and passes.

--- a/src/libfleet/http/httpserver.cpp
+++ b/src/libfleet/http/httpserver.cpp
@@ -45,6 +45,8 @@
 struct Session {
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
+  /// True while it waits for another request; used on the worker's thread only.
+  bool IsIdle = false;
 };
 
 } // namespace
@@ -67,10 +69,12 @@
   IdleGuard(std::shared_ptr<ServerState> state,
             std::shared_ptr<Session> session)
       : State(std::move(state)), Caller(std::move(session)) {
+    Caller->IsIdle = true;
     std::lock_guard lock(State->Lock);
     State->Idle.insert(Caller);
   }
   ~IdleGuard() {
+    Caller->IsIdle = false;
     std::lock_guard lock(State->Lock);
     State->Idle.erase(Caller);
   }
@@ -183,8 +187,16 @@
                                asio::redirect_error(asio::use_awaitable, ec));
 }
 
+/// Reads what has arrived on a connection without waiting.
+std::size_t readArrived(Session &session) {
+  error_code ec;
+  session.Stream.socket().non_blocking(true, ec);
+  return session.Stream.socket().receive(session.Buffer.prepare(ReadBytes), 0,
+                                         ec);
+}
+
 /// Waits for the first bytes of a request; returns false if the caller
-/// disconnects or stays idle.
+/// disconnects or stays idle, or if the server stops and nothing has arrived.
 asio::awaitable<bool> awaitRequest(std::shared_ptr<Session> session,
                                    Millis idleLimit) {
   if (session->Buffer.size() > 0)
@@ -194,8 +206,12 @@
   std::size_t n = co_await session->Stream.async_read_some(
       session->Buffer.prepare(ReadBytes),
       asio::redirect_error(asio::use_awaitable, ec));
+  // A request that has arrived is answered although the wait was cancelled:
+  // closing the connection would discard it unread.
+  if (ec == asio::error::operation_aborted)
+    n = readArrived(*session);
   session->Buffer.commit(n);
-  co_return !ec;
+  co_return n > 0;
 }
 
 /// Reads and discards the rest of a rejected request. Closing a socket with
@@ -365,20 +381,29 @@
       serveNext(worker, std::move(socket));
   }
   Acceptor.close(ec);
-  // A request on an idle connection might arrive too late to be completed.
+  // A request on an idle connection might arrive too late to be completed. The
+  // connection may be in use again by the time its thread gets to it.
   std::lock_guard lock(State->Lock);
   for (const std::shared_ptr<Session> &it : State->Idle)
-    asio::post(it->Stream.get_executor(), [it] { it->Stream.cancel(); });
+    asio::post(it->Stream.get_executor(), [it] {
+      if (it->IsIdle)
+        it->Stream.cancel();
+    });
 }
 
 bool HttpServer::isBusy() const {
-  return State->Busy > 0 || now() - AcceptedAt < NewConnectionGrace;
+  if (State->Busy > 0 || now() - AcceptedAt < NewConnectionGrace)
+    return true;
+  // Once stopped, idle connections are about to be closed, or to be used for a
+  // request that has arrived.
+  std::lock_guard lock(State->Lock);
+  return !Acceptor.is_open() && !State->Idle.empty();
 }
 
 void HttpServer::serveNext(Worker &worker, tcp::socket socket) {
   AcceptedAt = now();
   auto session = std::make_shared<Session>(
-      Session{beast::tcp_stream(std::move(socket)), {}});
+      Session{beast::tcp_stream(std::move(socket)), {}, false});
   asio::co_spawn(worker.Executor,
                  serve(session, worker, OnFault, State, Limits, Budget),
                  asio::detached);
