--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -348,10 +348,14 @@
   std::erase_if(all, [&](const Candidate &it) {
     return it.Node == attempt.Targets[target].Gate.Node;
   });
+  // A retry that finds no slot would leave the caller without an answer that
+  // the overdue run may still give.
+  std::erase_if(all,
+                [](const Candidate &it) { return knownFreeSlots(it) <= 0; });
   bool hasRoom = hasRoomElsewhere(all, context.IsIdempotent,
                                   maxLimitLoad(context, context.Deadline));
   if (!hasRoom)
-    return "no endpoint elsewhere";
+    return "no free slot elsewhere";
   RetryDecision decision = decideRetry(
       {makeError(ErrorKind::EndpointFailed), context.IsIdempotent,
        context.CountedAttempts, context.Deadline - now(), context.Cost.Expected,
