--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -178,7 +178,8 @@
     exchange->Held.emplace(Budget, BodyUse::Relayed);
     if (!exchange->Held->resize(exchange->ExpectedBytes))
       return refuseBody(exchange);
-    exchange->Content.reserve(exchange->ExpectedBytes);
+    exchange->Content.reserve(
+        std::min(exchange->ExpectedBytes, BodyBudget::MaxReservedBytes));
   }
   exchange->Content += data.bytes;
   if (exchange->Content.size() >= exchange->ExpectedBytes)
--- a/src/libfleet/http/bodybudget.h
+++ b/src/libfleet/http/bodybudget.h
@@ -27,6 +27,9 @@
   /// requests go on while long ones use up the budget.
   static constexpr std::size_t SmallBytes = 64 * 1024;
 
+  /// Memory that is reserved for a body at most before its bytes arrive.
+  static constexpr std::size_t MaxReservedBytes = 64 * 1024 * 1024;
+
   explicit BodyBudget(std::size_t limit) : Limit(limit) {}
 
   /// Changes the length of one body; returns false, and changes nothing, if
--- a/src/libfleet/peers/gateclient.cpp
+++ b/src/libfleet/peers/gateclient.cpp
@@ -130,7 +130,7 @@
       rejectAnswer(id, stream);
       return true;
     }
-    stream.Content.reserve(expected);
+    stream.Content.reserve(std::min(expected, BodyBudget::MaxReservedBytes));
   }
   if (data.bytes.size() == expected)
     stream.Content = std::move(data.bytes);
--- a/tests/platform/test_endless.cpp
+++ b/tests/platform/test_endless.cpp
@@ -471,6 +471,19 @@
   REQUIRE(failure);
   CHECK(failure->kind == int(ErrorKind::AnswerTooLong));
   CHECK(channel->Sent.back().__isset.cancel);
+  // A length that no memory holds ends no process.
+  other.resize(0);
+  wire::Frame head;
+  head.stream = client.open(box, 0);
+  head.answer.bodyBytes = std::int64_t{1} << 60;
+  head.__isset.answer = true;
+  wire::Frame data;
+  data.stream = head.stream;
+  data.data.bytes = "a";
+  data.__isset.data = true;
+  CHECK(client.takeFrame(head));
+  CHECK_NOTHROW(client.takeFrame(data));
+  client.closeStream(head.stream);
   StreamEvent small = receive(1'000, 1'000);
   CHECK(std::holds_alternative<AnswerEvent>(small.Content));
 }
