--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -82,7 +82,7 @@
       BootId(bootId), Worker(worker), Dialect(dialect), Counters(metrics),
       Links(ex, makeHello(Node, bootId, DataCentre), std::move(budget),
             metrics.traffic()),
-      Rng(std::uint64_t(bootId) + worker) {}
+      Rng(std::uint64_t(bootId) + worker), StartedAt(now()) {}
 
 void Entry::applyView(FleetViewPtr view) {
   View = std::move(view);
@@ -107,6 +107,7 @@
   ++InFlight;
   std::string service;
   Micros timeLeft{0};
+  int runs = 0;
   std::variant<RequestContext, Error> prepared =
       prepareRequest(std::move(request), std::move(scope), id);
   EntryResult result = Error{};
@@ -122,10 +123,11 @@
     else
       result = co_await perform(context);
     timeLeft = context.Deadline - now();
+    runs = context.Runs;
   }
   HttpResponse response;
   if (auto *error = std::get_if<Error>(&result))
-    response = problem(*error, id, timeLeft);
+    response = problem(*error, id, timeLeft, runs);
   else
     response = std::move(std::get<HttpResponse>(result));
   const std::string &shownId = Dialect.IsIdFromCaller ? callerId : id;
@@ -491,7 +493,7 @@
 }
 
 HttpResponse Entry::problem(const Error &error, const std::string &id,
-                            Micros timeLeft) {
+                            Micros timeLeft, int runs) {
   const ErrorInfo &row = errorInfo(error.Kind);
   Counters.countError(std::string(row.Name));
   HttpResponse response;
@@ -513,7 +515,11 @@
            {{"request", id},
             {"kind", row.Name},
             {"run", toString(error.Run)},
-            {"detail", error.Detail}});
+            {"detail", error.Detail},
+            {"runs", runs},
+            {"left_ms", toMillis(timeLeft).count()},
+            {"stopping", IsDraining.load()},
+            {"process_age_ms", toMillis(now() - StartedAt).count()}});
   return response;
 }
 
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -145,8 +145,9 @@
   Error toError(Attempt &attempt, const wire::Failure &failure) const;
   void takeOverdue(Attempt &attempt, std::size_t target);
   std::string_view reasonToStay(const Attempt &attempt, std::size_t target);
+  Error abandonRun(const Attempt &attempt, std::size_t target, Error error);
   HttpResponse problem(const Error &error, const std::string &id,
-                       Micros timeLeft);
+                       Micros timeLeft, int runs);
   Millis allowedTime(const HttpRequest &request, const ServicePolicy &policy,
                      std::optional<Error> &fault) const;
   void logRoute(const RequestContext &context, int number,
@@ -182,6 +183,8 @@
   /// Retry budgets for server errors that endpoints returned.
   std::map<std::string, RetryBudget> ErrorBudgets;
   Random Rng;
+  /// When this process began to serve.
+  Instant StartedAt;
   std::uint64_t Requests = 0;
   std::size_t InFlight = 0;
   std::atomic<bool> IsDraining = false;
--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -1,6 +1,7 @@
 #include "libfleet/entry/entryattempt.h"
 
 #include "libfleet/reporting/logging.h"
+#include "libfleet/reporting/metrics.h"
 #include "libhickoryglade/startledger.h"
 
 #include <nlohmann/json.hpp>
@@ -137,6 +138,7 @@
 void Entry::sendCall(Attempt &attempt, std::size_t target) {
   const HttpRequest &http = attempt.Request->Http;
   Attempt::Target &it = attempt.Targets[target];
+  attempt.SentAt = now();
   wire::Frame frame;
   frame.stream = it.Stream;
   frame.call.ticket = makeTicket(attempt, target);
@@ -284,12 +286,16 @@
     std::optional<StreamEvent> event =
         co_await attempt.Box->next(attempt.waitUntil());
     if (!event)
-      co_return makeError(ErrorKind::DeadlineExceeded,
-                          "no word from the gate in time", DefaultRetryAfter);
+      co_return abandonRun(attempt, target,
+                           makeError(ErrorKind::DeadlineExceeded,
+                                     "no word from the gate in time",
+                                     DefaultRetryAfter));
     if (std::holds_alternative<CancelledEvent>(event->Content))
-      co_return makeError(ErrorKind::Cancelled);
+      co_return abandonRun(
+          attempt, target,
+          makeError(ErrorKind::Cancelled, attempt.Request->Scope->Reason));
     if (std::holds_alternative<StoppedEvent>(event->Content))
-      co_return shutdownError(RunState::Unknown);
+      co_return abandonRun(attempt, target, shutdownError(RunState::Unknown));
     if (event->Tag != target)
       continue;
     if (auto *answer = std::get_if<AnswerEvent>(&event->Content)) {
@@ -312,22 +318,48 @@
     if (!std::holds_alternative<LostEvent>(event->Content))
       continue;
     if (attempt.Request->IsIdempotent)
-      co_return makeError(ErrorKind::GateLost, "the link to the gate was lost");
+      co_return abandonRun(
+          attempt, target,
+          makeError(ErrorKind::GateLost, "the link to the gate was lost"));
     co_return co_await resolveOutcome(attempt, target);
   }
 }
 
+/// Logs that the entry no longer waits for an attempt whose endpoint may be at
+/// work; returns the error.
+Error Entry::abandonRun(const Attempt &attempt, std::size_t target,
+                        Error error) {
+  Counters.countAbandonedRun(std::string(errorInfo(error.Kind).Name));
+  logEvent(
+      LogLevel::Info, "run_abandoned",
+      {{"request", attempt.Request->Id},
+       {"attempt", attempt.Id},
+       {"gate", attempt.Targets[target].Gate.Node},
+       {"kind", errorInfo(error.Kind).Name},
+       {"detail", error.Detail},
+       {"ran_ms", toMillis(now() - attempt.SentAt.value_or(now())).count()},
+       {"left_ms", toMillis(attempt.Request->Deadline - now()).count()},
+       {"stopping", IsDraining.load()},
+       {"process_age_ms", toMillis(now() - StartedAt).count()}});
+  return error;
+}
+
 /// Gives up an overdue attempt if another one may still complete the request.
 /// Takes the token for that retry at once, so that it cannot be refused later.
 void Entry::takeOverdue(Attempt &attempt, std::size_t target) {
   std::string_view reason = reasonToStay(attempt, target);
   Attempt::Target &it = attempt.Targets[target];
-  logEvent(LogLevel::Info, "overdue",
-           {{"request", attempt.Request->Id},
-            {"attempt", attempt.Id},
-            {"gate", it.Gate.Node},
-            {"gives_up", reason.empty()},
-            {"reason", reason}});
+  logEvent(
+      LogLevel::Info, "overdue",
+      {{"request", attempt.Request->Id},
+       {"attempt", attempt.Id},
+       {"gate", it.Gate.Node},
+       {"gives_up", reason.empty()},
+       {"reason", reason},
+       {"ran_ms", toMillis(now() - attempt.SentAt.value_or(now())).count()},
+       {"expected_ms", toMillis(attempt.Request->Cost.Expected).count()},
+       {"left_ms", toMillis(attempt.Request->Deadline - now()).count()},
+       {"process_age_ms", toMillis(now() - StartedAt).count()}});
   if (!reason.empty())
     return;
   wire::Frame frame;
--- a/src/libfleet/entry/entryattempt.h
+++ b/src/libfleet/entry/entryattempt.h
@@ -49,6 +49,8 @@
   bool IsSerialized = false;
   /// A gate has granted a slot.
   bool IsGranted = false;
+  /// When the request itself was sent to a gate.
+  std::optional<Instant> SentAt;
   /// A StoppedEvent has been put into the mailbox.
   bool IsStopped = false;
 
--- a/src/libfleet/gate/gatenotices.cpp
+++ b/src/libfleet/gate/gatenotices.cpp
@@ -19,15 +19,17 @@
     return;
   const std::string &attempt = exchange.Request.AttemptId;
   auto from = exchange.Origin.Channel.lock();
-  nlohmann::json line = {{"request", attempt.substr(0, attempt.rfind('/'))},
-                         {"attempt", attempt},
-                         {"from", from ? from->peerName() : ""},
-                         {"endpoint", exchange.Endpoint},
-                         {"last_try", exchange.Request.IsLastTry},
-                         {"outcome", toString(result.Outcome)},
-                         {"status", result.Answer ? result.Answer->Status : 0},
-                         {"detail", result.Failure.Detail},
-                         {"ms", toMillis(result.RunTime).count()}};
+  nlohmann::json line = {
+      {"request", attempt.substr(0, attempt.rfind('/'))},
+      {"attempt", attempt},
+      {"from", from ? from->peerName() : ""},
+      {"endpoint", exchange.Endpoint},
+      {"last_try", exchange.Request.IsLastTry},
+      {"outcome", toString(result.Outcome)},
+      {"status", result.Answer ? result.Answer->Status : 0},
+      {"detail", result.Failure.Detail},
+      {"ms", toMillis(result.RunTime).count()},
+      {"expected_ms", toMillis(exchange.Request.ExpectedCost).count()}};
   if (result.Headers && result.Headers->Notice.Limit)
     line["limit"] = *result.Headers->Notice.Limit;
   if (result.Headers && result.Headers->Notice.IsLeaving)
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -312,7 +312,8 @@
       {{"request", action.AttemptId.substr(0, action.AttemptId.rfind('/'))},
        {"attempt", action.AttemptId},
        {"kind", errorInfo(action.Reason.Kind).Name},
-       {"detail", action.Reason.Detail}});
+       {"detail", action.Reason.Detail},
+       {"repeat", exchange->Request.IsRepeat}});
   if (action.Reason.Kind == ErrorKind::EndpointLimited)
     Counters.countLimited(exchange->Request.Service, "refused");
   sendFailure(exchange->Origin, action.Reason, exchange->Request.Service,
--- a/src/libfleet/http/callscope.h
+++ b/src/libfleet/http/callscope.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <string>
 
 namespace hickoryglade::fleet {
 
@@ -8,10 +9,13 @@
 /// before the response.
 struct CallScope {
   bool IsCancelled = false;
+  /// How the caller disconnected.
+  std::string Reason;
   std::function<void()> OnCancel;
 
-  void cancel() {
+  void cancel(std::string reason) {
     IsCancelled = true;
+    Reason = std::move(reason);
     if (OnCancel)
       OnCancel();
   }
--- a/src/libfleet/http/httpserver.cpp
+++ b/src/libfleet/http/httpserver.cpp
@@ -166,7 +166,7 @@
         session->Stream.socket().receive(asio::buffer(&byte, 1),
                                          tcp::socket::message_peek, peekFault);
         if (peekFault && peekFault != asio::error::would_block)
-          scope->cancel();
+          scope->cancel(peekFault.message());
       });
 }
 
--- a/src/libfleet/peers/link.cpp
+++ b/src/libfleet/peers/link.cpp
@@ -75,8 +75,11 @@
   error_code ec;
   Socket.close(ec);
   Timer.cancel();
-  logEvent(LogLevel::Debug, "link_closed",
-           {{"peer", Peer ? Peer->node : ""}, {"reason", reason}});
+  logEvent(Busy ? LogLevel::Warn : LogLevel::Debug, "link_closed",
+           {{"peer", Peer ? Peer->node : ""},
+            {"reason", reason},
+            {"busy", Busy},
+            {"silent_ms", toMillis(now() - LastReceived).count()}});
   if (Handlers.OnClose)
     Handlers.OnClose(shared_from_this());
 }
--- a/src/libfleet/reporting/metrics.cpp
+++ b/src/libfleet/reporting/metrics.cpp
@@ -85,6 +85,9 @@
                              "Requests refused or failed by kind")),
         Retries(counterFamily(registry, "hickoryglade_retry_decisions_total",
                               "Decisions on failed attempts by reason")),
+        Abandoned(counterFamily(registry, "hickoryglade_abandoned_runs_total",
+                                "Attempts that their entry no longer waits "
+                                "for by reason")),
         Standings(counterFamily(registry, "hickoryglade_standings_total",
                                 "Changes of an endpoint's standing")),
         Settings(counterFamily(registry, "hickoryglade_settings_total",
@@ -156,6 +159,7 @@
   prometheus::Family<prometheus::Counter> &Limited;
   prometheus::Family<prometheus::Counter> &Errors;
   prometheus::Family<prometheus::Counter> &Retries;
+  prometheus::Family<prometheus::Counter> &Abandoned;
   prometheus::Family<prometheus::Counter> &Standings;
   prometheus::Family<prometheus::Counter> &Settings;
   prometheus::Histogram &SettingsLag;
@@ -235,6 +239,10 @@
   All->Retries.Add({{"reason", reason}}).Increment();
 }
 
+void Metrics::countAbandonedRun(const std::string &reason) {
+  All->Abandoned.Add({{"reason", reason}}).Increment();
+}
+
 void Metrics::countStandingChange(const std::string &standing) {
   All->Standings.Add({{"standing", standing}}).Increment();
 }
--- a/src/libfleet/reporting/metrics.h
+++ b/src/libfleet/reporting/metrics.h
@@ -51,6 +51,8 @@
   void countLimited(const std::string &service, const std::string &effect);
   void countError(const std::string &kind);
   void countRetryDecision(const std::string &reason);
+  /// Counts a run that its entry no longer waits for.
+  void countAbandonedRun(const std::string &reason);
   void countStandingChange(const std::string &standing);
   void countSettingsRecord(const std::string &outcome);
   void countLogFailure(const std::string &call);
--- a/src/libfleet/settings/settingsservice.cpp
+++ b/src/libfleet/settings/settingsservice.cpp
@@ -146,11 +146,18 @@
   }
 }
 
+/// A process that has never had current settings logs no age.
+void SettingsService::logReachable(bool isReachable) const {
+  nlohmann::json age;
+  if (Freshness.AsOf != Instant{})
+    age = toMillis(now() - Freshness.AsOf).count();
+  logEvent(LogLevel::Warn, isReachable ? "store_regained" : "store_lost",
+           {{"settings_next", FoldedState.Next}, {"as_of_ms", age}});
+}
+
 void SettingsService::noteSourceReachable(bool isReachable) {
   if (isReachable != IsReachable)
-    logEvent(LogLevel::Warn, isReachable ? "store_regained" : "store_lost",
-             {{"settings_next", FoldedState.Next},
-              {"as_of_ms", toMillis(now() - Freshness.AsOf).count()}});
+    logReachable(isReachable);
   noteReachable(isReachable);
 }
 
--- a/src/libfleet/settings/settingsservice.h
+++ b/src/libfleet/settings/settingsservice.h
@@ -100,6 +100,7 @@
   asio::awaitable<void> pause(Millis wait);
   void noteReachable(bool isReachable);
   void noteSourceReachable(bool isReachable);
+  void logReachable(bool isReachable) const;
   void watchPoll(Millis wait);
   void noteProgress();
   void reportChange(std::string_view source);
