--- a/tests/platform/serverstandin.cpp
+++ b/tests/platform/serverstandin.cpp
@@ -19,6 +19,8 @@
 /// Longer than the time-out of any caller in the tests.
 constexpr Millis HangTime{20'000};
 
+constexpr Millis ClosePollPeriod{20};
+
 constexpr std::size_t EndlessPieceBytes = 64 * 1024;
 
 struct Identity {
@@ -57,7 +59,10 @@
     if (Fault == "reset")
       co_return false;
     if (Fault == "hang") {
-      co_await sleepFor(HangTime);
+      Instant end = now() + HangTime;
+      while (now() < end && !connection->isClosedByPeer())
+        co_await sleepFor(ClosePollPeriod);
+      Cut += connection->isClosedByPeer();
       co_return false;
     }
     if (Fault == "endless") {
@@ -138,6 +143,7 @@
     json out = {{"runs", Runs},
                 {"arrivals", Arrivals},
                 {"acked", Acked},
+                {"cut", Cut},
                 {"last", Last}};
     co_return co_await reply(connection, answerBytes(200, out.dump()));
   }
@@ -154,6 +160,8 @@
   std::map<std::string, int> Runs;
   json Last;
   int Arrivals = 0;
+  /// Runs that hung until the node closed their connection.
+  int Cut = 0;
   int Sequence = 0;
 };
 
