entry: end an overdue run only once its replacement has answered

Callers of lookups got 502 or 504 of the fleet's own with time left, though a server was at work on the lookup and would have answered in time; after a SIGTERM of the entry's node this is LOST, also at its next process.

Cause: the entry had an overdue run ended as soon as it believed that another gate had a free slot and had taken a token of its retry budget. Whether the replacement is possible is known elsewhere: the other gate refuses it by its share of the fleet's budget or its queue, its endpoint resets it, or it takes too long. The entry's belief about others was acted on before they had agreed.

Now the other attempt runs beside the overdue one, under the same conditions as before (a free slot as far as known, a token, max_attempts, time). The first complete answer counts, and only then the other run is ended. If the other attempt fails, the run goes on, and a later report may start another. If the run fails first, the other attempt becomes the only one. A slot at the gate first and the cut then was weighed: it does not help if that endpoint fails.

--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -141,12 +141,11 @@
 // The sender is stopping and will not retry the request at another gate.
 struct Keep {}
 
-// The attempt is overdue at an endpoint that stalls. It goes on unless the
-// receiver replies with GiveUp.
+// The attempt is overdue at an endpoint that stalls. It goes on until the
+// receiver sends GiveUp.
 struct Overdue {}
 
-// The sender retries an overdue attempt at another gate; the receiver ends it
-// and replies with a Failure.
+// Another attempt has answered in place of an overdue one; the receiver ends it.
 struct GiveUp {}
 
 // Queries the state of an attempt and fences it if it has not started.
--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -64,16 +64,14 @@
   return hash;
 }
 
-/// True for a response that goes to the caller as it is. A server error is
-/// retried first if the request is idempotent.
+} // namespace
+
 bool isFinalResponse(const EntryResult &result, bool isIdempotent) {
   constexpr int leastServerError = 500;
   const auto *response = std::get_if<HttpResponse>(&result);
   return response && (!isIdempotent || response->Status < leastServerError);
 }
 
-} // namespace
-
 Entry::Entry(asio::any_io_executor ex, const NodeSettings &settings,
              std::int64_t bootId, std::size_t worker,
              const HttpDialect &dialect, BodyBudgetPtr budget, Metrics &metrics)
@@ -231,42 +229,26 @@
       ErrorBudgets.try_emplace(context.MatchedRoute.Service, makeErrorBudget())
           .first->second;
   errors.noteFresh(ErrorRetryPercent);
-  int freeTries = 0;
-  std::optional<HttpResponse> failure;
-  for (int number = 1;; ++number) {
-    context.CountedAttempts = number - freeTries;
+  while (true) {
+    int number = ++context.LastNumber;
+    ++context.CountedAttempts;
     EntryResult result = co_await tryOnce(context, number);
-    bool isPaid = std::exchange(context.IsRetryPaid, false);
-    bool isAnswer = std::holds_alternative<HttpResponse>(result);
-    if (isAnswer && std::exchange(isPaid, false))
-      budget.giveBack();
     if (isFinalResponse(result, context.IsIdempotent))
       co_return result;
     bool isErrorResponse = std::holds_alternative<HttpResponse>(result);
     if (isErrorResponse && !errors.tryTake())
       co_return result;
-    if (auto *response = std::get_if<HttpResponse>(&result)) {
-      failure = std::move(*response);
-      ++context.Arrivals;
-      result = makeError(ErrorKind::EndpointFailed,
-                         "answered " + std::to_string(failure->Status));
+    Error error = noteFailure(context, std::move(result));
+    if (isFreeRetry(error.Kind)) {
+      ++context.FreeTries;
+      --context.CountedAttempts;
     }
-    const Error &error = std::get<Error>(result);
     bool isLimited = error.Kind == ErrorKind::EndpointLimited;
-    context.CapacityRefusals += error.Kind == ErrorKind::SlotTaken || isLimited;
-    context.DoubtRefusals += error.Kind == ErrorKind::EndpointDoubtful;
-    bool hasFailed = error.Kind != ErrorKind::SlotTaken;
-    freeTries += isFreeRetry(error.Kind);
-    if (hasFailed && !context.LastGate.empty())
-      context.Tried.push_back(std::exchange(context.LastGate, {}));
-    context.Runs += error.Run == RunState::Unknown;
-    if (error.Run == RunState::Unknown && context.Arrivals == 0)
-      context.Arrivals = 1;
-    RetryDecision answer = decideRetry(
-        {error, context.IsIdempotent, number - freeTries,
-         context.Deadline - now(), context.Cost.Expected, context.Runs,
-         context.MatchedRoute.Policy.MaxAttempts, isPaid},
-        budget);
+    RetryDecision answer =
+        decideRetry({error, context.IsIdempotent, context.CountedAttempts,
+                     context.Deadline - now(), context.Cost.Expected,
+                     context.Runs, context.MatchedRoute.Policy.MaxAttempts},
+                    budget);
     Counters.countRetryDecision(std::string(answer.Reason));
     logEvent(LogLevel::Warn, "attempt_failed",
              {{"request", context.Id},
@@ -276,7 +258,7 @@
               {"detail", error.Detail},
               {"retry", answer.Verdict == RetryVerdict::Retry},
               {"reason", answer.Reason}});
-    bool mayContinue = freeTries < FreeRetryLimit &&
+    bool mayContinue = context.FreeTries < FreeRetryLimit &&
                        !isTooLateToStart(context) &&
                        (!isLimited || hasRoomForLimited(context));
     if (answer.Verdict == RetryVerdict::Retry && mayContinue)
@@ -287,12 +269,34 @@
       co_await pause.async_wait(asio::use_awaitable);
       continue;
     }
-    if (failure)
-      co_return std::move(*failure);
+    if (context.ServerError)
+      co_return std::move(*context.ServerError);
     co_return finalError(error, context.Runs > 0);
   }
 }
 
+/// Records a failed attempt for the ones after it; returns its error.
+Error Entry::noteFailure(RequestContext &context, EntryResult result) {
+  if (auto *response = std::get_if<HttpResponse>(&result)) {
+    context.ServerError = std::move(*response);
+    ++context.Arrivals;
+    result =
+        makeError(ErrorKind::EndpointFailed,
+                  "answered " + std::to_string(context.ServerError->Status));
+  }
+  Error error = std::get<Error>(std::move(result));
+  bool isLimited = error.Kind == ErrorKind::EndpointLimited;
+  context.CapacityRefusals += error.Kind == ErrorKind::SlotTaken || isLimited;
+  context.DoubtRefusals += error.Kind == ErrorKind::EndpointDoubtful;
+  bool hasFailed = error.Kind != ErrorKind::SlotTaken;
+  if (hasFailed && !context.LastGate.empty())
+    context.Tried.push_back(std::exchange(context.LastGate, {}));
+  context.Runs += error.Run == RunState::Unknown;
+  if (error.Run == RunState::Unknown && context.Arrivals == 0)
+    context.Arrivals = 1;
+  return error;
+}
+
 /// Wait with which a request still completes by a time, as a multiple of its
 /// expected run time.
 double Entry::maxLimitLoad(const RequestContext &context, Instant end) {
@@ -458,6 +462,7 @@
   else
     result = co_await sendDirect(attempt);
   Attempts.erase(&attempt);
+  cancelReplacement(attempt);
   context.Scope->OnCancel = nullptr;
   for (std::size_t i = 0; i < attempt.Targets.size(); ++i)
     cancelStream(attempt, i);
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -46,10 +46,17 @@
   int Arrivals = 0;
   /// Attempts that an endpoint may have run.
   int Runs = 0;
-  /// Attempts that count against the limit of attempts.
+  /// Number of the latest attempt.
+  int LastNumber = 0;
+  /// Attempts that count against the limit of attempts, and those that do not.
   int CountedAttempts = 0;
-  /// A token for the next retry has been taken.
-  bool IsRetryPaid = false;
+  int FreeTries = 0;
+  /// How many more attempts may start beside an overdue run.
+  int ReplacementsLeft = FreeRetryLimit;
+  /// True for an attempt beside an overdue run of the same request.
+  bool IsReplacement = false;
+  /// Latest server error that an endpoint answered.
+  std::optional<HttpResponse> ServerError;
   /// Refusals by gates that had no free slot.
   int CapacityRefusals = 0;
   /// Refusals by gates whose endpoints were doubtful.
@@ -82,7 +89,7 @@
 
   std::size_t inFlight() const { return InFlight; }
 
-  /// From now on no attempt is given up for a retry. Thread-safe.
+  /// From now on no attempt starts beside an overdue one. Thread-safe.
   void stopRetries() { IsDraining = true; }
 
   /// Called when the node begins to stop and will exit at `end`: makes the
@@ -105,6 +112,7 @@
     int Outstanding = 0;
   };
   struct Attempt;
+  struct Replacement;
 
   std::variant<RequestContext, Error>
   prepareRequest(HttpRequest request, std::shared_ptr<CallScope> scope,
@@ -115,10 +123,13 @@
                                        bool isSerialized,
                                        std::vector<Candidate> &all);
   asio::awaitable<EntryResult> tryOnce(RequestContext &context, int number);
+  static Error noteFailure(RequestContext &context, EntryResult result);
   asio::awaitable<EntryResult> sendDirect(Attempt &attempt);
   asio::awaitable<EntryResult> sendTickets(Attempt &attempt);
   asio::awaitable<EntryResult> awaitAnswer(Attempt &attempt,
                                            std::size_t target);
+  std::optional<EntryResult> ownResult(Attempt &attempt, std::size_t target,
+                                       StreamEvent &event);
   asio::awaitable<EntryResult> resolveOutcome(Attempt &attempt,
                                               std::size_t target);
   std::optional<EntryResult> resultFrom(Attempt &attempt, std::size_t target,
@@ -144,7 +155,18 @@
                 const wire::Load &load);
   Error toError(Attempt &attempt, const wire::Failure &failure) const;
   void takeOverdue(Attempt &attempt, std::size_t target);
-  std::string_view reasonToStay(const Attempt &attempt, std::size_t target);
+  std::string_view reasonNotToReplace(const Attempt &attempt,
+                                      std::size_t target);
+  void startReplacement(Attempt &attempt, std::size_t target);
+  static void promoteReplacement(Attempt &attempt);
+  asio::awaitable<void> runReplacement(std::shared_ptr<Replacement> replacement,
+                                       int number,
+                                       std::shared_ptr<StreamMailbox> box);
+  std::optional<EntryResult> takeReplacement(Attempt &attempt,
+                                             std::size_t target);
+  void cancelReplacement(Attempt &attempt);
+  void logReplacement(const Attempt &attempt, std::string_view outcome,
+                      std::string_view detail) const;
   Error abandonRun(const Attempt &attempt, std::size_t target, Error error);
   HttpResponse problem(const Error &error, const std::string &id,
                        Micros timeLeft, int runs);
--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -220,6 +220,8 @@
   if (!isOpen)
     co_return makeError(ErrorKind::NoEndpoint, "the gate cannot be reached",
                         DefaultRetryAfter);
+  if (attempt.Request->Scope->IsCancelled)
+    co_return Error{ErrorKind::Cancelled, RunState::NotRun, {}, {}};
   attempt.Request->LastGate = attempt.Targets[0].Gate.Node;
   sendCall(attempt, 0);
   co_return co_await awaitAnswer(attempt, 0);
@@ -247,7 +249,8 @@
     if (!event)
       co_return Error{ErrorKind::DeadlineExceeded, RunState::NotRun,
                       "no slot became free in time", DefaultRetryAfter};
-    if (std::holds_alternative<CancelledEvent>(event->Content))
+    bool isCancelled = std::holds_alternative<CancelledEvent>(event->Content);
+    if (isCancelled || attempt.Request->Scope->IsCancelled)
       co_return Error{ErrorKind::Cancelled, RunState::NotRun, {}, {}};
     if (std::holds_alternative<StoppedEvent>(event->Content))
       co_return shutdownError(RunState::NotRun);
@@ -280,11 +283,16 @@
 
 asio::awaitable<EntryResult> Entry::awaitAnswer(Attempt &attempt,
                                                 std::size_t target) {
-  const std::string &service = attempt.Request->MatchedRoute.Service;
-  const std::string &node = attempt.Targets[target].Gate.Node;
+  bool isIdempotent = attempt.Request->IsIdempotent;
+  // Result of this attempt that a replacement may still improve.
+  std::optional<EntryResult> held;
   while (true) {
     std::optional<StreamEvent> event =
         co_await attempt.Box->next(attempt.waitUntil());
+    bool isOver =
+        !event || std::holds_alternative<StoppedEvent>(event->Content);
+    if (isOver && held)
+      co_return std::move(*held);
     if (!event)
       co_return abandonRun(attempt, target,
                            makeError(ErrorKind::DeadlineExceeded,
@@ -296,35 +304,59 @@
           makeError(ErrorKind::Cancelled, attempt.Request->Scope->Reason));
     if (std::holds_alternative<StoppedEvent>(event->Content))
       co_return abandonRun(attempt, target, shutdownError(RunState::Unknown));
-    if (event->Tag != target)
+    if (std::holds_alternative<ReplacementEvent>(event->Content)) {
+      std::optional<EntryResult> answer = takeReplacement(attempt, target);
+      if (answer)
+        co_return std::move(*answer);
+      if (held)
+        co_return std::move(*held);
       continue;
-    if (auto *answer = std::get_if<AnswerEvent>(&event->Content)) {
-      noteLoad(node, service, answer->Load);
-      noteAnswer(attempt, target, *answer);
-      Costs.observe(attempt.Request->Class, answer->RunTime);
-      co_return std::move(answer->Answer);
-    }
-    if (auto *failure = std::get_if<wire::Failure>(&event->Content)) {
-      noteLoad(node, service, failure->load);
-      co_return toError(attempt, *failure);
     }
+    if (event->Tag != target)
+      continue;
     if (std::holds_alternative<OverdueEvent>(event->Content)) {
       takeOverdue(attempt, target);
       continue;
     }
-    if (std::holds_alternative<RevokedEvent>(event->Content))
-      co_return makeError(ErrorKind::GateLost, "the gate holds no answer",
-                          DefaultRetryAfter);
-    if (!std::holds_alternative<LostEvent>(event->Content))
+    bool isLost = std::holds_alternative<LostEvent>(event->Content);
+    if (isLost && !isIdempotent)
+      co_return co_await resolveOutcome(attempt, target);
+    std::optional<EntryResult> result = ownResult(attempt, target, *event);
+    if (!result)
       continue;
-    if (attempt.Request->IsIdempotent)
-      co_return abandonRun(
-          attempt, target,
-          makeError(ErrorKind::GateLost, "the link to the gate was lost"));
-    co_return co_await resolveOutcome(attempt, target);
+    if (!attempt.ActiveReplacement || isFinalResponse(*result, isIdempotent))
+      co_return std::move(*result);
+    held = std::move(result);
+    promoteReplacement(attempt);
   }
 }
 
+/// The result that a gate's message gives to an attempt; nullopt if it is not
+/// about the result.
+std::optional<EntryResult>
+Entry::ownResult(Attempt &attempt, std::size_t target, StreamEvent &event) {
+  const std::string &service = attempt.Request->MatchedRoute.Service;
+  const std::string &node = attempt.Targets[target].Gate.Node;
+  if (auto *answer = std::get_if<AnswerEvent>(&event.Content)) {
+    noteLoad(node, service, answer->Load);
+    noteAnswer(attempt, target, *answer);
+    Costs.observe(attempt.Request->Class, answer->RunTime);
+    return std::move(answer->Answer);
+  }
+  if (auto *failure = std::get_if<wire::Failure>(&event.Content)) {
+    noteLoad(node, service, failure->load);
+    return toError(attempt, *failure);
+  }
+  if (std::holds_alternative<RevokedEvent>(event.Content))
+    return makeError(ErrorKind::GateLost, "the gate holds no answer",
+                     DefaultRetryAfter);
+  if (std::holds_alternative<LostEvent>(event.Content))
+    return abandonRun(
+        attempt, target,
+        makeError(ErrorKind::GateLost, "the link to the gate was lost"));
+  return std::nullopt;
+}
+
 /// Logs that the entry no longer waits for an attempt whose endpoint may be at
 /// work; returns the error.
 Error Entry::abandonRun(const Attempt &attempt, std::size_t target,
@@ -344,50 +376,48 @@
   return error;
 }
 
-/// Gives up an overdue attempt if another one may still complete the request.
-/// Takes the token for that retry at once, so that it cannot be refused later.
+/// Starts another attempt beside an overdue one if it may complete the request.
+/// The overdue run is ended only once that attempt has an answer, since it may
+/// be refused or fail.
 void Entry::takeOverdue(Attempt &attempt, std::size_t target) {
-  std::string_view reason = reasonToStay(attempt, target);
-  Attempt::Target &it = attempt.Targets[target];
+  std::string_view reason = reasonNotToReplace(attempt, target);
   logEvent(
       LogLevel::Info, "overdue",
       {{"request", attempt.Request->Id},
        {"attempt", attempt.Id},
-       {"gate", it.Gate.Node},
-       {"gives_up", reason.empty()},
+       {"gate", attempt.Targets[target].Gate.Node},
+       {"replaces", reason.empty()},
        {"reason", reason},
        {"ran_ms", toMillis(now() - attempt.SentAt.value_or(now())).count()},
        {"expected_ms", toMillis(attempt.Request->Cost.Expected).count()},
        {"left_ms", toMillis(attempt.Request->Deadline - now()).count()},
        {"process_age_ms", toMillis(now() - StartedAt).count()}});
-  if (!reason.empty())
-    return;
-  wire::Frame frame;
-  frame.stream = it.Stream;
-  frame.__set_giveUp({});
-  it.Client->channel().send(std::move(frame));
+  if (reason.empty())
+    startReplacement(attempt, target);
 }
 
-/// Why an overdue attempt goes on; empty if it is to be given up.
-std::string_view Entry::reasonToStay(const Attempt &attempt,
-                                     std::size_t target) {
-  RequestContext &context = *attempt.Request;
+/// Why no other attempt starts beside an overdue one; empty if one is to start,
+/// for which a token of the retry budget has then been taken.
+std::string_view Entry::reasonNotToReplace(const Attempt &attempt,
+                                           std::size_t target) {
+  const RequestContext &context = *attempt.Request;
   if (IsDraining)
     return "the node is stopping";
-  if (context.IsRetryPaid)
-    return "it has been given up already";
+  if (attempt.ActiveReplacement || context.IsReplacement)
+    return "another attempt is under way";
+  if (context.ReplacementsLeft <= 0)
+    return "attempts exhausted";
+  if (attempt.IsSerialized)
+    return "the content is suspect";
   std::vector<Candidate> all = candidates(context, now());
   std::erase_if(all, [&](const Candidate &it) {
-    return it.Node == attempt.Targets[target].Gate.Node;
+    return it.Node == attempt.Targets[target].Gate.Node ||
+           knownFreeSlots(it) <= 0;
   });
-  // A retry that finds no slot would leave the caller without an answer that
-  // the overdue run may still give.
-  std::erase_if(all,
-                [](const Candidate &it) { return knownFreeSlots(it) <= 0; });
   bool hasRoom = hasRoomElsewhere(all, context.IsIdempotent,
                                   maxLimitLoad(context, context.Deadline));
   if (!hasRoom)
-    return "no free slot elsewhere";
+    return "no other gate with a free slot is left";
   RetryDecision decision = decideRetry(
       {makeError(ErrorKind::EndpointFailed), context.IsIdempotent,
        context.CountedAttempts, context.Deadline - now(), context.Cost.Expected,
@@ -395,10 +425,109 @@
       Budgets[context.MatchedRoute.Service]);
   if (decision.Verdict == RetryVerdict::GiveUp)
     return decision.Reason;
-  context.IsRetryPaid = true;
   return {};
 }
 
+void Entry::startReplacement(Attempt &attempt, std::size_t target) {
+  RequestContext &context = *attempt.Request;
+  --context.ReplacementsLeft;
+  auto replacement = std::make_shared<Replacement>();
+  RequestContext &request = replacement->Request;
+  request = context;
+  request.IsReplacement = true;
+  request.Scope = std::make_shared<CallScope>();
+  request.LastGate.clear();
+  request.Tried.push_back(attempt.Targets[target].Gate.Node);
+  replacement->RunsBefore = ++request.Runs;
+  replacement->ArrivalsBefore = ++request.Arrivals;
+  replacement->CrashesBefore = request.Crashes;
+  attempt.ActiveReplacement = replacement;
+  int number = ++context.LastNumber;
+  asio::co_spawn(Executor, runReplacement(replacement, number, attempt.Box),
+                 asio::detached);
+}
+
+/// Makes a replacement the only attempt after the overdue run has failed, so
+/// that it may be replaced itself.
+void Entry::promoteReplacement(Attempt &attempt) {
+  RequestContext &request = attempt.ActiveReplacement->Request;
+  request.IsReplacement = false;
+  request.LastNumber = attempt.Request->LastNumber;
+}
+
+asio::awaitable<void>
+Entry::runReplacement(std::shared_ptr<Replacement> replacement, int number,
+                      std::shared_ptr<StreamMailbox> box) {
+  replacement->Result = co_await tryOnce(replacement->Request, number);
+  box->put({0, ReplacementEvent{}});
+}
+
+/// Returns the answer of the replacement and has the gate end the overdue run;
+/// nullopt if the replacement failed and the overdue run goes on.
+std::optional<EntryResult> Entry::takeReplacement(Attempt &attempt,
+                                                  std::size_t target) {
+  std::shared_ptr<Replacement> replacement =
+      std::exchange(attempt.ActiveReplacement, nullptr);
+  RequestContext &context = *attempt.Request;
+  if (isFinalResponse(replacement->Result, context.IsIdempotent)) {
+    logReplacement(attempt, "answered", "");
+    Attempt::Target &it = attempt.Targets[target];
+    wire::Frame frame;
+    frame.stream = it.Stream;
+    frame.__set_giveUp({});
+    it.Client->channel().send(std::move(frame));
+    return std::move(replacement->Result);
+  }
+  RequestContext &request = replacement->Request;
+  bool isErrorResponse =
+      std::holds_alternative<HttpResponse>(replacement->Result);
+  if (isErrorResponse && !ErrorBudgets[context.MatchedRoute.Service].tryTake())
+    context.ReplacementsLeft = 0;
+  Error error = noteFailure(request, std::move(replacement->Result));
+  logReplacement(attempt, errorInfo(error.Kind).Name, error.Detail);
+  int arrivals = request.Arrivals - replacement->ArrivalsBefore;
+  if (arrivals == 0)
+    Budgets[context.MatchedRoute.Service].giveBack();
+  // A refused attempt must not count against a later retry of the request.
+  context.CountedAttempts += arrivals > 0;
+  context.LastNumber = std::max(context.LastNumber, request.LastNumber);
+  context.Runs += request.Runs - replacement->RunsBefore;
+  context.Arrivals += arrivals;
+  context.Crashes += request.Crashes - replacement->CrashesBefore;
+  context.CapacityRefusals = request.CapacityRefusals;
+  context.DoubtRefusals = request.DoubtRefusals;
+  context.Tried = std::move(request.Tried);
+  context.ServerError = std::move(request.ServerError);
+  return std::nullopt;
+}
+
+/// Ends a replacement that is no longer needed.
+void Entry::cancelReplacement(Attempt &attempt) {
+  std::shared_ptr<Replacement> replacement =
+      std::exchange(attempt.ActiveReplacement, nullptr);
+  if (!replacement)
+    return;
+  constexpr const char *reason = "another attempt of the request has ended";
+  logReplacement(attempt, "cancelled", reason);
+  bool isSent = !replacement->Request.LastGate.empty();
+  attempt.Request->Runs += isSent;
+  if (!isSent)
+    Budgets[attempt.Request->MatchedRoute.Service].giveBack();
+  replacement->Request.Scope->cancel(reason);
+}
+
+void Entry::logReplacement(const Attempt &attempt, std::string_view outcome,
+                           std::string_view detail) const {
+  logEvent(
+      LogLevel::Info, "replacement_ended",
+      {{"request", attempt.Request->Id},
+       {"attempt", attempt.Id},
+       {"outcome", outcome},
+       {"detail", detail},
+       {"ran_ms", toMillis(now() - attempt.SentAt.value_or(now())).count()},
+       {"left_ms", toMillis(attempt.Request->Deadline - now()).count()}});
+}
+
 /// After the link is lost, queries the gate for the outcome of the attempt over
 /// a new link, or through a node that may still reach the gate. The gate fences
 /// an attempt that has not started, and otherwise sends its result.
--- a/src/libfleet/entry/entryattempt.h
+++ b/src/libfleet/entry/entryattempt.h
@@ -19,6 +19,10 @@
 /// Error of a request that the node cannot complete before it exits.
 Error shutdownError(RunState run);
 
+/// True for a response that goes to the caller as it is. A server error is
+/// retried first if the request is idempotent.
+bool isFinalResponse(const EntryResult &result, bool isIdempotent);
+
 /// One attempt of a request: its target gates and the streams opened to them.
 struct Entry::Attempt {
   struct Target {
@@ -42,6 +46,8 @@
   /// Outcome queries sent through other nodes.
   std::vector<RelayedQuery> Relayed;
   std::shared_ptr<StreamMailbox> Box;
+  /// Set while another attempt is under way because this one is overdue.
+  std::shared_ptr<Replacement> ActiveReplacement;
   bool AwaitsGrant = false;
   bool OnlyIfFree = false;
   bool IsWaitBounded = false;
@@ -63,4 +69,15 @@
   Instant waitUntil() const { return Request->Deadline + ResultGrace; }
 };
 
+/// An attempt beside an overdue one, with its own copy of the request, which
+/// may outlast the original.
+struct Entry::Replacement {
+  RequestContext Request;
+  /// Counts of the request when the attempt started.
+  int RunsBefore = 0;
+  int ArrivalsBefore = 0;
+  int CrashesBefore = 0;
+  EntryResult Result = Error{};
+};
+
 } // namespace hickoryglade::fleet
--- a/src/libfleet/peers/gateclient.h
+++ b/src/libfleet/peers/gateclient.h
@@ -54,13 +54,17 @@
 /// The node exits before the stream can complete.
 struct StoppedEvent {};
 
+/// The attempt beside this one has ended.
+struct ReplacementEvent {};
+
 /// An event on a stream.
 struct StreamEvent {
   /// The tag that was passed to GateClient::open().
   std::size_t Tag = 0;
   std::variant<GrantEvent, OverdueEvent, AnswerEvent, wire::Failure,
                RevokedEvent, wire::KeyReply, wire::Snapshot, SettingsEvent,
-               ProgressEvent, LostEvent, CancelledEvent, StoppedEvent>
+               ProgressEvent, LostEvent, CancelledEvent, StoppedEvent,
+               ReplacementEvent>
       Content;
 };
 
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -149,8 +149,8 @@
 /// aborted for a retry.
 void keep(Gate &gate, const std::string &attempt);
 
-/// Aborts a running request that was reported as overdue, since its entry
-/// retries it at another endpoint.
+/// Aborts a running request that was reported as overdue, since another attempt
+/// has answered in its place.
 GateActions giveUpOverdue(const Gate &gate, const std::string &attempt);
 
 /// Removes a waiting request, releases its slot or aborts it.
--- a/src/libhickoryglade/gateaction.h
+++ b/src/libhickoryglade/gateaction.h
@@ -44,7 +44,8 @@
 };
 
 /// Report to the entry that an attempt is overdue at an endpoint that stalls;
-/// the entry may give it up with giveUpOverdue().
+/// the entry may start another attempt, and ends this one with giveUpOverdue()
+/// when the other has answered.
 struct OverdueAction {
   std::string AttemptId;
 
--- a/src/libhickoryglade/retry.cpp
+++ b/src/libhickoryglade/retry.cpp
@@ -84,7 +84,7 @@
     return {RetryVerdict::GiveUp, "attempts exhausted"};
   if (context.TimeLeft <= context.ExpectedCost)
     return {RetryVerdict::GiveUp, "no time left"};
-  bool isFree = context.IsPaid || isFreeRetry(context.Failure.Kind);
+  bool isFree = isFreeRetry(context.Failure.Kind);
   if (!isFree && !budget.tryTake())
     return {RetryVerdict::GiveUp, "retry budget exhausted"};
   return {RetryVerdict::Retry, "another attempt may succeed"};
--- a/src/libhickoryglade/retry.h
+++ b/src/libhickoryglade/retry.h
@@ -49,8 +49,6 @@
   /// Attempts that an endpoint may have run, and their limit.
   int Runs = 0;
   int MaxRuns = 4;
-  /// True if a token for this retry has been taken already.
-  bool IsPaid = false;
 };
 
 struct RetryDecision {
--- a/src/libhickoryglade/ticket.h
+++ b/src/libhickoryglade/ticket.h
@@ -48,8 +48,8 @@
   int Priority = 0;
   /// True if the request cannot be retried at another endpoint.
   bool IsLastTry = false;
-  /// True if the entry decides whether a run that is overdue is given up for a
-  /// retry; otherwise the gate does.
+  /// True if the entry decides when a run that is overdue is ended; otherwise
+  /// the gate ends it at once.
   bool DecidesRetry = false;
 
   /// Longest wait that the entry allows; the gate's settings apply if empty.
