entry: answer an order whose gate is gone before the process ends

Cause: once the link to the gate is lost, resolveOutcome() asks for the outcome of the order until its deadline. While it pauses or connects it does not look into its mailbox, where the stop of the node puts a StoppedEvent 150 ms before the process ends. If no query can be sent, it never looks. A gate that accepts connections and says nothing costs 200 ms a try, more than those 150 ms.

The pause now waits at the mailbox, so that a stop and a caller's leaving end it at once, and a connection is no longer waited for once the attempt is over. The latter also holds for the first connection of any attempt. The two ends are logged as run_abandoned.

--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -137,6 +137,8 @@
   asio::awaitable<bool> queryGate(Attempt &attempt, std::size_t target);
   asio::awaitable<bool> queryThroughPeer(Attempt &attempt, std::size_t target);
   std::string pickRelay(const Attempt &attempt, std::size_t target);
+  asio::awaitable<std::shared_ptr<GateClient>>
+  connect(const Attempt &attempt, std::string node, NodeView view);
   asio::awaitable<bool> openTarget(Attempt &attempt, std::size_t target);
 
   static Standing standingOf(const GateView &gate, const GateLoadView &load,
--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -46,10 +46,18 @@
   return node + ' ' + service;
 }
 
+/// Returns nullptr as soon as the attempt is over: a wait for the connection
+/// may be longer than the time that is left to write the response.
+asio::awaitable<std::shared_ptr<GateClient>>
+Entry::connect(const Attempt &attempt, std::string node, NodeView view) {
+  std::function<bool()> isOver = [&attempt] { return attempt.isOver(); };
+  co_return co_await Links.connect(std::move(node), view,
+                                   attempt.Request->Deadline, isOver);
+}
+
 asio::awaitable<bool> Entry::openTarget(Attempt &attempt, std::size_t target) {
   Attempt::Target &it = attempt.Targets[target];
-  it.Client =
-      co_await Links.connect(it.Gate.Node, it.Node, attempt.Request->Deadline);
+  it.Client = co_await connect(attempt, it.Gate.Node, it.Node);
   if (!it.Client)
     co_return false;
   it.Stream = it.Client->open(attempt.Box, target);
@@ -541,16 +549,13 @@
     bool isQuerySent = co_await queryGate(attempt, target);
     if (!isQuerySent)
       isQuerySent = co_await queryThroughPeer(attempt, target);
-    if (!isQuerySent) {
-      asio::steady_timer pause(Executor, ResolvePause);
-      co_await pause.async_wait(asio::use_awaitable);
-      continue;
-    }
-    std::optional<StreamEvent> event =
-        co_await attempt.Box->next(attempt.waitUntil());
-    if (!event)
+    // Also reads the events during a pause, since the attempt may end then.
+    std::optional<StreamEvent> event = co_await attempt.Box->next(
+        isQuerySent ? attempt.waitUntil() : now() + ResolvePause);
+    if (!event && isQuerySent)
       break;
-    result = resultFrom(attempt, target, *event);
+    if (event)
+      result = resultFrom(attempt, target, *event);
     cancelStream(attempt, target);
   }
   for (const Attempt::RelayedQuery &it : attempt.Relayed)
@@ -582,9 +587,11 @@
   if (auto *failure = std::get_if<wire::Failure>(&event.Content))
     return toError(attempt, *failure);
   if (std::holds_alternative<CancelledEvent>(event.Content))
-    return makeError(ErrorKind::Cancelled);
+    return abandonRun(
+        attempt, target,
+        makeError(ErrorKind::Cancelled, attempt.Request->Scope->Reason));
   if (std::holds_alternative<StoppedEvent>(event.Content))
-    return shutdownError(RunState::Unknown);
+    return abandonRun(attempt, target, shutdownError(RunState::Unknown));
   return std::nullopt;
 }
 
@@ -611,7 +618,7 @@
     co_return false;
   NodeView at = view->second;
   attempt.Relayed.push_back({relay, nullptr, 0});
-  auto client = co_await Links.connect(relay, at, attempt.Request->Deadline);
+  auto client = co_await connect(attempt, relay, at);
   logEvent(LogLevel::Info, "gate_asked_through_peer",
            {{"request", attempt.Request->Id},
             {"attempt", attempt.Id},
--- a/src/libfleet/entry/entryattempt.h
+++ b/src/libfleet/entry/entryattempt.h
@@ -63,6 +63,9 @@
   /// True while no gate can have started the attempt.
   bool isWaiting() const { return AwaitsGrant && !IsGranted; }
 
+  /// True once the caller has disconnected or the node is about to exit.
+  bool isOver() const { return IsStopped || Request->Scope->IsCancelled; }
+
   /// Builds the frame that queries a gate for the outcome of the attempt.
   wire::Revoke makeRevoke(std::size_t target) const;
 
--- a/src/libfleet/peers/peerlinks.cpp
+++ b/src/libfleet/peers/peerlinks.cpp
@@ -33,7 +33,8 @@
 }
 
 asio::awaitable<std::shared_ptr<GateClient>>
-PeerLinks::connect(std::string node, const NodeView &view, Instant until) {
+PeerLinks::connect(std::string node, const NodeView &view, Instant until,
+                   std::function<bool()> isOver) {
   if (node == LocalNode)
     co_return Local;
   until = std::min(until, now() + RequestConnectLimit);
@@ -46,7 +47,7 @@
     if (peer.Client && peer.Connection && peer.Connection->isOpen() &&
         peer.Connection->peer())
       co_return peer.Client;
-    if (now() >= until)
+    if (now() >= until || (isOver && isOver()))
       co_return nullptr;
     bool isBackingOff = now() < peer.DownUntil;
     if (isBackingOff && peer.DownUntil >= until)
--- a/src/libfleet/peers/peerlinks.h
+++ b/src/libfleet/peers/peerlinks.h
@@ -4,6 +4,7 @@
 #include "libfleet/peers/gateclient.h"
 #include "libfleet/peers/link.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,9 +21,11 @@
   /// Sets the client that is used for the local node instead of a link.
   void setLocal(std::string node, std::shared_ptr<GateClient> client);
 
-  /// Returns an open client, or nullptr if the node is not reached in time.
+  /// Returns an open client, or nullptr if the node is not reached in time or
+  /// before `isOver` becomes true.
   asio::awaitable<std::shared_ptr<GateClient>>
-  connect(std::string node, const NodeView &view, Instant until);
+  connect(std::string node, const NodeView &view, Instant until,
+          std::function<bool()> isOver = {});
 
   /// False after a link to the node was lost, until the backoff has passed and
   /// a new connection is established.
