entry: take no request after the linger that might not end in time

Callers that sent a lookup 3.2 s after SIGTERM, on a connection opened before the node had stopped taking new ones, got the node's own 502 at the end of its grace period, 2.1 s later, with time left and a server at work.

Cause: the end of the linger closes the listener and idle connections, but not a connection that has not had its first request yet, or is in the middle of a head. A request on it was taken if its expected run time fitted, as during the linger. A run much longer than expected was then broken off.

From 200 ms after the linger on, a request is taken only if its deadline comes before the process ends, and otherwise refused at once with 503, not run, and Retry-After, which a caller can safely send to another node. Before that time nothing changes. The price: a late request that would have been short is refused as well.

--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -116,7 +116,9 @@
     service = context.MatchedRoute.Service;
     bool isKeyed =
         HasKeepers && !context.IsIdempotent && !context.IdempotencyKey.empty();
-    if (isKeyed)
+    if (isTooLateToTake(context))
+      result = shutdownError(RunState::NotRun);
+    else if (isKeyed)
       result = co_await performKeyed(context);
     else
       result = co_await perform(context);
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -93,8 +93,9 @@
   void stopRetries() { IsDraining = true; }
 
   /// Called when the node begins to stop and will exit at `end`: makes the
-  /// gates let open attempts finish in place.
-  void beginDrain(Instant end);
+  /// gates let open attempts finish in place. Requests that arrive at
+  /// `lateAfter` or later are refused unless their deadline is before `end`.
+  void beginDrain(Instant end, Instant lateAfter);
 
   /// Fails requests that cannot be completed before the node exits at `end`,
   /// while their responses can still be written. Called repeatedly until then.
@@ -179,6 +180,7 @@
   std::string nextId();
   static double maxLimitLoad(const RequestContext &context, Instant end);
   bool hasRoomForLimited(const RequestContext &context);
+  bool isTooLateToTake(const RequestContext &context) const;
   bool cannotEnd(const RequestContext &context) const;
   bool isTooLateToStart(const RequestContext &context) const;
   bool mayRetryDuringDrain(const RequestContext &context,
@@ -214,6 +216,8 @@
   std::atomic<bool> IsDraining = false;
   /// When the node exits; set while it is stopping.
   std::optional<Instant> EndsAt;
+  /// When callers have had the time to notice that the node is stopping.
+  Instant LateAfter;
   std::set<Attempt *> Attempts;
 };
 
--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -167,9 +167,10 @@
 }
 
 // A stopping node might exit before a retry on another endpoint completes.
-void Entry::beginDrain(Instant end) {
+void Entry::beginDrain(Instant end, Instant lateAfter) {
   IsDraining = true;
   EndsAt = end;
+  LateAfter = lateAfter;
   for (Attempt *attempt : Attempts)
     for (Attempt::Target &it : attempt->Targets) {
       if (!it.IsOpen)
@@ -181,6 +182,13 @@
     }
 }
 
+/// The refusal lets the caller safely send the request to another node, and a
+/// run that takes longer than expected would be broken off.
+bool Entry::isTooLateToTake(const RequestContext &context) const {
+  return EndsAt && now() >= LateAfter &&
+         context.Deadline + AnswerWriteTime >= *EndsAt;
+}
+
 /// Says so only of requests whose expected run time does not fit, since most
 /// callers are served worse by a refusal than by a run that may end in time.
 bool Entry::cannotEnd(const RequestContext &context) const {
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -32,6 +32,10 @@
 constexpr Millis HandOnTimeout = std::chrono::seconds(2);
 constexpr Millis StopPoll = std::chrono::milliseconds(20);
 
+/// How long after the linger the first request may come on a connection that
+/// was accepted as the linger ended.
+constexpr Micros FirstRequestTime = std::chrono::milliseconds(200);
+
 HttpResponse rejectedRequestAnswer(int status) {
   ErrorKind kind = status == 431   ? ErrorKind::HeadersTooLarge
                    : status == 413 ? ErrorKind::BodyTooLarge
@@ -483,9 +487,10 @@
     Gate->drainNow();
     return true;
   });
+  Instant lateAfter = begin + Config.Linger + FirstRequestTime;
   for (std::size_t i = 0; i < Entries.size(); ++i)
-    Traffic[i]->call([this, i, end] {
-      Entries[i]->beginDrain(end);
+    Traffic[i]->call([this, i, end, lateAfter] {
+      Entries[i]->beginDrain(end, lateAfter);
       return true;
     });
   if (!Platform)
