peers: judge silence of a link only after reading what has arrived

Callers of a node that was not scheduled for more than 0.4 s got 502 gate_lost for lookups whose server was at work, or had them run twice.

After a pause the heartbeat timer expires before the frames are read that wait in the socket, so the entry took its own pause for silence of the gate and closed every busy link. Only an entry's end of a link is ever busy: the gate's end had not given up anything.

A link is now silent only if, besides the 400 ms, as many heartbeat periods have expired as fit into them. A pause expires one period; the frames are read before the next. A process that is not paused sees the same bound as before.

--- a/src/libfleet/peers/link.cpp
+++ b/src/libfleet/peers/link.cpp
@@ -21,6 +21,11 @@
 /// heartbeats and the time for which a VM with a processor quota may be paused.
 constexpr Micros SilenceLimit = std::chrono::milliseconds(400);
 
+/// Heartbeat periods that expire within SilenceLimit unless this process itself
+/// was paused. After a pause, the timer expires before the frames are read that
+/// have arrived meanwhile.
+constexpr int MinSilentPeriods = SilenceLimit / HeartbeatPeriod + 1;
+
 constexpr std::size_t ChunkBytes = 64 * 1024;
 constexpr std::size_t MaxWriteBytes = 256 * 1024;
 
@@ -93,6 +98,7 @@
     return;
   Busy = isBusy;
   BusySince = now();
+  SilentPeriods = 0;
   if (IsStarted && !IsHeartbeatActive)
     sendHeartbeat();
 }
@@ -189,7 +195,7 @@
       [self = shared_from_this(), begin](const error_code &ec, std::size_t n) {
         if (ec)
           return self->close("read failed");
-        self->LastReceived = now();
+        self->noteReceived();
         if (begin + n < self->Content.size())
           return self->readRest(begin + n);
         std::optional<wire::Frame> frame = decodeFrame(self->Content);
@@ -201,8 +207,12 @@
       });
 }
 
-void Link::takeFrame(wire::Frame frame) {
+void Link::noteReceived() {
   LastReceived = now();
+  SilentPeriods = 0;
+}
+
+void Link::takeFrame(wire::Frame frame) {
   if (frame.__isset.hello) {
     Peer = frame.hello;
   } else if (!Peer) {
@@ -220,6 +230,11 @@
   Handlers.OnFrame(shared_from_this(), std::move(frame));
 }
 
+bool Link::isSilent() const {
+  return now() - std::max(LastReceived, BusySince) > SilenceLimit &&
+         SilentPeriods >= MinSilentPeriods;
+}
+
 /// Repeats only while streams are in flight. The first heartbeat is sent at
 /// once, because an idle link may have been broken for a long time.
 void Link::sendHeartbeat() {
@@ -235,8 +250,8 @@
   Timer.async_wait([self = shared_from_this()](const error_code &ec) {
     if (ec || !self->Open)
       return;
-    Instant since = std::max(self->LastReceived, self->BusySince);
-    if (self->Busy && now() - since > SilenceLimit)
+    ++self->SilentPeriods;
+    if (self->Busy && self->isSilent())
       return self->close("silent");
     self->sendHeartbeat();
   });
--- a/src/libfleet/peers/link.h
+++ b/src/libfleet/peers/link.h
@@ -62,6 +62,8 @@
   void readContent(std::size_t length);
   void readRest(std::size_t begin);
   void takeFrame(wire::Frame frame);
+  void noteReceived();
+  bool isSilent() const;
   void writeNext();
   bool fillWriteBuffer();
   void sendHeartbeat();
@@ -88,6 +90,8 @@
   Instant OpenedAt;
   Instant LastReceived;
   Instant BusySince;
+  /// Heartbeat periods that have expired since the later of both.
+  int SilentPeriods = 0;
   std::int64_t HeartbeatSequence = 0;
 };
 
