--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -77,10 +77,9 @@
   // The sender understands Overdue. For senders of earlier releases the gate
   // itself ends runs that are overdue.
   25: bool decidesRetry
-}
-
-struct Grant {
-  1: string endpoint
+  // Share of the arrivals at the service's endpoints that the endpoints have
+  // shed lately, in percent, as far as the sender knows.
+  26: optional i32 shedPercent
 }
 
 // The request itself. It opens a stream, or claims the slot that a Grant
@@ -111,6 +110,13 @@
   6: optional i32 limitWaitMs
 }
 
+struct Grant {
+  1: string endpoint
+  // Load of the gate with the granted slot in use. Nodes of earlier releases
+  // don't send it.
+  2: optional Load load
+}
+
 struct Answer {
   1: i32 status
   2: list<Header> headers
@@ -194,6 +200,25 @@
   3: i64 rosterOffset
 }
 
+// Asks the owner of a workspace's quota for tokens, one for each request.
+struct QuotaRequest {
+  1: string workspace
+  2: i32 tokens
+  // Tokens of earlier replies that were not used.
+  3: i32 returned
+  // The sender asks a node that is not the first in the ranking of owners,
+  // since the first has not answered.
+  4: bool isFallback
+}
+
+struct QuotaReply {
+  1: i32 tokens
+  // Time until the next token if fewer were given than asked for.
+  2: i64 retryAfterMs
+  // The receiver of the request does not give out tokens of this workspace.
+  3: bool isUnknown
+}
+
 struct EndpointRecord {
   1: string name
   2: string workspace
@@ -361,4 +386,6 @@
   19: optional SnapshotHead snapshotHead
   20: optional Overdue overdue
   21: optional GiveUp giveUp
+  22: optional QuotaRequest quotaRequest
+  23: optional QuotaReply quotaReply
 }
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -790,6 +790,11 @@
 void Ticket::__set_decidesRetry(const bool val) {
   this->decidesRetry = val;
 }
+
+void Ticket::__set_shedPercent(const int32_t val) {
+  this->shedPercent = val;
+__isset.shedPercent = true;
+}
 std::ostream& operator<<(std::ostream& out, const Ticket& obj)
 {
   obj.printTo(out);
@@ -1022,6 +1027,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 26:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->shedPercent);
+          this->__isset.shedPercent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1144,6 +1157,11 @@
   xfer += oprot->writeBool(this->decidesRetry);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.shedPercent) {
+    xfer += oprot->writeFieldBegin("shedPercent", ::apache::thrift::protocol::T_I32, 26);
+    xfer += oprot->writeI32(this->shedPercent);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1175,6 +1193,7 @@
   swap(a.acceptsSilent, b.acceptsSilent);
   swap(a.notices, b.notices);
   swap(a.decidesRetry, b.decidesRetry);
+  swap(a.shedPercent, b.shedPercent);
   swap(a.__isset, b.__isset);
 }
 
@@ -1203,6 +1222,7 @@
   acceptsSilent = other22.acceptsSilent;
   notices = other22.notices;
   decidesRetry = other22.decidesRetry;
+  shedPercent = other22.shedPercent;
   __isset = other22.__isset;
 }
 Ticket::Ticket(Ticket&& other23) noexcept {
@@ -1230,6 +1250,7 @@
   acceptsSilent = other23.acceptsSilent;
   notices = std::move(other23.notices);
   decidesRetry = other23.decidesRetry;
+  shedPercent = other23.shedPercent;
   __isset = other23.__isset;
 }
 Ticket& Ticket::operator=(const Ticket& other24) {
@@ -1257,6 +1278,7 @@
   acceptsSilent = other24.acceptsSilent;
   notices = other24.notices;
   decidesRetry = other24.decidesRetry;
+  shedPercent = other24.shedPercent;
   __isset = other24.__isset;
   return *this;
 }
@@ -1285,6 +1307,7 @@
   acceptsSilent = other25.acceptsSilent;
   notices = std::move(other25.notices);
   decidesRetry = other25.decidesRetry;
+  shedPercent = other25.shedPercent;
   __isset = other25.__isset;
   return *this;
 }
@@ -1315,107 +1338,7 @@
   out << ", " << "acceptsSilent=" << to_string(acceptsSilent);
   out << ", " << "notices="; (__isset.notices ? (out << to_string(notices)) : (out << "<null>"));
   out << ", " << "decidesRetry=" << to_string(decidesRetry);
-  out << ")";
-}
-
-
-Grant::~Grant() noexcept {
-}
-
-
-void Grant::__set_endpoint(const std::string& val) {
-  this->endpoint = val;
-}
-std::ostream& operator<<(std::ostream& out, const Grant& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t Grant::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->endpoint);
-          this->__isset.endpoint = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t Grant::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("Grant");
-
-  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->endpoint);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(Grant &a, Grant &b) {
-  using ::std::swap;
-  swap(a.endpoint, b.endpoint);
-  swap(a.__isset, b.__isset);
-}
-
-Grant::Grant(const Grant& other26) {
-  endpoint = other26.endpoint;
-  __isset = other26.__isset;
-}
-Grant::Grant(Grant&& other27) noexcept {
-  endpoint = std::move(other27.endpoint);
-  __isset = other27.__isset;
-}
-Grant& Grant::operator=(const Grant& other28) {
-  endpoint = other28.endpoint;
-  __isset = other28.__isset;
-  return *this;
-}
-Grant& Grant::operator=(Grant&& other29) noexcept {
-  endpoint = std::move(other29.endpoint);
-  __isset = other29.__isset;
-  return *this;
-}
-void Grant::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "Grant(";
-  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "shedPercent="; (__isset.shedPercent ? (out << to_string(shedPercent)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1499,14 +1422,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->headers.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->headers.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->headers[_i34].read(iprot);
+              xfer += this->headers[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1555,10 +1478,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter35;
-    for (_iter35 = this->headers.begin(); _iter35 != this->headers.end(); ++_iter35)
+    std::vector<Header> ::const_iterator _iter31;
+    for (_iter31 = this->headers.begin(); _iter31 != this->headers.end(); ++_iter31)
     {
-      xfer += (*_iter35).write(oprot);
+      xfer += (*_iter31).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1583,38 +1506,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Call::Call(const Call& other36) {
-  ticket = other36.ticket;
-  method = other36.method;
-  target = other36.target;
-  headers = other36.headers;
-  bodyBytes = other36.bodyBytes;
-  __isset = other36.__isset;
-}
-Call::Call(Call&& other37) noexcept {
-  ticket = std::move(other37.ticket);
-  method = std::move(other37.method);
-  target = std::move(other37.target);
-  headers = std::move(other37.headers);
-  bodyBytes = other37.bodyBytes;
-  __isset = other37.__isset;
-}
-Call& Call::operator=(const Call& other38) {
-  ticket = other38.ticket;
-  method = other38.method;
-  target = other38.target;
-  headers = other38.headers;
-  bodyBytes = other38.bodyBytes;
-  __isset = other38.__isset;
+Call::Call(const Call& other32) {
+  ticket = other32.ticket;
+  method = other32.method;
+  target = other32.target;
+  headers = other32.headers;
+  bodyBytes = other32.bodyBytes;
+  __isset = other32.__isset;
+}
+Call::Call(Call&& other33) noexcept {
+  ticket = std::move(other33.ticket);
+  method = std::move(other33.method);
+  target = std::move(other33.target);
+  headers = std::move(other33.headers);
+  bodyBytes = other33.bodyBytes;
+  __isset = other33.__isset;
+}
+Call& Call::operator=(const Call& other34) {
+  ticket = other34.ticket;
+  method = other34.method;
+  target = other34.target;
+  headers = other34.headers;
+  bodyBytes = other34.bodyBytes;
+  __isset = other34.__isset;
   return *this;
 }
-Call& Call::operator=(Call&& other39) noexcept {
-  ticket = std::move(other39.ticket);
-  method = std::move(other39.method);
-  target = std::move(other39.target);
-  headers = std::move(other39.headers);
-  bodyBytes = other39.bodyBytes;
-  __isset = other39.__isset;
+Call& Call::operator=(Call&& other35) noexcept {
+  ticket = std::move(other35.ticket);
+  method = std::move(other35.method);
+  target = std::move(other35.target);
+  headers = std::move(other35.headers);
+  bodyBytes = other35.bodyBytes;
+  __isset = other35.__isset;
   return *this;
 }
 void Call::printTo(std::ostream& out) const {
@@ -1704,22 +1627,22 @@
   swap(a.__isset, b.__isset);
 }
 
-Data::Data(const Data& other40) {
-  bytes = other40.bytes;
-  __isset = other40.__isset;
+Data::Data(const Data& other36) {
+  bytes = other36.bytes;
+  __isset = other36.__isset;
 }
-Data::Data(Data&& other41) noexcept {
-  bytes = std::move(other41.bytes);
-  __isset = other41.__isset;
+Data::Data(Data&& other37) noexcept {
+  bytes = std::move(other37.bytes);
+  __isset = other37.__isset;
 }
-Data& Data::operator=(const Data& other42) {
-  bytes = other42.bytes;
-  __isset = other42.__isset;
+Data& Data::operator=(const Data& other38) {
+  bytes = other38.bytes;
+  __isset = other38.__isset;
   return *this;
 }
-Data& Data::operator=(Data&& other43) noexcept {
-  bytes = std::move(other43.bytes);
-  __isset = other43.__isset;
+Data& Data::operator=(Data&& other39) noexcept {
+  bytes = std::move(other39.bytes);
+  __isset = other39.__isset;
   return *this;
 }
 void Data::printTo(std::ostream& out) const {
@@ -1894,42 +1817,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Load::Load(const Load& other44) noexcept {
-  freeSlots = other44.freeSlots;
-  queued = other44.queued;
-  slots = other44.slots;
-  standing = other44.standing;
-  limitPerSecond = other44.limitPerSecond;
-  limitWaitMs = other44.limitWaitMs;
-  __isset = other44.__isset;
+Load::Load(const Load& other40) noexcept {
+  freeSlots = other40.freeSlots;
+  queued = other40.queued;
+  slots = other40.slots;
+  standing = other40.standing;
+  limitPerSecond = other40.limitPerSecond;
+  limitWaitMs = other40.limitWaitMs;
+  __isset = other40.__isset;
 }
-Load::Load(Load&& other45) noexcept {
-  freeSlots = other45.freeSlots;
-  queued = other45.queued;
-  slots = other45.slots;
-  standing = other45.standing;
-  limitPerSecond = other45.limitPerSecond;
-  limitWaitMs = other45.limitWaitMs;
-  __isset = other45.__isset;
+Load::Load(Load&& other41) noexcept {
+  freeSlots = other41.freeSlots;
+  queued = other41.queued;
+  slots = other41.slots;
+  standing = other41.standing;
+  limitPerSecond = other41.limitPerSecond;
+  limitWaitMs = other41.limitWaitMs;
+  __isset = other41.__isset;
 }
-Load& Load::operator=(const Load& other46) noexcept {
-  freeSlots = other46.freeSlots;
-  queued = other46.queued;
-  slots = other46.slots;
-  standing = other46.standing;
-  limitPerSecond = other46.limitPerSecond;
-  limitWaitMs = other46.limitWaitMs;
-  __isset = other46.__isset;
+Load& Load::operator=(const Load& other42) noexcept {
+  freeSlots = other42.freeSlots;
+  queued = other42.queued;
+  slots = other42.slots;
+  standing = other42.standing;
+  limitPerSecond = other42.limitPerSecond;
+  limitWaitMs = other42.limitWaitMs;
+  __isset = other42.__isset;
   return *this;
 }
-Load& Load::operator=(Load&& other47) noexcept {
-  freeSlots = other47.freeSlots;
-  queued = other47.queued;
-  slots = other47.slots;
-  standing = other47.standing;
-  limitPerSecond = other47.limitPerSecond;
-  limitWaitMs = other47.limitWaitMs;
-  __isset = other47.__isset;
+Load& Load::operator=(Load&& other43) noexcept {
+  freeSlots = other43.freeSlots;
+  queued = other43.queued;
+  slots = other43.slots;
+  standing = other43.standing;
+  limitPerSecond = other43.limitPerSecond;
+  limitWaitMs = other43.limitWaitMs;
+  __isset = other43.__isset;
   return *this;
 }
 void Load::printTo(std::ostream& out) const {
@@ -1945,6 +1868,131 @@
 }
 
 
+Grant::~Grant() noexcept {
+}
+
+
+void Grant::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void Grant::__set_load(const Load& val) {
+  this->load = val;
+__isset.load = true;
+}
+std::ostream& operator<<(std::ostream& out, const Grant& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Grant::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->load.read(iprot);
+          this->__isset.load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Grant::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Grant");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.load) {
+    xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->load.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Grant &a, Grant &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.load, b.load);
+  swap(a.__isset, b.__isset);
+}
+
+Grant::Grant(const Grant& other44) {
+  endpoint = other44.endpoint;
+  load = other44.load;
+  __isset = other44.__isset;
+}
+Grant::Grant(Grant&& other45) noexcept {
+  endpoint = std::move(other45.endpoint);
+  load = std::move(other45.load);
+  __isset = other45.__isset;
+}
+Grant& Grant::operator=(const Grant& other46) {
+  endpoint = other46.endpoint;
+  load = other46.load;
+  __isset = other46.__isset;
+  return *this;
+}
+Grant& Grant::operator=(Grant&& other47) noexcept {
+  endpoint = std::move(other47.endpoint);
+  load = std::move(other47.load);
+  __isset = other47.__isset;
+  return *this;
+}
+void Grant::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Grant(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
+  out << ")";
+}
+
+
 Answer::~Answer() noexcept {
 }
 
@@ -3410,42 +3458,340 @@
   __isset = other99.__isset;
   return *this;
 }
-void KeyRecord::printTo(std::ostream& out) const {
+void KeyRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "KeyRecord(";
+  out << "key=" << to_string(key);
+  out << ", " << "requestId=" << to_string(requestId);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "state=" << to_string(state);
+  out << ", " << "answer="; (__isset.answer ? (out << to_string(answer)) : (out << "<null>"));
+  out << ", " << "lifetimeMs=" << to_string(lifetimeMs);
+  out << ")";
+}
+
+
+KeyRequest::~KeyRequest() noexcept {
+}
+
+
+void KeyRequest::__set_operation(const KeyOperation::type val) {
+  this->operation = val;
+}
+
+void KeyRequest::__set_record(const KeyRecord& val) {
+  this->record = val;
+}
+
+void KeyRequest::__set_rosterOffset(const int64_t val) {
+  this->rosterOffset = val;
+}
+std::ostream& operator<<(std::ostream& out, const KeyRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t KeyRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast100;
+          xfer += iprot->readI32(ecast100);
+          this->operation = static_cast<KeyOperation::type>(ecast100);
+          this->__isset.operation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->record.read(iprot);
+          this->__isset.record = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rosterOffset);
+          this->__isset.rosterOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t KeyRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("KeyRequest");
+
+  xfer += oprot->writeFieldBegin("operation", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->operation));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("record", ::apache::thrift::protocol::T_STRUCT, 2);
+  xfer += this->record.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rosterOffset", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->rosterOffset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(KeyRequest &a, KeyRequest &b) {
+  using ::std::swap;
+  swap(a.operation, b.operation);
+  swap(a.record, b.record);
+  swap(a.rosterOffset, b.rosterOffset);
+  swap(a.__isset, b.__isset);
+}
+
+KeyRequest::KeyRequest(const KeyRequest& other101) {
+  operation = other101.operation;
+  record = other101.record;
+  rosterOffset = other101.rosterOffset;
+  __isset = other101.__isset;
+}
+KeyRequest::KeyRequest(KeyRequest&& other102) noexcept {
+  operation = other102.operation;
+  record = std::move(other102.record);
+  rosterOffset = other102.rosterOffset;
+  __isset = other102.__isset;
+}
+KeyRequest& KeyRequest::operator=(const KeyRequest& other103) {
+  operation = other103.operation;
+  record = other103.record;
+  rosterOffset = other103.rosterOffset;
+  __isset = other103.__isset;
+  return *this;
+}
+KeyRequest& KeyRequest::operator=(KeyRequest&& other104) noexcept {
+  operation = other104.operation;
+  record = std::move(other104.record);
+  rosterOffset = other104.rosterOffset;
+  __isset = other104.__isset;
+  return *this;
+}
+void KeyRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "KeyRequest(";
+  out << "operation=" << to_string(operation);
+  out << ", " << "record=" << to_string(record);
+  out << ", " << "rosterOffset=" << to_string(rosterOffset);
+  out << ")";
+}
+
+
+KeyReply::~KeyReply() noexcept {
+}
+
+
+void KeyReply::__set_verdict(const int32_t val) {
+  this->verdict = val;
+}
+
+void KeyReply::__set_record(const KeyRecord& val) {
+  this->record = val;
+__isset.record = true;
+}
+
+void KeyReply::__set_rosterOffset(const int64_t val) {
+  this->rosterOffset = val;
+}
+std::ostream& operator<<(std::ostream& out, const KeyReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t KeyReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->record.read(iprot);
+          this->__isset.record = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->rosterOffset);
+          this->__isset.rosterOffset = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t KeyReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("KeyReply");
+
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.record) {
+    xfer += oprot->writeFieldBegin("record", ::apache::thrift::protocol::T_STRUCT, 2);
+    xfer += this->record.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("rosterOffset", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->rosterOffset);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(KeyReply &a, KeyReply &b) {
+  using ::std::swap;
+  swap(a.verdict, b.verdict);
+  swap(a.record, b.record);
+  swap(a.rosterOffset, b.rosterOffset);
+  swap(a.__isset, b.__isset);
+}
+
+KeyReply::KeyReply(const KeyReply& other105) {
+  verdict = other105.verdict;
+  record = other105.record;
+  rosterOffset = other105.rosterOffset;
+  __isset = other105.__isset;
+}
+KeyReply::KeyReply(KeyReply&& other106) noexcept {
+  verdict = other106.verdict;
+  record = std::move(other106.record);
+  rosterOffset = other106.rosterOffset;
+  __isset = other106.__isset;
+}
+KeyReply& KeyReply::operator=(const KeyReply& other107) {
+  verdict = other107.verdict;
+  record = other107.record;
+  rosterOffset = other107.rosterOffset;
+  __isset = other107.__isset;
+  return *this;
+}
+KeyReply& KeyReply::operator=(KeyReply&& other108) noexcept {
+  verdict = other108.verdict;
+  record = std::move(other108.record);
+  rosterOffset = other108.rosterOffset;
+  __isset = other108.__isset;
+  return *this;
+}
+void KeyReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "KeyRecord(";
-  out << "key=" << to_string(key);
-  out << ", " << "requestId=" << to_string(requestId);
-  out << ", " << "fingerprint=" << to_string(fingerprint);
-  out << ", " << "state=" << to_string(state);
-  out << ", " << "answer="; (__isset.answer ? (out << to_string(answer)) : (out << "<null>"));
-  out << ", " << "lifetimeMs=" << to_string(lifetimeMs);
+  out << "KeyReply(";
+  out << "verdict=" << to_string(verdict);
+  out << ", " << "record="; (__isset.record ? (out << to_string(record)) : (out << "<null>"));
+  out << ", " << "rosterOffset=" << to_string(rosterOffset);
   out << ")";
 }
 
 
-KeyRequest::~KeyRequest() noexcept {
+QuotaRequest::~QuotaRequest() noexcept {
 }
 
 
-void KeyRequest::__set_operation(const KeyOperation::type val) {
-  this->operation = val;
+void QuotaRequest::__set_workspace(const std::string& val) {
+  this->workspace = val;
 }
 
-void KeyRequest::__set_record(const KeyRecord& val) {
-  this->record = val;
+void QuotaRequest::__set_tokens(const int32_t val) {
+  this->tokens = val;
 }
 
-void KeyRequest::__set_rosterOffset(const int64_t val) {
-  this->rosterOffset = val;
+void QuotaRequest::__set_returned(const int32_t val) {
+  this->returned = val;
 }
-std::ostream& operator<<(std::ostream& out, const KeyRequest& obj)
+
+void QuotaRequest::__set_isFallback(const bool val) {
+  this->isFallback = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t KeyRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t QuotaRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3467,27 +3813,33 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast100;
-          xfer += iprot->readI32(ecast100);
-          this->operation = static_cast<KeyOperation::type>(ecast100);
-          this->__isset.operation = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->record.read(iprot);
-          this->__isset.record = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens);
+          this->__isset.tokens = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->rosterOffset);
-          this->__isset.rosterOffset = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->returned);
+          this->__isset.returned = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isFallback);
+          this->__isset.isFallback = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3504,21 +3856,25 @@
   return xfer;
 }
 
-uint32_t KeyRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t QuotaRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("KeyRequest");
+  xfer += oprot->writeStructBegin("QuotaRequest");
 
-  xfer += oprot->writeFieldBegin("operation", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->operation));
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->workspace);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("record", ::apache::thrift::protocol::T_STRUCT, 2);
-  xfer += this->record.write(oprot);
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->tokens);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("rosterOffset", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->rosterOffset);
+  xfer += oprot->writeFieldBegin("returned", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->returned);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isFallback", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->isFallback);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3526,74 +3882,79 @@
   return xfer;
 }
 
-void swap(KeyRequest &a, KeyRequest &b) {
+void swap(QuotaRequest &a, QuotaRequest &b) {
   using ::std::swap;
-  swap(a.operation, b.operation);
-  swap(a.record, b.record);
-  swap(a.rosterOffset, b.rosterOffset);
+  swap(a.workspace, b.workspace);
+  swap(a.tokens, b.tokens);
+  swap(a.returned, b.returned);
+  swap(a.isFallback, b.isFallback);
   swap(a.__isset, b.__isset);
 }
 
-KeyRequest::KeyRequest(const KeyRequest& other101) {
-  operation = other101.operation;
-  record = other101.record;
-  rosterOffset = other101.rosterOffset;
-  __isset = other101.__isset;
+QuotaRequest::QuotaRequest(const QuotaRequest& other109) {
+  workspace = other109.workspace;
+  tokens = other109.tokens;
+  returned = other109.returned;
+  isFallback = other109.isFallback;
+  __isset = other109.__isset;
 }
-KeyRequest::KeyRequest(KeyRequest&& other102) noexcept {
-  operation = other102.operation;
-  record = std::move(other102.record);
-  rosterOffset = other102.rosterOffset;
-  __isset = other102.__isset;
+QuotaRequest::QuotaRequest(QuotaRequest&& other110) noexcept {
+  workspace = std::move(other110.workspace);
+  tokens = other110.tokens;
+  returned = other110.returned;
+  isFallback = other110.isFallback;
+  __isset = other110.__isset;
 }
-KeyRequest& KeyRequest::operator=(const KeyRequest& other103) {
-  operation = other103.operation;
-  record = other103.record;
-  rosterOffset = other103.rosterOffset;
-  __isset = other103.__isset;
+QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other111) {
+  workspace = other111.workspace;
+  tokens = other111.tokens;
+  returned = other111.returned;
+  isFallback = other111.isFallback;
+  __isset = other111.__isset;
   return *this;
 }
-KeyRequest& KeyRequest::operator=(KeyRequest&& other104) noexcept {
-  operation = other104.operation;
-  record = std::move(other104.record);
-  rosterOffset = other104.rosterOffset;
-  __isset = other104.__isset;
+QuotaRequest& QuotaRequest::operator=(QuotaRequest&& other112) noexcept {
+  workspace = std::move(other112.workspace);
+  tokens = other112.tokens;
+  returned = other112.returned;
+  isFallback = other112.isFallback;
+  __isset = other112.__isset;
   return *this;
 }
-void KeyRequest::printTo(std::ostream& out) const {
+void QuotaRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "KeyRequest(";
-  out << "operation=" << to_string(operation);
-  out << ", " << "record=" << to_string(record);
-  out << ", " << "rosterOffset=" << to_string(rosterOffset);
+  out << "QuotaRequest(";
+  out << "workspace=" << to_string(workspace);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "returned=" << to_string(returned);
+  out << ", " << "isFallback=" << to_string(isFallback);
   out << ")";
 }
 
 
-KeyReply::~KeyReply() noexcept {
+QuotaReply::~QuotaReply() noexcept {
 }
 
 
-void KeyReply::__set_verdict(const int32_t val) {
-  this->verdict = val;
+void QuotaReply::__set_tokens(const int32_t val) {
+  this->tokens = val;
 }
 
-void KeyReply::__set_record(const KeyRecord& val) {
-  this->record = val;
-__isset.record = true;
+void QuotaReply::__set_retryAfterMs(const int64_t val) {
+  this->retryAfterMs = val;
 }
 
-void KeyReply::__set_rosterOffset(const int64_t val) {
-  this->rosterOffset = val;
+void QuotaReply::__set_isUnknown(const bool val) {
+  this->isUnknown = val;
 }
-std::ostream& operator<<(std::ostream& out, const KeyReply& obj)
+std::ostream& operator<<(std::ostream& out, const QuotaReply& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t KeyReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t QuotaReply::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3616,24 +3977,24 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->verdict);
-          this->__isset.verdict = true;
+          xfer += iprot->readI32(this->tokens);
+          this->__isset.tokens = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->record.read(iprot);
-          this->__isset.record = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retryAfterMs);
+          this->__isset.retryAfterMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->rosterOffset);
-          this->__isset.rosterOffset = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isUnknown);
+          this->__isset.isUnknown = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3650,22 +4011,21 @@
   return xfer;
 }
 
-uint32_t KeyReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t QuotaReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("KeyReply");
+  xfer += oprot->writeStructBegin("QuotaReply");
 
-  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->verdict);
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->tokens);
   xfer += oprot->writeFieldEnd();
 
-  if (this->__isset.record) {
-    xfer += oprot->writeFieldBegin("record", ::apache::thrift::protocol::T_STRUCT, 2);
-    xfer += this->record.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  xfer += oprot->writeFieldBegin("rosterOffset", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->rosterOffset);
+  xfer += oprot->writeFieldBegin("retryAfterMs", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->retryAfterMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isUnknown", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->isUnknown);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3673,46 +4033,46 @@
   return xfer;
 }
 
-void swap(KeyReply &a, KeyReply &b) {
+void swap(QuotaReply &a, QuotaReply &b) {
   using ::std::swap;
-  swap(a.verdict, b.verdict);
-  swap(a.record, b.record);
-  swap(a.rosterOffset, b.rosterOffset);
+  swap(a.tokens, b.tokens);
+  swap(a.retryAfterMs, b.retryAfterMs);
+  swap(a.isUnknown, b.isUnknown);
   swap(a.__isset, b.__isset);
 }
 
-KeyReply::KeyReply(const KeyReply& other105) {
-  verdict = other105.verdict;
-  record = other105.record;
-  rosterOffset = other105.rosterOffset;
-  __isset = other105.__isset;
+QuotaReply::QuotaReply(const QuotaReply& other113) noexcept {
+  tokens = other113.tokens;
+  retryAfterMs = other113.retryAfterMs;
+  isUnknown = other113.isUnknown;
+  __isset = other113.__isset;
 }
-KeyReply::KeyReply(KeyReply&& other106) noexcept {
-  verdict = other106.verdict;
-  record = std::move(other106.record);
-  rosterOffset = other106.rosterOffset;
-  __isset = other106.__isset;
+QuotaReply::QuotaReply(QuotaReply&& other114) noexcept {
+  tokens = other114.tokens;
+  retryAfterMs = other114.retryAfterMs;
+  isUnknown = other114.isUnknown;
+  __isset = other114.__isset;
 }
-KeyReply& KeyReply::operator=(const KeyReply& other107) {
-  verdict = other107.verdict;
-  record = other107.record;
-  rosterOffset = other107.rosterOffset;
-  __isset = other107.__isset;
+QuotaReply& QuotaReply::operator=(const QuotaReply& other115) noexcept {
+  tokens = other115.tokens;
+  retryAfterMs = other115.retryAfterMs;
+  isUnknown = other115.isUnknown;
+  __isset = other115.__isset;
   return *this;
 }
-KeyReply& KeyReply::operator=(KeyReply&& other108) noexcept {
-  verdict = other108.verdict;
-  record = std::move(other108.record);
-  rosterOffset = other108.rosterOffset;
-  __isset = other108.__isset;
+QuotaReply& QuotaReply::operator=(QuotaReply&& other116) noexcept {
+  tokens = other116.tokens;
+  retryAfterMs = other116.retryAfterMs;
+  isUnknown = other116.isUnknown;
+  __isset = other116.__isset;
   return *this;
 }
-void KeyReply::printTo(std::ostream& out) const {
+void QuotaReply::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "KeyReply(";
-  out << "verdict=" << to_string(verdict);
-  out << ", " << "record="; (__isset.record ? (out << to_string(record)) : (out << "<null>"));
-  out << ", " << "rosterOffset=" << to_string(rosterOffset);
+  out << "QuotaReply(";
+  out << "tokens=" << to_string(tokens);
+  out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
+  out << ", " << "isUnknown=" << to_string(isUnknown);
   out << ")";
 }
 
@@ -3877,42 +4237,42 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointRecord::EndpointRecord(const EndpointRecord& other109) {
-  name = other109.name;
-  workspace = other109.workspace;
-  serviceName = other109.serviceName;
-  slots = other109.slots;
-  generation = other109.generation;
-  state = other109.state;
-  __isset = other109.__isset;
-}
-EndpointRecord::EndpointRecord(EndpointRecord&& other110) noexcept {
-  name = std::move(other110.name);
-  workspace = std::move(other110.workspace);
-  serviceName = std::move(other110.serviceName);
-  slots = other110.slots;
-  generation = other110.generation;
-  state = other110.state;
-  __isset = other110.__isset;
-}
-EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other111) {
-  name = other111.name;
-  workspace = other111.workspace;
-  serviceName = other111.serviceName;
-  slots = other111.slots;
-  generation = other111.generation;
-  state = other111.state;
-  __isset = other111.__isset;
+EndpointRecord::EndpointRecord(const EndpointRecord& other117) {
+  name = other117.name;
+  workspace = other117.workspace;
+  serviceName = other117.serviceName;
+  slots = other117.slots;
+  generation = other117.generation;
+  state = other117.state;
+  __isset = other117.__isset;
+}
+EndpointRecord::EndpointRecord(EndpointRecord&& other118) noexcept {
+  name = std::move(other118.name);
+  workspace = std::move(other118.workspace);
+  serviceName = std::move(other118.serviceName);
+  slots = other118.slots;
+  generation = other118.generation;
+  state = other118.state;
+  __isset = other118.__isset;
+}
+EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other119) {
+  name = other119.name;
+  workspace = other119.workspace;
+  serviceName = other119.serviceName;
+  slots = other119.slots;
+  generation = other119.generation;
+  state = other119.state;
+  __isset = other119.__isset;
   return *this;
 }
-EndpointRecord& EndpointRecord::operator=(EndpointRecord&& other112) noexcept {
-  name = std::move(other112.name);
-  workspace = std::move(other112.workspace);
-  serviceName = std::move(other112.serviceName);
-  slots = other112.slots;
-  generation = other112.generation;
-  state = other112.state;
-  __isset = other112.__isset;
+EndpointRecord& EndpointRecord::operator=(EndpointRecord&& other120) noexcept {
+  name = std::move(other120.name);
+  workspace = std::move(other120.workspace);
+  serviceName = std::move(other120.serviceName);
+  slots = other120.slots;
+  generation = other120.generation;
+  state = other120.state;
+  __isset = other120.__isset;
   return *this;
 }
 void EndpointRecord::printTo(std::ostream& out) const {
@@ -4020,26 +4380,26 @@
   swap(a.__isset, b.__isset);
 }
 
-DepartedRecord::DepartedRecord(const DepartedRecord& other113) {
-  name = other113.name;
-  startedAtMs = other113.startedAtMs;
-  __isset = other113.__isset;
+DepartedRecord::DepartedRecord(const DepartedRecord& other121) {
+  name = other121.name;
+  startedAtMs = other121.startedAtMs;
+  __isset = other121.__isset;
 }
-DepartedRecord::DepartedRecord(DepartedRecord&& other114) noexcept {
-  name = std::move(other114.name);
-  startedAtMs = other114.startedAtMs;
-  __isset = other114.__isset;
+DepartedRecord::DepartedRecord(DepartedRecord&& other122) noexcept {
+  name = std::move(other122.name);
+  startedAtMs = other122.startedAtMs;
+  __isset = other122.__isset;
 }
-DepartedRecord& DepartedRecord::operator=(const DepartedRecord& other115) {
-  name = other115.name;
-  startedAtMs = other115.startedAtMs;
-  __isset = other115.__isset;
+DepartedRecord& DepartedRecord::operator=(const DepartedRecord& other123) {
+  name = other123.name;
+  startedAtMs = other123.startedAtMs;
+  __isset = other123.__isset;
   return *this;
 }
-DepartedRecord& DepartedRecord::operator=(DepartedRecord&& other116) noexcept {
-  name = std::move(other116.name);
-  startedAtMs = other116.startedAtMs;
-  __isset = other116.__isset;
+DepartedRecord& DepartedRecord::operator=(DepartedRecord&& other124) noexcept {
+  name = std::move(other124.name);
+  startedAtMs = other124.startedAtMs;
+  __isset = other124.__isset;
   return *this;
 }
 void DepartedRecord::printTo(std::ostream& out) const {
@@ -4190,14 +4550,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size117;
-            ::apache::thrift::protocol::TType _etype120;
-            xfer += iprot->readListBegin(_etype120, _size117);
-            this->endpoints.resize(_size117);
-            uint32_t _i121;
-            for (_i121 = 0; _i121 < _size117; ++_i121)
+            uint32_t _size125;
+            ::apache::thrift::protocol::TType _etype128;
+            xfer += iprot->readListBegin(_etype128, _size125);
+            this->endpoints.resize(_size125);
+            uint32_t _i129;
+            for (_i129 = 0; _i129 < _size125; ++_i129)
             {
-              xfer += this->endpoints[_i121].read(iprot);
+              xfer += this->endpoints[_i129].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4226,14 +4586,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departed.clear();
-            uint32_t _size122;
-            ::apache::thrift::protocol::TType _etype125;
-            xfer += iprot->readListBegin(_etype125, _size122);
-            this->departed.resize(_size122);
-            uint32_t _i126;
-            for (_i126 = 0; _i126 < _size122; ++_i126)
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->departed.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
             {
-              xfer += this->departed[_i126].read(iprot);
+              xfer += this->departed[_i134].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4298,10 +4658,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter127;
-    for (_iter127 = this->endpoints.begin(); _iter127 != this->endpoints.end(); ++_iter127)
+    std::vector<EndpointRecord> ::const_iterator _iter135;
+    for (_iter135 = this->endpoints.begin(); _iter135 != this->endpoints.end(); ++_iter135)
     {
-      xfer += (*_iter127).write(oprot);
+      xfer += (*_iter135).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4318,10 +4678,10 @@
   xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departed.size()));
-    std::vector<DepartedRecord> ::const_iterator _iter128;
-    for (_iter128 = this->departed.begin(); _iter128 != this->departed.end(); ++_iter128)
+    std::vector<DepartedRecord> ::const_iterator _iter136;
+    for (_iter136 = this->departed.begin(); _iter136 != this->departed.end(); ++_iter136)
     {
-      xfer += (*_iter128).write(oprot);
+      xfer += (*_iter136).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4353,66 +4713,66 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other129) {
-  node = other129.node;
-  bootId = other129.bootId;
-  version = other129.version;
-  fleetAddress = other129.fleetAddress;
-  adminAddress = other129.adminAddress;
-  dataCentre = other129.dataCentre;
-  state = other129.state;
-  endpoints = other129.endpoints;
-  settingsOffset = other129.settingsOffset;
-  ledgerOffset = other129.ledgerOffset;
-  departed = other129.departed;
-  linkMbps = other129.linkMbps;
-  __isset = other129.__isset;
-}
-MemberRecord::MemberRecord(MemberRecord&& other130) noexcept {
-  node = std::move(other130.node);
-  bootId = other130.bootId;
-  version = other130.version;
-  fleetAddress = std::move(other130.fleetAddress);
-  adminAddress = std::move(other130.adminAddress);
-  dataCentre = std::move(other130.dataCentre);
-  state = other130.state;
-  endpoints = std::move(other130.endpoints);
-  settingsOffset = other130.settingsOffset;
-  ledgerOffset = other130.ledgerOffset;
-  departed = std::move(other130.departed);
-  linkMbps = other130.linkMbps;
-  __isset = other130.__isset;
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other131) {
-  node = other131.node;
-  bootId = other131.bootId;
-  version = other131.version;
-  fleetAddress = other131.fleetAddress;
-  adminAddress = other131.adminAddress;
-  dataCentre = other131.dataCentre;
-  state = other131.state;
-  endpoints = other131.endpoints;
-  settingsOffset = other131.settingsOffset;
-  ledgerOffset = other131.ledgerOffset;
-  departed = other131.departed;
-  linkMbps = other131.linkMbps;
-  __isset = other131.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other137) {
+  node = other137.node;
+  bootId = other137.bootId;
+  version = other137.version;
+  fleetAddress = other137.fleetAddress;
+  adminAddress = other137.adminAddress;
+  dataCentre = other137.dataCentre;
+  state = other137.state;
+  endpoints = other137.endpoints;
+  settingsOffset = other137.settingsOffset;
+  ledgerOffset = other137.ledgerOffset;
+  departed = other137.departed;
+  linkMbps = other137.linkMbps;
+  __isset = other137.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other138) noexcept {
+  node = std::move(other138.node);
+  bootId = other138.bootId;
+  version = other138.version;
+  fleetAddress = std::move(other138.fleetAddress);
+  adminAddress = std::move(other138.adminAddress);
+  dataCentre = std::move(other138.dataCentre);
+  state = other138.state;
+  endpoints = std::move(other138.endpoints);
+  settingsOffset = other138.settingsOffset;
+  ledgerOffset = other138.ledgerOffset;
+  departed = std::move(other138.departed);
+  linkMbps = other138.linkMbps;
+  __isset = other138.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other139) {
+  node = other139.node;
+  bootId = other139.bootId;
+  version = other139.version;
+  fleetAddress = other139.fleetAddress;
+  adminAddress = other139.adminAddress;
+  dataCentre = other139.dataCentre;
+  state = other139.state;
+  endpoints = other139.endpoints;
+  settingsOffset = other139.settingsOffset;
+  ledgerOffset = other139.ledgerOffset;
+  departed = other139.departed;
+  linkMbps = other139.linkMbps;
+  __isset = other139.__isset;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other132) noexcept {
-  node = std::move(other132.node);
-  bootId = other132.bootId;
-  version = other132.version;
-  fleetAddress = std::move(other132.fleetAddress);
-  adminAddress = std::move(other132.adminAddress);
-  dataCentre = std::move(other132.dataCentre);
-  state = other132.state;
-  endpoints = std::move(other132.endpoints);
-  settingsOffset = other132.settingsOffset;
-  ledgerOffset = other132.ledgerOffset;
-  departed = std::move(other132.departed);
-  linkMbps = other132.linkMbps;
-  __isset = other132.__isset;
+MemberRecord& MemberRecord::operator=(MemberRecord&& other140) noexcept {
+  node = std::move(other140.node);
+  bootId = other140.bootId;
+  version = other140.version;
+  fleetAddress = std::move(other140.fleetAddress);
+  adminAddress = std::move(other140.adminAddress);
+  dataCentre = std::move(other140.dataCentre);
+  state = other140.state;
+  endpoints = std::move(other140.endpoints);
+  settingsOffset = other140.settingsOffset;
+  ledgerOffset = other140.ledgerOffset;
+  departed = std::move(other140.departed);
+  linkMbps = other140.linkMbps;
+  __isset = other140.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -4499,17 +4859,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->crashes.clear();
-            uint32_t _size133;
-            ::apache::thrift::protocol::TType _ktype134;
-            ::apache::thrift::protocol::TType _vtype135;
-            xfer += iprot->readMapBegin(_ktype134, _vtype135, _size133);
-            uint32_t _i137;
-            for (_i137 = 0; _i137 < _size133; ++_i137)
+            uint32_t _size141;
+            ::apache::thrift::protocol::TType _ktype142;
+            ::apache::thrift::protocol::TType _vtype143;
+            xfer += iprot->readMapBegin(_ktype142, _vtype143, _size141);
+            uint32_t _i145;
+            for (_i145 = 0; _i145 < _size141; ++_i145)
             {
-              std::string _key138;
-              xfer += iprot->readString(_key138);
-              int32_t& _val139 = this->crashes[_key138];
-              xfer += iprot->readI32(_val139);
+              std::string _key146;
+              xfer += iprot->readString(_key146);
+              int32_t& _val147 = this->crashes[_key146];
+              xfer += iprot->readI32(_val147);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4530,17 +4890,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->crashAgesMs.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _ktype141;
-            ::apache::thrift::protocol::TType _vtype142;
-            xfer += iprot->readMapBegin(_ktype141, _vtype142, _size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _ktype149;
+            ::apache::thrift::protocol::TType _vtype150;
+            xfer += iprot->readMapBegin(_ktype149, _vtype150, _size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
             {
-              std::string _key145;
-              xfer += iprot->readString(_key145);
-              int64_t& _val146 = this->crashAgesMs[_key145];
-              xfer += iprot->readI64(_val146);
+              std::string _key153;
+              xfer += iprot->readString(_key153);
+              int64_t& _val154 = this->crashAgesMs[_key153];
+              xfer += iprot->readI64(_val154);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4581,11 +4941,11 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crashes.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter147;
-    for (_iter147 = this->crashes.begin(); _iter147 != this->crashes.end(); ++_iter147)
+    std::map<std::string, int32_t> ::const_iterator _iter155;
+    for (_iter155 = this->crashes.begin(); _iter155 != this->crashes.end(); ++_iter155)
     {
-      xfer += oprot->writeString(_iter147->first);
-      xfer += oprot->writeI32(_iter147->second);
+      xfer += oprot->writeString(_iter155->first);
+      xfer += oprot->writeI32(_iter155->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -4599,11 +4959,11 @@
     xfer += oprot->writeFieldBegin("crashAgesMs", ::apache::thrift::protocol::T_MAP, 4);
     {
       xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->crashAgesMs.size()));
-      std::map<std::string, int64_t> ::const_iterator _iter148;
-      for (_iter148 = this->crashAgesMs.begin(); _iter148 != this->crashAgesMs.end(); ++_iter148)
+      std::map<std::string, int64_t> ::const_iterator _iter156;
+      for (_iter156 = this->crashAgesMs.begin(); _iter156 != this->crashAgesMs.end(); ++_iter156)
       {
-        xfer += oprot->writeString(_iter148->first);
-        xfer += oprot->writeI64(_iter148->second);
+        xfer += oprot->writeString(_iter156->first);
+        xfer += oprot->writeI64(_iter156->second);
       }
       xfer += oprot->writeMapEnd();
     }
@@ -4629,38 +4989,38 @@
   swap(a.__isset, b.__isset);
 }
 
-QuarantineRecord::QuarantineRecord(const QuarantineRecord& other149) {
-  fingerprint = other149.fingerprint;
-  crashes = other149.crashes;
-  remainingMs = other149.remainingMs;
-  crashAgesMs = other149.crashAgesMs;
-  completedAgeMs = other149.completedAgeMs;
-  __isset = other149.__isset;
-}
-QuarantineRecord::QuarantineRecord(QuarantineRecord&& other150) noexcept {
-  fingerprint = other150.fingerprint;
-  crashes = std::move(other150.crashes);
-  remainingMs = other150.remainingMs;
-  crashAgesMs = std::move(other150.crashAgesMs);
-  completedAgeMs = other150.completedAgeMs;
-  __isset = other150.__isset;
-}
-QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other151) {
-  fingerprint = other151.fingerprint;
-  crashes = other151.crashes;
-  remainingMs = other151.remainingMs;
-  crashAgesMs = other151.crashAgesMs;
-  completedAgeMs = other151.completedAgeMs;
-  __isset = other151.__isset;
+QuarantineRecord::QuarantineRecord(const QuarantineRecord& other157) {
+  fingerprint = other157.fingerprint;
+  crashes = other157.crashes;
+  remainingMs = other157.remainingMs;
+  crashAgesMs = other157.crashAgesMs;
+  completedAgeMs = other157.completedAgeMs;
+  __isset = other157.__isset;
+}
+QuarantineRecord::QuarantineRecord(QuarantineRecord&& other158) noexcept {
+  fingerprint = other158.fingerprint;
+  crashes = std::move(other158.crashes);
+  remainingMs = other158.remainingMs;
+  crashAgesMs = std::move(other158.crashAgesMs);
+  completedAgeMs = other158.completedAgeMs;
+  __isset = other158.__isset;
+}
+QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other159) {
+  fingerprint = other159.fingerprint;
+  crashes = other159.crashes;
+  remainingMs = other159.remainingMs;
+  crashAgesMs = other159.crashAgesMs;
+  completedAgeMs = other159.completedAgeMs;
+  __isset = other159.__isset;
   return *this;
 }
-QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other152) noexcept {
-  fingerprint = other152.fingerprint;
-  crashes = std::move(other152.crashes);
-  remainingMs = other152.remainingMs;
-  crashAgesMs = std::move(other152.crashAgesMs);
-  completedAgeMs = other152.completedAgeMs;
-  __isset = other152.__isset;
+QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other160) noexcept {
+  fingerprint = other160.fingerprint;
+  crashes = std::move(other160.crashes);
+  remainingMs = other160.remainingMs;
+  crashAgesMs = std::move(other160.crashAgesMs);
+  completedAgeMs = other160.completedAgeMs;
+  __isset = other160.__isset;
   return *this;
 }
 void QuarantineRecord::printTo(std::ostream& out) const {
@@ -4767,26 +5127,26 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberUpdate::MemberUpdate(const MemberUpdate& other153) {
-  record = other153.record;
-  state = other153.state;
-  __isset = other153.__isset;
+MemberUpdate::MemberUpdate(const MemberUpdate& other161) {
+  record = other161.record;
+  state = other161.state;
+  __isset = other161.__isset;
 }
-MemberUpdate::MemberUpdate(MemberUpdate&& other154) noexcept {
-  record = std::move(other154.record);
-  state = other154.state;
-  __isset = other154.__isset;
+MemberUpdate::MemberUpdate(MemberUpdate&& other162) noexcept {
+  record = std::move(other162.record);
+  state = other162.state;
+  __isset = other162.__isset;
 }
-MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other155) {
-  record = other155.record;
-  state = other155.state;
-  __isset = other155.__isset;
+MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other163) {
+  record = other163.record;
+  state = other163.state;
+  __isset = other163.__isset;
   return *this;
 }
-MemberUpdate& MemberUpdate::operator=(MemberUpdate&& other156) noexcept {
-  record = std::move(other156.record);
-  state = other156.state;
-  __isset = other156.__isset;
+MemberUpdate& MemberUpdate::operator=(MemberUpdate&& other164) noexcept {
+  record = std::move(other164.record);
+  state = other164.state;
+  __isset = other164.__isset;
   return *this;
 }
 void MemberUpdate::printTo(std::ostream& out) const {
@@ -4873,17 +5233,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->states.clear();
-            uint32_t _size157;
-            ::apache::thrift::protocol::TType _ktype158;
-            ::apache::thrift::protocol::TType _vtype159;
-            xfer += iprot->readMapBegin(_ktype158, _vtype159, _size157);
-            uint32_t _i161;
-            for (_i161 = 0; _i161 < _size157; ++_i161)
+            uint32_t _size165;
+            ::apache::thrift::protocol::TType _ktype166;
+            ::apache::thrift::protocol::TType _vtype167;
+            xfer += iprot->readMapBegin(_ktype166, _vtype167, _size165);
+            uint32_t _i169;
+            for (_i169 = 0; _i169 < _size165; ++_i169)
             {
-              std::string _key162;
-              xfer += iprot->readString(_key162);
-              int32_t& _val163 = this->states[_key162];
-              xfer += iprot->readI32(_val163);
+              std::string _key170;
+              xfer += iprot->readString(_key170);
+              int32_t& _val171 = this->states[_key170];
+              xfer += iprot->readI32(_val171);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4924,11 +5284,11 @@
   xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->states.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter164;
-    for (_iter164 = this->states.begin(); _iter164 != this->states.end(); ++_iter164)
+    std::map<std::string, int32_t> ::const_iterator _iter172;
+    for (_iter172 = this->states.begin(); _iter172 != this->states.end(); ++_iter172)
     {
-      xfer += oprot->writeString(_iter164->first);
-      xfer += oprot->writeI32(_iter164->second);
+      xfer += oprot->writeString(_iter172->first);
+      xfer += oprot->writeI32(_iter172->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -4948,34 +5308,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StandingReport::StandingReport(const StandingReport& other165) {
-  node = other165.node;
-  bootId = other165.bootId;
-  sequence = other165.sequence;
-  states = other165.states;
-  __isset = other165.__isset;
-}
-StandingReport::StandingReport(StandingReport&& other166) noexcept {
-  node = std::move(other166.node);
-  bootId = other166.bootId;
-  sequence = other166.sequence;
-  states = std::move(other166.states);
-  __isset = other166.__isset;
-}
-StandingReport& StandingReport::operator=(const StandingReport& other167) {
-  node = other167.node;
-  bootId = other167.bootId;
-  sequence = other167.sequence;
-  states = other167.states;
-  __isset = other167.__isset;
+StandingReport::StandingReport(const StandingReport& other173) {
+  node = other173.node;
+  bootId = other173.bootId;
+  sequence = other173.sequence;
+  states = other173.states;
+  __isset = other173.__isset;
+}
+StandingReport::StandingReport(StandingReport&& other174) noexcept {
+  node = std::move(other174.node);
+  bootId = other174.bootId;
+  sequence = other174.sequence;
+  states = std::move(other174.states);
+  __isset = other174.__isset;
+}
+StandingReport& StandingReport::operator=(const StandingReport& other175) {
+  node = other175.node;
+  bootId = other175.bootId;
+  sequence = other175.sequence;
+  states = other175.states;
+  __isset = other175.__isset;
   return *this;
 }
-StandingReport& StandingReport::operator=(StandingReport&& other168) noexcept {
-  node = std::move(other168.node);
-  bootId = other168.bootId;
-  sequence = other168.sequence;
-  states = std::move(other168.states);
-  __isset = other168.__isset;
+StandingReport& StandingReport::operator=(StandingReport&& other176) noexcept {
+  node = std::move(other176.node);
+  bootId = other176.bootId;
+  sequence = other176.sequence;
+  states = std::move(other176.states);
+  __isset = other176.__isset;
   return *this;
 }
 void StandingReport::printTo(std::ostream& out) const {
@@ -5082,9 +5442,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast169;
-          xfer += iprot->readI32(ecast169);
-          this->kind = static_cast<GossipKind::type>(ecast169);
+          int32_t ecast177;
+          xfer += iprot->readI32(ecast177);
+          this->kind = static_cast<GossipKind::type>(ecast177);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5126,14 +5486,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size170;
-            ::apache::thrift::protocol::TType _etype173;
-            xfer += iprot->readListBegin(_etype173, _size170);
-            this->updates.resize(_size170);
-            uint32_t _i174;
-            for (_i174 = 0; _i174 < _size170; ++_i174)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->updates.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->updates[_i174].read(iprot);
+              xfer += this->updates[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5146,14 +5506,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size175;
-            ::apache::thrift::protocol::TType _etype178;
-            xfer += iprot->readListBegin(_etype178, _size175);
-            this->buckets.resize(_size175);
-            uint32_t _i179;
-            for (_i179 = 0; _i179 < _size175; ++_i179)
+            uint32_t _size183;
+            ::apache::thrift::protocol::TType _etype186;
+            xfer += iprot->readListBegin(_etype186, _size183);
+            this->buckets.resize(_size183);
+            uint32_t _i187;
+            for (_i187 = 0; _i187 < _size183; ++_i187)
             {
-              xfer += iprot->readI64(this->buckets[_i179]);
+              xfer += iprot->readI64(this->buckets[_i187]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5166,14 +5526,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size180;
-            ::apache::thrift::protocol::TType _etype183;
-            xfer += iprot->readListBegin(_etype183, _size180);
-            this->quarantines.resize(_size180);
-            uint32_t _i184;
-            for (_i184 = 0; _i184 < _size180; ++_i184)
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->quarantines.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
             {
-              xfer += this->quarantines[_i184].read(iprot);
+              xfer += this->quarantines[_i192].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5270,10 +5630,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<MemberUpdate> ::const_iterator _iter185;
-    for (_iter185 = this->updates.begin(); _iter185 != this->updates.end(); ++_iter185)
+    std::vector<MemberUpdate> ::const_iterator _iter193;
+    for (_iter193 = this->updates.begin(); _iter193 != this->updates.end(); ++_iter193)
     {
-      xfer += (*_iter185).write(oprot);
+      xfer += (*_iter193).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5282,10 +5642,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int64_t> ::const_iterator _iter186;
-    for (_iter186 = this->buckets.begin(); _iter186 != this->buckets.end(); ++_iter186)
+    std::vector<int64_t> ::const_iterator _iter194;
+    for (_iter194 = this->buckets.begin(); _iter194 != this->buckets.end(); ++_iter194)
     {
-      xfer += oprot->writeI64((*_iter186));
+      xfer += oprot->writeI64((*_iter194));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5294,10 +5654,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter187;
-    for (_iter187 = this->quarantines.begin(); _iter187 != this->quarantines.end(); ++_iter187)
+    std::vector<QuarantineRecord> ::const_iterator _iter195;
+    for (_iter195 = this->quarantines.begin(); _iter195 != this->quarantines.end(); ++_iter195)
     {
-      xfer += (*_iter187).write(oprot);
+      xfer += (*_iter195).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5355,74 +5715,74 @@
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other188) {
-  kind = other188.kind;
-  sender = other188.sender;
-  senderAddress = other188.senderAddress;
-  sequence = other188.sequence;
-  target = other188.target;
-  updates = other188.updates;
-  buckets = other188.buckets;
-  quarantines = other188.quarantines;
-  settingsNext = other188.settingsNext;
-  standings = other188.standings;
-  isSettingsFresh = other188.isSettingsFresh;
-  settingsAgeMs = other188.settingsAgeMs;
-  sourceIncarnation = other188.sourceIncarnation;
-  isReadingSettings = other188.isReadingSettings;
-  __isset = other188.__isset;
-}
-Gossip::Gossip(Gossip&& other189) noexcept {
-  kind = other189.kind;
-  sender = std::move(other189.sender);
-  senderAddress = std::move(other189.senderAddress);
-  sequence = other189.sequence;
-  target = std::move(other189.target);
-  updates = std::move(other189.updates);
-  buckets = std::move(other189.buckets);
-  quarantines = std::move(other189.quarantines);
-  settingsNext = other189.settingsNext;
-  standings = std::move(other189.standings);
-  isSettingsFresh = other189.isSettingsFresh;
-  settingsAgeMs = other189.settingsAgeMs;
-  sourceIncarnation = other189.sourceIncarnation;
-  isReadingSettings = other189.isReadingSettings;
-  __isset = other189.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other190) {
-  kind = other190.kind;
-  sender = other190.sender;
-  senderAddress = other190.senderAddress;
-  sequence = other190.sequence;
-  target = other190.target;
-  updates = other190.updates;
-  buckets = other190.buckets;
-  quarantines = other190.quarantines;
-  settingsNext = other190.settingsNext;
-  standings = other190.standings;
-  isSettingsFresh = other190.isSettingsFresh;
-  settingsAgeMs = other190.settingsAgeMs;
-  sourceIncarnation = other190.sourceIncarnation;
-  isReadingSettings = other190.isReadingSettings;
-  __isset = other190.__isset;
+Gossip::Gossip(const Gossip& other196) {
+  kind = other196.kind;
+  sender = other196.sender;
+  senderAddress = other196.senderAddress;
+  sequence = other196.sequence;
+  target = other196.target;
+  updates = other196.updates;
+  buckets = other196.buckets;
+  quarantines = other196.quarantines;
+  settingsNext = other196.settingsNext;
+  standings = other196.standings;
+  isSettingsFresh = other196.isSettingsFresh;
+  settingsAgeMs = other196.settingsAgeMs;
+  sourceIncarnation = other196.sourceIncarnation;
+  isReadingSettings = other196.isReadingSettings;
+  __isset = other196.__isset;
+}
+Gossip::Gossip(Gossip&& other197) noexcept {
+  kind = other197.kind;
+  sender = std::move(other197.sender);
+  senderAddress = std::move(other197.senderAddress);
+  sequence = other197.sequence;
+  target = std::move(other197.target);
+  updates = std::move(other197.updates);
+  buckets = std::move(other197.buckets);
+  quarantines = std::move(other197.quarantines);
+  settingsNext = other197.settingsNext;
+  standings = std::move(other197.standings);
+  isSettingsFresh = other197.isSettingsFresh;
+  settingsAgeMs = other197.settingsAgeMs;
+  sourceIncarnation = other197.sourceIncarnation;
+  isReadingSettings = other197.isReadingSettings;
+  __isset = other197.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other198) {
+  kind = other198.kind;
+  sender = other198.sender;
+  senderAddress = other198.senderAddress;
+  sequence = other198.sequence;
+  target = other198.target;
+  updates = other198.updates;
+  buckets = other198.buckets;
+  quarantines = other198.quarantines;
+  settingsNext = other198.settingsNext;
+  standings = other198.standings;
+  isSettingsFresh = other198.isSettingsFresh;
+  settingsAgeMs = other198.settingsAgeMs;
+  sourceIncarnation = other198.sourceIncarnation;
+  isReadingSettings = other198.isReadingSettings;
+  __isset = other198.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other191) noexcept {
-  kind = other191.kind;
-  sender = std::move(other191.sender);
-  senderAddress = std::move(other191.senderAddress);
-  sequence = other191.sequence;
-  target = std::move(other191.target);
-  updates = std::move(other191.updates);
-  buckets = std::move(other191.buckets);
-  quarantines = std::move(other191.quarantines);
-  settingsNext = other191.settingsNext;
-  standings = std::move(other191.standings);
-  isSettingsFresh = other191.isSettingsFresh;
-  settingsAgeMs = other191.settingsAgeMs;
-  sourceIncarnation = other191.sourceIncarnation;
-  isReadingSettings = other191.isReadingSettings;
-  __isset = other191.__isset;
+Gossip& Gossip::operator=(Gossip&& other199) noexcept {
+  kind = other199.kind;
+  sender = std::move(other199.sender);
+  senderAddress = std::move(other199.senderAddress);
+  sequence = other199.sequence;
+  target = std::move(other199.target);
+  updates = std::move(other199.updates);
+  buckets = std::move(other199.buckets);
+  quarantines = std::move(other199.quarantines);
+  settingsNext = other199.settingsNext;
+  standings = std::move(other199.standings);
+  isSettingsFresh = other199.isSettingsFresh;
+  settingsAgeMs = other199.settingsAgeMs;
+  sourceIncarnation = other199.sourceIncarnation;
+  isReadingSettings = other199.isReadingSettings;
+  __isset = other199.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -5589,38 +5949,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SettingsEntry::SettingsEntry(const SettingsEntry& other192) {
-  path = other192.path;
-  value = other192.value;
-  revision = other192.revision;
-  writtenOffset = other192.writtenOffset;
-  writtenAtMs = other192.writtenAtMs;
-  __isset = other192.__isset;
-}
-SettingsEntry::SettingsEntry(SettingsEntry&& other193) noexcept {
-  path = std::move(other193.path);
-  value = std::move(other193.value);
-  revision = other193.revision;
-  writtenOffset = other193.writtenOffset;
-  writtenAtMs = other193.writtenAtMs;
-  __isset = other193.__isset;
-}
-SettingsEntry& SettingsEntry::operator=(const SettingsEntry& other194) {
-  path = other194.path;
-  value = other194.value;
-  revision = other194.revision;
-  writtenOffset = other194.writtenOffset;
-  writtenAtMs = other194.writtenAtMs;
-  __isset = other194.__isset;
+SettingsEntry::SettingsEntry(const SettingsEntry& other200) {
+  path = other200.path;
+  value = other200.value;
+  revision = other200.revision;
+  writtenOffset = other200.writtenOffset;
+  writtenAtMs = other200.writtenAtMs;
+  __isset = other200.__isset;
+}
+SettingsEntry::SettingsEntry(SettingsEntry&& other201) noexcept {
+  path = std::move(other201.path);
+  value = std::move(other201.value);
+  revision = other201.revision;
+  writtenOffset = other201.writtenOffset;
+  writtenAtMs = other201.writtenAtMs;
+  __isset = other201.__isset;
+}
+SettingsEntry& SettingsEntry::operator=(const SettingsEntry& other202) {
+  path = other202.path;
+  value = other202.value;
+  revision = other202.revision;
+  writtenOffset = other202.writtenOffset;
+  writtenAtMs = other202.writtenAtMs;
+  __isset = other202.__isset;
   return *this;
 }
-SettingsEntry& SettingsEntry::operator=(SettingsEntry&& other195) noexcept {
-  path = std::move(other195.path);
-  value = std::move(other195.value);
-  revision = other195.revision;
-  writtenOffset = other195.writtenOffset;
-  writtenAtMs = other195.writtenAtMs;
-  __isset = other195.__isset;
+SettingsEntry& SettingsEntry::operator=(SettingsEntry&& other203) noexcept {
+  path = std::move(other203.path);
+  value = std::move(other203.value);
+  revision = other203.revision;
+  writtenOffset = other203.writtenOffset;
+  writtenAtMs = other203.writtenAtMs;
+  __isset = other203.__isset;
   return *this;
 }
 void SettingsEntry::printTo(std::ostream& out) const {
@@ -5761,34 +6121,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VerdictRecord::VerdictRecord(const VerdictRecord& other196) {
-  changeId = other196.changeId;
-  path = other196.path;
-  outcome = other196.outcome;
-  revision = other196.revision;
-  __isset = other196.__isset;
-}
-VerdictRecord::VerdictRecord(VerdictRecord&& other197) noexcept {
-  changeId = std::move(other197.changeId);
-  path = std::move(other197.path);
-  outcome = other197.outcome;
-  revision = other197.revision;
-  __isset = other197.__isset;
-}
-VerdictRecord& VerdictRecord::operator=(const VerdictRecord& other198) {
-  changeId = other198.changeId;
-  path = other198.path;
-  outcome = other198.outcome;
-  revision = other198.revision;
-  __isset = other198.__isset;
+VerdictRecord::VerdictRecord(const VerdictRecord& other204) {
+  changeId = other204.changeId;
+  path = other204.path;
+  outcome = other204.outcome;
+  revision = other204.revision;
+  __isset = other204.__isset;
+}
+VerdictRecord::VerdictRecord(VerdictRecord&& other205) noexcept {
+  changeId = std::move(other205.changeId);
+  path = std::move(other205.path);
+  outcome = other205.outcome;
+  revision = other205.revision;
+  __isset = other205.__isset;
+}
+VerdictRecord& VerdictRecord::operator=(const VerdictRecord& other206) {
+  changeId = other206.changeId;
+  path = other206.path;
+  outcome = other206.outcome;
+  revision = other206.revision;
+  __isset = other206.__isset;
   return *this;
 }
-VerdictRecord& VerdictRecord::operator=(VerdictRecord&& other199) noexcept {
-  changeId = std::move(other199.changeId);
-  path = std::move(other199.path);
-  outcome = other199.outcome;
-  revision = other199.revision;
-  __isset = other199.__isset;
+VerdictRecord& VerdictRecord::operator=(VerdictRecord&& other207) noexcept {
+  changeId = std::move(other207.changeId);
+  path = std::move(other207.path);
+  outcome = other207.outcome;
+  revision = other207.revision;
+  __isset = other207.__isset;
   return *this;
 }
 void VerdictRecord::printTo(std::ostream& out) const {
@@ -5879,22 +6239,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other200) {
-  digest = other200.digest;
-  __isset = other200.__isset;
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other208) {
+  digest = other208.digest;
+  __isset = other208.__isset;
 }
-SnapshotRequest::SnapshotRequest(SnapshotRequest&& other201) noexcept {
-  digest = std::move(other201.digest);
-  __isset = other201.__isset;
+SnapshotRequest::SnapshotRequest(SnapshotRequest&& other209) noexcept {
+  digest = std::move(other209.digest);
+  __isset = other209.__isset;
 }
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other202) {
-  digest = other202.digest;
-  __isset = other202.__isset;
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other210) {
+  digest = other210.digest;
+  __isset = other210.__isset;
   return *this;
 }
-SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other203) noexcept {
-  digest = std::move(other203.digest);
-  __isset = other203.__isset;
+SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other211) noexcept {
+  digest = std::move(other211.digest);
+  __isset = other211.__isset;
   return *this;
 }
 void SnapshotRequest::printTo(std::ostream& out) const {
@@ -5972,14 +6332,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size204;
-            ::apache::thrift::protocol::TType _etype207;
-            xfer += iprot->readListBegin(_etype207, _size204);
-            this->entries.resize(_size204);
-            uint32_t _i208;
-            for (_i208 = 0; _i208 < _size204; ++_i208)
+            uint32_t _size212;
+            ::apache::thrift::protocol::TType _etype215;
+            xfer += iprot->readListBegin(_etype215, _size212);
+            this->entries.resize(_size212);
+            uint32_t _i216;
+            for (_i216 = 0; _i216 < _size212; ++_i216)
             {
-              xfer += this->entries[_i208].read(iprot);
+              xfer += this->entries[_i216].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5992,14 +6352,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->verdicts.clear();
-            uint32_t _size209;
-            ::apache::thrift::protocol::TType _etype212;
-            xfer += iprot->readListBegin(_etype212, _size209);
-            this->verdicts.resize(_size209);
-            uint32_t _i213;
-            for (_i213 = 0; _i213 < _size209; ++_i213)
+            uint32_t _size217;
+            ::apache::thrift::protocol::TType _etype220;
+            xfer += iprot->readListBegin(_etype220, _size217);
+            this->verdicts.resize(_size217);
+            uint32_t _i221;
+            for (_i221 = 0; _i221 < _size217; ++_i221)
             {
-              xfer += this->verdicts[_i213].read(iprot);
+              xfer += this->verdicts[_i221].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6020,14 +6380,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size214;
-            ::apache::thrift::protocol::TType _etype217;
-            xfer += iprot->readListBegin(_etype217, _size214);
-            this->buckets.resize(_size214);
-            uint32_t _i218;
-            for (_i218 = 0; _i218 < _size214; ++_i218)
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->buckets.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
             {
-              xfer += iprot->readI32(this->buckets[_i218]);
+              xfer += iprot->readI32(this->buckets[_i226]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6068,10 +6428,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<SettingsEntry> ::const_iterator _iter219;
-    for (_iter219 = this->entries.begin(); _iter219 != this->entries.end(); ++_iter219)
+    std::vector<SettingsEntry> ::const_iterator _iter227;
+    for (_iter227 = this->entries.begin(); _iter227 != this->entries.end(); ++_iter227)
     {
-      xfer += (*_iter219).write(oprot);
+      xfer += (*_iter227).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6080,10 +6440,10 @@
   xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
-    std::vector<VerdictRecord> ::const_iterator _iter220;
-    for (_iter220 = this->verdicts.begin(); _iter220 != this->verdicts.end(); ++_iter220)
+    std::vector<VerdictRecord> ::const_iterator _iter228;
+    for (_iter228 = this->verdicts.begin(); _iter228 != this->verdicts.end(); ++_iter228)
     {
-      xfer += (*_iter220).write(oprot);
+      xfer += (*_iter228).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6096,10 +6456,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int32_t> ::const_iterator _iter221;
-    for (_iter221 = this->buckets.begin(); _iter221 != this->buckets.end(); ++_iter221)
+    std::vector<int32_t> ::const_iterator _iter229;
+    for (_iter229 = this->buckets.begin(); _iter229 != this->buckets.end(); ++_iter229)
     {
-      xfer += oprot->writeI32((*_iter221));
+      xfer += oprot->writeI32((*_iter229));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6125,42 +6485,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Snapshot::Snapshot(const Snapshot& other222) {
-  settingsOffset = other222.settingsOffset;
-  entries = other222.entries;
-  verdicts = other222.verdicts;
-  bucketCount = other222.bucketCount;
-  buckets = other222.buckets;
-  treeHash = other222.treeHash;
-  __isset = other222.__isset;
-}
-Snapshot::Snapshot(Snapshot&& other223) noexcept {
-  settingsOffset = other223.settingsOffset;
-  entries = std::move(other223.entries);
-  verdicts = std::move(other223.verdicts);
-  bucketCount = other223.bucketCount;
-  buckets = std::move(other223.buckets);
-  treeHash = other223.treeHash;
-  __isset = other223.__isset;
-}
-Snapshot& Snapshot::operator=(const Snapshot& other224) {
-  settingsOffset = other224.settingsOffset;
-  entries = other224.entries;
-  verdicts = other224.verdicts;
-  bucketCount = other224.bucketCount;
-  buckets = other224.buckets;
-  treeHash = other224.treeHash;
-  __isset = other224.__isset;
+Snapshot::Snapshot(const Snapshot& other230) {
+  settingsOffset = other230.settingsOffset;
+  entries = other230.entries;
+  verdicts = other230.verdicts;
+  bucketCount = other230.bucketCount;
+  buckets = other230.buckets;
+  treeHash = other230.treeHash;
+  __isset = other230.__isset;
+}
+Snapshot::Snapshot(Snapshot&& other231) noexcept {
+  settingsOffset = other231.settingsOffset;
+  entries = std::move(other231.entries);
+  verdicts = std::move(other231.verdicts);
+  bucketCount = other231.bucketCount;
+  buckets = std::move(other231.buckets);
+  treeHash = other231.treeHash;
+  __isset = other231.__isset;
+}
+Snapshot& Snapshot::operator=(const Snapshot& other232) {
+  settingsOffset = other232.settingsOffset;
+  entries = other232.entries;
+  verdicts = other232.verdicts;
+  bucketCount = other232.bucketCount;
+  buckets = other232.buckets;
+  treeHash = other232.treeHash;
+  __isset = other232.__isset;
   return *this;
 }
-Snapshot& Snapshot::operator=(Snapshot&& other225) noexcept {
-  settingsOffset = other225.settingsOffset;
-  entries = std::move(other225.entries);
-  verdicts = std::move(other225.verdicts);
-  bucketCount = other225.bucketCount;
-  buckets = std::move(other225.buckets);
-  treeHash = other225.treeHash;
-  __isset = other225.__isset;
+Snapshot& Snapshot::operator=(Snapshot&& other233) noexcept {
+  settingsOffset = other233.settingsOffset;
+  entries = std::move(other233.entries);
+  verdicts = std::move(other233.verdicts);
+  bucketCount = other233.bucketCount;
+  buckets = std::move(other233.buckets);
+  treeHash = other233.treeHash;
+  __isset = other233.__isset;
   return *this;
 }
 void Snapshot::printTo(std::ostream& out) const {
@@ -6268,26 +6628,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SourcePosition::SourcePosition(const SourcePosition& other226) noexcept {
-  offset = other226.offset;
-  incarnation = other226.incarnation;
-  __isset = other226.__isset;
+SourcePosition::SourcePosition(const SourcePosition& other234) noexcept {
+  offset = other234.offset;
+  incarnation = other234.incarnation;
+  __isset = other234.__isset;
 }
-SourcePosition::SourcePosition(SourcePosition&& other227) noexcept {
-  offset = other227.offset;
-  incarnation = other227.incarnation;
-  __isset = other227.__isset;
+SourcePosition::SourcePosition(SourcePosition&& other235) noexcept {
+  offset = other235.offset;
+  incarnation = other235.incarnation;
+  __isset = other235.__isset;
 }
-SourcePosition& SourcePosition::operator=(const SourcePosition& other228) noexcept {
-  offset = other228.offset;
-  incarnation = other228.incarnation;
-  __isset = other228.__isset;
+SourcePosition& SourcePosition::operator=(const SourcePosition& other236) noexcept {
+  offset = other236.offset;
+  incarnation = other236.incarnation;
+  __isset = other236.__isset;
   return *this;
 }
-SourcePosition& SourcePosition::operator=(SourcePosition&& other229) noexcept {
-  offset = other229.offset;
-  incarnation = other229.incarnation;
-  __isset = other229.__isset;
+SourcePosition& SourcePosition::operator=(SourcePosition&& other237) noexcept {
+  offset = other237.offset;
+  incarnation = other237.incarnation;
+  __isset = other237.__isset;
   return *this;
 }
 void SourcePosition::printTo(std::ostream& out) const {
@@ -6463,42 +6823,42 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotHead::SnapshotHead(const SnapshotHead& other230) noexcept {
-  settingsOffset = other230.settingsOffset;
-  contentBytes = other230.contentBytes;
-  plainBytes = other230.plainBytes;
-  isBusy = other230.isBusy;
-  position = other230.position;
-  settingsAgeMs = other230.settingsAgeMs;
-  __isset = other230.__isset;
-}
-SnapshotHead::SnapshotHead(SnapshotHead&& other231) noexcept {
-  settingsOffset = other231.settingsOffset;
-  contentBytes = other231.contentBytes;
-  plainBytes = other231.plainBytes;
-  isBusy = other231.isBusy;
-  position = std::move(other231.position);
-  settingsAgeMs = other231.settingsAgeMs;
-  __isset = other231.__isset;
-}
-SnapshotHead& SnapshotHead::operator=(const SnapshotHead& other232) noexcept {
-  settingsOffset = other232.settingsOffset;
-  contentBytes = other232.contentBytes;
-  plainBytes = other232.plainBytes;
-  isBusy = other232.isBusy;
-  position = other232.position;
-  settingsAgeMs = other232.settingsAgeMs;
-  __isset = other232.__isset;
+SnapshotHead::SnapshotHead(const SnapshotHead& other238) noexcept {
+  settingsOffset = other238.settingsOffset;
+  contentBytes = other238.contentBytes;
+  plainBytes = other238.plainBytes;
+  isBusy = other238.isBusy;
+  position = other238.position;
+  settingsAgeMs = other238.settingsAgeMs;
+  __isset = other238.__isset;
+}
+SnapshotHead::SnapshotHead(SnapshotHead&& other239) noexcept {
+  settingsOffset = other239.settingsOffset;
+  contentBytes = other239.contentBytes;
+  plainBytes = other239.plainBytes;
+  isBusy = other239.isBusy;
+  position = std::move(other239.position);
+  settingsAgeMs = other239.settingsAgeMs;
+  __isset = other239.__isset;
+}
+SnapshotHead& SnapshotHead::operator=(const SnapshotHead& other240) noexcept {
+  settingsOffset = other240.settingsOffset;
+  contentBytes = other240.contentBytes;
+  plainBytes = other240.plainBytes;
+  isBusy = other240.isBusy;
+  position = other240.position;
+  settingsAgeMs = other240.settingsAgeMs;
+  __isset = other240.__isset;
   return *this;
 }
-SnapshotHead& SnapshotHead::operator=(SnapshotHead&& other233) noexcept {
-  settingsOffset = other233.settingsOffset;
-  contentBytes = other233.contentBytes;
-  plainBytes = other233.plainBytes;
-  isBusy = other233.isBusy;
-  position = std::move(other233.position);
-  settingsAgeMs = other233.settingsAgeMs;
-  __isset = other233.__isset;
+SnapshotHead& SnapshotHead::operator=(SnapshotHead&& other241) noexcept {
+  settingsOffset = other241.settingsOffset;
+  contentBytes = other241.contentBytes;
+  plainBytes = other241.plainBytes;
+  isBusy = other241.isBusy;
+  position = std::move(other241.position);
+  settingsAgeMs = other241.settingsAgeMs;
+  __isset = other241.__isset;
   return *this;
 }
 void SnapshotHead::printTo(std::ostream& out) const {
@@ -6621,6 +6981,16 @@
   this->giveUp = val;
 __isset.giveUp = true;
 }
+
+void Frame::__set_quotaRequest(const QuotaRequest& val) {
+  this->quotaRequest = val;
+__isset.quotaRequest = true;
+}
+
+void Frame::__set_quotaReply(const QuotaReply& val) {
+  this->quotaReply = val;
+__isset.quotaReply = true;
+}
 std::ostream& operator<<(std::ostream& out, const Frame& obj)
 {
   obj.printTo(out);
@@ -6817,6 +7187,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 22:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quotaRequest.read(iprot);
+          this->__isset.quotaRequest = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 23:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->quotaReply.read(iprot);
+          this->__isset.quotaReply = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6938,6 +7324,16 @@
     xfer += this->giveUp.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.quotaRequest) {
+    xfer += oprot->writeFieldBegin("quotaRequest", ::apache::thrift::protocol::T_STRUCT, 22);
+    xfer += this->quotaRequest.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.quotaReply) {
+    xfer += oprot->writeFieldBegin("quotaReply", ::apache::thrift::protocol::T_STRUCT, 23);
+    xfer += this->quotaReply.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6966,105 +7362,115 @@
   swap(a.snapshotHead, b.snapshotHead);
   swap(a.overdue, b.overdue);
   swap(a.giveUp, b.giveUp);
+  swap(a.quotaRequest, b.quotaRequest);
+  swap(a.quotaReply, b.quotaReply);
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other234) {
-  stream = other234.stream;
-  hello = other234.hello;
-  heartbeat = other234.heartbeat;
-  ticket = other234.ticket;
-  grant = other234.grant;
-  call = other234.call;
-  data = other234.data;
-  answer = other234.answer;
-  failure = other234.failure;
-  cancel = other234.cancel;
-  revoke = other234.revoke;
-  revoked = other234.revoked;
-  keyRequest = other234.keyRequest;
-  keyReply = other234.keyReply;
-  gossip = other234.gossip;
-  snapshotRequest = other234.snapshotRequest;
-  snapshot = other234.snapshot;
-  keep = other234.keep;
-  snapshotHead = other234.snapshotHead;
-  overdue = other234.overdue;
-  giveUp = other234.giveUp;
-  __isset = other234.__isset;
-}
-Frame::Frame(Frame&& other235) noexcept {
-  stream = other235.stream;
-  hello = std::move(other235.hello);
-  heartbeat = std::move(other235.heartbeat);
-  ticket = std::move(other235.ticket);
-  grant = std::move(other235.grant);
-  call = std::move(other235.call);
-  data = std::move(other235.data);
-  answer = std::move(other235.answer);
-  failure = std::move(other235.failure);
-  cancel = std::move(other235.cancel);
-  revoke = std::move(other235.revoke);
-  revoked = std::move(other235.revoked);
-  keyRequest = std::move(other235.keyRequest);
-  keyReply = std::move(other235.keyReply);
-  gossip = std::move(other235.gossip);
-  snapshotRequest = std::move(other235.snapshotRequest);
-  snapshot = std::move(other235.snapshot);
-  keep = std::move(other235.keep);
-  snapshotHead = std::move(other235.snapshotHead);
-  overdue = std::move(other235.overdue);
-  giveUp = std::move(other235.giveUp);
-  __isset = other235.__isset;
-}
-Frame& Frame::operator=(const Frame& other236) {
-  stream = other236.stream;
-  hello = other236.hello;
-  heartbeat = other236.heartbeat;
-  ticket = other236.ticket;
-  grant = other236.grant;
-  call = other236.call;
-  data = other236.data;
-  answer = other236.answer;
-  failure = other236.failure;
-  cancel = other236.cancel;
-  revoke = other236.revoke;
-  revoked = other236.revoked;
-  keyRequest = other236.keyRequest;
-  keyReply = other236.keyReply;
-  gossip = other236.gossip;
-  snapshotRequest = other236.snapshotRequest;
-  snapshot = other236.snapshot;
-  keep = other236.keep;
-  snapshotHead = other236.snapshotHead;
-  overdue = other236.overdue;
-  giveUp = other236.giveUp;
-  __isset = other236.__isset;
+Frame::Frame(const Frame& other242) {
+  stream = other242.stream;
+  hello = other242.hello;
+  heartbeat = other242.heartbeat;
+  ticket = other242.ticket;
+  grant = other242.grant;
+  call = other242.call;
+  data = other242.data;
+  answer = other242.answer;
+  failure = other242.failure;
+  cancel = other242.cancel;
+  revoke = other242.revoke;
+  revoked = other242.revoked;
+  keyRequest = other242.keyRequest;
+  keyReply = other242.keyReply;
+  gossip = other242.gossip;
+  snapshotRequest = other242.snapshotRequest;
+  snapshot = other242.snapshot;
+  keep = other242.keep;
+  snapshotHead = other242.snapshotHead;
+  overdue = other242.overdue;
+  giveUp = other242.giveUp;
+  quotaRequest = other242.quotaRequest;
+  quotaReply = other242.quotaReply;
+  __isset = other242.__isset;
+}
+Frame::Frame(Frame&& other243) noexcept {
+  stream = other243.stream;
+  hello = std::move(other243.hello);
+  heartbeat = std::move(other243.heartbeat);
+  ticket = std::move(other243.ticket);
+  grant = std::move(other243.grant);
+  call = std::move(other243.call);
+  data = std::move(other243.data);
+  answer = std::move(other243.answer);
+  failure = std::move(other243.failure);
+  cancel = std::move(other243.cancel);
+  revoke = std::move(other243.revoke);
+  revoked = std::move(other243.revoked);
+  keyRequest = std::move(other243.keyRequest);
+  keyReply = std::move(other243.keyReply);
+  gossip = std::move(other243.gossip);
+  snapshotRequest = std::move(other243.snapshotRequest);
+  snapshot = std::move(other243.snapshot);
+  keep = std::move(other243.keep);
+  snapshotHead = std::move(other243.snapshotHead);
+  overdue = std::move(other243.overdue);
+  giveUp = std::move(other243.giveUp);
+  quotaRequest = std::move(other243.quotaRequest);
+  quotaReply = std::move(other243.quotaReply);
+  __isset = other243.__isset;
+}
+Frame& Frame::operator=(const Frame& other244) {
+  stream = other244.stream;
+  hello = other244.hello;
+  heartbeat = other244.heartbeat;
+  ticket = other244.ticket;
+  grant = other244.grant;
+  call = other244.call;
+  data = other244.data;
+  answer = other244.answer;
+  failure = other244.failure;
+  cancel = other244.cancel;
+  revoke = other244.revoke;
+  revoked = other244.revoked;
+  keyRequest = other244.keyRequest;
+  keyReply = other244.keyReply;
+  gossip = other244.gossip;
+  snapshotRequest = other244.snapshotRequest;
+  snapshot = other244.snapshot;
+  keep = other244.keep;
+  snapshotHead = other244.snapshotHead;
+  overdue = other244.overdue;
+  giveUp = other244.giveUp;
+  quotaRequest = other244.quotaRequest;
+  quotaReply = other244.quotaReply;
+  __isset = other244.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other237) noexcept {
-  stream = other237.stream;
-  hello = std::move(other237.hello);
-  heartbeat = std::move(other237.heartbeat);
-  ticket = std::move(other237.ticket);
-  grant = std::move(other237.grant);
-  call = std::move(other237.call);
-  data = std::move(other237.data);
-  answer = std::move(other237.answer);
-  failure = std::move(other237.failure);
-  cancel = std::move(other237.cancel);
-  revoke = std::move(other237.revoke);
-  revoked = std::move(other237.revoked);
-  keyRequest = std::move(other237.keyRequest);
-  keyReply = std::move(other237.keyReply);
-  gossip = std::move(other237.gossip);
-  snapshotRequest = std::move(other237.snapshotRequest);
-  snapshot = std::move(other237.snapshot);
-  keep = std::move(other237.keep);
-  snapshotHead = std::move(other237.snapshotHead);
-  overdue = std::move(other237.overdue);
-  giveUp = std::move(other237.giveUp);
-  __isset = other237.__isset;
+Frame& Frame::operator=(Frame&& other245) noexcept {
+  stream = other245.stream;
+  hello = std::move(other245.hello);
+  heartbeat = std::move(other245.heartbeat);
+  ticket = std::move(other245.ticket);
+  grant = std::move(other245.grant);
+  call = std::move(other245.call);
+  data = std::move(other245.data);
+  answer = std::move(other245.answer);
+  failure = std::move(other245.failure);
+  cancel = std::move(other245.cancel);
+  revoke = std::move(other245.revoke);
+  revoked = std::move(other245.revoked);
+  keyRequest = std::move(other245.keyRequest);
+  keyReply = std::move(other245.keyReply);
+  gossip = std::move(other245.gossip);
+  snapshotRequest = std::move(other245.snapshotRequest);
+  snapshot = std::move(other245.snapshot);
+  keep = std::move(other245.keep);
+  snapshotHead = std::move(other245.snapshotHead);
+  overdue = std::move(other245.overdue);
+  giveUp = std::move(other245.giveUp);
+  quotaRequest = std::move(other245.quotaRequest);
+  quotaReply = std::move(other245.quotaReply);
+  __isset = other245.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -7091,6 +7497,8 @@
   out << ", " << "snapshotHead="; (__isset.snapshotHead ? (out << to_string(snapshotHead)) : (out << "<null>"));
   out << ", " << "overdue="; (__isset.overdue ? (out << to_string(overdue)) : (out << "<null>"));
   out << ", " << "giveUp="; (__isset.giveUp ? (out << to_string(giveUp)) : (out << "<null>"));
+  out << ", " << "quotaRequest="; (__isset.quotaRequest ? (out << to_string(quotaRequest)) : (out << "<null>"));
+  out << ", " << "quotaReply="; (__isset.quotaReply ? (out << to_string(quotaReply)) : (out << "<null>"));
   out << ")";
 }
 
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -64,14 +64,14 @@
 
 class Ticket;
 
-class Grant;
-
 class Call;
 
 class Data;
 
 class Load;
 
+class Grant;
+
 class Answer;
 
 class Failure;
@@ -96,6 +96,10 @@
 
 class KeyReply;
 
+class QuotaRequest;
+
+class QuotaReply;
+
 class EndpointRecord;
 
 class DepartedRecord;
@@ -370,7 +374,7 @@
 std::ostream& operator<<(std::ostream& out, const EndpointNotice& obj);
 
 typedef struct _Ticket__isset {
-  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), awaitsClaim(false), knownCrashes(false), onlyIfFree(false), isRepeat(false), acceptsDoubtful(false), priority(false), isSerialized(false), isSpill(false), targetMs(false), isLastTry(false), maxWaitMs(false), acceptsSilent(false), notices(false), decidesRetry(false) {}
+  _Ticket__isset() : attemptId(false), workspace(false), serviceName(false), gateBootId(false), timeoutMs(false), linkAgeMs(false), expectedCostUs(false), isLong(false), isIdempotent(false), fingerprint(false), awaitsClaim(false), knownCrashes(false), onlyIfFree(false), isRepeat(false), acceptsDoubtful(false), priority(false), isSerialized(false), isSpill(false), targetMs(false), isLastTry(false), maxWaitMs(false), acceptsSilent(false), notices(false), decidesRetry(false), shedPercent(false) {}
   bool attemptId :1;
   bool workspace :1;
   bool serviceName :1;
@@ -395,6 +399,7 @@
   bool acceptsSilent :1;
   bool notices :1;
   bool decidesRetry :1;
+  bool shedPercent :1;
 } _Ticket__isset;
 
 class Ticket : public virtual ::apache::thrift::TBase {
@@ -427,7 +432,8 @@
            isLastTry(0),
            maxWaitMs(0),
            acceptsSilent(0),
-           decidesRetry(0) {
+           decidesRetry(0),
+           shedPercent(0) {
   }
 
   virtual ~Ticket() noexcept;
@@ -455,6 +461,7 @@
   bool acceptsSilent;
   std::vector<EndpointNotice>  notices;
   bool decidesRetry;
+  int32_t shedPercent;
 
   _Ticket__isset __isset;
 
@@ -506,6 +513,8 @@
 
   void __set_decidesRetry(const bool val);
 
+  void __set_shedPercent(const int32_t val);
+
   bool operator == (const Ticket & rhs) const
   {
     if (!(attemptId == rhs.attemptId))
@@ -558,6 +567,10 @@
       return false;
     if (!(decidesRetry == rhs.decidesRetry))
       return false;
+    if (__isset.shedPercent != rhs.__isset.shedPercent)
+      return false;
+    else if (__isset.shedPercent && !(shedPercent == rhs.shedPercent))
+      return false;
     return true;
   }
   bool operator != (const Ticket &rhs) const {
@@ -576,51 +589,6 @@
 
 std::ostream& operator<<(std::ostream& out, const Ticket& obj);
 
-typedef struct _Grant__isset {
-  _Grant__isset() : endpoint(false) {}
-  bool endpoint :1;
-} _Grant__isset;
-
-class Grant : public virtual ::apache::thrift::TBase {
- public:
-
-  Grant(const Grant&);
-  Grant(Grant&&) noexcept;
-  Grant& operator=(const Grant&);
-  Grant& operator=(Grant&&) noexcept;
-  Grant() noexcept
-        : endpoint() {
-  }
-
-  virtual ~Grant() noexcept;
-  std::string endpoint;
-
-  _Grant__isset __isset;
-
-  void __set_endpoint(const std::string& val);
-
-  bool operator == (const Grant & rhs) const
-  {
-    if (!(endpoint == rhs.endpoint))
-      return false;
-    return true;
-  }
-  bool operator != (const Grant &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const Grant & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(Grant &a, Grant &b);
-
-std::ostream& operator<<(std::ostream& out, const Grant& obj);
-
 typedef struct _Call__isset {
   _Call__isset() : ticket(false), method(false), target(false), headers(false), bodyBytes(false) {}
   bool ticket :1;
@@ -821,6 +789,59 @@
 
 std::ostream& operator<<(std::ostream& out, const Load& obj);
 
+typedef struct _Grant__isset {
+  _Grant__isset() : endpoint(false), load(false) {}
+  bool endpoint :1;
+  bool load :1;
+} _Grant__isset;
+
+class Grant : public virtual ::apache::thrift::TBase {
+ public:
+
+  Grant(const Grant&);
+  Grant(Grant&&) noexcept;
+  Grant& operator=(const Grant&);
+  Grant& operator=(Grant&&) noexcept;
+  Grant() noexcept
+        : endpoint() {
+  }
+
+  virtual ~Grant() noexcept;
+  std::string endpoint;
+  Load load;
+
+  _Grant__isset __isset;
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_load(const Load& val);
+
+  bool operator == (const Grant & rhs) const
+  {
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (__isset.load != rhs.__isset.load)
+      return false;
+    else if (__isset.load && !(load == rhs.load))
+      return false;
+    return true;
+  }
+  bool operator != (const Grant &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Grant & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Grant &a, Grant &b);
+
+std::ostream& operator<<(std::ostream& out, const Grant& obj);
+
 typedef struct _Answer__isset {
   _Answer__isset() : status(false), headers(false), bodyBytes(false), endpoint(false), load(false), runUs(false), notice(false) {}
   bool status :1;
@@ -1511,6 +1532,131 @@
 
 std::ostream& operator<<(std::ostream& out, const KeyReply& obj);
 
+typedef struct _QuotaRequest__isset {
+  _QuotaRequest__isset() : workspace(false), tokens(false), returned(false), isFallback(false) {}
+  bool workspace :1;
+  bool tokens :1;
+  bool returned :1;
+  bool isFallback :1;
+} _QuotaRequest__isset;
+
+class QuotaRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaRequest(const QuotaRequest&);
+  QuotaRequest(QuotaRequest&&) noexcept;
+  QuotaRequest& operator=(const QuotaRequest&);
+  QuotaRequest& operator=(QuotaRequest&&) noexcept;
+  QuotaRequest() noexcept
+               : workspace(),
+                 tokens(0),
+                 returned(0),
+                 isFallback(0) {
+  }
+
+  virtual ~QuotaRequest() noexcept;
+  std::string workspace;
+  int32_t tokens;
+  int32_t returned;
+  bool isFallback;
+
+  _QuotaRequest__isset __isset;
+
+  void __set_workspace(const std::string& val);
+
+  void __set_tokens(const int32_t val);
+
+  void __set_returned(const int32_t val);
+
+  void __set_isFallback(const bool val);
+
+  bool operator == (const QuotaRequest & rhs) const
+  {
+    if (!(workspace == rhs.workspace))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    if (!(returned == rhs.returned))
+      return false;
+    if (!(isFallback == rhs.isFallback))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaRequest &a, QuotaRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaRequest& obj);
+
+typedef struct _QuotaReply__isset {
+  _QuotaReply__isset() : tokens(false), retryAfterMs(false), isUnknown(false) {}
+  bool tokens :1;
+  bool retryAfterMs :1;
+  bool isUnknown :1;
+} _QuotaReply__isset;
+
+class QuotaReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaReply(const QuotaReply&) noexcept;
+  QuotaReply(QuotaReply&&) noexcept;
+  QuotaReply& operator=(const QuotaReply&) noexcept;
+  QuotaReply& operator=(QuotaReply&&) noexcept;
+  QuotaReply() noexcept
+             : tokens(0),
+               retryAfterMs(0),
+               isUnknown(0) {
+  }
+
+  virtual ~QuotaReply() noexcept;
+  int32_t tokens;
+  int64_t retryAfterMs;
+  bool isUnknown;
+
+  _QuotaReply__isset __isset;
+
+  void __set_tokens(const int32_t val);
+
+  void __set_retryAfterMs(const int64_t val);
+
+  void __set_isUnknown(const bool val);
+
+  bool operator == (const QuotaReply & rhs) const
+  {
+    if (!(tokens == rhs.tokens))
+      return false;
+    if (!(retryAfterMs == rhs.retryAfterMs))
+      return false;
+    if (!(isUnknown == rhs.isUnknown))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaReply &a, QuotaReply &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaReply& obj);
+
 typedef struct _EndpointRecord__isset {
   _EndpointRecord__isset() : name(false), workspace(false), serviceName(false), slots(false), generation(false), state(false) {}
   bool name :1;
@@ -2497,7 +2643,7 @@
 std::ostream& operator<<(std::ostream& out, const SnapshotHead& obj);
 
 typedef struct _Frame__isset {
-  _Frame__isset() : stream(false), hello(false), heartbeat(false), ticket(false), grant(false), call(false), data(false), answer(false), failure(false), cancel(false), revoke(false), revoked(false), keyRequest(false), keyReply(false), gossip(false), snapshotRequest(false), snapshot(false), keep(false), snapshotHead(false), overdue(false), giveUp(false) {}
+  _Frame__isset() : stream(false), hello(false), heartbeat(false), ticket(false), grant(false), call(false), data(false), answer(false), failure(false), cancel(false), revoke(false), revoked(false), keyRequest(false), keyReply(false), gossip(false), snapshotRequest(false), snapshot(false), keep(false), snapshotHead(false), overdue(false), giveUp(false), quotaRequest(false), quotaReply(false) {}
   bool stream :1;
   bool hello :1;
   bool heartbeat :1;
@@ -2519,6 +2665,8 @@
   bool snapshotHead :1;
   bool overdue :1;
   bool giveUp :1;
+  bool quotaRequest :1;
+  bool quotaReply :1;
 } _Frame__isset;
 
 class Frame : public virtual ::apache::thrift::TBase {
@@ -2554,6 +2702,8 @@
   SnapshotHead snapshotHead;
   Overdue overdue;
   GiveUp giveUp;
+  QuotaRequest quotaRequest;
+  QuotaReply quotaReply;
 
   _Frame__isset __isset;
 
@@ -2599,6 +2749,10 @@
 
   void __set_giveUp(const GiveUp& val);
 
+  void __set_quotaRequest(const QuotaRequest& val);
+
+  void __set_quotaReply(const QuotaReply& val);
+
   bool operator == (const Frame & rhs) const
   {
     if (!(stream == rhs.stream))
@@ -2683,6 +2837,14 @@
       return false;
     else if (__isset.giveUp && !(giveUp == rhs.giveUp))
       return false;
+    if (__isset.quotaRequest != rhs.__isset.quotaRequest)
+      return false;
+    else if (__isset.quotaRequest && !(quotaRequest == rhs.quotaRequest))
+      return false;
+    if (__isset.quotaReply != rhs.__isset.quotaReply)
+      return false;
+    else if (__isset.quotaReply && !(quotaReply == rhs.quotaReply))
+      return false;
     return true;
   }
   bool operator != (const Frame &rhs) const {
--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -5,6 +5,7 @@
 #include "libfleet/peers/wireconvert.h"
 #include "libfleet/reporting/logging.h"
 #include "libfleet/reporting/metrics.h"
+#include "libfleet/workspaces/calleridentity.h"
 #include "libhickoryglade/hash.h"
 #include "libhickoryglade/registry.h"
 
@@ -186,6 +187,9 @@
   context.Id = std::move(id);
   context.CallerId = headerValue(request.Headers, Dialect.RequestIdHeader);
   context.MatchedRoute = *route;
+  if (auto refusal =
+          identifyCaller(*View, Dialect, now(), request, context.MatchedRoute))
+    return *refusal;
   context.MatchedRoute.Service = Splits.choose(*route, Rng);
   context.Deadline = now() + timeout;
   context.Target = now() + policy.TargetLatency;
--- a/src/libfleet/http/httpdialect.h
+++ b/src/libfleet/http/httpdialect.h
@@ -25,6 +25,10 @@
   std::string ExpectedEndpointHeader;
   /// Service on whose VM the caller runs.
   std::string CallerServiceHeader;
+  /// The caller's key, where settings require one. Never sent to endpoints.
+  std::string KeyHeader = "Workspace-Key";
+  /// Name of the caller's workspace, for endpoints.
+  std::string WorkspaceHeader = "Workspace";
   /// Present in every response of an endpoint to a request that it executed
   /// successfully.
   std::string ProofHeader;
--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -89,7 +89,11 @@
                 },
                 [this] { return fetchSettings(); },
                 [this](const std::string &what) { return refreshRank(what); },
-                [this] { return awaitPollDue(); }, [this] { shareFreshness(); },
+                [this] { return awaitPollDue(); },
+                [this] {
+                  noteFreshness();
+                  shareFreshness();
+                },
                 [this](Micros since) { announceReading(since); }}),
       Leases(io, settings.LogAddress, settings.StreamPrefix + ".leases",
              {settings.Node, bootId}, metrics, leaseEvents()),
@@ -401,6 +405,7 @@
   const SettingsState &settings = Settings.state();
   if (RoutesNext != settings.Next || !Routes) {
     Routes = std::make_shared<const RouteTable>(settings.Tree, Routes.get());
+    Workspaces = std::make_shared<const WorkspaceTable>(settings.Tree);
     RoutesNext = settings.Next;
   }
   auto view = std::make_shared<FleetView>();
@@ -408,6 +413,8 @@
   view->SettingsNext = settings.Next;
   view->Root = policyAt(settings.Tree, "/");
   view->Routes = Routes;
+  view->Workspaces = Workspaces;
+  view->AsOf = AsOf;
   for (const auto &[node, member] : Members.state().Members)
     addMember(*view, member);
   for (const auto &[path, node] : settings.Tree.Nodes)
@@ -418,6 +425,9 @@
   for (const auto &[path, node] : settings.Tree.Nodes) {
     if (settingsLevel(path) != SettingsLevel::Workspace)
       continue;
+    // Workspaces without a share of their own have the default weight.
+    if (!node.Value.is_object() || !node.Value.contains("share"))
+      continue;
     int share = policyAt(settings.Tree, path).Share;
     for (auto &[name, service] : view->Services)
       service.Shares[path.substr(1)] = share;
--- a/src/libfleet/node/control.h
+++ b/src/libfleet/node/control.h
@@ -113,6 +113,7 @@
   ReadingPolicy readingPolicy() const;
   std::optional<Micros> settingsAge() const;
   void noteSettingsNotice(const SettingsNotice &notice);
+  void noteFreshness();
   void sendSettingsNotice(const std::vector<const Member *> &targets,
                           bool isReading);
   void shareNotice(bool isReading);
@@ -180,6 +181,8 @@
   std::int64_t SpreadNext = 0;
   Quarantine Crashes;
   std::shared_ptr<const RouteTable> Routes;
+  std::shared_ptr<const WorkspaceTable> Workspaces;
+  std::shared_ptr<SettingsAsOf> AsOf = std::make_shared<SettingsAsOf>();
   std::int64_t RoutesNext = -1;
   FleetViewPtr View = std::make_shared<const FleetView>();
 };
--- a/src/libfleet/node/controlsettings.cpp
+++ b/src/libfleet/node/controlsettings.cpp
@@ -68,6 +68,7 @@
   if (asOf <= Settings.freshness().AsOf)
     return;
   Settings.noteCurrent(asOf);
+  noteFreshness();
   relayNotice(notice.Sender, false);
   if (notice.Sender == FreshnessSender)
     return;
@@ -78,6 +79,9 @@
             {"age_ms", toMillis(*notice.Age).count()}});
 }
 
+/// Tells the traffic threads how old the settings may be.
+void Control::noteFreshness() { AsOf->set(Settings.freshness().AsOf); }
+
 void Control::sendSettingsNotice(const std::vector<const Member *> &targets,
                                  bool isReading) {
   Members.sendSettingsNotice(targets, settingsAge(), storeIncarnation(),
--- a/src/libfleet/node/fleetview.h
+++ b/src/libfleet/node/fleetview.h
@@ -4,7 +4,9 @@
 #include "libhickoryglade/quarantine.h"
 #include "libhickoryglade/routerpolicy.h"
 #include "libhickoryglade/routetable.h"
+#include "libhickoryglade/workspaces/workspacetable.h"
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <optional>
@@ -36,6 +38,15 @@
   bool operator==(const NodeView &) const = default;
 };
 
+/// Latest time at which this node's settings are known to have been the newest,
+/// kept up to date for all threads.
+struct SettingsAsOf {
+  std::atomic<Instant::rep> Value{0};
+
+  Instant time() const { return Instant(Micros(Value.load())); }
+  void set(Instant at) { Value.store(at.time_since_epoch().count()); }
+};
+
 struct ServiceView {
   std::vector<GateView> Gates;
   ServicePolicy Policy;
@@ -53,6 +64,10 @@
   ServicePolicy Root;
   std::shared_ptr<const RouteTable> Routes =
       std::make_shared<const RouteTable>();
+  std::shared_ptr<const WorkspaceTable> Workspaces =
+      std::make_shared<const WorkspaceTable>();
+  std::shared_ptr<const SettingsAsOf> AsOf =
+      std::make_shared<const SettingsAsOf>();
   std::map<std::string, ServiceView> Services;
   std::map<std::string, NodeView> Nodes;
   Quarantine Crashes;
--- a/src/libfleet/node/nodesettings.cpp
+++ b/src/libfleet/node/nodesettings.cpp
@@ -169,11 +169,16 @@
   reader.readString("adapter", settings.Platform, true);
   reader.readAddress("address", settings.PlatformAddress, true);
   reader.readNumbers("bounds", settings.PlatformBounds);
-  if (const json *defaults = reader.findKey("root_defaults", false)) {
+  auto readDefaults = [&](const char *key, json &out) {
+    const json *defaults = reader.findKey(key, false);
+    if (!defaults)
+      return;
     for (const SettingsFault &it : checkSettingsValue("/", *defaults))
-      reader.fault("root_defaults", it.Where + " " + it.Reason);
-    settings.RootDefaults = *defaults;
-  }
+      reader.fault(key, it.Where + " " + it.Reason);
+    out = *defaults;
+  };
+  readDefaults("root_defaults", settings.RootDefaults);
+  readDefaults("competing_root_defaults", settings.CompetingRootDefaults);
   if (!settings.Platform.empty() &&
       !Registry<PlatformAdapter>::instance().find(settings.Platform))
     reader.fault("adapter", "unknown adapter " + settings.Platform);
@@ -271,10 +276,12 @@
                   {"prefix", settings.StreamPrefix},
                   {"retention_ms", settings.LogRetention.count()}};
   else
-    out["platform"] = {{"adapter", settings.Platform},
-                       {"address", settings.PlatformAddress},
-                       {"bounds", settings.PlatformBounds},
-                       {"root_defaults", settings.RootDefaults}};
+    out["platform"] = {
+        {"adapter", settings.Platform},
+        {"address", settings.PlatformAddress},
+        {"bounds", settings.PlatformBounds},
+        {"root_defaults", settings.RootDefaults},
+        {"competing_root_defaults", settings.CompetingRootDefaults}};
   return out;
 }
 
--- a/src/libfleet/node/nodesettings.h
+++ b/src/libfleet/node/nodesettings.h
@@ -39,6 +39,9 @@
   /// Default values for the root of the settings tree, for keys that a
   /// platform's documents don't set.
   nlohmann::json RootDefaults = nlohmann::json::object();
+  /// Further default values for documents whose callers compete for room: those
+  /// with workspaces of their own, or with large request bodies.
+  nlohmann::json CompetingRootDefaults = nlohmann::json::object();
   std::string LogAddress;
   /// Prefix of the names of this fleet's log streams.
   std::string StreamPrefix = "hickoryglade";
--- a/src/libhickoryglade/errorkind.cpp
+++ b/src/libhickoryglade/errorkind.cpp
@@ -10,7 +10,7 @@
 constexpr RunState NotRun = RunState::NotRun;
 constexpr RunState Unknown = RunState::Unknown;
 
-constexpr std::array<ErrorInfo, 29> Answers{{
+constexpr std::array<ErrorInfo, 32> Answers{{
     {ErrorKind::BadRequest, "bad_request", 400, NotRun, false,
      "The request is malformed"},
     {ErrorKind::HeadersTooLarge, "headers_too_large", 431, NotRun, false,
@@ -69,6 +69,12 @@
      "The limits that the endpoints name let it start too late"},
     {ErrorKind::AnswerTooLong, "answer_too_long", 502, Unknown, true,
      "The endpoint's answer exceeds the memory for answers"},
+    {ErrorKind::UnknownKey, "unknown_key", 401, NotRun, false,
+     "The route requires the key of a workspace"},
+    {ErrorKind::QuotaExceeded, "quota_exceeded", 429, NotRun, true,
+     "The workspace has used up its quota"},
+    {ErrorKind::KeysUnconfirmed, "keys_unconfirmed", 503, NotRun, true,
+     "The node cannot confirm that its keys are current"},
 }};
 
 } // namespace
--- a/src/libhickoryglade/errorkind.h
+++ b/src/libhickoryglade/errorkind.h
@@ -42,6 +42,9 @@
   ContentSuspect,
   EndpointLimited,
   AnswerTooLong,
+  UnknownKey,
+  QuotaExceeded,
+  KeysUnconfirmed,
 };
 
 /// Properties of an error kind and of the answer to the caller.
--- a/src/libhickoryglade/queueorder.cpp
+++ b/src/libhickoryglade/queueorder.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> Names = {"arrival", "priority",
-                                                   "time_left", "target"};
+constexpr std::array<std::string_view, 5> Names = {
+    "arrival", "priority", "time_left", "target", "workspace"};
 
 /// Time after which an answer loses part of its value.
 Instant targetOf(const Ticket &ticket) {
@@ -29,6 +29,7 @@
     return std::tie(ticket.Priority, ticket.Deadline) <
            std::tie(earlier.Priority, earlier.Deadline);
   case QueueOrder::Target:
+  case QueueOrder::Workspace:
     return std::pair(ticket.Priority, targetOf(ticket)) <
            std::pair(earlier.Priority, targetOf(earlier));
   }
--- a/src/libhickoryglade/queueorder.h
+++ b/src/libhickoryglade/queueorder.h
@@ -18,7 +18,10 @@
   TimeLeft,
   /// By rank, then by the earliest target time. Calls made by running requests
   /// have short targets and so go before new requests of their rank.
-  Target
+  Target,
+  /// As Target, but the ranks hold across workspaces: a workspace's own
+  /// priority goes before that of the route.
+  Workspace
 };
 
 /// True if a ticket goes before another one that arrived earlier.
--- a/src/libhickoryglade/servicepolicy.h
+++ b/src/libhickoryglade/servicepolicy.h
@@ -81,6 +81,23 @@
   /// than usual to answer running requests, long before that makes the
   /// endpoints doubtful.
   bool AvoidsSilent = false;
+  /// Whether requests need the key of a workspace.
+  bool RequiresKey = false;
+  /// Age of the settings from which a node refuses requests that need a key; 0
+  /// if it uses the keys that it knows for however long.
+  Millis KeyMaxAge{0};
+  /// Slots of an endpoint, in percent, that stay free for each more urgent
+  /// priority in use; 0 if none do.
+  int ReservedSlotsPercent = 0;
+  /// Whether an endpoint that sheds is compared with the other endpoints of its
+  /// service before it becomes doubtful.
+  bool ComparesSheds = false;
+  /// Part of a gate's retry budget, in percent, that is kept for the most
+  /// urgent requests.
+  int RepeatReservePercent = 0;
+  /// Number of gates whose loads an entry compares for a request; 0 if it goes
+  /// by their latest reports.
+  int CompareGates = 0;
   /// Weight of the workspace in the fair queueing of a service.
   int Share = 1;
   /// Time for which a request that has crashed endpoints stays quarantined.
--- a/src/libhickoryglade/settingsschema.cpp
+++ b/src/libhickoryglade/settingsschema.cpp
@@ -4,6 +4,8 @@
 #include "libhickoryglade/healthpolicy.h"
 #include "libhickoryglade/registry.h"
 #include "libhickoryglade/routerpolicy.h"
+#include "libhickoryglade/workspaces/keydigest.h"
+#include "libhickoryglade/workspaces/workspacetable.h"
 
 #include <nlohmann/json.hpp>
 
@@ -36,6 +38,12 @@
 };
 
 struct MethodListRule {};
+struct DigestListRule {};
+struct NumberRule {
+  double Highest;
+};
+/// Read where workspaces are listed, not as a part of a policy.
+struct WorkspacePriorityRule {};
 struct BooleanRule {
   void (*Apply)(ServicePolicy &, bool);
 };
@@ -51,12 +59,16 @@
   SettingsLevel From;
   std::variant<IntegerRule, PolicyNameRule, MethodListRule, BooleanRule,
                HostRule, PrefixRule, WorkspaceRule, SplitRule,
-               QuarantineReleaseRule>
+               QuarantineReleaseRule, DigestListRule, NumberRule,
+               WorkspacePriorityRule>
       Rule;
+  /// Lowest level at which it is allowed.
+  SettingsLevel To = SettingsLevel::Route;
 };
 
 constexpr std::int64_t DayMs = 86'400'000;
 constexpr std::int64_t MaxWeight = 1'000'000;
+constexpr double MaxQuota = 1e9;
 
 const std::vector<KeyRule> &schema() {
   using P = ServicePolicy;
@@ -162,6 +174,32 @@
                       [](P &p, std::string v) { p.Health = std::move(v); }}},
       {"idempotent_methods", SettingsLevel::Fleet, MethodListRule{}},
       {"quarantine_release", SettingsLevel::Fleet, QuarantineReleaseRule{}},
+      {"requires_key", SettingsLevel::Fleet,
+       BooleanRule{[](P &p, bool v) { p.RequiresKey = v; }}},
+      {"key_max_age_ms", SettingsLevel::Fleet,
+       IntegerRule{0, DayMs,
+                   [](P &p, std::int64_t v) { p.KeyMaxAge = Millis(v); }}},
+      {"reserved_slots_percent", SettingsLevel::Fleet,
+       IntegerRule{
+           0, 100,
+           [](P &p, std::int64_t v) { p.ReservedSlotsPercent = int(v); }}},
+      {"shed_comparison", SettingsLevel::Fleet,
+       BooleanRule{[](P &p, bool v) { p.ComparesSheds = v; }}},
+      {"repeat_reserve_percent", SettingsLevel::Fleet,
+       IntegerRule{
+           0, 100,
+           [](P &p, std::int64_t v) { p.RepeatReservePercent = int(v); }}},
+      {"compare_gates", SettingsLevel::Fleet,
+       IntegerRule{0, 4,
+                   [](P &p, std::int64_t v) { p.CompareGates = int(v); }}},
+      {"key_digests", SettingsLevel::Workspace, DigestListRule{},
+       SettingsLevel::Workspace},
+      {"quota_per_second", SettingsLevel::Workspace, NumberRule{MaxQuota},
+       SettingsLevel::Workspace},
+      {"quota_burst", SettingsLevel::Workspace, NumberRule{MaxQuota},
+       SettingsLevel::Workspace},
+      {"workspace_priority", SettingsLevel::Workspace, WorkspacePriorityRule{},
+       SettingsLevel::Workspace},
       {"host", SettingsLevel::Route, HostRule{}},
       {"prefix", SettingsLevel::Route, PrefixRule{}},
       {"workspace", SettingsLevel::Route, WorkspaceRule{}},
@@ -231,6 +269,30 @@
              : "must be the name of a workspace";
 }
 
+std::string fault(const DigestListRule &, const json &value) {
+  bool isDigestList =
+      value.is_array() && std::ranges::all_of(value, [](const json &it) {
+        return it.is_string() && isKeyDigest(it.get<std::string>());
+      });
+  return isDigestList ? "" : "must be a list of key digests";
+}
+
+std::string fault(const NumberRule &rule, const json &value) {
+  bool isInRange = value.is_number() && value.get<double>() >= 0 &&
+                   value.get<double>() <= rule.Highest;
+  return isInRange
+             ? ""
+             : "must be a number from 0 to 1000000000, not " + value.dump();
+}
+
+std::string fault(const WorkspacePriorityRule &, const json &value) {
+  bool isInRange = value.is_number_integer() &&
+                   value.get<std::int64_t>() >= 0 &&
+                   value.get<std::int64_t>() <= MaxWorkspacePriority;
+  return isInRange ? ""
+                   : "must be an integer from 0 to 100, not " + value.dump();
+}
+
 std::string fault(const BooleanRule &, const json &value) {
   return value.is_boolean() ? "" : "must be true or false";
 }
@@ -270,6 +332,9 @@
   if (level < it->From)
     return "is allowed at a " + std::string(levelName(it->From)) +
            " only, not at a " + std::string(levelName(level));
+  if (level > it->To)
+    return "is allowed at a " + std::string(levelName(it->To)) +
+           " only, not at a " + std::string(levelName(level));
   return std::visit([&](const auto &rule) { return fault(rule, value); },
                     it->Rule);
 }
--- a/src/libhickoryglade/settingstree.cpp
+++ b/src/libhickoryglade/settingstree.cpp
@@ -4,6 +4,8 @@
 #include "libhickoryglade/settingsschema.h"
 
 #include <algorithm>
+#include <array>
+#include <string_view>
 
 namespace hickoryglade {
 
@@ -17,10 +19,12 @@
   return &it->second;
 }
 
-/// Keys that identify a route; they are never inherited.
-bool isRouteKey(const std::string &key) {
-  return key == "host" || key == "prefix" || key == "workspace" ||
-         key == "split";
+/// Keys that identify a route or workspace; they are never inherited.
+bool isIdentityKey(const std::string &key) {
+  constexpr std::array<std::string_view, 8> keys = {
+      "host",        "prefix",           "workspace",   "split",
+      "key_digests", "quota_per_second", "quota_burst", "workspace_priority"};
+  return std::ranges::find(keys, key) != keys.end();
 }
 
 } // namespace
@@ -53,7 +57,7 @@
     if (!node)
       continue;
     for (const auto &[key, value] : node->Value.items())
-      if (at == path || !isRouteKey(key))
+      if (at == path || !isIdentityKey(key))
         byKey[key] = {key, value, at, node->Revision};
   }
   std::vector<EffectiveValue> all;
