sheds: compare an endpoint with its whole service before doubting it

With shed_comparison an endpoint becomes suspect for sheds only if its run of sheds is rare at the share that entries report with their tickets. Sheds are retried within the gates' budgets alone, and a request may try two more gates when a gate's part of the retry budget is used up.

--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -245,16 +245,17 @@
     if (isErrorResponse && !errors.tryTake())
       co_return result;
     Error error = noteFailure(context, std::move(result));
-    if (isFreeRetry(error.Kind)) {
+    const ServicePolicy &policy = context.MatchedRoute.Policy;
+    if (isFreeRetry(error.Kind, policy.ComparesSheds)) {
       ++context.FreeTries;
       --context.CountedAttempts;
     }
     bool isLimited = error.Kind == ErrorKind::EndpointLimited;
-    RetryDecision answer =
-        decideRetry({error, context.IsIdempotent, context.CountedAttempts,
-                     context.Deadline - now(), context.Cost.Expected,
-                     context.Runs, context.MatchedRoute.Policy.MaxAttempts},
-                    budget);
+    RetryDecision answer = decideRetry(
+        {error, context.IsIdempotent, context.CountedAttempts,
+         context.Deadline - now(), context.Cost.Expected, context.Runs,
+         policy.MaxAttempts, policy.ComparesSheds, context.BudgetRefusals},
+        budget);
     Counters.countRetryDecision(std::string(answer.Reason));
     logEvent(LogLevel::Warn, "attempt_failed",
              {{"request", context.Id},
@@ -293,6 +294,7 @@
   Error error = std::get<Error>(std::move(result));
   bool isLimited = error.Kind == ErrorKind::EndpointLimited;
   context.CapacityRefusals += error.Kind == ErrorKind::SlotTaken || isLimited;
+  context.BudgetRefusals += error.Kind == ErrorKind::RetriesExhausted;
   context.DoubtRefusals += error.Kind == ErrorKind::EndpointDoubtful;
   bool hasFailed = error.Kind != ErrorKind::SlotTaken;
   if (hasFailed && !context.LastGate.empty())
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -6,6 +6,7 @@
 #include "libfleet/peers/peerlinks.h"
 #include "libhickoryglade/costmodel.h"
 #include "libhickoryglade/noticeboard.h"
+#include "libhickoryglade/overload/shedcomparison.h"
 #include "libhickoryglade/retry.h"
 #include "libhickoryglade/splitter.h"
 
@@ -61,6 +62,8 @@
   int CapacityRefusals = 0;
   /// Refusals by gates whose endpoints were doubtful.
   int DoubtRefusals = 0;
+  /// Refusals by gates whose part of the retry budget was used up.
+  int BudgetRefusals = 0;
   /// Gate of the latest attempt that reached one.
   std::string LastGate;
   /// Gates that refused the request or failed to complete it.
@@ -156,7 +159,7 @@
                                                std::size_t target) const;
   void noteLoad(const std::string &node, const std::string &service,
                 const wire::Load &load);
-  Error toError(Attempt &attempt, const wire::Failure &failure) const;
+  Error toError(Attempt &attempt, const wire::Failure &failure);
   void takeOverdue(Attempt &attempt, std::size_t target);
   std::string_view reasonNotToReplace(const Attempt &attempt,
                                       std::size_t target);
@@ -204,6 +207,8 @@
   CostModel Costs;
   /// By service.
   std::map<std::string, MeanCost> MeanCosts;
+  /// By service.
+  std::map<std::string, ShedAverage> Sheds;
   Splitter Splits;
   std::map<std::string, RetryBudget> Budgets;
   /// Retry budgets for server errors that endpoints returned.
--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -98,6 +98,10 @@
       IsDraining || context.Runs + 1 >= context.MatchedRoute.Policy.MaxAttempts;
   ticket.priority = context.MatchedRoute.Policy.Priority;
   ticket.isSerialized = attempt.IsSerialized;
+  auto sheds = Sheds.find(context.MatchedRoute.Service);
+  if (context.MatchedRoute.Policy.ComparesSheds && sheds != Sheds.end())
+    if (auto percent = shedPercent(sheds->second, now()))
+      ticket.__set_shedPercent(*percent);
   std::vector<wire::EndpointNotice> notices = noticesFor(attempt, target);
   if (!notices.empty())
     ticket.__set_notices(notices);
@@ -141,6 +145,7 @@
   if (OnNotice)
     OnNotice(service, notice);
   takeNotice(service, std::move(notice));
+  noteResult(Sheds[service], false, now());
 }
 
 void Entry::sendCall(Attempt &attempt, std::size_t target) {
@@ -517,7 +522,10 @@
   view.At = now();
 }
 
-Error Entry::toError(Attempt &attempt, const wire::Failure &failure) const {
+Error Entry::toError(Attempt &attempt, const wire::Failure &failure) {
+  bool isShed = errorKindFromWire(failure.kind) == ErrorKind::EndpointShed;
+  if (failure.hasReached)
+    noteResult(Sheds[attempt.Request->MatchedRoute.Service], isShed, now());
   attempt.Request->Crashes += failure.isCrash;
   attempt.Request->Arrivals += failure.hasReached;
   // A crash that another copy of the request caused counts for this one before
--- a/src/libfleet/entry/entryreplacement.cpp
+++ b/src/libfleet/entry/entryreplacement.cpp
@@ -130,6 +130,7 @@
   context.Crashes += request.Crashes - replacement->CrashesBefore;
   context.CapacityRefusals = request.CapacityRefusals;
   context.DoubtRefusals = request.DoubtRefusals;
+  context.BudgetRefusals = request.BudgetRefusals;
   context.Tried = std::move(request.Tried);
   context.ServerError = std::move(request.ServerError);
   return std::nullopt;
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -113,6 +113,8 @@
   if (in.maxWaitMs > 0)
     out.MaxWait = Millis(in.maxWaitMs);
   out.IsSerialized = in.isSerialized;
+  if (in.__isset.shedPercent)
+    out.ShedPercent = in.shedPercent;
   return out;
 }
 
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -190,6 +190,8 @@
   GateActions actions;
   detectPause(gate, now);
   GateService &service = gate.Services[ticket.Service];
+  noteReport(service.Sheds, ticket.ShedPercent, now);
+  reviewShedDoubts(gate, ticket.Service, now, actions);
   if (auto fault = offerError(gate, ticket, now)) {
     refuse(actions, ticket.AttemptId, std::move(*fault));
     return actions;
--- a/src/libhickoryglade/gateendpoint.h
+++ b/src/libhickoryglade/gateendpoint.h
@@ -67,6 +67,8 @@
   double FailureShare = 0;
   /// Consecutive refusals by the endpoint although it had a free slot.
   int ConsecutiveSheds = 0;
+  /// True while the endpoint is suspect for its sheds alone.
+  bool IsSuspectForSheds = false;
   /// False after an attempt found nothing listening at its address.
   bool IsListening = true;
   /// Successful answers since the endpoint's start.
--- a/src/libhickoryglade/gatehealth.cpp
+++ b/src/libhickoryglade/gatehealth.cpp
@@ -61,6 +61,33 @@
                                    endpoint.Announced.Service, false});
 }
 
+/// The share that an endpoint's sheds are compared with; nothing without
+/// evidence about other endpoints of the service.
+std::optional<double> comparedShedShare(const GateService &service,
+                                        Instant now) {
+  if (!service.Policy.ComparesSheds || service.Gates <= 1)
+    return std::nullopt;
+  return shedShare(service.Sheds, now);
+}
+
+/// Ends the doubt about an endpoint that became suspect before the gate had
+/// heard how much the whole service sheds. Not a recovery: a later failure is
+/// no relapse.
+void liftShedDoubt(GateEndpoint &endpoint, const EndpointEvidence &evidence,
+                   Instant now, GateActions &actions) {
+  bool isUsual = endpoint.State == Standing::Suspect &&
+                 endpoint.IsSuspectForSheds && evidence.ServiceShedShare &&
+                 evidence.ConsecutiveSheds > 0 &&
+                 endpoint.FailureShare <= MaxFailureShare;
+  if (!isUsual)
+    return;
+  endpoint.IsSuspectForSheds = false;
+  setStanding(endpoint, Standing::Healthy, "sheds no more than its service",
+              now, actions);
+  actions.push_back(EjectionAction{endpoint.Announced.Name,
+                                   endpoint.Announced.Service, false});
+}
+
 void updateFailureShare(GateEndpoint &endpoint, bool isFailure) {
   endpoint.FailureShare +=
       ((isFailure ? 1.0 : 0.0) - endpoint.FailureShare) * LatestOutcomeWeight;
@@ -150,21 +177,24 @@
 
 void assessHealth(Gate &gate, GateEndpoint &endpoint, Instant now,
                   GateActions &actions) {
-  const ServicePolicy &policy =
-      gate.Services[endpoint.Announced.Service].Policy;
+  const GateService &service = gate.Services[endpoint.Announced.Service];
+  const ServicePolicy &policy = service.Policy;
   const auto *health = Registry<HealthPolicy>::instance().find(policy.Health);
   if (!health)
     return;
-  HealthAssessment assessment =
-      health->Assess(evidenceOf(endpoint, policy, now), policy);
+  EndpointEvidence evidence = evidenceOf(endpoint, policy, now);
+  evidence.ServiceShedShare = comparedShedShare(service, now);
+  HealthAssessment assessment = health->Assess(evidence, policy);
   endpoint.IsHanging = endpoint.IsHanging || assessment.IsHanging;
   bool isUnhealthy = assessment.Verdict == HealthVerdict::Unhealthy;
   if (isUnhealthy || endpoint.IsHanging)
     reportOverdue(endpoint, policy, now, actions);
   if (assessment.Verdict == HealthVerdict::Healthy)
-    return;
+    return liftShedDoubt(endpoint, evidence, now, actions);
   bool isNewlyDoubtful =
       endpoint.State == Standing::Healthy || endpoint.State == Standing::Trial;
+  endpoint.IsSuspectForSheds =
+      assessment.IsForSheds && (isNewlyDoubtful || endpoint.IsSuspectForSheds);
   if (isNewlyDoubtful)
     markSuspect(endpoint, assessment.Reason, isUnhealthy, now, actions);
   else if (isUnhealthy && !isEjected(endpoint, now))
@@ -172,6 +202,14 @@
                                      endpoint.Announced.Service, true});
 }
 
+void reviewShedDoubts(Gate &gate, const std::string &service, Instant now,
+                      GateActions &actions) {
+  for (auto &[name, it] : gate.Endpoints)
+    if (it.Announced.Service == service && it.IsSuspectForSheds &&
+        it.State == Standing::Suspect)
+      assessHealth(gate, it, now, actions);
+}
+
 void considerTrial(const Gate &gate, GateEndpoint &endpoint, Instant now,
                    GateActions &actions) {
   auto service = gate.Services.find(endpoint.Announced.Service);
--- a/src/libhickoryglade/gatehealth.h
+++ b/src/libhickoryglade/gatehealth.h
@@ -15,6 +15,11 @@
 void assessHealth(Gate &gate, GateEndpoint &endpoint, Instant now,
                   GateActions &actions);
 
+/// Assesses the endpoints of a service that are suspect for their sheds, since
+/// a ticket may have shown that the whole service sheds.
+void reviewShedDoubts(Gate &gate, const std::string &service, Instant now,
+                      GateActions &actions);
+
 /// Puts an ejected or suspect endpoint on trial once its time without traffic
 /// is over. An endpoint on trial that receives no request for TrialIdleTimeout
 /// becomes healthy, since its service may have no idempotent requests.
--- a/src/libhickoryglade/healthpolicy.h
+++ b/src/libhickoryglade/healthpolicy.h
@@ -3,6 +3,7 @@
 #include "libhickoryglade/instant.h"
 #include "libhickoryglade/servicepolicy.h"
 
+#include <optional>
 #include <string>
 
 namespace hickoryglade {
@@ -22,6 +23,9 @@
   int ConsecutiveFailures = 0;
   /// Consecutive refusals by the endpoint although it had a free slot.
   int ConsecutiveSheds = 0;
+  /// Share of arrivals that the service's endpoints shed, from 0 to 1; nothing
+  /// if it is unknown or the settings do not ask for the comparison.
+  std::optional<double> ServiceShedShare;
   /// False after an attempt found nothing listening at its address.
   bool IsListening = true;
 
@@ -35,6 +39,8 @@
   std::string Reason;
   /// True if its overdue idempotent requests should be retried elsewhere.
   bool IsHanging = false;
+  /// True for doubt because of sheds, which may turn out to be usual.
+  bool IsForSheds = false;
 
   bool operator==(const HealthAssessment &) const = default;
 };
--- a/src/libhickoryglade/retry.cpp
+++ b/src/libhickoryglade/retry.cpp
@@ -51,8 +51,14 @@
   return last;
 }
 
-bool isFreeRetry(ErrorKind kind) {
-  return kind == ErrorKind::SlotTaken || kind == ErrorKind::EndpointDoubtful ||
+// The gates bound the arrivals at endpoints, and their parts of that bound are
+// used up at different times. An entry's own budget would end the retries of
+// sheds long before.
+bool isFreeRetry(ErrorKind kind, bool comparesSheds) {
+  bool isFreeShed =
+      kind == ErrorKind::EndpointShed || kind == ErrorKind::RetriesExhausted;
+  return (comparesSheds && isFreeShed) || kind == ErrorKind::SlotTaken ||
+         kind == ErrorKind::EndpointDoubtful ||
          kind == ErrorKind::ContentSuspect ||
          kind == ErrorKind::EndpointLimited;
 }
@@ -74,7 +80,11 @@
 }
 
 RetryDecision decideRetry(const RetryContext &context, RetryBudget &budget) {
-  if (isFinal(context.Failure.Kind))
+  bool mayTryOtherBudget =
+      context.ComparesSheds &&
+      context.Failure.Kind == ErrorKind::RetriesExhausted &&
+      context.BudgetRefusals <= MaxBudgetRefusals;
+  if (isFinal(context.Failure.Kind) && !mayTryOtherBudget)
     return {RetryVerdict::GiveUp, "another attempt would fail alike"};
   if (context.Failure.Run == RunState::Unknown && !context.IsIdempotent)
     return {RetryVerdict::GiveUp, "may have run and is not idempotent"};
@@ -84,7 +94,7 @@
     return {RetryVerdict::GiveUp, "attempts exhausted"};
   if (context.TimeLeft <= context.ExpectedCost)
     return {RetryVerdict::GiveUp, "no time left"};
-  bool isFree = isFreeRetry(context.Failure.Kind);
+  bool isFree = isFreeRetry(context.Failure.Kind, context.ComparesSheds);
   if (!isFree && !budget.tryTake())
     return {RetryVerdict::GiveUp, "retry budget exhausted"};
   return {RetryVerdict::Retry, "another attempt may succeed"};
--- a/src/libhickoryglade/retry.h
+++ b/src/libhickoryglade/retry.h
@@ -49,6 +49,11 @@
   /// Attempts that an endpoint may have run, and their limit.
   int Runs = 0;
   int MaxRuns = 4;
+  /// Whether the service's settings ask for the comparison of sheds. Sheds are
+  /// then retried within the gates' budgets alone.
+  bool ComparesSheds = false;
+  /// Refusals by gates whose part of the retry budget was used up.
+  int BudgetRefusals = 0;
 };
 
 struct RetryDecision {
@@ -76,9 +81,13 @@
 /// Retries outside the budget after which a request fails.
 constexpr int FreeRetryLimit = 12;
 
+/// Other gates that a request may try after the first has refused it because
+/// its part of the retry budget is used up.
+constexpr int MaxBudgetRefusals = 2;
+
 /// True for a refusal that costs a single message, so that its retry takes no
-/// token from the budget.
-bool isFreeRetry(ErrorKind kind);
+/// token from the budget; with the comparison of sheds also for a shed.
+bool isFreeRetry(ErrorKind kind, bool comparesSheds = false);
 
 /// Decides whether to try another endpoint. A request that may have run is
 /// retried only if it is idempotent. The budget bounds the retries of the
--- a/src/libhickoryglade/ticket.h
+++ b/src/libhickoryglade/ticket.h
@@ -52,6 +52,10 @@
   /// the gate ends it at once.
   bool DecidesRetry = false;
 
+  /// Share of the service's arrivals at endpoints that were shed recently, in
+  /// percent, as far as the entry knows it.
+  std::optional<int> ShedPercent;
+
   /// Longest wait that the entry allows; the gate's settings apply if empty.
   std::optional<Micros> MaxWait;
 
--- a/src/plugins/peercomparison/peercomparison.cpp
+++ b/src/plugins/peercomparison/peercomparison.cpp
@@ -1,6 +1,9 @@
 #include "libhickoryglade/healthpolicy.h"
+#include "libhickoryglade/overload/shedcomparison.h"
 #include "libhickoryglade/registry.h"
 
+#include <cmath>
+
 /// Assesses an endpoint passively, by its real requests: compares their run
 /// times with those of the same class of request at its peers.
 
@@ -22,6 +25,15 @@
   return isAllOverdue || it.MaxOverdue > policy.StallAfter;
 }
 
+std::string shedReason(const EndpointEvidence &it) {
+  std::string reason = "sheds with slots free";
+  if (it.ServiceShedShare)
+    reason += ", " + std::to_string(it.ConsecutiveSheds) +
+              " in a row while its service sheds " +
+              std::to_string(std::lround(*it.ServiceShedShare * 100)) + "%";
+  return reason;
+}
+
 HealthAssessment assessByPeers(const EndpointEvidence &evidence,
                                const ServicePolicy &policy) {
   if (evidence.ConsecutiveFailures >= UnhealthyThreshold)
@@ -33,8 +45,9 @@
     return {HealthVerdict::Doubtful, "does not listen"};
   if (evidence.ConsecutiveFailures >= policy.FailuresForDoubt)
     return {HealthVerdict::Doubtful, "failed requests in a row"};
-  if (evidence.ConsecutiveSheds >= policy.ShedsForDoubt)
-    return {HealthVerdict::Doubtful, "sheds with slots free"};
+  if (evidence.ConsecutiveSheds >=
+      rareShedRun(evidence.ServiceShedShare, policy.ShedsForDoubt))
+    return {HealthVerdict::Doubtful, shedReason(evidence), false, true};
   if (isStalled(evidence, policy))
     return {HealthVerdict::Doubtful, "completes nothing"};
   return {};
