entry: compare the loads of several gates before sending a request

With compare_gates, the router nearest draws gates at random by their expected free slots, and the entry claims the grant of the least loaded one. A report of a gate's load is 10 to 15 s old on average, so that most choices were made without knowing it.

--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -391,6 +391,7 @@
     applyLimit(it, load, context.Cost.Expected, now);
     it.Queued = isFresh ? load.Load.queued : 0;
     it.Outstanding = load.Outstanding;
+    noteReport(it, load, now);
     all.push_back(std::move(it));
   }
   return all;
@@ -413,7 +414,8 @@
                         context.MatchedRoute.Policy.SpillsToDoubtful,
                         context.CapacityRefusals,
                         context.IsShort,
-                        maxLimitLoad(context, context.Target)};
+                        maxLimitLoad(context, context.Target),
+                        comparedGates(context)};
   while (true) {
     all = candidates(context, now());
     RoutePlan plan = router->Plan(all, question, Rng);
@@ -443,6 +445,7 @@
   attempt.IsWaitBounded = plan.IsWaitBounded;
   attempt.IsSpill = isSpill(all, plan);
   attempt.IsSerialized = isSerialized;
+  attempt.IsComparison = plan.IsComparison;
   attempt.Box = std::make_shared<StreamMailbox>(Executor);
   for (std::size_t i : plan.Targets) {
     auto node = View->Nodes.find(all[i].Node);
@@ -463,7 +466,9 @@
   };
   Attempts.insert(&attempt);
   EntryResult result;
-  if (attempt.AwaitsGrant)
+  if (attempt.IsComparison)
+    result = co_await compareGates(attempt);
+  else if (attempt.AwaitsGrant)
     result = co_await sendTickets(attempt);
   else
     result = co_await sendDirect(attempt);
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <variant>
 
@@ -114,6 +115,7 @@
   };
   struct Attempt;
   struct Replacement;
+  struct GrantReply;
 
   std::variant<RequestContext, Error>
   prepareRequest(HttpRequest request, std::shared_ptr<CallScope> scope,
@@ -127,6 +129,14 @@
   static Error noteFailure(RequestContext &context, EntryResult result);
   asio::awaitable<EntryResult> sendDirect(Attempt &attempt);
   asio::awaitable<EntryResult> sendTickets(Attempt &attempt);
+  asio::awaitable<std::size_t> offerTickets(Attempt &attempt);
+  asio::awaitable<EntryResult> claimGrant(Attempt &attempt, std::size_t target);
+  asio::awaitable<EntryResult> compareGates(Attempt &attempt);
+  void dropUnconnected(Attempt &attempt);
+  Error noteRefusal(Attempt &attempt, std::size_t target,
+                    const wire::Failure &failure, Error last);
+  void noteGrants(const Attempt &attempt, std::span<const GrantReply> grants,
+                  std::size_t chosen);
   asio::awaitable<EntryResult> awaitAnswer(Attempt &attempt,
                                            std::size_t target);
   std::optional<EntryResult> ownResult(Attempt &attempt, std::size_t target,
@@ -146,6 +156,8 @@
                              Instant now);
   static void applyLimit(Candidate &candidate, const GateLoadView &load,
                          Micros cost, Instant now);
+  static void noteReport(Candidate &candidate, const GateLoadView &load,
+                         Instant now);
   std::vector<Candidate> candidates(const RequestContext &context, Instant now);
   wire::Ticket makeTicket(const Attempt &attempt, std::size_t target) const;
   void sendCall(Attempt &attempt, std::size_t target);
--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -243,7 +243,8 @@
   co_return co_await awaitAnswer(attempt, 0);
 }
 
-asio::awaitable<EntryResult> Entry::sendTickets(Attempt &attempt) {
+/// Returns the number of gates that the tickets were sent to.
+asio::awaitable<std::size_t> Entry::offerTickets(Attempt &attempt) {
   attempt.Request->LastGate.clear();
   std::size_t open = 0;
   for (std::size_t i = 0; i < attempt.Targets.size(); ++i) {
@@ -257,6 +258,23 @@
     frame.__set_ticket(makeTicket(attempt, i));
     it.Client->channel().send(std::move(frame));
   }
+  co_return open;
+}
+
+/// Sends the request to a gate that has granted a slot, and cancels the others.
+asio::awaitable<EntryResult> Entry::claimGrant(Attempt &attempt,
+                                               std::size_t target) {
+  attempt.IsGranted = true;
+  for (std::size_t i = 0; i < attempt.Targets.size(); ++i)
+    if (i != target)
+      cancelStream(attempt, i);
+  attempt.Request->LastGate = attempt.Targets[target].Gate.Node;
+  sendCall(attempt, target);
+  co_return co_await awaitAnswer(attempt, target);
+}
+
+asio::awaitable<EntryResult> Entry::sendTickets(Attempt &attempt) {
+  std::size_t open = co_await offerTickets(attempt);
   Error last = makeError(ErrorKind::NoEndpoint, "no gate can be reached",
                          DefaultRetryAfter);
   while (open > 0) {
@@ -270,15 +288,8 @@
       co_return Error{ErrorKind::Cancelled, RunState::NotRun, {}, {}};
     if (std::holds_alternative<StoppedEvent>(event->Content))
       co_return shutdownError(RunState::NotRun);
-    if (std::holds_alternative<GrantEvent>(event->Content)) {
-      attempt.IsGranted = true;
-      for (std::size_t i = 0; i < attempt.Targets.size(); ++i)
-        if (i != event->Tag)
-          cancelStream(attempt, i);
-      attempt.Request->LastGate = attempt.Targets[event->Tag].Gate.Node;
-      sendCall(attempt, event->Tag);
-      co_return co_await awaitAnswer(attempt, event->Tag);
-    }
+    if (std::holds_alternative<GrantEvent>(event->Content))
+      co_return co_await claimGrant(attempt, event->Tag);
     if (auto *failure = std::get_if<wire::Failure>(&event->Content)) {
       bool wasLimited = last.Kind == ErrorKind::EndpointLimited;
       Error refusal = toError(attempt, *failure);
--- a/src/libfleet/entry/entryattempt.h
+++ b/src/libfleet/entry/entryattempt.h
@@ -16,6 +16,9 @@
 /// Key of a gate's load for a service.
 std::string loadKey(const std::string &node, const std::string &service);
 
+/// Number of gates whose loads may be compared for a request; 0 if none.
+int comparedGates(const RequestContext &context);
+
 /// Error of a request that the node cannot complete before it exits.
 Error shutdownError(RunState run);
 
@@ -53,6 +56,8 @@
   bool IsWaitBounded = false;
   bool IsSpill = false;
   bool IsSerialized = false;
+  /// The grants of all targets are compared.
+  bool IsComparison = false;
   /// A gate has granted a slot.
   bool IsGranted = false;
   /// When the request itself was sent to a gate.
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -297,6 +297,8 @@
   wire::Frame frame;
   frame.stream = it->second->Origin.Stream;
   frame.grant.endpoint = action.Endpoint;
+  if (it->second->Request.OnlyIfFree)
+    frame.grant.__set_load(wireLoad(it->second->Request.Service));
   frame.__isset.grant = true;
   channel->send(std::move(frame));
 }
--- a/src/libfleet/peers/gateclient.cpp
+++ b/src/libfleet/peers/gateclient.cpp
@@ -54,7 +54,10 @@
     stream.Box->put({stream.Tag, std::move(content)});
   };
   if (frame.__isset.grant) {
-    put(GrantEvent{std::move(frame.grant.endpoint)});
+    GrantEvent grant{std::move(frame.grant.endpoint)};
+    if (frame.grant.__isset.load)
+      grant.Load = frame.grant.load;
+    put(std::move(grant));
     return true;
   }
   if (frame.__isset.overdue) {
--- a/src/libfleet/peers/gateclient.h
+++ b/src/libfleet/peers/gateclient.h
@@ -9,12 +9,15 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <variant>
 
 namespace hickoryglade::fleet {
 
 struct GrantEvent {
   std::string Endpoint;
+  /// Load of the gate with the granted slot in use, if it was asked for.
+  std::optional<wire::Load> Load = std::nullopt;
 };
 
 struct AnswerEvent {
--- a/src/libfleet/peers/peerlinks.cpp
+++ b/src/libfleet/peers/peerlinks.cpp
@@ -144,7 +144,23 @@
   auto it = Peers.find(node);
   if (it == Peers.end() || it->second.Losses == 0)
     return;
-  Peer &peer = it->second;
+  prepare(node, view, now);
+}
+
+bool PeerLinks::isConnected(const std::string &node) const {
+  if (node == LocalNode)
+    return true;
+  auto it = Peers.find(node);
+  if (it == Peers.end())
+    return false;
+  const Peer &peer = it->second;
+  return peer.Client && peer.Connection && peer.Connection->isOpen() &&
+         peer.Connection->peer();
+}
+
+void PeerLinks::prepare(const std::string &node, const NodeView &view,
+                        Instant now) {
+  Peer &peer = Peers[node];
   if (peer.Connection || peer.IsConnecting || now < peer.DownUntil)
     return;
   peer.IsConnecting = true;
--- a/src/libfleet/peers/peerlinks.h
+++ b/src/libfleet/peers/peerlinks.h
@@ -36,6 +36,12 @@
   void reconnectIfDue(const std::string &node, const NodeView &view,
                       Instant now);
 
+  /// True if requests can be sent to the node without waiting for its link.
+  bool isConnected(const std::string &node) const;
+
+  /// Starts to open the link to a node, unless it is open or backing off.
+  void prepare(const std::string &node, const NodeView &view, Instant now);
+
   void closeAll();
 
 private:
--- a/src/libfleet/reporting/metrics.cpp
+++ b/src/libfleet/reporting/metrics.cpp
@@ -85,6 +85,10 @@
                              "Requests refused or failed by kind")),
         Retries(counterFamily(registry, "hickoryglade_retry_decisions_total",
                               "Decisions on failed attempts by reason")),
+        Comparisons(
+            counterFamily(registry, "hickoryglade_gate_comparisons_total",
+                          "Comparisons of gates by service and the grant that "
+                          "was claimed: the first, a later one or none")),
         Abandoned(counterFamily(registry, "hickoryglade_abandoned_runs_total",
                                 "Attempts that their entry no longer waits "
                                 "for by reason")),
@@ -159,6 +163,7 @@
   prometheus::Family<prometheus::Counter> &Limited;
   prometheus::Family<prometheus::Counter> &Errors;
   prometheus::Family<prometheus::Counter> &Retries;
+  prometheus::Family<prometheus::Counter> &Comparisons;
   prometheus::Family<prometheus::Counter> &Abandoned;
   prometheus::Family<prometheus::Counter> &Standings;
   prometheus::Family<prometheus::Counter> &Settings;
@@ -239,6 +244,12 @@
   All->Retries.Add({{"reason", reason}}).Increment();
 }
 
+void Metrics::countComparison(const std::string &service,
+                              const std::string &claimed) {
+  All->Comparisons.Add({{"service", service}, {"claimed", claimed}})
+      .Increment();
+}
+
 void Metrics::countAbandonedRun(const std::string &reason) {
   All->Abandoned.Add({{"reason", reason}}).Increment();
 }
--- a/src/libfleet/reporting/metrics.h
+++ b/src/libfleet/reporting/metrics.h
@@ -51,6 +51,9 @@
   void countLimited(const std::string &service, const std::string &effect);
   void countError(const std::string &kind);
   void countRetryDecision(const std::string &reason);
+  /// Counts a comparison of gates by the grant that was claimed: the first, a
+  /// later one or none.
+  void countComparison(const std::string &service, const std::string &claimed);
   /// Counts a run that its entry no longer waits for.
   void countAbandonedRun(const std::string &reason);
   void countStandingChange(const std::string &standing);
--- a/src/libhickoryglade/routerpolicy.h
+++ b/src/libhickoryglade/routerpolicy.h
@@ -5,6 +5,7 @@
 #include "libhickoryglade/standing.h"
 
 #include <limits>
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -34,6 +35,10 @@
   bool IsPathUp = true;
   /// True if an earlier attempt of this request was refused or failed there.
   bool WasTried = false;
+  /// Free slots in the gate's latest report, however old it is; 0 if it had a
+  /// queue. Nothing if it has sent none.
+  std::optional<int> ReportedFree = std::nullopt;
+  Micros ReportAge{0};
 
   bool operator==(const Candidate &) const = default;
 };
@@ -60,6 +65,8 @@
   /// Wait for a limit with which the answer still meets its target, as a
   /// multiple of the request's expected run time.
   double MaxLimitLoad = std::numeric_limits<double>::infinity();
+  /// Number of gates whose loads may be compared for the request; 0 if none.
+  int CompareGates = 0;
 };
 
 /// Gates to which a request is sent, and how.
@@ -77,6 +84,9 @@
   /// the limit for the entry's own data centre, so that the entry can try gates
   /// in other data centres.
   bool IsWaitBounded = false;
+  /// True if the grants of all targets are to be compared; OnlyIfFree and
+  /// AwaitsGrant are then set.
+  bool IsComparison = false;
 
   bool operator==(const RoutePlan &) const = default;
 };
--- a/src/plugins/nearest/nearest.cpp
+++ b/src/plugins/nearest/nearest.cpp
@@ -1,3 +1,4 @@
+#include "libhickoryglade/balance/loadestimate.h"
 #include "libhickoryglade/registry.h"
 #include "libhickoryglade/routerpolicy.h"
 
@@ -79,11 +80,20 @@
   return isSecondFreer ? second : first;
 }
 
+RoutePlan planComparison(Indexes targets, std::string reason) {
+  RoutePlan plan{std::move(targets), true, true, std::move(reason)};
+  plan.IsComparison = true;
+  return plan;
+}
+
 RoutePlan planFar(std::span<const Candidate> candidates, const Indexes &near,
                   const Indexes &far, const RouteRequest &question,
                   Random &rng) {
   Indexes chosen = chooseFar(candidates, far, rng);
   if (question.CapacityRefusals < RefusalsBeforeAll) {
+    Indexes compared = chooseCompared(candidates, chosen, question, rng);
+    if (!compared.empty())
+      return planComparison(std::move(compared), "comparison elsewhere");
     std::size_t best = mostFree(candidates, chosen);
     if (knownFreeSlots(candidates[best]) > 0)
       return {{best}, false, true, "free slot elsewhere"};
@@ -109,6 +119,9 @@
   Indexes far(rest.begin(), rest.end());
   Indexes near(among.begin(), rest.begin());
   if (!near.empty() && question.CapacityRefusals == 0) {
+    Indexes compared = chooseCompared(candidates, near, question, rng);
+    if (!compared.empty())
+      return planComparison(std::move(compared), "comparison near");
     std::size_t best = mostFree(candidates, near);
     if (knownFreeSlots(candidates[best]) > 0)
       return {{best}, false, true, "free slot near"};
