--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -4,6 +4,7 @@
 #include "libfleet/http/httpdialect.h"
 #include "libfleet/node/nodesettings.h"
 #include "libfleet/peers/peerlinks.h"
+#include "libhickoryglade/balance/comparison.h"
 #include "libhickoryglade/costmodel.h"
 #include "libhickoryglade/noticeboard.h"
 #include "libhickoryglade/retry.h"
@@ -14,7 +15,6 @@
 #include <map>
 #include <memory>
 #include <set>
-#include <span>
 #include <string>
 #include <variant>
 
@@ -115,7 +115,6 @@
   };
   struct Attempt;
   struct Replacement;
-  struct GrantReply;
 
   std::variant<RequestContext, Error>
   prepareRequest(HttpRequest request, std::shared_ptr<CallScope> scope,
@@ -133,10 +132,10 @@
   asio::awaitable<EntryResult> claimGrant(Attempt &attempt, std::size_t target);
   asio::awaitable<EntryResult> compareGates(Attempt &attempt);
   void dropUnconnected(Attempt &attempt);
-  Error noteRefusal(Attempt &attempt, std::size_t target,
+  Error takeRefusal(Attempt &attempt, std::size_t target,
                     const wire::Failure &failure, Error last);
-  void noteGrants(const Attempt &attempt, std::span<const GrantReply> grants,
-                  std::size_t chosen);
+  void noteUnclaimed(const Attempt &attempt, const Comparison &comparison,
+                     std::size_t chosen);
   asio::awaitable<EntryResult> awaitAnswer(Attempt &attempt,
                                            std::size_t target);
   std::optional<EntryResult> ownResult(Attempt &attempt, std::size_t target,
