--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -4,6 +4,7 @@
 #include "libfleet/http/httpdialect.h"
 #include "libfleet/node/nodesettings.h"
 #include "libfleet/peers/peerlinks.h"
+#include "libhickoryglade/balance/comparison.h"
 #include "libhickoryglade/costmodel.h"
 #include "libhickoryglade/noticeboard.h"
 #include "libhickoryglade/overload/shedcomparison.h"
@@ -130,6 +131,14 @@
   static Error noteFailure(RequestContext &context, EntryResult result);
   asio::awaitable<EntryResult> sendDirect(Attempt &attempt);
   asio::awaitable<EntryResult> sendTickets(Attempt &attempt);
+  asio::awaitable<std::size_t> offerTickets(Attempt &attempt);
+  asio::awaitable<EntryResult> claimGrant(Attempt &attempt, std::size_t target);
+  asio::awaitable<EntryResult> compareGates(Attempt &attempt);
+  void dropUnconnected(Attempt &attempt);
+  Error takeRefusal(Attempt &attempt, std::size_t target,
+                    const wire::Failure &failure, Error last);
+  void noteUnclaimed(const Attempt &attempt, const Comparison &comparison,
+                     std::size_t chosen);
   asio::awaitable<EntryResult> awaitAnswer(Attempt &attempt,
                                            std::size_t target);
   std::optional<EntryResult> ownResult(Attempt &attempt, std::size_t target,
@@ -149,6 +158,8 @@
                              Instant now);
   static void applyLimit(Candidate &candidate, const GateLoadView &load,
                          Micros cost, Instant now);
+  static void noteReport(Candidate &candidate, const GateLoadView &load,
+                         Instant now);
   std::vector<Candidate> candidates(const RequestContext &context, Instant now);
   wire::Ticket makeTicket(const Attempt &attempt, std::size_t target) const;
   void sendCall(Attempt &attempt, std::size_t target);
