gate: reuse connections to endpoints for longer, if set

With reuse_connections, requests that may run only once use connections that have been idle for more than 1 s if the endpoint is known to keep them and has just worked, no request uses a connection past the timeout that the endpoint named, and a failure closes only connections that may be affected.

--- a/src/libfleet/gate/endpointclient.cpp
+++ b/src/libfleet/gate/endpointclient.cpp
@@ -22,12 +22,6 @@
 /// A process that ends may close its connections before it stops listening.
 constexpr Micros ExitTime = std::chrono::milliseconds(50);
 
-/// A middlebox may have dropped the state of an idle connection without closing
-/// it. Non-idempotent requests therefore use only a connection that worked a
-/// moment ago.
-constexpr Micros IdleLimit = std::chrono::seconds(15);
-constexpr Micros IdleLimitNonIdempotent = std::chrono::seconds(1);
-
 constexpr std::size_t MaxIdleConnections = 16;
 
 /// A connection that has carried more failures is not used again.
@@ -91,6 +85,11 @@
   return all;
 }
 
+std::optional<Micros> keepAliveTimeoutOf(const http::fields &fields) {
+  auto value = fields[http::field::keep_alive];
+  return keepAliveTimeout({value.data(), value.size()});
+}
+
 /// True if the end of the response is known from its head. A body delimited by
 /// the end of the connection cannot be distinguished from a truncated one,
 /// unless endpoints are known to close connections only after the whole body.
@@ -140,6 +139,8 @@
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer;
   Instant IdleSince;
+  /// How long it was idle before the current exchange.
+  Micros IdleBefore{0};
   bool IsPooled = false;
   /// Requests that the endpoint refused or failed on this connection.
   std::vector<std::string> FailedIds;
@@ -161,17 +162,25 @@
 };
 
 EndpointClient::EndpointClient(asio::any_io_executor ex,
-                               const HttpDialect &dialect, BodyBudgetPtr budget)
-    : Executor(std::move(ex)), Dialect(dialect), Budget(std::move(budget)) {}
+                               const HttpDialect &dialect, BodyBudgetPtr budget,
+                               bool reusesLonger)
+    : Executor(std::move(ex)), Dialect(dialect), Budget(std::move(budget)),
+      ReusesLonger(reusesLonger) {}
 
 EndpointClient::~EndpointClient() = default;
 
 EndpointClient::ConnectionPtr
 EndpointClient::takeIdle(const EndpointCall &call) {
-  std::list<ConnectionPtr> &idle = Idle[call.Address];
-  Micros limit = call.IsIdempotent ? IdleLimit : IdleLimitNonIdempotent;
-  std::erase_if(idle, [](const ConnectionPtr &it) {
-    return now() - it->IdleSince > IdleLimit || !it->isReusable();
+  Pool &pool = Pools[call.Address];
+  std::list<ConnectionPtr> &idle = pool.Idle;
+  std::erase_if(idle, [&](const ConnectionPtr &it) {
+    Micros idleTime = now() - it->IdleSince;
+    if (idleTime > idleLimit(pool.Times))
+      return true;
+    bool isReusable = it->isReusable();
+    if (!isReusable)
+      noteClosed(pool.Times, idleTime);
+    return !isReusable;
   });
   // A repeated answer to an earlier attempt cannot be told from the answer to a
   // new attempt with the same id.
@@ -179,9 +188,11 @@
   auto it = std::ranges::find_if(
       std::views::reverse(idle),
       [&](const ConnectionPtr &c) { return !c->hasFailed(id); });
-  if (it == idle.rend() || now() - (*it)->IdleSince > limit)
+  if (it == idle.rend() ||
+      !mayUse(pool.Times, (*it)->IdleSince, call.IsIdempotent, now()))
     return nullptr;
   ConnectionPtr connection = std::move(*it);
+  connection->IdleBefore = now() - connection->IdleSince;
   connection->IsPooled = false;
   idle.erase(std::next(it).base());
   return connection;
@@ -191,14 +202,27 @@
                              ConnectionPtr connection) {
   connection->IdleSince = now();
   connection->IsPooled = true;
-  std::list<ConnectionPtr> &idle = Idle[address];
+  std::list<ConnectionPtr> &idle = Pools[address].Idle;
   idle.push_back(std::move(connection));
   if (idle.size() > MaxIdleConnections)
     idle.pop_front();
 }
 
 void EndpointClient::closeIdle(const std::string &address) {
-  Idle.erase(address);
+  auto it = Pools.find(address);
+  bool isWorking = ReusesLonger && it != Pools.end() &&
+                   hasJustWorked(it->second.Times, now());
+  if (it != Pools.end() && !isWorking)
+    it->second.Idle.clear();
+}
+
+/// If the process has ended, the kernel has closed the other connections as
+/// well, which isReusable() notices.
+void EndpointClient::noteLoss(const std::string &address) {
+  if (ReusesLonger)
+    hickoryglade::fleet::noteLoss(Pools[address].Times, now());
+  else
+    closeIdle(address);
 }
 
 asio::awaitable<EndpointClient::ConnectionPtr>
@@ -221,10 +245,14 @@
   co_return connection;
 }
 
-asio::awaitable<bool> EndpointClient::isListening(std::string address) {
+/// With `isKept`, the connection is used for later requests.
+asio::awaitable<bool> EndpointClient::isListening(std::string address,
+                                                  bool isKept) {
   auto handle = std::make_shared<ExchangeHandle>();
   ConnectionPtr connection =
       co_await connect(address, now() + ListenCheckLimit, handle);
+  if (connection && isKept)
+    putIdle(address, connection);
   co_return connection != nullptr;
 }
 
@@ -233,12 +261,12 @@
 asio::awaitable<EndpointResult>
 EndpointClient::classifyLoss(std::string address, ErrorKind kind,
                              std::string detail) {
-  closeIdle(address);
-  bool isAlive = co_await isListening(address);
+  noteLoss(address);
+  bool isAlive = co_await isListening(address, false);
   if (isAlive) {
     asio::steady_timer pause(Executor, ExitTime);
     co_await pause.async_wait(asio::use_awaitable);
-    isAlive = co_await isListening(address);
+    isAlive = co_await isListening(address, ReusesLonger);
   }
   co_return failed(isAlive ? AttemptOutcome::Broken : AttemptOutcome::Crashed,
                    kind, RunState::Unknown, std::move(detail));
@@ -352,6 +380,7 @@
     if (isInterim(response.Status))
       continue;
     response.Headers = endToEndHeaders(parser.get());
+    std::optional<Micros> namedTimeout = keepAliveTimeoutOf(parser.get());
     bool isFramed = isLengthKnown(parser, isHead);
     if (!isFramed && !Dialect.MayLackLength)
       co_return failed(AttemptOutcome::Failed, ErrorKind::AnswerTruncated,
@@ -376,6 +405,9 @@
     if (match != ResponseMatch::Own)
       co_return failed(AttemptOutcome::Failed, ErrorKind::EndpointFailed,
                        RunState::Unknown, "the answer is not the endpoint's");
+    if (ReusesLonger)
+      noteExchange(Pools[call.Address].Times, namedTimeout,
+                   connection->IdleBefore, now());
     if (response.Status / 100 != 2)
       connection->FailedIds.push_back(id);
     bool hasRoom = connection->FailedIds.size() <= MaxFailedIds;
--- a/src/libfleet/gate/endpointclient.h
+++ b/src/libfleet/gate/endpointclient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libfleet/base/asio.h"
+#include "libfleet/gate/idletimes.h"
 #include "libfleet/http/bodybudget.h"
 #include "libfleet/http/endpointheaders.h"
 #include "libhickoryglade/gate.h"
@@ -50,14 +51,16 @@
 /// off, so that the others can be completed.
 class EndpointClient {
 public:
+  /// `reusesLonger`: requests that may run only once also use connections that
+  /// have been idle for some seconds, if the endpoint is known to keep them.
   EndpointClient(asio::any_io_executor ex, const HttpDialect &dialect,
-                 BodyBudgetPtr budget);
+                 BodyBudgetPtr budget, bool reusesLonger = false);
   ~EndpointClient();
 
   asio::awaitable<EndpointResult>
   exchange(EndpointCall call, std::shared_ptr<ExchangeHandle> handle);
 
-  /// Closes idle connections to an endpoint.
+  /// Closes idle connections to an endpoint that may no longer work.
   void closeIdle(const std::string &address);
 
 private:
@@ -65,8 +68,15 @@
   using ConnectionPtr = std::shared_ptr<Connection>;
   struct Incoming;
 
+  /// Idle connections to an endpoint, and what is known of how it keeps them.
+  struct Pool {
+    std::list<ConnectionPtr> Idle;
+    IdleTimes Times;
+  };
+
   ConnectionPtr takeIdle(const EndpointCall &call);
   void putIdle(const std::string &address, ConnectionPtr connection);
+  void noteLoss(const std::string &address);
   asio::awaitable<ConnectionPtr>
   connect(std::string address, Instant deadline,
           std::shared_ptr<ExchangeHandle> handle);
@@ -79,14 +89,15 @@
   asio::awaitable<error_code> readBody(Incoming &incoming, bool isHead);
   bool mayGetRoom() const;
   asio::awaitable<bool> makeRoom(Incoming &incoming, std::size_t bytes);
-  asio::awaitable<bool> isListening(std::string address);
+  asio::awaitable<bool> isListening(std::string address, bool isKept);
   asio::awaitable<EndpointResult>
   classifyLoss(std::string address, ErrorKind kind, std::string detail);
 
   asio::any_io_executor Executor;
   const HttpDialect &Dialect;
   BodyBudgetPtr Budget;
-  std::map<std::string, std::list<ConnectionPtr>> Idle;
+  bool ReusesLonger;
+  std::map<std::string, Pool> Pools;
   /// Responses whose body is being read.
   std::vector<Incoming *> Reading;
 };
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -37,7 +37,7 @@
                          BodyBudgetPtr budget, Metrics &metrics, Events events)
     : Executor(ex), Timer(ex), BootId(bootId), Dialect(dialect),
       Counters(metrics), Handlers(std::move(events)), Budget(budget),
-      Client(ex, dialect, std::move(budget)) {
+      Client(ex, dialect, std::move(budget), settings.ReusesConnections) {
   State.Node = settings.Node;
   State.AnnouncementLimit = settings.AnnouncementLimit;
   State.Rng.seed(std::uint64_t(bootId));
--- a/src/libfleet/node/nodesettings.cpp
+++ b/src/libfleet/node/nodesettings.cpp
@@ -219,6 +219,7 @@
                      MaxBodyMegabytes);
   settings.BodyBytes = std::size_t(bodyMegabytes) * BytesPerMegabyte;
   reader.readBoolean("keep_standings_near", settings.KeepsStandingsNear);
+  reader.readBoolean("reuse_connections", settings.ReusesConnections);
   reader.readString("log_level", settings.LogLevel, false);
   if (std::ranges::find(LogLevels, settings.LogLevel) == LogLevels.end())
     reader.fault("log_level", "must be debug, info, warn or error");
@@ -260,6 +261,7 @@
               {"link_mbps", settings.LinkMbps},
               {"body_memory_mb", settings.BodyBytes / BytesPerMegabyte},
               {"keep_standings_near", settings.KeepsStandingsNear},
+              {"reuse_connections", settings.ReusesConnections},
               {"log_level", settings.LogLevel},
               {"listen",
                {{"http", settings.HttpAddress},
--- a/src/libfleet/node/nodesettings.h
+++ b/src/libfleet/node/nodesettings.h
@@ -79,6 +79,9 @@
   /// True if short-lived standings of endpoints (suspect, on trial) are sent to
   /// the own data centre only. Other nodes learn them from replies.
   bool KeepsStandingsNear = false;
+  /// True if requests that may run only once also use connections to endpoints
+  /// that have been idle for some seconds.
+  bool ReusesConnections = false;
 
   bool operator==(const NodeSettings &) const = default;
 };
