--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -204,7 +204,8 @@
 struct QuotaRequest {
   1: string workspace
   2: i32 tokens
-  // Tokens of earlier replies that were not used.
+  // Tokens of earlier replies that were not used, less the requests that were
+  // admitted without a token of the owner.
   3: i32 returned
   // The sender asks a node that is not the first in the ranking of owners,
   // since the first has not answered.
--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -81,7 +81,8 @@
       BootId(bootId), Worker(worker), Dialect(dialect), Counters(metrics),
       Links(ex, makeHello(Node, bootId, DataCentre), std::move(budget),
             metrics.traffic()),
-      Rng(std::uint64_t(bootId) + worker), StartedAt(now()) {}
+      Quotas(ex, Links, View, metrics), Rng(std::uint64_t(bootId) + worker),
+      StartedAt(now()) {}
 
 void Entry::applyView(FleetViewPtr view) {
   View = std::move(view);
@@ -117,12 +118,22 @@
     service = context.MatchedRoute.Service;
     bool isKeyed =
         HasKeepers && !context.IsIdempotent && !context.IdempotencyKey.empty();
+    std::optional<Error> refusal;
     if (isTooLateToTake(context))
-      result = shutdownError(RunState::NotRun);
-    else if (isKeyed)
-      result = co_await performKeyed(context);
+      refusal = shutdownError(RunState::NotRun);
     else
-      result = co_await perform(context);
+      refusal = co_await Quotas.admit(context.MatchedRoute.Workspace,
+                                      context.Deadline);
+    if (refusal) {
+      result = std::move(*refusal);
+    } else {
+      if (isKeyed)
+        result = co_await performKeyed(context);
+      else
+        result = co_await perform(context);
+      Quotas.noteResult(context.MatchedRoute.Workspace, start, context.Arrivals,
+                        std::get_if<Error>(&result));
+    }
     timeLeft = context.Deadline - now();
     runs = context.Runs;
   }
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -4,6 +4,7 @@
 #include "libfleet/http/httpdialect.h"
 #include "libfleet/node/nodesettings.h"
 #include "libfleet/peers/peerlinks.h"
+#include "libfleet/quota/quotaclient.h"
 #include "libhickoryglade/costmodel.h"
 #include "libhickoryglade/noticeboard.h"
 #include "libhickoryglade/retry.h"
@@ -199,6 +200,7 @@
   Metrics &Counters;
   PeerLinks Links;
   FleetViewPtr View = std::make_shared<const FleetView>();
+  QuotaClient Quotas;
   std::map<std::string, GateLoadView> Loads;
   NoticeBoard Notices;
   CostModel Costs;
--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -373,8 +373,9 @@
   const MemberRecord &record = member.Record;
   if (member.State == MemberState::Dead)
     return;
-  view.Nodes[record.Node] = {record.FleetAddress, record.BootId,
-                             record.LedgerNext};
+  view.Nodes[record.Node] = {
+      record.FleetAddress, record.BootId, record.LedgerNext,
+      member.State == MemberState::Suspect, record.IsLeaving};
   if (record.IsLeaving)
     return;
   for (const EndpointRecord &endpoint : record.Endpoints) {
--- a/src/libfleet/node/fleetview.h
+++ b/src/libfleet/node/fleetview.h
@@ -34,6 +34,8 @@
   std::int64_t BootId = 0;
   /// Offset up to which the node reports having read the ledger.
   std::int64_t LedgerNext = 0;
+  bool IsSuspect = false;
+  bool IsLeaving = false;
 
   bool operator==(const NodeView &) const = default;
 };
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -13,6 +13,7 @@
 #include "libfleet/peers/localchannel.h"
 #include "libfleet/peers/revokerelay.h"
 #include "libfleet/peers/wireconvert.h"
+#include "libfleet/quota/quotaservice.h"
 #include "libfleet/reporting/logging.h"
 #include "libfleet/reporting/metrics.h"
 #include "libhickoryglade/registry.h"
@@ -98,6 +99,7 @@
   std::unique_ptr<GateService> Gate;
   std::vector<std::unique_ptr<Entry>> Entries;
   std::unique_ptr<KeyService> Keys;
+  std::unique_ptr<QuotaService> Quotas;
   std::unique_ptr<RevokeRelay> Relay;
   std::map<std::string, Instant> Ejected;
   std::unique_ptr<LinkServer> Server;
@@ -188,6 +190,7 @@
   }
   Keys = std::make_unique<KeyService>(
       gateThread, LeaseHolder{Config.Node, BootId}, Entries[0]->links());
+  Quotas = std::make_unique<QuotaService>(gateThread, Config.Node);
   Relay = std::make_unique<RevokeRelay>(gateThread, Entries[0]->links());
   Server = std::make_unique<LinkServer>(
       gateThread, Config.FleetAddress,
@@ -301,6 +304,8 @@
     return vouch(from, frame);
   if (frame.__isset.keyRequest)
     return Keys->takeFrame(from, frame);
+  if (frame.__isset.quotaRequest)
+    return Quotas->takeFrame(from, frame);
   if (frame.__isset.revoke && !frame.revoke.askedNode.empty())
     return Relay->forward(from, frame);
   if (frame.__isset.cancel)
@@ -381,6 +386,7 @@
   asio::post(Traffic[0]->Io, [this, view] {
     Gate->applyView(view);
     Keys->applyView(view);
+    Quotas->applyView(view);
     Relay->applyView(view);
   });
   for (std::size_t i = 0; i < Entries.size(); ++i)
--- a/src/libfleet/peers/gateclient.cpp
+++ b/src/libfleet/peers/gateclient.cpp
@@ -67,6 +67,8 @@
     put(RevokedEvent{frame.revoked.state, frame.revoked.isUnreachable});
   else if (frame.__isset.keyReply)
     put(std::move(frame.keyReply));
+  else if (frame.__isset.quotaReply)
+    put(frame.quotaReply);
   else if (frame.__isset.snapshot)
     put(std::move(frame.snapshot));
   else
--- a/src/libfleet/peers/gateclient.h
+++ b/src/libfleet/peers/gateclient.h
@@ -62,9 +62,9 @@
   /// The tag that was passed to GateClient::open().
   std::size_t Tag = 0;
   std::variant<GrantEvent, OverdueEvent, AnswerEvent, wire::Failure,
-               RevokedEvent, wire::KeyReply, wire::Snapshot, SettingsEvent,
-               ProgressEvent, LostEvent, CancelledEvent, StoppedEvent,
-               ReplacementEvent>
+               RevokedEvent, wire::KeyReply, wire::QuotaReply, wire::Snapshot,
+               SettingsEvent, ProgressEvent, LostEvent, CancelledEvent,
+               StoppedEvent, ReplacementEvent>
       Content;
 };
 
--- a/src/libfleet/peers/link.cpp
+++ b/src/libfleet/peers/link.cpp
@@ -38,7 +38,8 @@
     return TrafficCause::Requests;
   if (has.answer)
     return TrafficCause::Answers;
-  if (has.ticket || has.grant || has.cancel)
+  if (has.ticket || has.grant || has.cancel || has.quotaRequest ||
+      has.quotaReply)
     return TrafficCause::Tickets;
   if (has.failure)
     return TrafficCause::Refusals;
--- /dev/null
+++ b/src/libfleet/quota/quotaservice.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "libfleet/base/asio.h"
+#include "libfleet/node/fleetview.h"
+#include "libfleet/peers/framechannel.h"
+#include "libhickoryglade/quota/quotabucket.h"
+#include "libhickoryglade/quota/quotaowners.h"
+
+#include "fleet_types.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace hickoryglade::fleet {
+
+std::vector<QuotaNode> quotaNodes(const FleetView &view);
+
+/// Gives out the tokens of the quotas that this node owns. Runs on the gate's
+/// thread.
+class QuotaService {
+public:
+  QuotaService(const asio::any_io_executor &ex, std::string self);
+
+  void applyView(FleetViewPtr view);
+  void takeFrame(const std::shared_ptr<FrameChannel> &from,
+                 const wire::Frame &frame);
+
+private:
+  QuotaStance stanceOn(const std::string &workspace) const;
+  void scheduleExpiry();
+
+  asio::steady_timer Timer;
+  bool IsExpiryScheduled = false;
+  std::string Self;
+  FleetViewPtr View = std::make_shared<const FleetView>();
+  FleetPresence Presence;
+  QuotaBuckets Buckets;
+};
+
+} // namespace hickoryglade::fleet
--- a/src/libfleet/reporting/metrics.cpp
+++ b/src/libfleet/reporting/metrics.cpp
@@ -83,6 +83,12 @@
                               "Requests held or refused because of a limit")),
         Errors(counterFamily(registry, "hickoryglade_errors_total",
                              "Requests refused or failed by kind")),
+        QuotaTokens(counterFamily(registry, "hickoryglade_quota_tokens_total",
+                                  "Requests within quotas by the source of "
+                                  "their tokens")),
+        QuotaRefusals(
+            counterFamily(registry, "hickoryglade_quota_refusals_total",
+                          "Requests refused because of quotas by reason")),
         Retries(counterFamily(registry, "hickoryglade_retry_decisions_total",
                               "Decisions on failed attempts by reason")),
         Abandoned(counterFamily(registry, "hickoryglade_abandoned_runs_total",
@@ -158,6 +164,8 @@
   prometheus::Family<prometheus::Counter> &LimitChanges;
   prometheus::Family<prometheus::Counter> &Limited;
   prometheus::Family<prometheus::Counter> &Errors;
+  prometheus::Family<prometheus::Counter> &QuotaTokens;
+  prometheus::Family<prometheus::Counter> &QuotaRefusals;
   prometheus::Family<prometheus::Counter> &Retries;
   prometheus::Family<prometheus::Counter> &Abandoned;
   prometheus::Family<prometheus::Counter> &Standings;
@@ -235,6 +243,14 @@
   All->Errors.Add({{"kind", kind}}).Increment();
 }
 
+void Metrics::countQuotaToken(const std::string &source) {
+  All->QuotaTokens.Add({{"source", source}}).Increment();
+}
+
+void Metrics::countQuotaRefusal(const std::string &reason) {
+  All->QuotaRefusals.Add({{"reason", reason}}).Increment();
+}
+
 void Metrics::countRetryDecision(const std::string &reason) {
   All->Retries.Add({{"reason", reason}}).Increment();
 }
--- a/src/libfleet/reporting/metrics.h
+++ b/src/libfleet/reporting/metrics.h
@@ -50,6 +50,10 @@
   /// Counts a request that a limit holds back, by effect: held or refused.
   void countLimited(const std::string &service, const std::string &effect);
   void countError(const std::string &kind);
+  /// Counts a request within its workspace's quota, by who admitted it.
+  void countQuotaToken(const std::string &source);
+  /// Counts a request above its workspace's quota, by who refused it.
+  void countQuotaRefusal(const std::string &reason);
   void countRetryDecision(const std::string &reason);
   /// Counts a run that its entry no longer waits for.
   void countAbandonedRun(const std::string &reason);
--- a/src/libfleet/reporting/trafficcounters.h
+++ b/src/libfleet/reporting/trafficcounters.h
@@ -14,7 +14,7 @@
   Requests,
   /// Headers and bodies of responses.
   Answers,
-  /// Tickets, grants and withdrawals.
+  /// Tickets, grants, withdrawals and quota tokens.
   Tickets,
   /// Refusals and failures.
   Refusals,
