--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -216,7 +216,8 @@
   1: i32 tokens
   // Time until the next token if fewer were given than asked for.
   2: i64 retryAfterMs
-  // The receiver of the request does not give out tokens of this workspace.
+  // The receiver of the request is not the owner, so that other nodes may give
+  // out more tokens.
   3: bool isUnknown
 }
 
--- a/src/libfleet/quota/quotaclient.cpp
+++ b/src/libfleet/quota/quotaclient.cpp
@@ -133,31 +133,21 @@
     noteAnswer(Paths[owner]);
   else
     noteSilence(Paths[owner], now());
-  bool isGiven = answer && !answer->Grant.IsUnknown;
+  bool isFinal = answer && !answer->Grant.IsUnknown;
   if (!isFallback)
-    noteOwner(workspace, *record, owner, !isGiven);
-  if (!isGiven)
-    co_return false;
+    noteOwner(workspace, *record, owner, !isFinal);
   std::string_view source = isFallback ? ByFallback : ByOwner;
   std::list<Waiter> &waiting = record->Waiting;
   while (!waiting.empty() && takeLeased(record->Lease, now())) {
     waiting.front().Reply->put({true, source});
     waiting.pop_front();
   }
-  auto wasAsked = [&] {
-    return !waiting.empty() && waiting.front().ArrivedAt <= answer->AskedAt;
-  };
-  if (!wasAsked())
-    co_return true;
-  // A fallback gives few tokens while the owner seems alive to it, so that its
-  // refusal is not the fleet's.
-  if (isFallback)
-    co_return false;
-  while (wasAsked()) {
+  while (isFinal && !waiting.empty() &&
+         waiting.front().ArrivedAt <= answer->AskedAt) {
     waiting.front().Reply->put({false, source, answer->Grant.RetryAfter});
     waiting.pop_front();
   }
-  co_return true;
+  co_return isFinal || waiting.empty();
 }
 
 asio::awaitable<std::optional<QuotaClient::Answer>>
@@ -194,8 +184,7 @@
   QuotaGrant grant{std::clamp(reply->tokens, 0, ask.Tokens),
                    Millis(std::max<std::int64_t>(reply->retryAfterMs, 0)),
                    reply->isUnknown};
-  if (!grant.IsUnknown)
-    noteGrant(record->Lease, lender, grant.Tokens, isFallback, askedAt, now());
+  noteGrant(record->Lease, lender, grant, isFallback, askedAt, now());
   co_return Answer{grant, askedAt};
 }
 
--- a/src/libhickoryglade/quota/quotabucket.cpp
+++ b/src/libhickoryglade/quota/quotabucket.cpp
@@ -15,7 +15,7 @@
 /// quota that the former owner gives out meanwhile. The whole quota would give
 /// a second of double rate.
 constexpr Micros HandoverTime = std::chrono::seconds(1);
-constexpr double HandoverShare = 0.5;
+constexpr double HandoverShare = 0.25;
 
 /// Rate of a fallback while the owner seems alive. In a partition, the owner
 /// gives out the whole quota until it suspects the nodes that it lost; the two
@@ -23,6 +23,14 @@
 constexpr double FallbackPerSecond = 1;
 constexpr double FallbackShare = 0.05;
 
+/// Share of the quota that a fallback gives out while it suspects the owner.
+/// Entries add what they admit alone.
+constexpr double SuspicionShare = 0.2;
+
+/// Tokens of an owner beyond the burst, for requests whose messages arrive
+/// closer together than the requests did.
+constexpr double JitterTokens = 2;
+
 constexpr Micros IdleLimit = std::chrono::seconds(30);
 
 /// An owner that has no tokens left names at least this wait.
@@ -46,16 +54,18 @@
   double Capacity = 1;
 };
 
-Rates ratesFor(QuotaRole role, const Quota &limit, double share) {
+Rates ratesFor(QuotaRole role, const Quota &limit, const QuotaStance &stance) {
+  double share = stance.Share;
   double perSecond = limit.PerSecond * share;
   double burst = limit.Burst * share;
   if (role == QuotaRole::Former)
     return {perSecond * HandoverShare,
             std::max(std::min(burst, StartTokens), 1.0)};
+  double part = stance.IsFirstSuspect ? SuspicionShare : FallbackShare;
   if (role == QuotaRole::Fallback)
-    return {std::min(perSecond, FallbackPerSecond + FallbackShare * perSecond),
+    return {std::min(perSecond, FallbackPerSecond + part * perSecond),
             std::max(std::min(burst, StartTokens), 1.0)};
-  return {perSecond, std::max(burst, 1.0)};
+  return {perSecond, std::max(burst, 1.0) + JitterTokens};
 }
 
 /// Tokens accrued so far remain, up to the new capacity.
@@ -83,8 +93,6 @@
                  std::optional<Instant> ownedAt, Instant now) {
   if (stance.Rank == 0)
     return QuotaRole::Owner;
-  if (stance.Rank == 1 && stance.IsFirstSuspect && isFallback)
-    return QuotaRole::Owner;
   if (ownedAt && now - *ownedAt < HandoverTime)
     return QuotaRole::Former;
   bool isEligible = isFallback && stance.Rank <= LastFallbackRank;
@@ -106,19 +114,18 @@
     return grant;
   }
   int wanted = std::max(ask.Tokens, 0);
+  grant.IsUnknown = role != QuotaRole::Owner;
   if (stance.Limit->PerSecond <= 0) {
     buckets.erase(workspace);
     grant.Tokens = wanted;
     return grant;
   }
-  Rates rates = ratesFor(role, *stance.Limit, stance.Share);
+  Rates rates = ratesFor(role, *stance.Limit, stance);
   if (known == buckets.end())
     known = buckets.emplace(workspace, makeBucket(rates, stance, now)).first;
   QuotaBucket &bucket = known->second;
   applyRates(bucket, rates, now);
   bucket.AskedAt = now;
-  // A fallback while the owner is suspect must not become a former owner: its
-  // grants would add to those of an owner that was only slow.
   if (stance.Rank == 0)
     bucket.OwnedAt = now;
   bucket.Tokens = std::clamp(bucket.Tokens + ask.Returned, -bucket.Capacity,
--- a/src/libhickoryglade/quota/quotabucket.h
+++ b/src/libhickoryglade/quota/quotabucket.h
@@ -50,7 +50,7 @@
 struct QuotaGrant {
   int Tokens = 0;
   Millis RetryAfter{0};
-  /// The node does not give out tokens of this workspace.
+  /// The node is not the owner, so that other nodes may give out more tokens.
   bool IsUnknown = false;
 
   bool operator==(const QuotaGrant &) const = default;
--- a/src/libhickoryglade/quota/quotalease.cpp
+++ b/src/libhickoryglade/quota/quotalease.cpp
@@ -22,6 +22,16 @@
 /// entry's own rate.
 constexpr double AloneSeconds = 1;
 
+/// Least rate of an entry alone, as a part of an equal share of the quota.
+constexpr double FloorShare = 0.5;
+
+/// An entry that sees this many times its own rate, and another request, takes
+/// the workspace for one that exceeds its quota, and admits only a part. Until
+/// the owner has noticed a partition, it still gives out the whole quota.
+constexpr double ExcessFactor = 2.5;
+constexpr double ExcessRequests = 1;
+constexpr double ExcessShare = 0.25;
+
 /// The owner's bucket would have made up for older debts by now.
 constexpr Micros DebtTerm = std::chrono::seconds(1);
 
@@ -55,11 +65,15 @@
   if (lease.PerSecond > perSecond)
     lease.Admitted *= perSecond / lease.PerSecond;
   lease.PerSecond = perSecond;
-  double recent =
-      decayed(lease.Admitted, now - lease.AdmittedAt, AdmittedSeconds);
-  return std::min(
-      std::max(recent, perSecond / double(std::max<std::size_t>(nodes, 1))),
-      perSecond);
+  // While no owner answers, the average stays: it would drift if it followed
+  // the entry's own decisions.
+  lease.AloneSince = lease.AloneSince.value_or(now);
+  double recent = decayed(lease.Admitted, *lease.AloneSince - lease.AdmittedAt,
+                          AdmittedSeconds);
+  double equal = perSecond / double(std::max<std::size_t>(nodes, 1));
+  double rate = std::min(std::max(recent, equal * FloorShare), perSecond);
+  bool isExcess = lease.Arrivals > ExcessFactor * rate + ExcessRequests;
+  return isExcess ? rate * ExcessShare : rate;
 }
 
 void accrueAlone(QuotaLease &lease, double rate, Instant now) {
@@ -111,17 +125,22 @@
   return ask;
 }
 
-void noteGrant(QuotaLease &lease, const QuotaLender &from, int tokens,
-               bool isFallback, Instant askedAt, Instant now) {
+void noteGrant(QuotaLease &lease, const QuotaLender &from,
+               const QuotaGrant &grant, bool isFallback, Instant askedAt,
+               Instant now) {
+  if (!grant.IsUnknown)
+    lease.AloneSince = std::nullopt;
+  if (grant.IsUnknown && grant.Tokens <= 0)
+    return;
   endLease(lease);
   if (lease.Lender != from)
     lease.Unused = 0;
   lease.Lender = from;
-  lease.Tokens = std::max(tokens, 0);
+  lease.Tokens = std::max(grant.Tokens, 0);
   lease.LeaseEnd = askedAt + QuotaLeaseTerm;
-  if (!isFallback || tokens <= 0)
+  if (!isFallback && !grant.IsUnknown)
     return;
-  lease.Owed += tokens;
+  lease.Owed += lease.Tokens;
   lease.OwedAt = now;
 }
 
@@ -134,7 +153,6 @@
   lease.AloneTokens = std::max(lease.AloneTokens - 1, 0.0);
   if (!isAdmitted)
     return false;
-  noteAdmitted(lease, now);
   ++lease.Owed;
   lease.OwedAt = now;
   return true;
--- a/src/libhickoryglade/quota/quotalease.h
+++ b/src/libhickoryglade/quota/quotalease.h
@@ -3,6 +3,7 @@
 #include "libhickoryglade/instant.h"
 #include "libhickoryglade/quota/quotabucket.h"
 
+#include <optional>
 #include <string>
 
 namespace hickoryglade {
@@ -34,9 +35,11 @@
   Instant AdmittedAt;
   /// Quota to which Admitted belongs.
   double PerSecond = 0;
-  /// Tokens for admission without an owner.
+  /// Tokens for admission without an owner, and when the entry first needed
+  /// one since an owner answered.
   double AloneTokens = 0;
   Instant AloneAt;
+  std::optional<Instant> AloneSince;
 
   bool operator==(const QuotaLease &) const = default;
 };
@@ -57,8 +60,9 @@
                  bool isFallback, Instant now);
 
 /// Takes over the tokens of an answer to a message of the given time.
-void noteGrant(QuotaLease &lease, const QuotaLender &from, int tokens,
-               bool isFallback, Instant askedAt, Instant now);
+void noteGrant(QuotaLease &lease, const QuotaLender &from,
+               const QuotaGrant &grant, bool isFallback, Instant askedAt,
+               Instant now);
 
 /// Decides on a request when no owner answers, at the rate that was admitted
 /// lately. `draw` is uniform in [0, 1).
