--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -204,7 +204,8 @@
 struct QuotaRequest {
   1: string workspace
   2: i32 tokens
-  // Tokens of earlier replies that were not used.
+  // Tokens of earlier replies that were not used, less the requests that were
+  // admitted without a token of the owner.
   3: i32 returned
   // The sender asks a node that is not the first in the ranking of owners,
   // since the first has not answered.
@@ -215,7 +216,8 @@
   1: i32 tokens
   // Time until the next token if fewer were given than asked for.
   2: i64 retryAfterMs
-  // The receiver of the request does not give out tokens of this workspace.
+  // The receiver of the request is not the owner, so that other nodes may give
+  // out more tokens.
   3: bool isUnknown
 }
 
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -4,6 +4,7 @@
 #include "libfleet/http/httpdialect.h"
 #include "libfleet/node/nodesettings.h"
 #include "libfleet/peers/peerlinks.h"
+#include "libfleet/quota/quotaclient.h"
 #include "libhickoryglade/balance/comparison.h"
 #include "libhickoryglade/costmodel.h"
 #include "libhickoryglade/noticeboard.h"
@@ -213,6 +214,7 @@
   Metrics &Counters;
   PeerLinks Links;
   FleetViewPtr View = std::make_shared<const FleetView>();
+  QuotaClient Quotas;
   std::map<std::string, GateLoadView> Loads;
   NoticeBoard Notices;
   CostModel Costs;
--- a/src/libfleet/gate/endpointclient.h
+++ b/src/libfleet/gate/endpointclient.h
@@ -60,6 +60,8 @@
   asio::awaitable<EndpointResult>
   exchange(EndpointCall call, std::shared_ptr<ExchangeHandle> handle);
 
+  void setReusesLonger(bool reusesLonger) { ReusesLonger = reusesLonger; }
+
   /// Closes idle connections to an endpoint that may no longer work.
   void closeIdle(const std::string &address);
 
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -37,7 +37,7 @@
                          BodyBudgetPtr budget, Metrics &metrics, Events events)
     : Executor(ex), Timer(ex), BootId(bootId), Dialect(dialect),
       Counters(metrics), Handlers(std::move(events)), Budget(budget),
-      Client(ex, dialect, std::move(budget), settings.ReusesConnections) {
+      Client(ex, dialect, std::move(budget)) {
   State.Node = settings.Node;
   State.AnnouncementLimit = settings.AnnouncementLimit;
   State.Rng.seed(std::uint64_t(bootId));
@@ -545,6 +545,7 @@
   for (const auto &[fingerprint, record] : view->Crashes.Records)
     carryOut(noteForeignCrash(State, fingerprint, record));
   State.Crashes.Released = view->Crashes.Released;
+  Client.setReusesLonger(view->Root.ReusesConnections);
 }
 
 void GateService::drainNow() { carryOut(drain(State, now())); }
--- a/src/libhickoryglade/servicepolicy.h
+++ b/src/libhickoryglade/servicepolicy.h
@@ -98,6 +98,9 @@
   /// Number of gates whose loads an entry compares for a request; 0 if it goes
   /// by their latest reports.
   int CompareGates = 0;
+  /// Whether requests that may run only once use connections to endpoints that
+  /// have been idle for some seconds.
+  bool ReusesConnections = false;
   /// Weight of the workspace in the fair queueing of a service.
   int Share = 1;
   /// Time for which a request that has crashed endpoints stays quarantined.
--- a/src/libhickoryglade/settingsschema.cpp
+++ b/src/libhickoryglade/settingsschema.cpp
@@ -192,6 +192,8 @@
       {"compare_gates", SettingsLevel::Fleet,
        IntegerRule{0, 4,
                    [](P &p, std::int64_t v) { p.CompareGates = int(v); }}},
+      {"reuse_connections", SettingsLevel::Fleet,
+       BooleanRule{[](P &p, bool v) { p.ReusesConnections = v; }}},
       {"key_digests", SettingsLevel::Workspace, DigestListRule{},
        SettingsLevel::Workspace},
       {"quota_per_second", SettingsLevel::Workspace, NumberRule{MaxQuota},
