--- a/src/libfleet/quota/quotaclient.cpp
+++ b/src/libfleet/quota/quotaclient.cpp
@@ -100,10 +100,13 @@
   while (!record->Waiting.empty()) {
     Instant startedAt = now();
     std::vector<QuotaNode> ranked = rankOwners(quotaNodes(*View), workspace);
-    ranked.resize(std::min<std::size_t>(ranked.size(), 2));
     bool isServed = false;
-    for (std::size_t i = 0; i < ranked.size() && !isServed; ++i)
-      isServed = co_await serveFrom(workspace, record, ranked[i].Name, i > 0);
+    for (std::size_t i = 0; i < QuotaAskOrder.size() && !isServed; ++i) {
+      std::size_t rank = QuotaAskOrder[i];
+      if (rank < ranked.size())
+        isServed =
+            co_await serveFrom(workspace, record, ranked[rank].Name, rank > 0);
+    }
     if (isServed)
       continue;
     // A later request has not been reported to any node, unless the paths are
--- a/src/libfleet/quota/quotaservice.cpp
+++ b/src/libfleet/quota/quotaservice.cpp
@@ -28,6 +28,8 @@
 void QuotaService::applyView(FleetViewPtr view) {
   View = std::move(view);
   notePresence(Presence, quotaNodes(*View), now());
+  if (View->HasSettings && !StartedAt)
+    StartedAt = now();
 }
 
 QuotaStance QuotaService::stanceOn(const std::string &workspace) const {
@@ -43,6 +45,7 @@
     stance.Rank = QuotaStance::Unranked;
   stance.IsFirstSuspect = !ranked.empty() && ranked.front().IsSuspect;
   stance.Share = presentShare(Presence, now());
+  stance.StartedAt = StartedAt.value_or(now());
   stance.StableSince = Presence.ChangedAt;
   return stance;
 }
--- a/src/libfleet/quota/quotaservice.h
+++ b/src/libfleet/quota/quotaservice.h
@@ -9,6 +9,7 @@
 #include "fleet_types.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,8 @@
   std::string Self;
   FleetViewPtr View = std::make_shared<const FleetView>();
   FleetPresence Presence;
+  /// When this node first had settings.
+  std::optional<Instant> StartedAt;
   QuotaBuckets Buckets;
 };
 
--- a/src/libhickoryglade/quota/quotabucket.cpp
+++ b/src/libhickoryglade/quota/quotabucket.cpp
@@ -27,6 +27,11 @@
 /// Entries add what they admit alone.
 constexpr double SuspicionShare = 0.2;
 
+/// An owner that has just started gives out a part of the quota while others
+/// may still ask its predecessor.
+constexpr Micros StartTime = std::chrono::seconds(2);
+constexpr double StartShare = 0.5;
+
 /// Tokens of an owner beyond the burst, for requests whose messages arrive
 /// closer together than the requests did.
 constexpr double JitterTokens = 2;
@@ -54,7 +59,8 @@
   double Capacity = 1;
 };
 
-Rates ratesFor(QuotaRole role, const Quota &limit, const QuotaStance &stance) {
+Rates ratesFor(QuotaRole role, const Quota &limit, const QuotaStance &stance,
+               Instant now) {
   double share = stance.Share;
   double perSecond = limit.PerSecond * share;
   double burst = limit.Burst * share;
@@ -65,7 +71,9 @@
   if (role == QuotaRole::Fallback)
     return {std::min(perSecond, FallbackPerSecond + part * perSecond),
             std::max(std::min(burst, StartTokens), 1.0)};
-  return {perSecond, std::max(burst, 1.0) + JitterTokens};
+  bool isStarting = now - stance.StartedAt < StartTime;
+  return {isStarting ? perSecond * StartShare : perSecond,
+          std::max(burst, 1.0) + JitterTokens};
 }
 
 /// Tokens accrued so far remain, up to the new capacity.
@@ -120,7 +128,7 @@
     grant.Tokens = wanted;
     return grant;
   }
-  Rates rates = ratesFor(role, *stance.Limit, stance);
+  Rates rates = ratesFor(role, *stance.Limit, stance, now);
   if (known == buckets.end())
     known = buckets.emplace(workspace, makeBucket(rates, stance, now)).first;
   QuotaBucket &bucket = known->second;
--- a/src/libhickoryglade/quota/quotabucket.h
+++ b/src/libhickoryglade/quota/quotabucket.h
@@ -67,6 +67,8 @@
   bool IsFirstSuspect = false;
   /// Share of the fleet that the node sees.
   double Share = 1;
+  /// When the node began to serve.
+  Instant StartedAt;
   /// The earliest time at which the node may have become owner.
   Instant StableSince;
 
--- a/src/libhickoryglade/quota/quotalease.h
+++ b/src/libhickoryglade/quota/quotalease.h
@@ -3,6 +3,8 @@
 #include "libhickoryglade/instant.h"
 #include "libhickoryglade/quota/quotabucket.h"
 
+#include <array>
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -50,6 +52,11 @@
 /// Time after which an entry no longer waits for a node's answer.
 constexpr Micros QuotaAnswerTime = std::chrono::milliseconds(100);
 
+/// Positions in the ranking of owners of the nodes that are asked in turn. The
+/// owner is asked again, since the fallback gives out few tokens and a message
+/// may have been lost.
+constexpr std::array<std::size_t, 3> QuotaAskOrder{0, 1, 0};
+
 void noteArrival(QuotaLease &lease, Instant now);
 
 /// Uses a token of the lease if there is one.
