--- a/src/libhickoryglade/quota/quotalease.cpp
+++ b/src/libhickoryglade/quota/quotalease.cpp
@@ -37,7 +37,7 @@
 
 constexpr Micros IdleLimit = std::chrono::seconds(30);
 
-constexpr int MaxFailures = 2;
+constexpr int MaxFailures = 3;
 constexpr Micros SkipTime = std::chrono::milliseconds(300);
 
 double secondsOf(Micros time) {
--- a/src/libhickoryglade/quota/quotaowners.cpp
+++ b/src/libhickoryglade/quota/quotaowners.cpp
@@ -3,6 +3,8 @@
 #include "libhickoryglade/hash.h"
 
 #include <algorithm>
+#include <iterator>
+#include <tuple>
 #include <utility>
 
 namespace hickoryglade {
@@ -27,10 +29,18 @@
   if (!std::ranges::all_of(nodes, &QuotaNode::IsLeaving))
     std::erase_if(nodes, &QuotaNode::IsLeaving);
   std::uint64_t seed = stableHash(workspace);
-  std::ranges::sort(nodes, std::ranges::greater{}, [&](const QuotaNode &it) {
-    return std::pair(stableHash(it.Name, seed), it.Name);
+  std::vector<std::pair<std::uint64_t, std::size_t>> scores;
+  for (std::size_t i = 0; i < nodes.size(); ++i)
+    scores.emplace_back(stableHash(nodes[i].Name, seed), i);
+  std::ranges::sort(scores, [&](const auto &a, const auto &b) {
+    return std::tie(b.first, nodes[b.second].Name) <
+           std::tie(a.first, nodes[a.second].Name);
   });
-  return nodes;
+  std::vector<QuotaNode> ranked;
+  std::ranges::transform(
+      scores, std::back_inserter(ranked),
+      [&](const auto &it) { return std::move(nodes[it.second]); });
+  return ranked;
 }
 
 void notePresence(FleetPresence &presence, const std::vector<QuotaNode> &nodes,
