--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -190,6 +190,7 @@
   GateActions actions;
   detectPause(gate, now);
   GateService &service = gate.Services[ticket.Service];
+  notePriority(service.Priorities, ticket.Priority, now);
   noteReport(service.Sheds, ticket.ShedPercent, now);
   reviewShedDoubts(gate, ticket.Service, now, actions);
   if (auto fault = offerError(gate, ticket, now)) {
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -5,6 +5,7 @@
 #include "libhickoryglade/gateaction.h"
 #include "libhickoryglade/gateendpoint.h"
 #include "libhickoryglade/memberrecord.h"
+#include "libhickoryglade/overload/prioritiesinuse.h"
 #include "libhickoryglade/overload/shedcomparison.h"
 #include "libhickoryglade/quarantine.h"
 #include "libhickoryglade/random.h"
@@ -69,6 +70,7 @@
   WaitForecast Waits;
   /// What entries have told of the sheds at all endpoints of the service.
   ShedReports Sheds;
+  PrioritiesInUse Priorities;
   /// Number of gates that share the service's retry budget. It is the highest
   /// number seen so far, since a node behind a partition sees too few gates.
   int Gates = 1;
--- a/src/libhickoryglade/gateadmission.cpp
+++ b/src/libhickoryglade/gateadmission.cpp
@@ -55,6 +55,16 @@
                           *ticket.Target - now - ticket.ExpectedCost);
 }
 
+/// Part of the gate's retry budget that the request may use. The rest is kept
+/// for the most urgent priority in use.
+double repeatPart(const GateService &service, const Ticket &ticket,
+                  Instant now) {
+  bool isMostUrgent =
+      countMoreUrgent(service.Priorities, ticket.Priority, 1, now) == 0;
+  constexpr double percent = 100;
+  return isMostUrgent ? 1 : 1 - service.Policy.RepeatReservePercent / percent;
+}
+
 } // namespace
 
 Millis jitteredRetryAfter(Gate &gate, Micros wait) {
@@ -101,8 +111,9 @@
                          Instant now) {
   const ServicePolicy &policy = service.Policy;
   double allowance = double(policy.RetryAllowance) / std::max(service.Gates, 1);
-  return ticket.IsRepeat && !service.Repeats.allowsRepeat(
-                                policy.RetryBudgetPercent, allowance, now);
+  return ticket.IsRepeat &&
+         !service.Repeats.allowsRepeat(policy.RetryBudgetPercent, allowance,
+                                       now, repeatPart(service, ticket, now));
 }
 
 std::optional<Error> admissionError(Gate &gate, GateService &service,
--- a/src/libhickoryglade/repeatbudget.cpp
+++ b/src/libhickoryglade/repeatbudget.cpp
@@ -31,7 +31,8 @@
 
 // Each gate enforces its own part of the fleet's bound, so that the sum over
 // all gates stays within the bound without coordination.
-bool RepeatBudget::allowsRepeat(int percent, double allowance, Instant now) {
+bool RepeatBudget::allowsRepeat(int percent, double allowance, Instant now,
+                                double part) {
   std::int64_t oldest = indexOf(now) - std::int64_t(Buckets) + 1;
   int firsts = 0;
   int repeats = 0;
@@ -41,7 +42,7 @@
     firsts += it.Firsts;
     repeats += it.Repeats;
   }
-  return repeats + 1 <= firsts * percent / Percent + allowance;
+  return repeats + 1 <= (firsts * percent / Percent + allowance) * part;
 }
 
 } // namespace hickoryglade
--- a/src/libhickoryglade/repeatbudget.h
+++ b/src/libhickoryglade/repeatbudget.h
@@ -14,9 +14,10 @@
   /// Counts a request that was sent to an endpoint.
   void record(bool isRepeat, Instant now);
 
-  /// True if one more repeat stays within a percentage of the first attempts
-  /// plus a fixed allowance.
-  bool allowsRepeat(int percent, double allowance, Instant now);
+  /// True if one more repeat stays within a part of the budget, which is a
+  /// percentage of the first attempts plus a fixed allowance.
+  bool allowsRepeat(int percent, double allowance, Instant now,
+                    double part = 1);
 
 private:
   static constexpr std::size_t Buckets = 20;
