queue: order by priority across workspaces

With queue_order workspace, lower priorities go first across workspaces, the slot time of one priority is divided by start-time fair queueing, and one start in eight goes to the longest-waiting ticket that can meet its deadline.

--- a/src/libhickoryglade/fairqueue.cpp
+++ b/src/libhickoryglade/fairqueue.cpp
@@ -54,6 +54,25 @@
   return std::nullopt;
 }
 
+std::optional<Ticket>
+FairQueue::popRanked(const std::function<bool(const Ticket &)> &mayRun,
+                     Instant now) {
+  std::vector<Ticket *> waiting;
+  for (auto &[workspace, flow] : Flows)
+    for (Ticket &it : flow.Tickets)
+      waiting.push_back(&it);
+  std::vector<Ticket *> order = inStartOrder(Ranked, waiting, now);
+  auto next = std::ranges::find_if(
+      order, [&](const Ticket *it) { return mayRun(*it); });
+  if (next == order.end())
+    return std::nullopt;
+  Ticket ticket = **next;
+  noteStart(Ranked, ticket, waiting, costOf(ticket),
+            Flows.at(ticket.Workspace).Share, now);
+  remove(ticket.AttemptId);
+  return ticket;
+}
+
 bool FairQueue::remove(const std::string &attempt) {
   for (auto &[workspace, flow] : Flows) {
     auto it = std::ranges::find(flow.Tickets, attempt, &Ticket::AttemptId);
@@ -111,6 +130,13 @@
 
 Micros FairQueue::costAhead(const Ticket &ticket, int share,
                             QueueOrder order) const {
+  if (order == QueueOrder::Workspace) {
+    auto cost = [&](const Ticket &it) {
+      return it.IsLong == ticket.IsLong ? double(costOf(it).count()) : 0.0;
+    };
+    return Micros(
+        Micros::rep(rankedAhead(ticket, share, double(MinCost.count()), cost)));
+  }
   const std::string &workspace = ticket.Workspace;
   bool isLong = ticket.IsLong;
   auto own = Flows.find(workspace);
@@ -132,6 +158,9 @@
 
 std::size_t FairQueue::countAhead(const Ticket &ticket, int share,
                                   QueueOrder order) const {
+  if (order == QueueOrder::Workspace)
+    return std::size_t(
+        rankedAhead(ticket, share, 1, [](const Ticket &) { return 1.0; }));
   std::size_t ownCount = 0;
   auto own = Flows.find(ticket.Workspace);
   if (own != Flows.end())
@@ -147,6 +176,37 @@
   return all;
 }
 
+// More urgent tickets count whole and less urgent ones do not count. Another
+// workspace of the same priority gets as much slot time per share meanwhile as
+// the ticket's own. The one start in eight that goes to the longest-waiting
+// ticket is left to the correction by actual waits.
+double FairQueue::rankedAhead(
+    const Ticket &ticket, int share, double least,
+    const std::function<double(const Ticket &)> &measure) const {
+  double urgent = 0;
+  double own = 0;
+  std::vector<std::pair<double, int>> equals;
+  for (const auto &[workspace, flow] : Flows) {
+    double others = 0;
+    for (const Ticket &it : flow.Tickets) {
+      if (it.Priority < ticket.Priority)
+        urgent += measure(it);
+      else if (it.Priority == ticket.Priority && workspace != ticket.Workspace)
+        others += measure(it);
+      else if (it.Priority == ticket.Priority &&
+               !overtakes(QueueOrder::Workspace, ticket, it))
+        own += measure(it);
+    }
+    equals.emplace_back(others, flow.Share);
+  }
+  double perShare = (own + least) / std::max(share, 1);
+  return std::accumulate(equals.begin(), equals.end(), urgent + own,
+                         [&](double sum, const auto &it) {
+                           return sum +
+                                  std::min(it.first, perShare * it.second);
+                         });
+}
+
 bool FairQueue::hasShort() const {
   return std::ranges::any_of(Flows, [](const auto &it) {
     return std::ranges::any_of(it.second.Tickets,
--- a/src/libhickoryglade/fairqueue.h
+++ b/src/libhickoryglade/fairqueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libhickoryglade/overload/workspaceorder.h"
 #include "libhickoryglade/queueorder.h"
 
 #include <array>
@@ -22,6 +23,10 @@
   /// that has received the least slot time per share.
   std::optional<Ticket> pop(const std::function<bool(const Ticket &)> &mayRun);
 
+  /// The same in the order `workspace`.
+  std::optional<Ticket>
+  popRanked(const std::function<bool(const Ticket &)> &mayRun, Instant now);
+
   /// Returns false if the attempt is not in the queue.
   bool remove(const std::string &attempt);
 
@@ -63,9 +68,16 @@
   double startVirtualTime() const;
   void removeEmpty(const std::string &workspace);
 
+  /// Sum of a measure over the waiting tickets that the order `workspace` puts
+  /// before a new ticket; `least` is the measure of the smallest ticket.
+  double
+  rankedAhead(const Ticket &ticket, int share, double least,
+              const std::function<double(const Ticket &)> &measure) const;
+
   std::map<std::string, Flow> Flows;
   std::size_t Count = 0;
   double LastVirtualTime = 0;
+  WorkspaceOrder Ranked;
 };
 
 } // namespace hickoryglade
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -235,14 +235,16 @@
     return actions;
   }
   bool isHeld = isHeldByLimit(gate, service, ticket, now);
+  Ticket waiting = ticket;
+  waiting.WaitingSince = now;
+  if (startsPastQueue(gate, service, waiting, now, actions))
+    return actions;
   if (ticket.OnlyIfFree) {
     refuse(actions, ticket.AttemptId,
            notRun(ErrorKind::SlotTaken,
                   isHeld ? "held back by a limit" : "no free slot", Millis{0}));
     return actions;
   }
-  Ticket waiting = ticket;
-  waiting.WaitingSince = now;
   if (auto fault = admissionError(gate, service, waiting, now)) {
     refuse(actions, ticket.AttemptId, std::move(*fault));
     return actions;
--- a/src/libhickoryglade/gatequeue.cpp
+++ b/src/libhickoryglade/gatequeue.cpp
@@ -67,12 +67,15 @@
   GateService &service = gate.Services[name];
   while (service.Queue.size() > 0 && now >= gate.HoldUntil) {
     GateEndpoint *endpoint = nullptr;
-    auto ticket = service.Queue.pop([&](const Ticket &it) {
+    auto mayRun = [&](const Ticket &it) {
       if (isSerializedBusy(gate, service, it, now))
         return false;
       endpoint = chooseEndpoint(gate, service, it, now);
       return endpoint != nullptr;
-    });
+    };
+    auto ticket = service.Policy.Order == QueueOrder::Workspace
+                      ? service.Queue.popRanked(mayRun, now)
+                      : service.Queue.pop(mayRun);
     if (!ticket)
       return;
     noteWait(service, *ticket, now);
@@ -99,6 +102,17 @@
   }
 }
 
+bool startsPastQueue(Gate &gate, GateService &service, const Ticket &ticket,
+                     Instant now, GateActions &actions) {
+  bool mayPass = service.Policy.Order == QueueOrder::Workspace ||
+                 service.Policy.ReservedSlotsPercent > 0;
+  if (!mayPass || service.Queue.size() == 0)
+    return false;
+  enqueue(service, ticket);
+  dispatch(gate, ticket.Service, now, actions);
+  return !service.Queue.remove(ticket.AttemptId);
+}
+
 std::optional<SlotHolder> release(Gate &gate, const std::string &attempt,
                                   GateEndpoint *&endpoint) {
   auto held = gate.EndpointByAttempt.find(attempt);
--- a/src/libhickoryglade/gatequeue.h
+++ b/src/libhickoryglade/gatequeue.h
@@ -26,6 +26,11 @@
 void dispatch(Gate &gate, const std::string &name, Instant now,
               GateActions &actions);
 
+/// Starts a request although others wait, if the queue order and the reserved
+/// slots let it take a free slot before them.
+bool startsPastQueue(Gate &gate, GateService &service, const Ticket &ticket,
+                     Instant now, GateActions &actions);
+
 /// Releases an attempt's slot; returns nothing if it holds none.
 std::optional<SlotHolder> release(Gate &gate, const std::string &attempt,
                                   GateEndpoint *&endpoint);
--- a/src/libhickoryglade/ticket.h
+++ b/src/libhickoryglade/ticket.h
@@ -62,6 +62,10 @@
   /// Set by the gate when it queues the request.
   Instant WaitingSince;
   Micros EstimatedWait{0};
+  /// Set by the queue when the request is to start because of its long wait. It
+  /// may then take a reserved slot of an endpoint that only more urgent
+  /// requests use.
+  bool IsDue = false;
 
   bool operator==(const Ticket &) const = default;
 };
