reservation: keep slots free for more urgent priorities

With reserved_slots_percent a request starts only if the slots kept for more urgent priorities in use stay free. Waits for such slots are logged and counted.

--- a/src/libfleet/gate/gatenotices.cpp
+++ b/src/libfleet/gate/gatenotices.cpp
@@ -58,11 +58,16 @@
   if (it == Exchanges.end())
     return;
   const std::string &attempt = action.AttemptId;
-  logEvent(LogLevel::Info, "gate_held",
+  const std::string &service = it->second->Request.Service;
+  bool isReserved = action.Reason == HoldReason::Reserved;
+  logEvent(LogLevel::Info, isReserved ? "gate_reserved" : "gate_held",
            {{"request", attempt.substr(0, attempt.rfind('/'))},
             {"attempt", attempt},
             {"expected_ms", toMillis(action.ExpectedWait).count()}});
-  Counters.countLimited(it->second->Request.Service, "held");
+  if (isReserved)
+    Counters.countReservedWait(service);
+  else
+    Counters.countLimited(service, "held");
 }
 
 void GateService::carryOutOne(const LimitAction &action) {
--- a/src/libfleet/reporting/metrics.cpp
+++ b/src/libfleet/reporting/metrics.cpp
@@ -81,6 +81,10 @@
                           "Limits named, changed and lifted by endpoints")),
         Limited(counterFamily(registry, "hickoryglade_limited_requests_total",
                               "Requests held or refused because of a limit")),
+        ReservedWaits(counterFamily(
+            registry, "hickoryglade_reserved_slot_waits_total",
+            "Requests that wait although a slot is free, since it is reserved "
+            "for more urgent ones")),
         Errors(counterFamily(registry, "hickoryglade_errors_total",
                              "Requests refused or failed by kind")),
         Retries(counterFamily(registry, "hickoryglade_retry_decisions_total",
@@ -157,6 +161,7 @@
   prometheus::Family<prometheus::Gauge> &Limits;
   prometheus::Family<prometheus::Counter> &LimitChanges;
   prometheus::Family<prometheus::Counter> &Limited;
+  prometheus::Family<prometheus::Counter> &ReservedWaits;
   prometheus::Family<prometheus::Counter> &Errors;
   prometheus::Family<prometheus::Counter> &Retries;
   prometheus::Family<prometheus::Counter> &Abandoned;
@@ -231,6 +236,10 @@
   All->Limited.Add({{"service", service}, {"effect", effect}}).Increment();
 }
 
+void Metrics::countReservedWait(const std::string &service) {
+  All->ReservedWaits.Add({{"service", service}}).Increment();
+}
+
 void Metrics::countError(const std::string &kind) {
   All->Errors.Add({{"kind", kind}}).Increment();
 }
--- a/src/libfleet/reporting/metrics.h
+++ b/src/libfleet/reporting/metrics.h
@@ -49,6 +49,9 @@
   void countLimitChange(const std::string &service, const std::string &change);
   /// Counts a request that a limit holds back, by effect: held or refused.
   void countLimited(const std::string &service, const std::string &effect);
+  /// Counts a request that waits although a slot is free, since the slot is
+  /// reserved for more urgent ones.
+  void countReservedWait(const std::string &service);
   void countError(const std::string &kind);
   void countRetryDecision(const std::string &reason);
   /// Counts a run that its entry no longer waits for.
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -234,15 +234,14 @@
                   toMillis(NoEndpointRetryAfter)));
     return actions;
   }
-  bool isHeld = isHeldByLimit(gate, service, ticket, now);
+  std::optional<HoldReason> hold = holdReason(gate, service, ticket, now);
   Ticket waiting = ticket;
   waiting.WaitingSince = now;
   if (startsPastQueue(gate, service, waiting, now, actions))
     return actions;
   if (ticket.OnlyIfFree) {
     refuse(actions, ticket.AttemptId,
-           notRun(ErrorKind::SlotTaken,
-                  isHeld ? "held back by a limit" : "no free slot", Millis{0}));
+           notRun(ErrorKind::SlotTaken, noSlotText(hold), Millis{0}));
     return actions;
   }
   if (auto fault = admissionError(gate, service, waiting, now)) {
@@ -250,8 +249,9 @@
     return actions;
   }
   gate.Ledger.noteWaiting(ticket.AttemptId, ledgerExpiry(ticket));
-  if (isHeld)
-    actions.push_back(HoldAction{ticket.AttemptId, waiting.EstimatedWait});
+  if (hold)
+    actions.push_back(
+        HoldAction{ticket.AttemptId, waiting.EstimatedWait, *hold});
   enqueue(service, std::move(waiting));
   dispatch(gate, ticket.Service, now, actions);
   return actions;
--- a/src/libhickoryglade/gateaction.h
+++ b/src/libhickoryglade/gateaction.h
@@ -61,11 +61,15 @@
   bool operator==(const StandingAction &) const = default;
 };
 
-/// Report that a request waits because of an endpoint's limit, though a slot is
-/// free.
+/// Why a request waits though a slot is free: because of the endpoint's limit,
+/// or since the slot is reserved for more urgent requests.
+enum class HoldReason { Limit, Reserved };
+
+/// Report that a request waits though a slot is free.
 struct HoldAction {
   std::string AttemptId;
   Micros ExpectedWait{0};
+  HoldReason Reason = HoldReason::Limit;
 
   bool operator==(const HoldAction &) const = default;
 };
--- a/src/libhickoryglade/gateadmission.cpp
+++ b/src/libhickoryglade/gateadmission.cpp
@@ -107,6 +107,23 @@
          service.Serialized.contains(ticket.Fingerprint);
 }
 
+std::optional<HoldReason> holdReason(const Gate &gate,
+                                     const GateService &service,
+                                     const Ticket &ticket, Instant now) {
+  if (isHeldByLimit(gate, service, ticket, now))
+    return HoldReason::Limit;
+  if (isHeldByReserve(gate, service, ticket, now))
+    return HoldReason::Reserved;
+  return std::nullopt;
+}
+
+std::string noSlotText(std::optional<HoldReason> hold) {
+  if (!hold)
+    return "no free slot";
+  return *hold == HoldReason::Limit ? "held back by a limit"
+                                    : "the free slots are reserved";
+}
+
 bool exceedsRepeatBudget(GateService &service, const Ticket &ticket,
                          Instant now) {
   const ServicePolicy &policy = service.Policy;
--- a/src/libhickoryglade/gateadmission.h
+++ b/src/libhickoryglade/gateadmission.h
@@ -37,6 +37,14 @@
 bool isSerializedBusy(const Gate &gate, GateService &service,
                       const Ticket &ticket, Instant now);
 
+/// Why the request cannot take a slot that is free; nothing if none is.
+std::optional<HoldReason> holdReason(const Gate &gate,
+                                     const GateService &service,
+                                     const Ticket &ticket, Instant now);
+
+/// Detail of the refusal of a request that must not wait.
+std::string noSlotText(std::optional<HoldReason> hold);
+
 /// True for a retry beyond this gate's part of the fleet's retry budget.
 bool exceedsRepeatBudget(GateService &service, const Ticket &ticket,
                          Instant now);
--- a/src/libhickoryglade/gaterules.cpp
+++ b/src/libhickoryglade/gaterules.cpp
@@ -1,5 +1,7 @@
 #include "libhickoryglade/gaterules.h"
 
+#include "libhickoryglade/overload/slotreservation.h"
+
 #include <algorithm>
 
 namespace hickoryglade {
@@ -16,6 +18,26 @@
   return freeSlots(endpoint) > 1 && !service.Queue.hasShort();
 }
 
+/// True if only more urgent requests hold slots of the endpoint.
+bool isShutOut(const GateEndpoint &endpoint, const Ticket &ticket) {
+  return std::ranges::all_of(endpoint.Holders, [&](const SlotHolder &it) {
+    return it.Request.Priority < ticket.Priority;
+  });
+}
+
+/// Slots of an endpoint that the request must leave free for more urgent ones.
+/// An endpoint on trial takes one request at a time anyway.
+int reservedAgainst(const GateEndpoint &endpoint, const GateService &service,
+                    const Ticket &ticket, Instant now) {
+  int percent = service.Policy.ReservedSlotsPercent;
+  if (percent == 0 || endpoint.State == Standing::Trial ||
+      (ticket.IsDue && isShutOut(endpoint, ticket)))
+    return 0;
+  return reservedSlots(endpoint.Announced.Slots, percent,
+                       countMoreUrgent(service.Priorities, ticket.Priority,
+                                       MaxReservingPriorities, now));
+}
+
 /// Log-odds of a hang above which an endpoint gets no requests that may run
 /// only once: two to one. A low bound suffices, since a refusal costs just one
 /// message to another gate.
@@ -67,6 +89,8 @@
              const Ticket &ticket, Instant now) {
   if (!takesWork(endpoint, now) || isDoubtfulFor(endpoint, service, ticket))
     return false;
+  if (freeSlots(endpoint) <= reservedAgainst(endpoint, service, ticket, now))
+    return false;
   bool isTrial = endpoint.State == Standing::Trial;
   // A request that hangs at an endpoint on trial must be able to be retried.
   bool suitsTrial = !ticket.IsLong && ticket.IsIdempotent && !ticket.IsLastTry;
@@ -102,12 +126,27 @@
   return best;
 }
 
+bool isHeldByReserve(const Gate &gate, const GateService &service,
+                     const Ticket &ticket, Instant now) {
+  return std::ranges::any_of(gate.Endpoints, [&](const auto &entry) {
+    const GateEndpoint &it = entry.second;
+    return it.Announced.Service == ticket.Service && takesWork(it, now) &&
+           !isDoubtfulFor(it, service, ticket) &&
+           freeSlots(it) <= reservedAgainst(it, service, ticket, now);
+  });
+}
+
 int slotsForClass(const Gate &gate, const GateService &service,
                   const Ticket &ticket, Instant now) {
   int slots = 0;
-  for (const auto &[name, it] : gate.Endpoints)
-    if (isInRotation(it, ticket.Service, now))
-      slots += ticket.IsLong ? longCap(it, service.Policy) : it.Announced.Slots;
+  for (const auto &[name, it] : gate.Endpoints) {
+    if (!isInRotation(it, ticket.Service, now))
+      continue;
+    int most = ticket.IsLong ? longCap(it, service.Policy) : it.Announced.Slots;
+    int reserved = reservedAgainst(it, service, ticket, now);
+    slots +=
+        reserved > 0 ? std::min(most, it.Announced.Slots - reserved) : most;
+  }
   return slots;
 }
 
--- a/src/libhickoryglade/gaterules.h
+++ b/src/libhickoryglade/gaterules.h
@@ -41,6 +41,11 @@
 GateEndpoint *chooseEndpoint(Gate &gate, const GateService &service,
                              const Ticket &ticket, Instant now);
 
+/// True if an endpoint has a slot that the request may not take only because it
+/// is reserved for more urgent ones.
+bool isHeldByReserve(const Gate &gate, const GateService &service,
+                     const Ticket &ticket, Instant now);
+
 /// Total number of slots that requests of the ticket's class may hold.
 int slotsForClass(const Gate &gate, const GateService &service,
                   const Ticket &ticket, Instant now);
