--- a/src/libhickoryglade/gateadmission.cpp
+++ b/src/libhickoryglade/gateadmission.cpp
@@ -55,6 +55,16 @@
                           *ticket.Target - now - ticket.ExpectedCost);
 }
 
+/// Part of the gate's retry budget that the request may use. The rest is kept
+/// for the most urgent priority in use.
+double repeatPart(const GateService &service, const Ticket &ticket,
+                  Instant now) {
+  bool isMostUrgent =
+      countMoreUrgent(service.Priorities, ticket.Priority, 1, now) == 0;
+  constexpr double percent = 100;
+  return isMostUrgent ? 1 : 1 - service.Policy.RepeatReservePercent / percent;
+}
+
 } // namespace
 
 Millis jitteredRetryAfter(Gate &gate, Micros wait) {
@@ -97,12 +107,30 @@
          service.Serialized.contains(ticket.Fingerprint);
 }
 
+std::optional<HoldReason> holdReason(const Gate &gate,
+                                     const GateService &service,
+                                     const Ticket &ticket, Instant now) {
+  if (isHeldByLimit(gate, service, ticket, now))
+    return HoldReason::Limit;
+  if (isHeldByReserve(gate, service, ticket, now))
+    return HoldReason::Reserved;
+  return std::nullopt;
+}
+
+std::string noSlotText(std::optional<HoldReason> hold) {
+  if (!hold)
+    return "no free slot";
+  return *hold == HoldReason::Limit ? "held back by a limit"
+                                    : "the free slots are reserved";
+}
+
 bool exceedsRepeatBudget(GateService &service, const Ticket &ticket,
                          Instant now) {
   const ServicePolicy &policy = service.Policy;
   double allowance = double(policy.RetryAllowance) / std::max(service.Gates, 1);
-  return ticket.IsRepeat && !service.Repeats.allowsRepeat(
-                                policy.RetryBudgetPercent, allowance, now);
+  return ticket.IsRepeat &&
+         !service.Repeats.allowsRepeat(policy.RetryBudgetPercent, allowance,
+                                       now, repeatPart(service, ticket, now));
 }
 
 std::optional<Error> admissionError(Gate &gate, GateService &service,
