--- a/src/libhickoryglade/gatehealth.cpp
+++ b/src/libhickoryglade/gatehealth.cpp
@@ -77,7 +77,7 @@
                    Instant now, GateActions &actions) {
   bool isUsual = endpoint.State == Standing::Suspect &&
                  endpoint.IsSuspectForSheds && evidence.ServiceShedShare &&
-                 evidence.ConsecutiveSheds > 0 &&
+                 evidence.ConsecutiveSheds > 0 && !endpoint.IsHanging &&
                  endpoint.FailureShare <= MaxFailureShare;
   if (!isUsual)
     return;
--- a/tests/kernel/test_overload_queue.cpp
+++ b/tests/kernel/test_overload_queue.cpp
@@ -70,7 +70,8 @@
   // usual 30%.
   for (int ms = 0; ms < 20'000; ms += 100) {
     auto arrive = [&](const std::string &workspace, double perStart) {
-      while (offered[workspace] < perStart * (ms / 100 + 1))
+      int past = ms / 100 + 1;
+      while (offered[workspace] < perStart * past)
         push(queue,
              ticket(workspace + std::to_string(++offered[workspace]), workspace,
                     3, ms + 400),
