--- a/tests/scenarios/test_overload.cpp
+++ b/tests/scenarios/test_overload.cpp
@@ -76,3 +76,22 @@
       CHECK(it.Wasted <= 0.01);
   }
 }
+
+// Less urgent requests must neither get the slots that are kept for the others
+// nor be shut out.
+TEST_CASE("with reserved slots urgent kinds come first and all are served",
+          "[overload]") {
+  for (double load : {1.2, 2.0, 4.0})
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      INFO(loadName(load) << " seed " << seed);
+      Overload overload = makeOverload(load);
+      overload.Policy.Order = QueueOrder::Workspace;
+      overload.Policy.ReservedSlotsPercent = 10;
+      std::vector<OverloadFigures> all = runOverload(overload, seed);
+      for (std::size_t i = 1; i < all.size(); ++i)
+        CHECK(all[i - 1].Answered >= all[i].Answered - PriorityTolerance);
+      CHECK(all.front().InTarget >= 0.9);
+      CHECK(all.back().Answered > 0.01);
+      CHECK(all.back().Wasted <= 0.01);
+    }
+}
