http: reject responses with an invalid status

Callers saw: an endpoint in trouble sent an answer with status 000, and the caller got it as an answer. So it was with 001, 099, 600, 999 and a 101 that no node asks for, which came signed and without its body. The endpoint was not judged: the gate counted the answer as completed work.

The client for the store took 000 to 099 and 101 for interim responses and went on to the next one; hickorygladectl showed them as replies.

Now all three readers call checkResponseHead() once the head is parsed. It returns an error of Beast's own category, so that such a head is treated as any other that cannot be parsed: 502 with run 'unknown', a failure of the endpoint but no crash, and an order is not sent again. 'Not-Executed' in such a head says nothing. 1xx other than 101 is skipped as before, 200 to 599 is passed on.

That statuses which are not of three digits were rejected before is kept as a test.

--- a/src/hickorygladectl/adminclient.cpp
+++ b/src/hickorygladectl/adminclient.cpp
@@ -2,6 +2,7 @@
 
 #include "libfleet/base/address.h"
 #include "libfleet/base/asio.h"
+#include "libfleet/http/responsehead.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -44,6 +45,8 @@
     co_await http::async_read_header(
         it.Stream, it.Buffer, it.Answer,
         asio::redirect_error(asio::use_awaitable, ec));
+  if (!ec)
+    ec = checkResponseHead(it.Answer.get());
   if (!ec && !it.Answer.is_done())
     co_await http::async_read(it.Stream, it.Buffer, it.Answer,
                               asio::redirect_error(asio::use_awaitable, ec));
--- a/src/libfleet/gate/endpointclient.cpp
+++ b/src/libfleet/gate/endpointclient.cpp
@@ -2,6 +2,7 @@
 
 #include "libfleet/base/address.h"
 #include "libfleet/base/clock.h"
+#include "libfleet/http/responsehead.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -110,11 +111,6 @@
          ec != http::error::end_of_stream && ec != http::error::partial_message;
 }
 
-bool isInterim(int status) {
-  constexpr int switchingProtocols = 101;
-  return status / 100 == 1 && status != switchingProtocols;
-}
-
 } // namespace
 
 struct EndpointClient::Connection {
@@ -370,6 +366,8 @@
     co_await http::async_read_header(
         connection->Stream, connection->Buffer, parser,
         asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec)
+      ec = checkResponseHead(parser.get());
     if (ec)
       co_return co_await classifyReadError(call.Address, ec,
                                            ErrorKind::EndpointFailed);
@@ -377,7 +375,7 @@
     // Copied before the body is read, since the parser adds trailer fields.
     HttpResponse response;
     response.Status = int(parser.get().result_int());
-    if (isInterim(response.Status))
+    if (isInterimStatus(response.Status))
       continue;
     response.Headers = endToEndHeaders(parser.get());
     std::optional<Micros> namedTimeout = keepAliveTimeoutOf(parser.get());
--- a/src/libfleet/http/httpclient.cpp
+++ b/src/libfleet/http/httpclient.cpp
@@ -2,6 +2,7 @@
 
 #include "libfleet/base/address.h"
 #include "libfleet/base/clock.h"
+#include "libfleet/http/responsehead.h"
 #include "libfleet/reporting/logging.h"
 
 #include <boost/beast/core.hpp>
@@ -105,6 +106,8 @@
     co_await http::async_read_some(
         connection.Stream, connection.Buffer, parser,
         asio::redirect_error(asio::use_awaitable, ec));
+    if (!ec && parser.is_header_done())
+      ec = checkResponseHead(parser.get());
     if (OnProgress)
       OnProgress();
     if (!end)
@@ -137,13 +140,12 @@
                              asio::redirect_error(asio::use_awaitable, ec));
   // Interim responses may come first.
   std::optional<ResponseParser> parser;
-  constexpr unsigned leastFinal = 200;
-  for (int n = 0; !ec && n <= MaxInterimResponses; ++n) {
+  bool isInterim = true;
+  for (int n = 0; !ec && isInterim && n <= MaxInterimResponses; ++n) {
     co_await readResponse(*Current, parser.emplace(), limit, ec);
-    if (parser->get().result_int() >= leastFinal)
-      break;
+    isInterim = isInterimStatus(int(parser->get().result_int()));
   }
-  if (!ec && parser->get().result_int() < leastFinal)
+  if (!ec && isInterim)
     ec = http::make_error_code(http::error::bad_status);
   if (ec) {
     logEvent(LogLevel::Debug, "http_call_failed",
--- a/src/libfleet/http/httpmessage.cpp
+++ b/src/libfleet/http/httpmessage.cpp
@@ -21,6 +21,17 @@
 
 } // namespace
 
+bool isInterimStatus(int status) {
+  constexpr int switchingProtocols = 101;
+  return status / 100 == 1 && status != switchingProtocols;
+}
+
+bool isFinalStatus(int status) {
+  constexpr int leastFinal = 200;
+  constexpr int greatest = 599;
+  return status >= leastFinal && status <= greatest;
+}
+
 std::string headerValue(const std::vector<HttpHeader> &headers,
                         std::string_view name) {
   auto it = std::ranges::find_if(
--- a/src/libfleet/http/httpmessage.h
+++ b/src/libfleet/http/httpmessage.h
@@ -29,6 +29,13 @@
   Body Content = std::make_shared<const std::string>();
 };
 
+/// True for the status of an interim response. Nodes never ask to switch
+/// protocols, so that 101 is not valid in a response to them.
+bool isInterimStatus(int status);
+
+/// True for a status that a final response may have (RFC 9110, 15).
+bool isFinalStatus(int status);
+
 /// Value of the first header with this name, compared without regard to case;
 /// empty if there is none.
 std::string headerValue(const std::vector<HttpHeader> &headers,
--- a/tests/platform/platformfleet.h
+++ b/tests/platform/platformfleet.h
@@ -103,6 +103,9 @@
   ChildProcess &process(const std::string &name) { return Processes.at(name); }
   const NodeAddresses &node(const std::string &name) { return Nodes.at(name); }
 
+  /// Returns an address that no process of the fleet has.
+  std::string freeAddress() { return Addresses.next(); }
+
   /// Folder of what the processes print, as NAME.err; removed at the end.
   const std::string &folder() const { return Folder; }
 
--- /dev/null
+++ b/tests/platform/test_brokenanswers.cpp
@@ -0,0 +1,180 @@
+#include "hickorygladectl/adminclient.h"
+#include "libfleet/base/clock.h"
+#include "libfleet/gate/endpointclient.h"
+#include "libfleet/http/httpclient.h"
+#include "platform/dialect.h"
+#include "process/freeaddress.h"
+#include "standins/rawserver.h"
+#include "standins/standinserver.h"
+
+#include <catch2/catch.hpp>
+
+#include <thread>
+
+/// Answers that are no valid HTTP, or that end early, from endpoints, the store
+/// and the admin interface of a node.
+
+using namespace hickoryglade;
+using namespace hickoryglade::fleet;
+using standins::Ending;
+using standins::RawAnswer;
+
+namespace {
+
+constexpr Millis CallLimit{3'000};
+constexpr std::size_t MaxHeldBytes = 64 * 1024 * 1024;
+
+const std::string Own = "Attempt-Id: {id}\r\nResponse-Signature: proof\r\n";
+const std::string Sized = "Content-Length: 5\r\n\r\nwhole";
+
+std::string withStatus(const std::string &status) {
+  return "HTTP/1.1 " + status + " Reply\r\n" + Own;
+}
+
+struct Outcome {
+  EndpointResult Result;
+  int Arrivals = 0;
+  std::size_t BodyBytes = 0;
+};
+
+/// Sends one order to a server that answers with the given bytes. Returns once
+/// the server has had time to read the rest of the order.
+Outcome callEndpoint(const RawAnswer &answer, std::size_t uploadBytes = 0) {
+  asio::io_context io{1};
+  testing::FreeAddresses addresses;
+  std::string address = addresses.next();
+  standins::RawServer server(io, address,
+                             [&](const std::string &) { return answer; });
+  HttpDialect dialect = platform::makeDialect();
+  EndpointClient client(io.get_executor(), dialect,
+                        std::make_shared<BodyBudget>(MaxHeldBytes));
+  Outcome out;
+  auto run = [&]() -> asio::awaitable<void> {
+    EndpointCall call;
+    call.Address = address;
+    call.Request.Method = "POST";
+    call.Request.Target = "/once/x";
+    call.Request.Headers = {{"Attempt-Id", "a"}};
+    call.Request.Content =
+        std::make_shared<const std::string>(uploadBytes, 'u');
+    call.Deadline = now() + CallLimit;
+    auto handle = std::make_shared<ExchangeHandle>();
+    out.Result = co_await client.exchange(std::move(call), handle);
+    Instant until = now() + CallLimit;
+    while (server.bodyBytes() < uploadBytes && out.Result.Answer &&
+           now() < until)
+      co_await standins::sleepFor(Millis(10));
+    io.stop();
+  };
+  asio::co_spawn(io, run(), asio::detached);
+  io.run();
+  out.Arrivals = server.arrivals("a");
+  out.BodyBytes = server.bodyBytes();
+  return out;
+}
+
+void checkFailed(const Outcome &outcome) {
+  CHECK_FALSE(outcome.Result.Answer);
+  CHECK(outcome.Result.Outcome == AttemptOutcome::Failed);
+  CHECK(outcome.Result.Failure.Kind == ErrorKind::EndpointFailed);
+  CHECK(outcome.Result.Failure.Run == RunState::Unknown);
+  CHECK(outcome.Arrivals == 1);
+}
+
+std::optional<HttpResponse> callStore(const std::string &bytes) {
+  asio::io_context io{1};
+  testing::FreeAddresses addresses;
+  std::string address = addresses.next();
+  standins::RawServer server(
+      io, address, [&](const std::string &) { return RawAnswer{bytes}; });
+  HttpClient client(io.get_executor(), address);
+  std::optional<HttpResponse> response;
+  auto run = [&]() -> asio::awaitable<void> {
+    response = co_await client.call("GET", "/", "", CallLimit);
+    io.stop();
+  };
+  asio::co_spawn(io, run(), asio::detached);
+  io.run();
+  return response;
+}
+
+absl::StatusOr<ctl::AdminReply> callAdmin(const std::string &bytes) {
+  asio::io_context io{1};
+  testing::FreeAddresses addresses;
+  std::string address = addresses.next();
+  standins::RawServer server(
+      io, address, [&](const std::string &) { return RawAnswer{bytes}; });
+  std::jthread thread([&] { io.run_for(CallLimit); });
+  auto reply = ctl::sendAdminRequest(address, "GET", "/", "", CallLimit);
+  io.stop();
+  return reply;
+}
+
+const std::vector<std::string> InvalidStatuses = {"000", "001", "099",
+                                                  "101", "600", "999"};
+
+} // namespace
+
+TEST_CASE("an answer with an invalid status is a failure of the endpoint",
+          "[broken-status]") {
+  std::string status = GENERATE(from_range(InvalidStatuses));
+  std::string rest = GENERATE_COPY(values<std::string>(
+      {Sized, "\r\nwhole", "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       // Says nothing in an answer that is not valid.
+       "Not-Executed: 1\r\n" + Sized}));
+  INFO(status << " " << rest);
+  checkFailed(callEndpoint({withStatus(status) + rest}));
+}
+
+TEST_CASE("an answer of the store with an invalid status is no answer",
+          "[broken-status]") {
+  std::string status = GENERATE(from_range(InvalidStatuses));
+  INFO(status);
+  CHECK_FALSE(callStore(withStatus(status) + Sized));
+  // Nor does it precede one, as an interim answer does.
+  CHECK_FALSE(callStore(withStatus(status) + "Content-Length: 0\r\n\r\n" +
+                        withStatus("200") + Sized));
+}
+
+TEST_CASE("a reply to the operators' tool with an invalid status is an error",
+          "[broken-status]") {
+  std::string status = GENERATE(from_range(InvalidStatuses));
+  INFO(status);
+  auto reply = callAdmin(withStatus(status) + "Content-Length: 2\r\n\r\n{}");
+  CHECK(absl::IsUnavailable(reply.status()));
+}
+
+TEST_CASE("a status that is not of three digits is a failure of the endpoint",
+          "[broken-status]") {
+  std::string status = GENERATE("20", "2000", "2x0", "-20", "");
+  INFO(status);
+  checkFailed(callEndpoint({withStatus(status) + Sized}));
+}
+
+TEST_CASE("answers with unusual valid statuses are passed on",
+          "[broken-status]") {
+  int status = GENERATE(200, 226, 299, 302, 404, 418, 499, 500, 599);
+  INFO(status);
+  std::string head = withStatus(std::to_string(status));
+  Outcome outcome = callEndpoint({head + Sized});
+  REQUIRE(outcome.Result.Answer);
+  CHECK(outcome.Result.Answer->Status == status);
+  CHECK(*outcome.Result.Answer->Content == "whole");
+  auto stored = callStore(head + Sized);
+  REQUIRE(stored);
+  CHECK(stored->Status == status);
+  CHECK(callAdmin(head + "Content-Length: 2\r\n\r\n{}").ok());
+}
+
+TEST_CASE("interim answers are not taken for invalid ones", "[broken-status]") {
+  std::string interim = GENERATE("100", "102", "103", "199");
+  INFO(interim);
+  std::string bytes =
+      "HTTP/1.1 " + interim + " Wait\r\n\r\n" + withStatus("200") + Sized;
+  Outcome outcome = callEndpoint({bytes});
+  REQUIRE(outcome.Result.Answer);
+  CHECK(*outcome.Result.Answer->Content == "whole");
+  auto stored = callStore(bytes);
+  REQUIRE(stored);
+  CHECK(*stored->Content == "whole");
+}
