gate: a reset that the write of a request notices truncates the response

Callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part, signed, as a complete answer, through its own node and through another.

Cause: the request is written beside the read of the response, and the kernel reports a reset once. The write got ECONNRESET and only noted that the request was not written; the next read returned 0, an orderly end, which completes a body without a length. The endpoint was taken to have completed its work.

Ruled out: that a request which is not written yet is a sign of a reset. An endpoint may end its answer with a half-close and read on, which stays a whole answer.

Now the write keeps its error. A body that ends with its connection is complete only if the write has not failed, or has failed with EPIPE: Linux reports that instead of ECONNRESET if the endpoint's FIN came before its reset, and so the whole body. The write gets its error no later than the read gets the end, since the read sees an end only once the error has been taken. The result is that of a reset that the read notices: 502 with run 'unknown', the connection counts as broken by the endpoint, and an order is not sent again.

Other readers: the store's client and hickorygladectl read only after the request is written; links between nodes carry frames of known length.

Early answers with a length or ended by a half-close passed before and are kept as tests.

--- a/src/libfleet/gate/endpointclient.cpp
+++ b/src/libfleet/gate/endpointclient.cpp
@@ -142,6 +142,20 @@
   std::vector<std::string> FailedIds;
 };
 
+/// The write of a request, which runs beside the read of its response.
+struct EndpointClient::RequestWrite {
+  bool IsComplete = false;
+  error_code Fault;
+
+  /// The error that ended the connection, if the write has received it. The
+  /// kernel reports a reset only once, so that the read then sees an orderly
+  /// end. A broken pipe is reported instead of a reset if the endpoint had
+  /// ended its side before, and with it the response.
+  error_code connectionFault() const {
+    return Fault == asio::error::broken_pipe ? error_code() : Fault;
+  }
+};
+
 /// A response whose body is being read.
 struct EndpointClient::Incoming {
   ConnectionPtr Source;
@@ -354,7 +368,7 @@
 /// responses to earlier requests may come first.
 asio::awaitable<EndpointResult>
 EndpointClient::readResponse(ConnectionPtr connection, const EndpointCall &call,
-                             std::shared_ptr<bool> isWritten) {
+                             std::shared_ptr<const RequestWrite> write) {
   bool isHead = call.Request.Method == "HEAD";
   std::string id = headerValue(call.Request.Headers, Dialect.RequestIdHeader);
   bool isInOrder = true;
@@ -385,6 +399,8 @@
                        RunState::Unknown, "the answer's length is not known");
     Incoming incoming{connection, parser, {Budget, BodyUse::Answer}};
     ec = co_await readBody(incoming, isHead);
+    if (!ec && !isFramed)
+      ec = write->connectionFault();
     if (ec == asio::error::no_buffer_space)
       co_return failed(AttemptOutcome::Failed, ErrorKind::AnswerTooLong,
                        RunState::Unknown,
@@ -392,7 +408,7 @@
     if (ec)
       co_return co_await classifyReadError(call.Address, ec,
                                            ErrorKind::AnswerTruncated);
-    bool isKept = parser.keep_alive() && isFramed && *isWritten;
+    bool isKept = parser.keep_alive() && isFramed && write->IsComplete;
     response.Content =
         makeBody(std::move(parser.get().body()), std::move(incoming.Held));
     ResponseMatch match = matchResponse(Dialect, response, id);
@@ -425,23 +441,20 @@
                    "too many answers that are not the request's");
 }
 
-namespace {
-
-/// Writes a request. Runs beside readResponse(), because an endpoint may
-/// respond before it has read all of the request.
-template <typename Connection>
-asio::awaitable<void> writeRequest(std::shared_ptr<Connection> connection,
-                                   HttpRequest request, std::string address,
-                                   std::shared_ptr<bool> isWritten) {
+/// Runs beside readResponse(), because an endpoint may respond before it has
+/// read all of the request.
+asio::awaitable<void>
+EndpointClient::writeRequest(ConnectionPtr connection, HttpRequest request,
+                             std::string address,
+                             std::shared_ptr<RequestWrite> write) {
   RequestMessage message = toBeast(request, address);
   error_code ec;
   co_await http::async_write(connection->Stream, message,
                              asio::redirect_error(asio::use_awaitable, ec));
-  *isWritten = !ec;
+  write->IsComplete = !ec;
+  write->Fault = ec;
 }
 
-} // namespace
-
 asio::awaitable<EndpointResult>
 EndpointClient::exchange(EndpointCall call,
                          std::shared_ptr<ExchangeHandle> handle) {
@@ -456,18 +469,17 @@
     co_return failed(AttemptOutcome::Cancelled, ErrorKind::Cancelled,
                      RunState::NotRun, "given up before it was sent");
   connection->Stream.expires_at(toSteady(call.Deadline));
-  auto isWritten = std::make_shared<bool>(false);
+  auto write = std::make_shared<RequestWrite>();
   // The body is held no longer than until it is written.
   HttpRequest sent = call.Request;
   call.Request.Content = nullptr;
-  asio::co_spawn(
-      Executor,
-      writeRequest(connection, std::move(sent), call.Address, isWritten),
-      asio::detached);
-  EndpointResult result = co_await readResponse(connection, call, isWritten);
+  asio::co_spawn(Executor,
+                 writeRequest(connection, std::move(sent), call.Address, write),
+                 asio::detached);
+  EndpointResult result = co_await readResponse(connection, call, write);
   // Ends what the endpoint may still send. One that has answered early may read
   // the rest of the request.
-  bool isWriting = result.Answer && !*isWritten;
+  bool isWriting = result.Answer && !write->IsComplete;
   if (!connection->IsPooled && !isWriting)
     connection->Stream.close();
   if (handle->IsCancelled)
--- a/src/libfleet/gate/endpointclient.h
+++ b/src/libfleet/gate/endpointclient.h
@@ -67,6 +67,7 @@
 
 private:
   struct Connection;
+  struct RequestWrite;
   using ConnectionPtr = std::shared_ptr<Connection>;
   struct Incoming;
 
@@ -82,9 +83,12 @@
   asio::awaitable<ConnectionPtr>
   connect(std::string address, Instant deadline,
           std::shared_ptr<ExchangeHandle> handle);
-  asio::awaitable<EndpointResult> readResponse(ConnectionPtr connection,
-                                               const EndpointCall &call,
-                                               std::shared_ptr<bool> isWritten);
+  asio::awaitable<EndpointResult>
+  readResponse(ConnectionPtr connection, const EndpointCall &call,
+               std::shared_ptr<const RequestWrite> write);
+  static asio::awaitable<void>
+  writeRequest(ConnectionPtr connection, HttpRequest request,
+               std::string address, std::shared_ptr<RequestWrite> write);
   asio::awaitable<EndpointResult>
   classifyReadError(std::string address, error_code ec, ErrorKind kind);
   EndpointResult classifyResponse(HttpResponse response) const;
--- a/tests/platform/test_brokenanswers.cpp
+++ b/tests/platform/test_brokenanswers.cpp
@@ -24,6 +24,9 @@
 constexpr Millis CallLimit{3'000};
 constexpr std::size_t MaxHeldBytes = 64 * 1024 * 1024;
 
+/// More than the kernel takes of a request that its receiver doesn't read.
+constexpr std::size_t LongUpload = 20 * 1024 * 1024;
+
 const std::string Own = "Attempt-Id: {id}\r\nResponse-Signature: proof\r\n";
 const std::string Sized = "Content-Length: 5\r\n\r\nwhole";
 
@@ -60,9 +63,9 @@
     call.Deadline = now() + CallLimit;
     auto handle = std::make_shared<ExchangeHandle>();
     out.Result = co_await client.exchange(std::move(call), handle);
+    bool isReadOn = out.Result.Answer && answer.End == Ending::HalfClose;
     Instant until = now() + CallLimit;
-    while (server.bodyBytes() < uploadBytes && out.Result.Answer &&
-           now() < until)
+    while (isReadOn && server.bodyBytes() < uploadBytes && now() < until)
       co_await standins::sleepFor(Millis(10));
     io.stop();
   };
@@ -178,3 +181,62 @@
   REQUIRE(stored);
   CHECK(*stored->Content == "whole");
 }
+
+TEST_CASE("an answer without a length that is reset is truncated, also while "
+          "its request is being written",
+          "[broken-end]") {
+  std::size_t upload =
+      GENERATE(std::size_t{0}, std::size_t{400'000}, LongUpload);
+  int endAfterMs = GENERATE(0, 20, 150, 400);
+  bool hasBody = GENERATE(true, false);
+  INFO(upload << " bytes, reset after " << endAfterMs << " ms");
+  std::string bytes = withStatus("200") + "\r\n" + (hasBody ? "part" : "");
+  Outcome outcome =
+      callEndpoint({bytes, Ending::Reset, Millis(endAfterMs)}, upload);
+  CHECK_FALSE(outcome.Result.Answer);
+  CHECK(outcome.Result.Outcome == AttemptOutcome::Broken);
+  CHECK(outcome.Result.Failure.Run == RunState::Unknown);
+  CHECK(outcome.Arrivals == 1);
+}
+
+TEST_CASE("an early answer without a length that ends in order is passed on",
+          "[broken-end]") {
+  Ending end = GENERATE(Ending::HalfClose, Ending::HalfCloseThenReset);
+  int endAfterMs = GENERATE(0, 20, 150, 400);
+  INFO("ends after " << endAfterMs << " ms, " << int(end));
+  Outcome outcome = callEndpoint(
+      {withStatus("200") + "\r\nwhole", end, Millis(endAfterMs)}, LongUpload);
+  REQUIRE(outcome.Result.Answer);
+  CHECK(*outcome.Result.Answer->Content == "whole");
+  if (end == Ending::HalfClose)
+    CHECK(outcome.BodyBytes == LongUpload);
+}
+
+TEST_CASE("an early answer with a length is passed on whatever follows",
+          "[broken-end]") {
+  Ending end = GENERATE(Ending::HalfClose, Ending::Reset);
+  int endAfterMs = GENERATE(0, 150);
+  bool isChunked = GENERATE(false, true);
+  std::string rest =
+      isChunked ? "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
+                : Sized;
+  Outcome outcome = callEndpoint(
+      {withStatus("200") + rest, end, Millis(endAfterMs)}, LongUpload);
+  REQUIRE(outcome.Result.Answer);
+  CHECK(*outcome.Result.Answer->Content == "whole");
+  if (end == Ending::HalfClose)
+    CHECK(outcome.BodyBytes == LongUpload);
+}
+
+TEST_CASE("an early answer shorter than its length is truncated",
+          "[broken-end]") {
+  Ending end = GENERATE(Ending::HalfClose, Ending::Reset);
+  int endAfterMs = GENERATE(0, 150);
+  Outcome outcome =
+      callEndpoint({withStatus("200") + "Content-Length: 31\r\n\r\nbroken", end,
+                    Millis(endAfterMs)},
+                   LongUpload);
+  CHECK_FALSE(outcome.Result.Answer);
+  CHECK(outcome.Result.Failure.Kind == ErrorKind::AnswerTruncated);
+  CHECK(outcome.Result.Failure.Run == RunState::Unknown);
+}
--- a/tests/platform/test_brokenservers.cpp
+++ b/tests/platform/test_brokenservers.cpp
@@ -98,6 +98,9 @@
        {"HTTP/1.1 000 Reply\r\n" + Own + "\r\nwhole"}},
       {"status 101", {"HTTP/1.1 101 Reply\r\n" + Own + "\r\n"}},
       {"status 999", {"HTTP/1.1 999 Reply\r\n" + Own + Sized}},
+      {"reset while the request is being written",
+       {Success + "\r\nbroken", Ending::Reset, Millis(150)},
+       LongUpload},
   };
 }
 
@@ -126,3 +129,19 @@
     CHECK(status["own_endpoints"][0]["standing"] != "healthy");
   }
 }
+
+TEST_CASE("an early answer that ends in order with its connection is whole",
+          "[broken-answers]") {
+  PlatformFleet fleet;
+  startPair(fleet);
+  BrokenServer server(fleet,
+                      {Success + "\r\nwhole", Ending::HalfClose, Millis(150)});
+  fleet.awaitServing();
+  for (const char *node : {"n3", "n1"}) {
+    HttpReply reply =
+        fleet.call(node, "POST", "/once/x", std::string(LongUpload, 'u'));
+    CHECK(reply.Status == 200);
+    CHECK(reply.header("Response-Signature") == "proof");
+    CHECK(reply.Body == "whole");
+  }
+}
