tests: responses with invalid fields are failures of the endpoint

Asked for: an endpoint in trouble sent an answer in whose head the name of a field held a blank or a control byte, and the caller got it as an answer.

Not found here: the parser rejects such a head, in answers of endpoints and of the store, in replies to hickorygladectl, and in trailers.

Valid but unusual fields (folded, empty, all characters of a token, bytes beyond ASCII in a value) stay passed on.

--- a/tests/platform/test_brokenanswers.cpp
+++ b/tests/platform/test_brokenanswers.cpp
@@ -34,6 +34,16 @@
   return "HTTP/1.1 " + status + " Reply\r\n" + Own;
 }
 
+std::string withField(const std::string &line) {
+  return withStatus("200") + line + "\r\n" + Sized;
+}
+
+std::string chunkedWithTrailer(const std::string &line) {
+  return withStatus("200") +
+         "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" + line +
+         "\r\n\r\n";
+}
+
 struct Outcome {
   EndpointResult Result;
   int Arrivals = 0;
@@ -113,6 +123,14 @@
   return reply;
 }
 
+const std::vector<std::string> InvalidFields = {
+    "X Y: 1", "X : 1", "X\t: 1", "X", ": 1", "X(Y): 1", "Content-Length : 3",
+    // Control bytes and bytes beyond ASCII in a name.
+    std::string("X\0Y: 1", 6), "X\x01Y: 1", "X\x0bY: 1", "X\rY: 1", "X\nY: 1",
+    "X\x7fY: 1", "X\xe4Y: 1",
+    // Control bytes in a value.
+    std::string("X: \0", 4), "X: \x01", "X: a\rb", "X: a\nb", "X: \x7f"};
+
 const std::vector<std::string> InvalidStatuses = {"000", "001", "099",
                                                   "101", "600", "999"};
 
@@ -182,6 +200,49 @@
   CHECK(*stored->Content == "whole");
 }
 
+TEST_CASE("an answer with an invalid field is a failure of the endpoint",
+          "[broken-field]") {
+  std::string line = GENERATE(from_range(InvalidFields));
+  INFO(line);
+  checkFailed(callEndpoint({withField(line)}));
+  CHECK_FALSE(callStore(withField(line)));
+  CHECK_FALSE(
+      callAdmin(withStatus("200") + line + "\r\nContent-Length: 2\r\n\r\n{}")
+          .ok());
+}
+
+TEST_CASE("a folded line without a field before it makes the answer a failure",
+          "[broken-field]") {
+  checkFailed(callEndpoint({"HTTP/1.1 200 Reply\r\n X: 1\r\n" + Own + Sized}));
+}
+
+TEST_CASE("a trailer with an invalid field name makes the answer a failure",
+          "[broken-field]") {
+  std::string line = GENERATE("X Y: 1", "X\x01Y: 1", "X : 1");
+  INFO(line);
+  Outcome outcome = callEndpoint({chunkedWithTrailer(line)});
+  CHECK_FALSE(outcome.Result.Answer);
+  CHECK(outcome.Result.Failure.Run == RunState::Unknown);
+  CHECK_FALSE(callStore(chunkedWithTrailer(line)));
+}
+
+TEST_CASE("answers with unusual valid fields are passed on", "[broken-field]") {
+  auto [line, name, value] =
+      GENERATE(table<std::string, std::string, std::string>({
+          {"X-Folded: a\r\n b", "X-Folded", "a b"},
+          {"X!#$%&'*+-.^_`|~9: a", "X!#$%&'*+-.^_`|~9", "a"},
+          {"X-Text: \xe4\xf6", "X-Text", "\xe4\xf6"},
+          {"X-Tab: a\tb", "X-Tab", "a\tb"},
+          {"X-Empty:", "X-Empty", ""},
+      }));
+  INFO(line);
+  Outcome outcome = callEndpoint({withField(line)});
+  REQUIRE(outcome.Result.Answer);
+  CHECK(*outcome.Result.Answer->Content == "whole");
+  CHECK(std::ranges::count(outcome.Result.Answer->Headers,
+                           HttpHeader{name, value}) == 1);
+}
+
 TEST_CASE("an answer without a length that is reset is truncated, also while "
           "its request is being written",
           "[broken-end]") {
