--- a/tests/platform/test_brokenanswers.cpp
+++ b/tests/platform/test_brokenanswers.cpp
@@ -29,6 +29,7 @@
 
 const std::string Own = "Attempt-Id: {id}\r\nResponse-Signature: proof\r\n";
 const std::string Sized = "Content-Length: 5\r\n\r\nwhole";
+const std::string Chunks = "\r\n5\r\nwhole\r\n0\r\n\r\n";
 
 std::string withStatus(const std::string &status) {
   return "HTTP/1.1 " + status + " Reply\r\n" + Own;
@@ -243,6 +244,40 @@
                            HttpHeader{name, value}) == 1);
 }
 
+TEST_CASE("an answer in a transfer coding that nobody asked for is a failure",
+          "[broken-coding]") {
+  std::string rest = GENERATE(values<std::string>(
+      {"Transfer-Encoding: gzip\r\n\r\nwhole",
+       "Transfer-Encoding: gzip\r\n" + Sized,
+       "Transfer-Encoding: gzip, chunked\r\n" + Chunks,
+       "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n" + Chunks,
+       "Transfer-Encoding: chunked, gzip\r\n\r\nwhole",
+       "Transfer-Encoding: x-chunked\r\n\r\nwhole",
+       "Transfer-Encoding:\r\n\r\nwhole"}));
+  INFO(rest);
+  checkFailed(callEndpoint({withStatus("200") + rest}));
+  CHECK_FALSE(callStore(withStatus("200") + rest));
+}
+
+TEST_CASE("a reply to the operators' tool in a transfer coding is an error",
+          "[broken-coding]") {
+  CHECK_FALSE(
+      callAdmin(withStatus("200") + "Transfer-Encoding: gzip\r\n\r\n{}").ok());
+}
+
+TEST_CASE("the name of the chunked coding is not case-sensitive",
+          "[broken-coding]") {
+  std::string name = GENERATE("chunked", "Chunked", "CHUNKED ");
+  std::string bytes =
+      withStatus("200") + "Transfer-Encoding: " + name + "\r\n" + Chunks;
+  Outcome outcome = callEndpoint({bytes});
+  REQUIRE(outcome.Result.Answer);
+  CHECK(*outcome.Result.Answer->Content == "whole");
+  auto stored = callStore(bytes);
+  REQUIRE(stored);
+  CHECK(*stored->Content == "whole");
+}
+
 TEST_CASE("an answer without a length that is reset is truncated, also while "
           "its request is being written",
           "[broken-end]") {
@@ -279,8 +314,7 @@
   int endAfterMs = GENERATE(0, 150);
   bool isChunked = GENERATE(false, true);
   std::string rest =
-      isChunked ? "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
-                : Sized;
+      isChunked ? "Transfer-Encoding: chunked\r\n" + Chunks : Sized;
   Outcome outcome = callEndpoint(
       {withStatus("200") + rest, end, Millis(endAfterMs)}, LongUpload);
   REQUIRE(outcome.Result.Answer);
--- a/tests/platform/test_brokenservers.cpp
+++ b/tests/platform/test_brokenservers.cpp
@@ -101,6 +101,7 @@
       {"reset while the request is being written",
        {Success + "\r\nbroken", Ending::Reset, Millis(150)},
        LongUpload},
+      {"transfer coding", {Success + "Transfer-Encoding: gzip\r\n\r\nwhole"}},
       {"blank in a field name", {Success + "X Y: 1\r\n" + Sized}},
       {"control byte in a field name", {Success + "X\x01Y: 1\r\n" + Sized}},
   };
