peers: reject answers of other nodes that are not valid

The same holds for an answer that was stored for an idempotency key. A line end in a header, from whatever node, became a line of the answer; a status above 999 ended the call in an exception.

Cause: an answer frame carries status and headers, which the entry took as they came.

Now GateClient checks the head of an answer, and a replayed answer is checked in the same way. Only the stream fails (endpoint_failed, run 'unknown', or key_answer_gone), since the link carries answers to other callers as well. Log event answer_rejected names reason and status.

The last check of 'an answer from another node for which there is no room fails alone' sent a head without a status, which is rejected for that now instead of for its length. The head gets the status 200, so that the check is about the length again; no bound or check was changed. RecordingChannel moves to a header of its own, since two tests use it.

--- a/src/libfleet/http/httpmessage.cpp
+++ b/src/libfleet/http/httpmessage.cpp
@@ -1,9 +1,11 @@
 #include "libfleet/http/httpmessage.h"
 
+#include <absl/strings/ascii.h>
 #include <boost/beast/core/string.hpp>
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
 
 namespace hickoryglade::fleet {
 
@@ -19,6 +21,15 @@
                                boost::beast::string_view(b.data(), b.size()));
 }
 
+bool isTokenChar(char c) {
+  constexpr std::string_view others = "!#$%&'*+-.^_`|~";
+  return absl::ascii_isalnum(std::uint8_t(c)) || others.find(c) != others.npos;
+}
+
+bool isValueChar(char c) {
+  return c == '\t' || !absl::ascii_iscntrl(std::uint8_t(c));
+}
+
 } // namespace
 
 bool isInterimStatus(int status) {
@@ -32,6 +43,11 @@
   return status >= leastFinal && status <= greatest;
 }
 
+bool isValidHeader(std::string_view name, std::string_view value) {
+  return !name.empty() && std::ranges::all_of(name, isTokenChar) &&
+         std::ranges::all_of(value, isValueChar);
+}
+
 std::string headerValue(const std::vector<HttpHeader> &headers,
                         std::string_view name) {
   auto it = std::ranges::find_if(
--- a/src/libfleet/http/httpmessage.h
+++ b/src/libfleet/http/httpmessage.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace hickoryglade::fleet {
@@ -36,6 +37,10 @@
 /// True for a status that a final response may have (RFC 9110, 15).
 bool isFinalStatus(int status);
 
+/// True for the name and value of a header that can be sent as they are
+/// (RFC 9110, 5.5 and 5.6.2).
+bool isValidHeader(std::string_view name, std::string_view value);
+
 /// Value of the first header with this name, compared without regard to case;
 /// empty if there is none.
 std::string headerValue(const std::vector<HttpHeader> &headers,
--- a/src/libfleet/keys/keyedcall.cpp
+++ b/src/libfleet/keys/keyedcall.cpp
@@ -35,15 +35,6 @@
   return static_cast<KeyVerdict>(value);
 }
 
-HttpResponse replay(const wire::StoredAnswer &stored) {
-  HttpResponse answer;
-  answer.Status = stored.status;
-  answer.Headers = fromWire(stored.headers);
-  answer.Headers.push_back({"Idempotent-Replayed", "true"});
-  answer.Content = std::make_shared<const std::string>(stored.body);
-  return answer;
-}
-
 Error keyError(KeyVerdict verdict) {
   switch (verdict) {
   case KeyVerdict::Reused:
@@ -61,6 +52,18 @@
 
 } // namespace
 
+EntryResult replayStored(const wire::StoredAnswer &stored) {
+  if (!isValidHead(stored.status, stored.headers))
+    return makeError(ErrorKind::KeyAnswerGone,
+                     "the stored answer is not a valid one");
+  HttpResponse answer;
+  answer.Status = stored.status;
+  answer.Headers = fromWire(stored.headers);
+  answer.Headers.push_back({"Idempotent-Replayed", "true"});
+  answer.Content = std::make_shared<const std::string>(stored.body);
+  return answer;
+}
+
 KeyedCall::KeyedCall(asio::any_io_executor ex, PeerLinks &links,
                      const FleetViewPtr &view)
     : Executor(std::move(ex)), Links(links), View(view) {}
@@ -126,7 +129,7 @@
     if (verdict == KeyVerdict::Granted && isTimely)
       co_return co_await runAndRecord(context, std::move(run));
     if (verdict == KeyVerdict::Done)
-      co_return replay(reply->record.answer);
+      co_return replayStored(reply->record.answer);
     bool isFinal = !isTransient(verdict) && verdict != KeyVerdict::Running &&
                    verdict != KeyVerdict::Granted;
     if (isFinal)
--- a/src/libfleet/keys/keyedcall.h
+++ b/src/libfleet/keys/keyedcall.h
@@ -38,4 +38,8 @@
   const FleetViewPtr &View;
 };
 
+/// Result of a request whose key a keeper has stored a response for.
+/// KeyAnswerGone if the response is not valid.
+EntryResult replayStored(const wire::StoredAnswer &stored);
+
 } // namespace hickoryglade::fleet
--- a/src/libfleet/peers/gateclient.cpp
+++ b/src/libfleet/peers/gateclient.cpp
@@ -1,7 +1,6 @@
 #include "libfleet/peers/gateclient.h"
 
 #include "libfleet/reporting/logging.h"
-#include "libhickoryglade/errorkind.h"
 
 #include <nlohmann/json.hpp>
 
@@ -84,7 +83,10 @@
   if (stream.Head || head.bodyBytes < 0)
     return false;
   stream.Head = std::move(head);
-  if (stream.Head->bodyBytes == 0)
+  if (!isValidHead(stream.Head->status, stream.Head->headers))
+    rejectAnswer(id, stream, ErrorKind::EndpointFailed,
+                 "not a valid answer: status or headers");
+  else if (stream.Head->bodyBytes == 0)
     finishAnswer(id, stream, std::make_shared<const std::string>());
   return true;
 }
@@ -132,7 +134,8 @@
   if (!stream.Held) {
     stream.Held.emplace(Budget, BodyUse::Relayed);
     if (!stream.Held->resize(expected)) {
-      rejectAnswer(id, stream);
+      rejectAnswer(id, stream, ErrorKind::AnswerTooLong,
+                   "no memory is left here for long answers");
       return true;
     }
     stream.Content.reserve(std::min(expected, BodyBudget::MaxReservedBytes));
@@ -153,18 +156,22 @@
     finishAnswer(id, it->second, std::move(body));
 }
 
-/// Fails a stream whose response has no room. The endpoint has run the request.
-void GateClient::rejectAnswer(std::int64_t id, Stream &stream) {
+/// Fails a stream whose response cannot be passed on. The endpoint has run the
+/// request.
+void GateClient::rejectAnswer(std::int64_t id, Stream &stream, ErrorKind kind,
+                              const std::string &reason) {
   wire::Failure failure;
-  failure.kind = int(ErrorKind::AnswerTooLong);
+  failure.kind = int(kind);
   failure.run = int(RunState::Unknown);
-  failure.detail = "no memory is left here for long answers";
+  failure.detail = reason;
   failure.load = stream.Head->load;
   failure.endpoint = stream.Head->endpoint;
   failure.hasReached = true;
   logEvent(LogLevel::Warn, "answer_rejected",
            {{"endpoint", failure.endpoint},
             {"gate", Channel->peerName()},
+            {"reason", reason},
+            {"status", stream.Head->status},
             {"bytes", stream.Head->bodyBytes},
             {"held", Budget->used()}});
   stream.Box->put({stream.Tag, std::move(failure)});
@@ -212,6 +219,15 @@
   return frame;
 }
 
+// The links of a fleet that is being upgraded may lead to nodes that pass on
+// what this one would not.
+bool isValidHead(int status, const std::vector<wire::Header> &headers) {
+  return isFinalStatus(status) &&
+         std::ranges::all_of(headers, [](const wire::Header &it) {
+           return isValidHeader(it.name, it.value);
+         });
+}
+
 std::vector<HttpHeader> fromWire(const std::vector<wire::Header> &headers) {
   std::vector<HttpHeader> all;
   std::ranges::transform(headers, std::back_inserter(all),
--- a/src/libfleet/peers/gateclient.h
+++ b/src/libfleet/peers/gateclient.h
@@ -3,6 +3,7 @@
 #include "libfleet/base/mailbox.h"
 #include "libfleet/http/bodybudget.h"
 #include "libfleet/peers/framechannel.h"
+#include "libhickoryglade/errorkind.h"
 
 #include "fleet_types.h"
 
@@ -117,7 +118,8 @@
                         wire::SnapshotHead head);
   bool takeSettingsData(std::int64_t id, Stream &stream, wire::Data data);
   void finishAnswer(std::int64_t id, Stream &stream, Body body);
-  void rejectAnswer(std::int64_t id, Stream &stream);
+  void rejectAnswer(std::int64_t id, Stream &stream, ErrorKind kind,
+                    const std::string &reason);
   void finishSettings(std::int64_t id, Stream &stream);
   void notifyStreamCount();
 
@@ -131,6 +133,9 @@
 wire::Frame toFrame(const HttpResponse &answer, const std::string &endpoint,
                     const wire::Load &load, Micros runTime);
 
+/// True for a head that can be passed on as that of a final response.
+bool isValidHead(int status, const std::vector<wire::Header> &headers);
+
 std::vector<HttpHeader> fromWire(const std::vector<wire::Header> &headers);
 std::vector<wire::Header> toWire(const std::vector<HttpHeader> &headers);
 
--- a/tests/platform/test_brokenanswers.cpp
+++ b/tests/platform/test_brokenanswers.cpp
@@ -2,7 +2,10 @@
 #include "libfleet/base/clock.h"
 #include "libfleet/gate/endpointclient.h"
 #include "libfleet/http/httpclient.h"
+#include "libfleet/keys/keyedcall.h"
+#include "libfleet/peers/gateclient.h"
 #include "platform/dialect.h"
+#include "platform/recordingchannel.h"
 #include "process/freeaddress.h"
 #include "standins/rawserver.h"
 #include "standins/standinserver.h"
@@ -11,8 +14,8 @@
 
 #include <thread>
 
-/// Answers that are no valid HTTP, or that end early, from endpoints, the store
-/// and the admin interface of a node.
+/// Answers that are no valid HTTP, or that end early, from endpoints, the
+/// store, the admin interface of a node, and other nodes.
 
 using namespace hickoryglade;
 using namespace hickoryglade::fleet;
@@ -335,3 +338,112 @@
   CHECK(outcome.Result.Failure.Kind == ErrorKind::AnswerTruncated);
   CHECK(outcome.Result.Failure.Run == RunState::Unknown);
 }
+
+namespace {
+
+wire::Header makeHeader(const std::string &name, const std::string &value) {
+  wire::Header header;
+  header.name = name;
+  header.value = value;
+  return header;
+}
+
+const std::vector<wire::Header> ValidHeaders = {
+    makeHeader("Response-Signature", "proof"), makeHeader("X-Text", "\xe4\tb"),
+    makeHeader("X-Empty", "")};
+
+/// Heads of answers that a node of another release might send.
+std::vector<std::pair<int, std::vector<wire::Header>>> invalidHeads() {
+  std::vector<std::pair<int, std::vector<wire::Header>>> all;
+  for (int status : {-1, 0, 99, 100, 101, 103, 600, 1'000, 65'736})
+    all.push_back({status, ValidHeaders});
+  for (const char *name : {"", "X Y", "X:", "X\x01Y", "X\r\nY", "X\xe4"})
+    all.push_back({200, {makeHeader(name, "1")}});
+  for (const char *value : {"a\r\nInjected: 1", "a\nb", "a\x01", "\x7f"})
+    all.push_back({200, {makeHeader("X", value)}});
+  all.push_back({200, {makeHeader("X", std::string(1, '\0'))}});
+  return all;
+}
+
+/// What an entry gets for an answer of a gate.
+StreamEvent receive(GateClient &client, int status,
+                    const std::vector<wire::Header> &headers,
+                    const std::string &body) {
+  asio::io_context io{1};
+  auto box = std::make_shared<StreamMailbox>(io.get_executor());
+  wire::Frame head;
+  head.stream = client.open(box, 0);
+  head.answer.status = status;
+  head.answer.headers = headers;
+  head.answer.bodyBytes = std::int64_t(body.size());
+  head.answer.endpoint = "i-1";
+  head.__isset.answer = true;
+  wire::Frame data;
+  data.stream = head.stream;
+  data.data.bytes = body;
+  data.__isset.data = true;
+  // The link and its other streams go on.
+  CHECK(client.takeFrame(head));
+  CHECK(client.takeFrame(data));
+  CHECK(client.openStreams() == 0);
+  std::optional<StreamEvent> event;
+  asio::co_spawn(
+      io, [&]() -> asio::awaitable<void> { event = co_await box->next(now()); },
+      asio::detached);
+  io.run();
+  REQUIRE(event);
+  return *event;
+}
+
+} // namespace
+
+TEST_CASE("an answer from another node that is not valid fails alone",
+          "[broken-frame]") {
+  auto channel = std::make_shared<testing::RecordingChannel>();
+  GateClient client(channel, std::make_shared<BodyBudget>(MaxHeldBytes));
+  for (const auto &[status, headers] : invalidHeads()) {
+    INFO(status << " " << headers.front().name << ": "
+                << headers.front().value);
+    for (const char *body : {"whole", ""}) {
+      StreamEvent event = receive(client, status, headers, body);
+      auto *failure = std::get_if<wire::Failure>(&event.Content);
+      CHECK(failure);
+      if (!failure)
+        continue;
+      CHECK(failure->kind == int(ErrorKind::EndpointFailed));
+      CHECK(failure->run == int(RunState::Unknown));
+      CHECK(failure->hasReached);
+      CHECK(failure->endpoint == "i-1");
+    }
+  }
+  for (int status : {200, 204, 299, 404, 500, 599}) {
+    StreamEvent event = receive(client, status, ValidHeaders, "whole");
+    auto *answer = std::get_if<AnswerEvent>(&event.Content);
+    REQUIRE(answer);
+    CHECK(answer->Answer.Status == status);
+    CHECK(toWire(answer->Answer.Headers) == ValidHeaders);
+  }
+}
+
+TEST_CASE("a stored answer that is not valid is not replayed",
+          "[broken-frame]") {
+  wire::StoredAnswer stored;
+  stored.body = "whole";
+  for (const auto &[status, headers] : invalidHeads()) {
+    stored.status = status;
+    stored.headers = headers;
+    EntryResult result = replayStored(stored);
+    auto *error = std::get_if<Error>(&result);
+    CHECK(error);
+    if (!error)
+      continue;
+    CHECK(error->Kind == ErrorKind::KeyAnswerGone);
+  }
+  stored.status = 299;
+  stored.headers = ValidHeaders;
+  EntryResult result = replayStored(stored);
+  auto *answer = std::get_if<HttpResponse>(&result);
+  REQUIRE(answer);
+  CHECK(answer->Status == 299);
+  CHECK(*answer->Content == "whole");
+}
--- a/tests/platform/test_endless.cpp
+++ b/tests/platform/test_endless.cpp
@@ -5,6 +5,7 @@
 #include "libfleet/http/httpserver.h"
 #include "libfleet/peers/gateclient.h"
 #include "platform/dialect.h"
+#include "platform/recordingchannel.h"
 #include "process/freeaddress.h"
 #include "standins/standinserver.h"
 
@@ -419,26 +420,10 @@
   CHECK(budget->used() == 2 * Megabyte);
 }
 
-namespace {
-
-/// Channel that records what is sent.
-struct RecordingChannel : FrameChannel {
-  void send(wire::Frame frame) override { Sent.push_back(std::move(frame)); }
-  void sendBody(std::int64_t, Body, BodyKind) override {}
-  void dropBody(std::int64_t) override {}
-  bool isOpen() const override { return true; }
-  std::string peerName() const override { return "gate"; }
-  std::int64_t ageMs() const override { return 0; }
-
-  std::vector<wire::Frame> Sent;
-};
-
-} // namespace
-
 TEST_CASE("an answer from another node for which there is no room fails alone",
           "[endless]") {
   asio::io_context io{1};
-  auto channel = std::make_shared<RecordingChannel>();
+  auto channel = std::make_shared<testing::RecordingChannel>();
   auto budget = std::make_shared<BodyBudget>(TestBudget);
   HeldBytes other(budget, BodyUse::Answer);
   REQUIRE(other.resize(2 * TestBudget));
@@ -475,6 +460,7 @@
   other.resize(0);
   wire::Frame head;
   head.stream = client.open(box, 0);
+  head.answer.status = 200;
   head.answer.bodyBytes = std::int64_t{1} << 60;
   head.__isset.answer = true;
   wire::Frame data;
