tests: ask the server that ran a request for its key and workspace

It asked the stand-in server of each VM for the request that it ran last, and got null (json type_error.306) where all calls to that VM had gone to the other VM's server, as they may.

Now the test looks for the attempt at all servers and checks what its server received; it fails if no server ran it. It is stricter besides: the workspace has to be 'red', not just other than the forged one, and the request on the open route is checked too.

--- a/tests/platform/serverstandin.cpp
+++ b/tests/platform/serverstandin.cpp
@@ -73,7 +73,8 @@
     ++Runs[id];
     if (!Self.RecordFile.empty())
       co_return co_await runPlanned(std::move(request), connection, echo);
-    Last = {{"caller", headerValue(request.Headers, "Calling-Service")},
+    Last = {{"id", id},
+            {"caller", headerValue(request.Headers, "Calling-Service")},
             {"tenant", headerValue(request.Headers, "Tenant")},
             {"key", headerValue(request.Headers, "Api-Key")},
             {"left", headerValue(request.Headers, "Remaining-Milliseconds")},
--- a/tests/platform/test_workspaces.cpp
+++ b/tests/platform/test_workspaces.cpp
@@ -41,6 +41,17 @@
   return callOnce(fleet.node(node).Http, call, CallLimit);
 }
 
+/// What the server that ran the request of a reply received; null if none did.
+json runOf(PlatformFleet &fleet, const HttpReply &reply) {
+  std::string id = reply.header("Attempt-Id");
+  for (const char *node : {"n1", "n2"}) {
+    json seen = fleet.controlServer(node, json::object());
+    if (seen["runs"].contains(id) && seen["last"]["id"] == id)
+      return seen["last"];
+  }
+  return {};
+}
+
 std::string allLogs(const PlatformFleet &fleet) {
   std::ostringstream out;
   for (const auto &it : std::filesystem::directory_iterator(fleet.folder()))
@@ -68,11 +79,18 @@
   for (const char *node : {"n1", "n2"}) {
     CHECK(callWithKey(fleet, node, "/safe/x", "other").Status == 401);
     CHECK(callWithKey(fleet, node, "/safe/x", "").Status == 401);
-    CHECK(callWithKey(fleet, node, "/open/x", "").Status == 200);
-    CHECK(callWithKey(fleet, node, "/safe/x", "secret-two").Status == 200);
-    json last = fleet.controlServer(node, json::object())["last"];
-    CHECK(last.value("key", "") == "");
-    CHECK(last.value("tenant", "") != "forged");
+    HttpReply open = callWithKey(fleet, node, "/open/x", "");
+    CHECK(open.Status == 200);
+    json run = runOf(fleet, open);
+    REQUIRE(run.is_object());
+    CHECK(run["key"] == "");
+    CHECK(run["tenant"] == "");
+    HttpReply keyed = callWithKey(fleet, node, "/safe/x", "secret-two");
+    CHECK(keyed.Status == 200);
+    run = runOf(fleet, keyed);
+    REQUIRE(run.is_object());
+    CHECK(run["key"] == "");
+    CHECK(run["tenant"] == "red");
   }
   fleet.configure(configWithKeys(2, {"secret-two"}));
   for (const char *node : {"n1", "n2"}) {
