tests: the server of broken answers announces that it closes connections

Traced: the stand-in answers one request a connection, but did not say so, so that the gate kept the connection of the lookup before. The order was sent on it in the moment before the stand-in closed it, and was read as the rest of the lookup.

--- a/tests/platform/test_brokenservers.cpp
+++ b/tests/platform/test_brokenservers.cpp
@@ -33,7 +33,9 @@
   BrokenServer(PlatformFleet &fleet, RawAnswer order)
       : Address(fleet.freeAddress()),
         Server(Io, Address, [order](const std::string &head) {
-          return head.starts_with("POST") ? order : RawAnswer{Success + Sized};
+          return head.starts_with("POST")
+                     ? order
+                     : RawAnswer{Success + "Connection: close\r\n" + Sized};
         }) {
     Network = std::jthread([this] { Io.run(); });
     std::string control = fleet.node("n1").Admin;
