--- a/review/tools-2/harness.cc
+++ b/review/tools-2/harness.cc
@@ -606,10 +606,10 @@
   return head && head->status() == 200;
 }
 
-double Machine::peakMegabytes() const {
+double Machine::residentMegabytes() const {
   std::ifstream in("/proc/" + std::to_string(Process) + "/status");
   for (std::string line; std::getline(in, line);)
-    if (line.starts_with("VmHWM:"))
+    if (line.starts_with("VmRSS:"))
       return std::atof(line.c_str() + 6) / 1024;
   return 0;
 }
--- a/review/tools-2/harness.hh
+++ b/review/tools-2/harness.hh
@@ -220,8 +220,8 @@
   /// Waits for the end of the process; returns false if it goes on.
   bool awaitEnd(Millis limit);
   bool isReady();
-  /// Greatest memory of the process so far, in MB.
-  double peakMegabytes() const;
+  /// Memory of the process, in MB.
+  double residentMegabytes() const;
 
   std::string outbound() const { return Ip + ":8304"; }
   std::string control() const { return Ip + ":8306"; }
