--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -89,12 +89,15 @@
                                  "\r\n");
   };
   SmallFleet fleet(record, std::vector<std::string>(Machines, "orders"), work);
-  fleet.begin(
-      configJson(1, {"orders"},
-                 {routeJson("place", "non_idempotent", "/orders/",
-                            toService("orders")),
-                  routeJson("status", "safe", "/status/", toService("orders"))}),
-      "/status/check");
+  bool isServing =
+      fleet.begin(configJson(1, {"orders"},
+                             {routeJson("place", "non_idempotent", "/orders/",
+                                        toService("orders")),
+                              routeJson("status", "safe", "/status/",
+                                        toService("orders"))}),
+                  "/status/check");
+  if (!isServing)
+    return 2;
   begin = record.at();
   Orderers orderers(fleet, record);
   orderers.sendAll();
--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -68,10 +68,13 @@
     return AppServer::answer(connection, request, 200, "done");
   };
   SmallFleet fleet(record, std::vector<std::string>(Machines, "orders"), work);
-  fleet.begin(configJson(1, {"orders"},
-                         {routeJson("status", "safe", "/status/",
-                                    toService("orders"))}),
-              "/status/check");
+  bool isServing =
+      fleet.begin(configJson(1, {"orders"},
+                             {routeJson("status", "safe", "/status/",
+                                        toService("orders"))}),
+                  "/status/check");
+  if (!isServing)
+    return 2;
   Lookups lookups(fleet, record);
   std::thread clients([&] { lookups.run(); });
   sleepFor(Millis(4'000));
--- a/review/tools-2/harness.cc
+++ b/review/tools-2/harness.cc
@@ -15,6 +15,7 @@
 #include <poll.h>
 #include <sstream>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -59,8 +60,8 @@
   for (std::size_t i = 0; i < bytes.size(); i += 3) {
     unsigned value = 0;
     for (std::size_t k = 0; k < 3; ++k)
-      value = value << 8 |
-              (i + k < bytes.size() ? std::uint8_t(bytes[i + k]) : 0U);
+      value =
+          value << 8 | (i + k < bytes.size() ? std::uint8_t(bytes[i + k]) : 0U);
     for (std::size_t k = 0; k < 4; ++k)
       out += i + k <= bytes.size() ? digits[value >> (18 - 6 * k) & 63] : '=';
   }
@@ -124,8 +125,7 @@
 
 std::unique_ptr<Connection> Connection::open(const std::string &address,
                                              Millis limit, int receiveBytes) {
-  int file =
-      socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  int file = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
   auto connection = std::make_unique<Connection>(file);
   if (receiveBytes > 0)
     setsockopt(file, SOL_SOCKET, SO_RCVBUF, &receiveBytes,
@@ -151,8 +151,8 @@
 bool Connection::write(const std::string &bytes) {
   std::size_t done = 0;
   while (done < bytes.size()) {
-    ssize_t n = send(File, bytes.data() + done, bytes.size() - done,
-                     MSG_NOSIGNAL);
+    ssize_t n =
+        send(File, bytes.data() + done, bytes.size() - done, MSG_NOSIGNAL);
     if (n <= 0)
       return false;
     done += std::size_t(n);
@@ -193,9 +193,9 @@
     if (colon == std::string::npos)
       continue;
     std::size_t value = line.find_first_not_of(" \t", colon + 1);
-    head.Fields.emplace_back(
-        line.substr(0, colon),
-        value == std::string::npos ? "" : line.substr(value));
+    head.Fields.emplace_back(line.substr(0, colon), value == std::string::npos
+                                                        ? ""
+                                                        : line.substr(value));
   }
   return head;
 }
@@ -337,22 +337,21 @@
     for (std::size_t k = 0; k < 4; ++k)
       size = size << 8 | std::uint8_t(body[at + k]);
     std::size_t key = std::uint8_t(body[at + 4]);
-    items.push_back({body.substr(at + 5, key),
-                     body.substr(at + 5 + key, size - 1 - key)});
+    items.push_back(
+        {body.substr(at + 5, key), body.substr(at + 5 + key, size - 1 - key)});
     at += 4 + size;
   }
   HasChanged.notify_all();
-  return answerBytes(200, "{\"offset\":" + std::to_string(first) +
-                              ",\"end_offset\":" +
-                              std::to_string(items.size()) + "}");
+  return answerBytes(
+      200, "{\"offset\":" + std::to_string(first) +
+               ",\"end_offset\":" + std::to_string(items.size()) + "}");
 }
 
 std::string Store::read(const std::string &topic, std::size_t from,
                         Millis wait) {
   std::unique_lock lock(Lock);
-  HasChanged.wait_for(lock, std::min(wait, Millis(30'000)), [&] {
-    return IsOver || Topics[topic].size() > from;
-  });
+  HasChanged.wait_for(lock, std::min(wait, Millis(30'000)),
+                      [&] { return IsOver || Topics[topic].size() > from; });
   const std::vector<Item> &items = Topics[topic];
   std::string body = bigEndian(items.size(), 8) + bigEndian(0, 8);
   for (std::size_t i = from; i < items.size(); ++i) {
@@ -417,13 +416,13 @@
 bool AppServer::answer(Connection &connection, const ServerRequest &request,
                        int status, const std::string &body,
                        const std::string &fields) {
-  return connection.write(answerBytes(
-      status, body,
-      "Attempt-Id: " + request.Id + "\r\n" +
-          (status / 100 == 2 ? "Response-Signature: signed-" + request.Id +
-                                   "\r\n"
-                             : "") +
-          fields));
+  return connection.write(
+      answerBytes(status, body,
+                  "Attempt-Id: " + request.Id + "\r\n" +
+                      (status / 100 == 2
+                           ? "Response-Signature: signed-" + request.Id + "\r\n"
+                           : "") +
+                      fields));
 }
 
 void AppServer::serve(Connection &connection) {
@@ -438,9 +437,9 @@
                           head->Words[1]};
     std::string expected = headerOf(head->Fields, "Expected-Instance");
     if (expected != At.Id) {
-      connection.write(answerBytes(
-          421, "", "Attempt-Id: " + request.Id + "\r\nInstance-Id: " + At.Id +
-                       "\r\n"));
+      connection.write(answerBytes(421, "",
+                                   "Attempt-Id: " + request.Id +
+                                       "\r\nInstance-Id: " + At.Id + "\r\n"));
       continue;
     }
     {
@@ -556,6 +555,8 @@
   writeSettings();
   Process = fork();
   if (Process == 0) {
+    // Ends with the case, also if that is stopped from outside.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     int file = open(Output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(file, 1);
     dup2(file, 2);
@@ -615,10 +616,11 @@
 }
 
 std::string requestBytes(const ClientRequest &request) {
-  std::string out = request.Method + " " + request.Target + " HTTP/1.1\r\n" +
-                    "Host: " + request.Host + "\r\nAttempt-Id: " + request.Id +
-                    "\r\nRemaining-Milliseconds: " +
-                    std::to_string(request.RemainingMs) + "\r\n";
+  std::string out =
+      request.Method + " " + request.Target + " HTTP/1.1\r\n" +
+      "Host: " + request.Host + "\r\nAttempt-Id: " + request.Id +
+      "\r\nRemaining-Milliseconds: " + std::to_string(request.RemainingMs) +
+      "\r\n";
   for (const auto &[name, value] : request.More)
     out += name + ": " + value + "\r\n";
   if (!request.Body.empty() || request.Method == "POST")
@@ -713,8 +715,8 @@
                        const std::vector<std::string> &routes) {
   std::string clusters, rules;
   for (const std::string &it : services)
-    clusters += (clusters.empty() ? "" : ",") +
-                std::string("{\"name\":\"") + it +
+    clusters += (clusters.empty() ? "" : ",") + std::string("{\"name\":\"") +
+                it +
                 "\",\"health_path\":\"/health\",\"connection_limit\":330,"
                 "\"protocol\":\"h1\",\"tls\":false}";
   for (const std::string &it : routes)
--- a/review/tools-2/smallfleet.cc
+++ b/review/tools-2/smallfleet.cc
@@ -1,8 +1,5 @@
 #include "smallfleet.hh"
 
-#include <cstdlib>
-#include <set>
-
 namespace review {
 
 SmallFleet::SmallFleet(Record &record, std::vector<std::string> services,
@@ -24,12 +21,12 @@
   }
 }
 
-void SmallFleet::begin(const std::string &config, const std::string &target) {
+bool SmallFleet::begin(const std::string &config, const std::string &target) {
   Operator->configure(config);
-  if (awaitServing(target, Millis(20'000)))
-    return;
-  Log.note("the fleet does not serve");
-  std::exit(2);
+  bool isServing = awaitServing(target, Millis(20'000));
+  if (!isServing)
+    Log.note("the fleet does not serve");
+  return isServing;
 }
 
 bool SmallFleet::awaitServing(const std::string &target, Millis limit) {
--- a/review/tools-2/smallfleet.hh
+++ b/review/tools-2/smallfleet.hh
@@ -12,9 +12,9 @@
   SmallFleet(Record &record, std::vector<std::string> services,
              AppServer::Worker worker);
 
-  /// Publishes the configuration and waits until every machine is ready and
-  /// serves this target; exits with 2 if that does not happen.
-  void begin(const std::string &config, const std::string &target);
+  /// Publishes the configuration; returns true once every machine is ready and
+  /// serves this target.
+  bool begin(const std::string &config, const std::string &target);
 
   Store &store() { return *Operator; }
   Machine &machine(std::size_t i) { return *Machines[i]; }
