log: name the runs that lose their entry or their gate

An entry logs run_abandoned with gate_lost alike whether the gate's process has ended or only the link, and a gate logged neither. Without that the hypotheses of the incident cannot be told apart.

run_orphaned names each run whose entry's link was lost, or that is under way as the process ends, with its entry, its age and the time left; a metric counts them by reason. stopped says how many runs were cut and how long the stop took. No change of logic.

--- a/src/libfleet/gate/gatenotices.cpp
+++ b/src/libfleet/gate/gatenotices.cpp
@@ -37,6 +37,40 @@
   logEvent(level, "endpoint_result", line);
 }
 
+void GateService::logOrphan(const Exchange &exchange,
+                            std::string_view reason) const {
+  const std::string &attempt = exchange.Request.AttemptId;
+  auto from = exchange.Origin.Channel.lock();
+  Counters.countOrphanedRun(std::string(reason));
+  logEvent(LogLevel::Warn, "run_orphaned",
+           {{"request", attempt.substr(0, attempt.rfind('/'))},
+            {"attempt", attempt},
+            {"from", from ? from->peerName() : ""},
+            {"endpoint", exchange.Endpoint},
+            {"reason", reason},
+            {"idempotent", exchange.Request.IsIdempotent},
+            {"last_try", exchange.Request.IsLastTry},
+            {"ran_ms", toMillis(now() - *exchange.SentAt).count()},
+            {"left_ms", toMillis(exchange.Request.Deadline - now()).count()}});
+}
+
+void GateService::noteLinkLost(const std::shared_ptr<FrameChannel> &channel) {
+  for (const auto &[attempt, it] : Exchanges)
+    if (it->SentAt && it->Origin.Channel.lock() == channel)
+      logOrphan(*it, "the link to the entry was lost");
+}
+
+std::size_t GateService::reportRuns() const {
+  std::size_t n = 0;
+  for (const auto &[attempt, it] : Exchanges) {
+    if (!it->SentAt)
+      continue;
+    logOrphan(*it, "the node ends");
+    ++n;
+  }
+  return n;
+}
+
 /// Processes what the endpoint says about itself. A value that is not a limit
 /// is logged once for each endpoint and value.
 void GateService::takeHeaders(const Exchange &exchange,
--- a/src/libfleet/gate/gateservice.h
+++ b/src/libfleet/gate/gateservice.h
@@ -48,6 +48,13 @@
   void takeBody(const std::shared_ptr<FrameChannel> &from, std::int64_t stream,
                 Body body);
 
+  /// Called once the channel to an entry has closed.
+  void noteLinkLost(const std::shared_ptr<FrameChannel> &channel);
+
+  /// Logs the runs that are still under way as the process ends; returns their
+  /// number.
+  std::size_t reportRuns() const;
+
   /// Returns the generation of the endpoint after the announcement.
   std::int64_t announceEndpoint(const Announcement &facts);
   void withdrawEndpoint(const std::string &name);
@@ -108,6 +115,7 @@
   asio::awaitable<void> run(ExchangePtr exchange, std::string endpoint);
   void finish(const ExchangePtr &exchange, EndpointResult result);
   void logResult(const Exchange &exchange, const EndpointResult &result) const;
+  void logOrphan(const Exchange &exchange, std::string_view reason) const;
   void takeHeaders(const Exchange &exchange, const EndpointResult &result);
   void reply(const StreamRef &ref, const EndpointResult &result,
              const std::string &service, const std::string &endpoint);
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -198,6 +198,9 @@
       makeHello(Config.Node, BootId, Config.DataCentre), Counters.traffic(),
       [this](const std::shared_ptr<FrameChannel> &from, wire::Frame frame) {
         takeFrame(from, std::move(frame));
+      },
+      [this](const std::shared_ptr<FrameChannel> &from) {
+        Gate->noteLinkLost(from);
       });
   CallerHttp = std::make_unique<HttpServer>(gateThread, Config.HttpAddress,
                                             std::move(lanes),
@@ -517,10 +520,14 @@
                  [this, i, end] { Entries[i]->enforceShutdownDeadline(end); });
     isClean = hasLingered && isIdle();
   }
+  std::size_t cutRuns = Traffic[0]->call([this] { return Gate->reportRuns(); });
   for (auto &loop : Traffic)
     loop->stop();
   ControlLoop.stop();
-  logEvent(LogLevel::Info, "stopped", {{"clean", isClean}});
+  logEvent(LogLevel::Info, "stopped",
+           {{"clean", isClean},
+            {"cut_runs", cutRuns},
+            {"ms", toMillis(now() - begin).count()}});
   return isClean;
 }
 
--- a/src/libfleet/peers/linkserver.cpp
+++ b/src/libfleet/peers/linkserver.cpp
@@ -6,9 +6,10 @@
 
 LinkServer::LinkServer(asio::any_io_executor ex, std::string address,
                        wire::Hello own, TrafficCounters &traffic,
-                       FrameHandler handler)
+                       FrameHandler onFrame, CloseHandler onClose)
     : Executor(ex), Address(std::move(address)), Own(std::move(own)),
-      Traffic(traffic), Handler(std::move(handler)), Acceptor(ex) {}
+      Traffic(traffic), OnFrame(std::move(onFrame)),
+      OnClose(std::move(onClose)), Acceptor(ex) {}
 
 absl::Status LinkServer::start() {
   absl::Status status = bindAddress(Acceptor, Address);
@@ -42,10 +43,11 @@
           events.OnFrame = [this](const std::shared_ptr<Link> &link,
                                   wire::Frame frame) {
             if (!frame.__isset.hello)
-              Handler(link, std::move(frame));
+              OnFrame(link, std::move(frame));
           };
           events.OnClose = [this](const std::shared_ptr<Link> &link) {
             Links.erase(link);
+            OnClose(link);
           };
           auto link =
               std::make_shared<Link>(std::move(socket), Own, Traffic,
--- a/src/libfleet/peers/linkserver.h
+++ b/src/libfleet/peers/linkserver.h
@@ -16,9 +16,12 @@
 public:
   using FrameHandler =
       std::function<void(const std::shared_ptr<FrameChannel> &, wire::Frame)>;
+  using CloseHandler =
+      std::function<void(const std::shared_ptr<FrameChannel> &)>;
 
   LinkServer(asio::any_io_executor ex, std::string address, wire::Hello own,
-             TrafficCounters &traffic, FrameHandler handler);
+             TrafficCounters &traffic, FrameHandler onFrame,
+             CloseHandler onClose);
 
   absl::Status start();
   void stop();
@@ -30,7 +33,8 @@
   std::string Address;
   wire::Hello Own;
   TrafficCounters &Traffic;
-  FrameHandler Handler;
+  FrameHandler OnFrame;
+  CloseHandler OnClose;
   tcp::acceptor Acceptor;
   std::set<std::shared_ptr<Link>> Links;
 };
--- a/src/libfleet/reporting/metrics.cpp
+++ b/src/libfleet/reporting/metrics.cpp
@@ -102,6 +102,9 @@
         Abandoned(counterFamily(registry, "hickoryglade_abandoned_runs_total",
                                 "Attempts that their entry no longer waits "
                                 "for by reason")),
+        Orphaned(counterFamily(registry, "hickoryglade_orphaned_runs_total",
+                               "Runs whose entry's link was lost or whose gate "
+                               "ends by reason")),
         Standings(counterFamily(registry, "hickoryglade_standings_total",
                                 "Changes of an endpoint's standing")),
         Settings(counterFamily(registry, "hickoryglade_settings_total",
@@ -178,6 +181,7 @@
   prometheus::Family<prometheus::Counter> &Retries;
   prometheus::Family<prometheus::Counter> &Comparisons;
   prometheus::Family<prometheus::Counter> &Abandoned;
+  prometheus::Family<prometheus::Counter> &Orphaned;
   prometheus::Family<prometheus::Counter> &Standings;
   prometheus::Family<prometheus::Counter> &Settings;
   prometheus::Histogram &SettingsLag;
@@ -279,6 +283,10 @@
   All->Abandoned.Add({{"reason", reason}}).Increment();
 }
 
+void Metrics::countOrphanedRun(const std::string &reason) {
+  All->Orphaned.Add({{"reason", reason}}).Increment();
+}
+
 void Metrics::countStandingChange(const std::string &standing) {
   All->Standings.Add({{"standing", standing}}).Increment();
 }
--- a/src/libfleet/reporting/metrics.h
+++ b/src/libfleet/reporting/metrics.h
@@ -63,6 +63,9 @@
   void countComparison(const std::string &service, const std::string &claimed);
   /// Counts a run that its entry no longer waits for.
   void countAbandonedRun(const std::string &reason);
+  /// Counts a run that has no entry or no gate any more: its entry's link was
+  /// lost, or the process of its gate ends.
+  void countOrphanedRun(const std::string &reason);
   void countStandingChange(const std::string &standing);
   void countSettingsRecord(const std::string &outcome);
   void countLogFailure(const std::string &call);
