gate: tell entries of runs that a stopping gate cannot see to their end

Callers got a 502 for lookups that ran at a server, and waited for the 502 of an order until their own time was over.

Cause: a node that stops counted its own time only. It ended 0.7 s before the end of its grace period, cut what ran there for other entries and told them nothing. They learned it by a broken link, with no time left for another run, and asked for the outcome of an order until its deadline although the process was gone.

- The gate stays for such runs until 0.3 s before the end of the grace period; its own callers are answered as before (gate_drain_limit_ms).
- It reports idempotent runs to their entries once twice the usual run time is no longer left.
The entry starts another attempt beside the run, also one that waits for a slot; the first answer counts.
Reports are frames that entries of the previous release take for overdue runs.
- An entry that stops itself starts such attempts as long as they fit into its own time.
Before, it refused them from the first moment on; that was needed while the gate cut the run for them.
- 100 ms before its end the gate aborts what is left and says so.
The entry answers at once, or retries.

--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -147,9 +147,12 @@
 // The sender is stopping and will not retry the request at another gate.
 struct Keep {}
 
-// The attempt is overdue at an endpoint that stalls. It goes on until the
-// receiver sends GiveUp.
-struct Overdue {}
+// The attempt is overdue at an endpoint that stalls, or its gate ends soon. It
+// goes on until the receiver sends GiveUp.
+struct Overdue {
+  // Time until the gate ends the attempt; set if the gate is stopping.
+  1: optional i64 endsInMs
+}
 
 // Another attempt has answered in place of an overdue one; the receiver ends it.
 struct GiveUp {}
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -2656,6 +2656,11 @@
 Overdue::~Overdue() noexcept {
 }
 
+
+void Overdue::__set_endsInMs(const int64_t val) {
+  this->endsInMs = val;
+__isset.endsInMs = true;
+}
 std::ostream& operator<<(std::ostream& out, const Overdue& obj)
 {
   obj.printTo(out);
@@ -2682,7 +2687,20 @@
     if (ftype == ::apache::thrift::protocol::T_STOP) {
       break;
     }
-    xfer += iprot->skip(ftype);
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->endsInMs);
+          this->__isset.endsInMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
     xfer += iprot->readFieldEnd();
   }
 
@@ -2696,6 +2714,11 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Overdue");
 
+  if (this->__isset.endsInMs) {
+    xfer += oprot->writeFieldBegin("endsInMs", ::apache::thrift::protocol::T_I64, 1);
+    xfer += oprot->writeI64(this->endsInMs);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2703,27 +2726,32 @@
 
 void swap(Overdue &a, Overdue &b) {
   using ::std::swap;
-  (void) a;
-  (void) b;
+  swap(a.endsInMs, b.endsInMs);
+  swap(a.__isset, b.__isset);
 }
 
 Overdue::Overdue(const Overdue& other70) noexcept {
-  (void) other70;
+  endsInMs = other70.endsInMs;
+  __isset = other70.__isset;
 }
 Overdue::Overdue(Overdue&& other71) noexcept {
-  (void) other71;
+  endsInMs = other71.endsInMs;
+  __isset = other71.__isset;
 }
 Overdue& Overdue::operator=(const Overdue& other72) noexcept {
-  (void) other72;
+  endsInMs = other72.endsInMs;
+  __isset = other72.__isset;
   return *this;
 }
 Overdue& Overdue::operator=(Overdue&& other73) noexcept {
-  (void) other73;
+  endsInMs = other73.endsInMs;
+  __isset = other73.__isset;
   return *this;
 }
 void Overdue::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Overdue(";
+  out << "endsInMs="; (__isset.endsInMs ? (out << to_string(endsInMs)) : (out << "<null>"));
   out << ")";
 }
 
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -1087,6 +1087,10 @@
 
 std::ostream& operator<<(std::ostream& out, const Keep& obj);
 
+typedef struct _Overdue__isset {
+  _Overdue__isset() : endsInMs(false) {}
+  bool endsInMs :1;
+} _Overdue__isset;
 
 class Overdue : public virtual ::apache::thrift::TBase {
  public:
@@ -1095,13 +1099,23 @@
   Overdue(Overdue&&) noexcept;
   Overdue& operator=(const Overdue&) noexcept;
   Overdue& operator=(Overdue&&) noexcept;
-  Overdue() noexcept {
+  Overdue() noexcept
+          : endsInMs(0) {
   }
 
   virtual ~Overdue() noexcept;
+  int64_t endsInMs;
 
-  bool operator == (const Overdue & /* rhs */) const
+  _Overdue__isset __isset;
+
+  void __set_endsInMs(const int64_t val);
+
+  bool operator == (const Overdue & rhs) const
   {
+    if (__isset.endsInMs != rhs.__isset.endsInMs)
+      return false;
+    else if (__isset.endsInMs && !(endsInMs == rhs.endsInMs))
+      return false;
     return true;
   }
   bool operator != (const Overdue &rhs) const {
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -94,12 +94,13 @@
 
   std::size_t inFlight() const { return InFlight; }
 
-  /// From now on no attempt starts beside an overdue one. Thread-safe.
+  /// From now on new attempts are marked as the last ones, for gates of earlier
+  /// releases. Thread-safe.
   void stopRetries() { IsDraining = true; }
 
-  /// Called when the node begins to stop and will exit at `end`: makes the
-  /// gates let open attempts finish in place. Requests that arrive at
-  /// `lateAfter` or later are refused unless their deadline is before `end`.
+  /// Called when the node begins to stop and will exit at `end`: has gates of
+  /// earlier releases let open attempts finish in place. Requests that arrive
+  /// at `lateAfter` or later are refused unless their deadline is before `end`.
   void beginDrain(Instant end, Instant lateAfter);
 
   /// Fails requests that cannot be completed before the node exits at `end`,
@@ -172,9 +173,10 @@
   void noteLoad(const std::string &node, const std::string &service,
                 const wire::Load &load);
   Error toError(Attempt &attempt, const wire::Failure &failure);
-  void takeOverdue(Attempt &attempt, std::size_t target);
+  void takeOverdue(Attempt &attempt, std::size_t target,
+                   const OverdueEvent &event);
   std::string_view reasonNotToReplace(const Attempt &attempt,
-                                      std::size_t target);
+                                      std::size_t target, bool isGateEnding);
   void startReplacement(Attempt &attempt, std::size_t target);
   static void promoteReplacement(Attempt &attempt);
   asio::awaitable<void> runReplacement(std::shared_ptr<Replacement> replacement,
--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -171,7 +171,8 @@
   it.Client->channel().sendBody(it.Stream, http.Content, BodyKind::Http);
 }
 
-// A stopping node might exit before a retry on another endpoint completes.
+// Gates of earlier releases end overdue runs by themselves, for a retry that
+// might not complete before this node exits.
 void Entry::beginDrain(Instant end, Instant lateAfter) {
   IsDraining = true;
   EndsAt = end;
@@ -346,8 +347,8 @@
     }
     if (event->Tag != target)
       continue;
-    if (std::holds_alternative<OverdueEvent>(event->Content)) {
-      takeOverdue(attempt, target);
+    if (auto *overdue = std::get_if<OverdueEvent>(&event->Content)) {
+      takeOverdue(attempt, target, *overdue);
       continue;
     }
     bool isLost = std::holds_alternative<LostEvent>(event->Content);
--- a/src/libfleet/entry/entryreplacement.cpp
+++ b/src/libfleet/entry/entryreplacement.cpp
@@ -10,11 +10,13 @@
 
 namespace hickoryglade::fleet {
 
-/// Starts another attempt beside an overdue one if it may complete the request.
-/// The overdue run is ended only once that attempt has an answer, since it may
-/// be refused or fail.
-void Entry::takeOverdue(Attempt &attempt, std::size_t target) {
-  std::string_view reason = reasonNotToReplace(attempt, target);
+/// Starts another attempt beside one that is overdue, or whose gate ends soon,
+/// if it may complete the request. The run is ended only once that attempt has
+/// an answer, since it may be refused or fail.
+void Entry::takeOverdue(Attempt &attempt, std::size_t target,
+                        const OverdueEvent &event) {
+  bool isGateEnding = event.EndsIn.has_value();
+  std::string_view reason = reasonNotToReplace(attempt, target, isGateEnding);
   logEvent(
       LogLevel::Info, "overdue",
       {{"request", attempt.Request->Id},
@@ -22,6 +24,7 @@
        {"gate", attempt.Targets[target].Gate.Node},
        {"replaces", reason.empty()},
        {"reason", reason},
+       {"gate_ends_in_ms", toMillis(event.EndsIn.value_or(Micros{0})).count()},
        {"ran_ms", toMillis(now() - attempt.SentAt.value_or(now())).count()},
        {"expected_ms", toMillis(attempt.Request->Cost.Expected).count()},
        {"left_ms", toMillis(attempt.Request->Deadline - now()).count()},
@@ -33,9 +36,10 @@
 /// Why no other attempt starts beside an overdue one; empty if one is to start,
 /// for which a token of the retry budget has then been taken.
 std::string_view Entry::reasonNotToReplace(const Attempt &attempt,
-                                           std::size_t target) {
+                                           std::size_t target,
+                                           bool isGateEnding) {
   const RequestContext &context = *attempt.Request;
-  if (IsDraining)
+  if (isTooLateToStart(context))
     return "the node is stopping";
   if (attempt.ActiveReplacement || context.IsReplacement)
     return "another attempt is under way";
@@ -43,10 +47,12 @@
     return "attempts exhausted";
   if (attempt.IsSerialized)
     return "the content is suspect";
+  // The run of a gate that ends would be lost, so that its replacement may also
+  // wait for a slot.
   std::vector<Candidate> all = candidates(context, now());
   std::erase_if(all, [&](const Candidate &it) {
     return it.Node == attempt.Targets[target].Gate.Node ||
-           knownFreeSlots(it) <= 0;
+           (knownFreeSlots(it) <= 0 && !isGateEnding);
   });
   bool hasRoom = hasRoomElsewhere(all, context.IsIdempotent,
                                   maxLimitLoad(context, context.Deadline));
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -335,7 +335,9 @@
   AttemptOutcome outcome = AttemptOutcome::Failed;
   if (action.Reason.Kind == ErrorKind::DeadlineExceeded)
     outcome = AttemptOutcome::TimedOut;
-  if (action.Reason.Kind == ErrorKind::Cancelled)
+  // Neither says anything about the endpoint.
+  if (action.Reason.Kind == ErrorKind::Cancelled ||
+      action.Reason.Kind == ErrorKind::GateLost)
     outcome = AttemptOutcome::Cancelled;
   Micros runTime = exchange->SentAt ? now() - *exchange->SentAt : Micros{0};
   finish(exchange, {outcome, std::nullopt, action.Reason, runTime});
@@ -352,6 +354,8 @@
   wire::Frame frame;
   frame.stream = it->second->Origin.Stream;
   frame.__set_overdue({});
+  if (action.EndsIn)
+    frame.overdue.__set_endsInMs(toMillis(*action.EndsIn).count());
   channel->send(std::move(frame));
 }
 
@@ -548,7 +552,9 @@
   Client.setReusesLonger(view->Root.ReusesConnections);
 }
 
-void GateService::drainNow() { carryOut(drain(State, now())); }
+void GateService::drainNow(Instant endsAt) {
+  carryOut(drain(State, endsAt, now()));
+}
 
 nlohmann::json GateService::report() const {
   auto all = nlohmann::json::array();
--- a/src/libfleet/gate/gateservice.h
+++ b/src/libfleet/gate/gateservice.h
@@ -64,7 +64,8 @@
   void noteDeparted(const std::vector<DepartedRecord> &departed);
   void applyEjection(const std::string &endpoint, std::optional<Instant> until);
   void applyView(const FleetViewPtr &view);
-  void drainNow();
+  /// Takes no more requests, and ends at endsAt what still runs.
+  void drainNow(Instant endsAt);
 
   /// The endpoints of this node, with the reasons for their standing.
   nlohmann::json report() const;
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -37,6 +37,10 @@
 /// was accepted as the linger ended.
 constexpr Micros FirstRequestTime = std::chrono::milliseconds(200);
 
+/// Time in which the entries are told of the runs that the gate has aborted,
+/// before the process exits.
+constexpr Micros LastWordTime = std::chrono::milliseconds(100);
+
 HttpResponse rejectedRequestAnswer(int status) {
   ErrorKind kind = status == 431   ? ErrorKind::HeadersTooLarge
                    : status == 413 ? ErrorKind::BodyTooLarge
@@ -468,10 +472,11 @@
         .get();
 }
 
-/// Runs on the same thread as stop(), so DrainLimit and Linger need no lock.
+/// Runs on the same thread as stop(), so the limits of a stop need no lock.
 bool Node::Impl::reload(const NodeSettings &read) {
   NodeSettings settings = Platform ? Platform->AdaptSettings(read) : read;
   Config.DrainLimit = settings.DrainLimit;
+  Config.GateDrainLimit = settings.GateDrainLimit;
   Config.Linger = settings.Linger;
   if (settings.LogLevel != Config.LogLevel)
     setLogLevel(settings.LogLevel);
@@ -485,16 +490,18 @@
     it->stopRetries();
   Instant begin = now();
   Instant end = begin + Config.Linger + Config.DrainLimit;
+  Instant gateEnd = end + Config.GateDrainLimit;
   logEvent(LogLevel::Info, "stopping",
-           {{"ends_in_ms", toMillis(end - begin).count()}});
+           {{"ends_in_ms", toMillis(end - begin).count()},
+            {"gate_ends_in_ms", toMillis(gateEnd - begin).count()}});
   ControlLoop.call([this] {
     IsLeaving = true;
     NodeControl->leave();
     return true;
   });
-  Traffic[0]->call([this] {
+  Traffic[0]->call([this, gateEnd] {
     CallerHttp->beginDrain();
-    Gate->drainNow();
+    Gate->drainNow(gateEnd - LastWordTime);
     return true;
   });
   Instant lateAfter = begin + Config.Linger + FirstRequestTime;
@@ -507,7 +514,7 @@
     handOnKeys();
   bool isClean = false;
   bool isAccepting = true;
-  while (!isClean && now() < end) {
+  while (!isClean && now() < gateEnd) {
     pauseFor(StopPoll);
     bool hasLingered = now() - begin >= Config.Linger;
     if (hasLingered && std::exchange(isAccepting, false))
--- a/src/libfleet/node/nodesettings.cpp
+++ b/src/libfleet/node/nodesettings.cpp
@@ -197,6 +197,9 @@
   int drainMs = int(settings.DrainLimit.count());
   reader.readInteger("drain_limit_ms", drainMs, 0, MaxDrainMs);
   settings.DrainLimit = Millis(drainMs);
+  int gateDrainMs = int(settings.GateDrainLimit.count());
+  reader.readInteger("gate_drain_limit_ms", gateDrainMs, 0, MaxDrainMs);
+  settings.GateDrainLimit = Millis(gateDrainMs);
   int lingerMs = int(settings.Linger.count());
   reader.readInteger("linger_ms", lingerMs, 0, MaxDrainMs);
   settings.Linger = Millis(lingerMs);
@@ -251,6 +254,7 @@
               {"seeds", settings.Seeds},
               {"traffic_threads", settings.TrafficThreads},
               {"drain_limit_ms", settings.DrainLimit.count()},
+              {"gate_drain_limit_ms", settings.GateDrainLimit.count()},
               {"linger_ms", settings.Linger.count()},
               {"announcement_limit_ms", settings.AnnouncementLimit.count()},
               {"service", settings.Service},
--- a/src/libfleet/node/nodesettings.h
+++ b/src/libfleet/node/nodesettings.h
@@ -52,6 +52,9 @@
   std::string LogLevel = "info";
   /// Maximum time that a stop waits for requests in flight.
   Millis DrainLimit{30'000};
+  /// How much longer it waits for requests of other nodes that run at its
+  /// endpoints.
+  Millis GateDrainLimit{0};
   /// True if the node accepts connections of callers, and answers with an
   /// error, before it knows settings and members. Otherwise connections are
   /// refused.
--- a/src/libfleet/peers/gateclient.cpp
+++ b/src/libfleet/peers/gateclient.cpp
@@ -60,7 +60,10 @@
     return true;
   }
   if (frame.__isset.overdue) {
-    put(OverdueEvent{});
+    OverdueEvent event;
+    if (frame.overdue.__isset.endsInMs)
+      event.EndsIn = Millis(frame.overdue.endsInMs);
+    put(event);
     return true;
   }
   if (frame.__isset.failure)
--- a/src/libfleet/peers/gateclient.h
+++ b/src/libfleet/peers/gateclient.h
@@ -31,8 +31,11 @@
   std::optional<wire::EndpointNotice> Notice = std::nullopt;
 };
 
-/// The attempt is overdue at an endpoint that stalls.
-struct OverdueEvent {};
+/// The attempt is overdue at an endpoint that stalls, or its gate ends soon.
+struct OverdueEvent {
+  /// Time until the gate ends the attempt, if it is stopping.
+  std::optional<Micros> EndsIn = std::nullopt;
+};
 
 struct RevokedEvent {
   int State = 0;
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -5,6 +5,7 @@
 #include "libhickoryglade/gatelimit.h"
 #include "libhickoryglade/gatequeue.h"
 #include "libhickoryglade/gaterules.h"
+#include "libhickoryglade/gatestop.h"
 
 #include <algorithm>
 #include <ranges>
@@ -419,6 +420,7 @@
     if (endpoint.State == Standing::Ejected && !isEjected(endpoint, now))
       setStanding(endpoint, Standing::Suspect, "lease ended", now, actions);
     expireHolders(gate, endpoint, now, actions);
+    reviewRunsOfStop(gate, endpoint, now, actions);
     assessHealth(gate, endpoint, now, actions);
     considerTrial(gate, endpoint, now, actions);
     if (endpoint.State == Standing::Healthy &&
@@ -444,14 +446,6 @@
   return actions;
 }
 
-GateActions drain(Gate &gate, Instant now) {
-  GateActions actions;
-  gate.IsDraining = true;
-  for (auto &[name, service] : gate.Services)
-    flushIfNoEndpoint(gate, name, now, actions);
-  return actions;
-}
-
 GateActions noteForeignCrash(Gate &gate, std::uint64_t fingerprint,
                              const CrashRecord &record) {
   mergeCrash(gate.Crashes, fingerprint, record);
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -117,6 +117,8 @@
   /// Endpoint at which an attempt holds a slot, by attempt id.
   std::map<std::string, std::string> EndpointByAttempt;
   bool IsDraining = false;
+  /// When runs that are left are aborted; set while the gate is draining.
+  std::optional<Instant> EndsAt;
   /// Time at which the next tick is due. A tick that is long overdue shows that
   /// the process was paused. A caller that ticks less often than TickPeriod
   /// must postpone it.
@@ -155,7 +157,7 @@
 void keep(Gate &gate, const std::string &attempt);
 
 /// Aborts a running request that was reported as overdue, since another attempt
-/// has answered in its place.
+/// has answered in its place or nobody waits for it.
 GateActions giveUpOverdue(const Gate &gate, const std::string &attempt);
 
 /// Removes a waiting request, releases its slot or aborts it.
@@ -190,8 +192,9 @@
 /// endpoints, removes silent ones and dispatches waiting requests.
 GateActions tick(Gate &gate, Instant now);
 
-/// Stops accepting requests and refuses waiting ones; running ones may finish.
-GateActions drain(Gate &gate, Instant now);
+/// Stops accepting requests and refuses waiting ones; running ones may finish
+/// until endsAt.
+GateActions drain(Gate &gate, Instant endsAt, Instant now);
 
 /// Applies a crash record that this node has heard of. A completion here may
 /// clear the content.
--- a/src/libhickoryglade/gateaction.h
+++ b/src/libhickoryglade/gateaction.h
@@ -43,11 +43,13 @@
   bool operator==(const AbortAction &) const = default;
 };
 
-/// Report to the entry that an attempt is overdue at an endpoint that stalls;
-/// the entry may start another attempt, and ends this one with giveUpOverdue()
-/// when the other has answered.
+/// Report to the entry that an attempt is overdue at an endpoint that stalls,
+/// or that its gate ends soon; the entry may start another attempt, and ends
+/// this one with giveUpOverdue() when the other has answered.
 struct OverdueAction {
   std::string AttemptId;
+  /// Time until the gate aborts the attempt, if it is stopping.
+  std::optional<Micros> EndsIn = std::nullopt;
 
   bool operator==(const OverdueAction &) const = default;
 };
--- a/src/libhickoryglade/gateendpoint.cpp
+++ b/src/libhickoryglade/gateendpoint.cpp
@@ -88,7 +88,8 @@
   bool isOverdue =
       now - holder.Since > std::max<Micros>(policy.StallAfter, usual);
   bool hasTime = ticket.Deadline - now > RetryTimeFactor * ticket.ExpectedCost;
-  return ticket.IsIdempotent && !ticket.IsLastTry && isOverdue && hasTime;
+  bool mayRetry = ticket.DecidesRetry || !ticket.IsLastTry;
+  return ticket.IsIdempotent && mayRetry && isOverdue && hasTime;
 }
 
 int freeSlots(const GateEndpoint &endpoint) {
--- a/src/libhickoryglade/gatehealth.cpp
+++ b/src/libhickoryglade/gatehealth.cpp
@@ -107,15 +107,10 @@
   for (SlotHolder &holder : endpoint.Holders) {
     if (!holder.IsStarted || !shouldRetryElsewhere(holder, policy, now))
       continue;
-    const std::string &attempt = holder.Request.AttemptId;
-    bool isReported =
-        holder.ReportedAt && now - *holder.ReportedAt < OverdueReportPeriod;
-    if (!holder.Request.DecidesRetry) {
-      actions.push_back(AbortAction{attempt, stallError()});
-    } else if (!isReported) {
-      holder.ReportedAt = now;
-      actions.push_back(OverdueAction{attempt});
-    }
+    if (holder.Request.DecidesRetry)
+      reportToEntry(holder, std::nullopt, now, actions);
+    else
+      actions.push_back(AbortAction{holder.Request.AttemptId, stallError()});
   }
 }
 
@@ -151,6 +146,16 @@
 
 } // namespace
 
+void reportToEntry(SlotHolder &holder, std::optional<Micros> endsIn,
+                   Instant now, GateActions &actions) {
+  bool isReported =
+      holder.ReportedAt && now - *holder.ReportedAt < OverdueReportPeriod;
+  if (isReported)
+    return;
+  holder.ReportedAt = now;
+  actions.push_back(OverdueAction{holder.Request.AttemptId, endsIn});
+}
+
 void setStanding(GateEndpoint &endpoint, Standing state, std::string reason,
                  Instant now, GateActions &actions) {
   if (endpoint.State == state)
--- a/src/libhickoryglade/gatehealth.h
+++ b/src/libhickoryglade/gatehealth.h
@@ -11,6 +11,10 @@
 void setStanding(GateEndpoint &endpoint, Standing state, std::string reason,
                  Instant now, GateActions &actions);
 
+/// Reports a run to its entry, unless this was done a moment ago.
+void reportToEntry(SlotHolder &holder, std::optional<Micros> endsIn,
+                   Instant now, GateActions &actions);
+
 /// Runs the health policy and applies its verdict.
 void assessHealth(Gate &gate, GateEndpoint &endpoint, Instant now,
                   GateActions &actions);
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -132,10 +132,13 @@
   settings.Linger = Millis(2'500);
   settings.DrainLimit = Millis(2'800);
   CHECK(fitSettings(settings).DrainLimit == Millis(2'800));
+  CHECK(fitSettings(settings).GateDrainLimit == Millis(0));
   settings.PlatformBounds["grace_period_s"] = 10;
   CHECK(fitSettings(settings).DrainLimit == Millis(6'800));
+  CHECK(fitSettings(settings).GateDrainLimit == Millis(400));
   settings.PlatformBounds["grace_period_s"] = 1;
   CHECK(fitSettings(settings).DrainLimit == Millis(0));
+  CHECK(fitSettings(settings).GateDrainLimit == Millis(0));
 }
 
 TEST_CASE("a node's record holds its address and data centre") {
--- /dev/null
+++ b/tests/platform/test_gatestops.cpp
@@ -0,0 +1,180 @@
+#include "libfleet/base/clock.h"
+#include "platform/platformfleet.h"
+#include "process/testfleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <future>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace hickoryglade;
+using namespace hickoryglade::testing;
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds GracePeriod{6'000};
+constexpr int CallerMs = 14'000;
+
+/// Starts the given gates with a server each and an entry, n3, all with a grace
+/// period of 6 s.
+void startFleet(PlatformFleet &fleet, const std::vector<std::string> &gates,
+                int maxAttempts) {
+  fleet.setPlatformBounds({{"grace_period_s", 6}});
+  fleet.setNodeSettings({{"linger_ms", 2'500}});
+  fleet.startStore();
+  for (const std::string &it : gates) {
+    fleet.startNode(it);
+    fleet.startServer(it);
+  }
+  fleet.startNode("n3", "t");
+  fleet.startServer("n3", "t");
+  json config = defaultConfig(1);
+  for (json &rule : config["listeners"][0]["route_rules"]) {
+    rule["target_latency_s"] = 6;
+    rule["action"]["timeout_s"] = 20;
+    rule["action"]["max_attempts"] = maxAttempts;
+  }
+  fleet.configure(config);
+  fleet.awaitServing();
+}
+
+struct Outcome {
+  HttpReply Reply;
+  /// When the caller had the reply.
+  Instant At;
+};
+
+std::future<Outcome> send(PlatformFleet &fleet, const std::string &id,
+                          const std::string &method = "GET") {
+  HttpCall call{method,
+                method == "GET" ? "/safe/x" : "/once/x",
+                {{"Host", "h.example"},
+                 {"Attempt-Id", id},
+                 {"Remaining-Milliseconds", std::to_string(CallerMs)}},
+                ""};
+  return std::async(std::launch::async, [&fleet, call] {
+    HttpReply reply =
+        callOnce(fleet.node("n3").Http, call, milliseconds(CallerMs + 1'000));
+    return Outcome{std::move(reply), fleet::now()};
+  });
+}
+
+int runsAt(PlatformFleet &fleet, const std::string &node,
+           const std::string &id) {
+  json seen = fleet.controlServer(node, json::object());
+  return seen.is_object() ? seen["runs"].value(id, 0) : 0;
+}
+
+void setWork(PlatformFleet &fleet, const std::vector<std::string> &gates,
+             int workMs) {
+  for (const std::string &it : gates)
+    fleet.controlServer(it, {{"work_ms", workMs}});
+}
+
+/// Lets the entry learn how long a run usually takes.
+void sendUsual(PlatformFleet &fleet, int count) {
+  for (int i = 0; i < count; ++i)
+    REQUIRE(send(fleet, "usual-" + std::to_string(i)).get().Reply.Status ==
+            200);
+}
+
+/// Starts a run of the given length and returns the gate that has it.
+std::string startRun(PlatformFleet &fleet,
+                     const std::vector<std::string> &gates, int workMs,
+                     const std::string &method, std::future<Outcome> &outcome) {
+  setWork(fleet, gates, workMs);
+  outcome = send(fleet, "slow", method);
+  std::string at;
+  TestFleet::await("the run", [&] {
+    for (const std::string &it : gates)
+      if (runsAt(fleet, it, "slow") == 1)
+        at = it;
+    return !at.empty();
+  });
+  return at;
+}
+
+/// Sends SIGTERM now and SIGKILL at the end of the grace period.
+std::future<void> stopNode(PlatformFleet &fleet, const std::string &node) {
+  Instant begin = fleet::now();
+  fleet.process(node).signal(SIGTERM);
+  return std::async(std::launch::async, [&fleet, node, begin] {
+    std::this_thread::sleep_until(std::chrono::steady_clock::now() +
+                                  (GracePeriod - (fleet::now() - begin)));
+    fleet.process(node).signal(SIGKILL);
+  });
+}
+
+} // namespace
+
+// Guards against a gate that ends while it could still pass on an answer to
+// another node's request.
+TEST_CASE("a run within the grace period of its gate is answered",
+          "[gate-stop]") {
+  constexpr int workMs = 5'500;
+  int maxAttempts = GENERATE(1, 2);
+  bool isEntryStopped = GENERATE(false, true);
+  PlatformFleet fleet;
+  startFleet(fleet, {"n1"}, maxAttempts);
+  std::future<Outcome> outcome;
+  startRun(fleet, {"n1"}, workMs, "GET", outcome);
+  auto gate = stopNode(fleet, "n1");
+  std::this_thread::sleep_for(milliseconds(1'000));
+  std::future<void> entry;
+  if (isEntryStopped)
+    entry = stopNode(fleet, "n3");
+  HttpReply reply = outcome.get().Reply;
+  INFO("attempts " << maxAttempts << ", entry stopped " << isEntryStopped
+                   << ": " << reply.Status << " " << reply.Body);
+  CHECK(reply.Status == 200);
+  CHECK(runsAt(fleet, "n1", "slow") == 1);
+}
+
+// Guards against a lookup that is sent elsewhere only once its gate has ended,
+// when its entry has no time left for that.
+TEST_CASE("a run that outlasts its gate is replaced before the gate ends",
+          "[gate-stop-replaced]") {
+  constexpr int usualMs = 2'000;
+  constexpr int workMs = 9'000;
+  PlatformFleet fleet;
+  startFleet(fleet, {"n1", "n2"}, 2);
+  setWork(fleet, {"n1", "n2"}, usualMs);
+  sendUsual(fleet, 2);
+  std::future<Outcome> outcome;
+  std::string first = startRun(fleet, {"n1", "n2"}, workMs, "GET", outcome);
+  std::string second = first == "n1" ? "n2" : "n1";
+  setWork(fleet, {second}, usualMs);
+  auto gate = stopNode(fleet, first);
+  std::this_thread::sleep_for(milliseconds(2'000));
+  auto entry = stopNode(fleet, "n3");
+  HttpReply reply = outcome.get().Reply;
+  INFO(reply.Status << " " << reply.Body);
+  CHECK(reply.Status == 200);
+  CHECK(reply.Body == "i-" + second + ":");
+  CHECK(runsAt(fleet, second, "slow") == 1);
+}
+
+// Guards against an entry that asks a gate that has ended for the outcome of an
+// order until the caller's time is over.
+TEST_CASE("an order that outlasts its gate is answered as the gate ends",
+          "[gate-stop-order]") {
+  constexpr int workMs = 9'000;
+  PlatformFleet fleet;
+  startFleet(fleet, {"n1"}, 2);
+  std::future<Outcome> outcome;
+  startRun(fleet, {"n1"}, workMs, "POST", outcome);
+  Instant stoppedAt = fleet::now();
+  auto gate = stopNode(fleet, "n1");
+  Outcome seen = outcome.get();
+  INFO(seen.Reply.Status << " " << seen.Reply.Body << " after "
+                         << (seen.At - stoppedAt).count() << " us");
+  CHECK(seen.Reply.Status == 502);
+  CHECK(seen.Reply.problem("run") == "unknown");
+  CHECK(seen.At - stoppedAt < GracePeriod + milliseconds(200));
+}
