entry: do not hold a caller for a gate that a service does not have

Callers of a stopping node waited for up to four seconds for a 502: after the only gate of a service had ended, the node went on looking for a candidate every 100 ms until it ended itself. A retry during a stop waits for a free slot elsewhere; with no gate reached, or only such that leave, no slot can become free.

Now within the bound of its grace period and 0.5 s.

--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -335,13 +335,22 @@
 // was aborted at its endpoint. Without this, the request would fail because no
 // slot is free elsewhere at the moment.
 bool Entry::mayRetryDuringDrain(const RequestContext &context,
-                                const Error &error) const {
+                                const Error &error) {
   bool mayRunAgain = context.IsIdempotent && context.Runs > 0 &&
                      context.Runs < context.MatchedRoute.Policy.MaxAttempts;
   bool hasTime = context.Deadline - now() > context.Cost.Expected &&
                  !isTooLateToStart(context);
   return IsDraining && mayRunAgain && error.Run == RunState::NotRun &&
-         hasTime && !context.Scope->IsCancelled;
+         hasTime && !context.Scope->IsCancelled && hasUsableGate(context);
+}
+
+/// True if a gate of the service is reached and not leaving.
+bool Entry::hasUsableGate(const RequestContext &context) {
+  return std::ranges::any_of(
+      candidates(context, now()), [](const Candidate &it) {
+        return it.IsPathUp && it.State != Standing::Draining &&
+               it.State != Standing::Ejected;
+      });
 }
 
 /// Prefers the standing that the gate itself reported a moment ago: short-lived
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -200,8 +200,8 @@
   bool isTooLateToTake(const RequestContext &context) const;
   bool cannotEnd(const RequestContext &context) const;
   bool isTooLateToStart(const RequestContext &context) const;
-  bool mayRetryDuringDrain(const RequestContext &context,
-                           const Error &error) const;
+  bool mayRetryDuringDrain(const RequestContext &context, const Error &error);
+  bool hasUsableGate(const RequestContext &context);
 
   asio::any_io_executor Executor;
   std::string Node;
--- a/tests/platform/test_gatestops.cpp
+++ b/tests/platform/test_gatestops.cpp
@@ -178,3 +178,23 @@
   CHECK(seen.Reply.problem("run") == "unknown");
   CHECK(seen.At - stoppedAt < GracePeriod + milliseconds(200));
 }
+
+// Guards against an entry that keeps its caller waiting, until it ends itself,
+// for another gate although the service has none.
+TEST_CASE("a lookup whose only gate has ended is answered at once",
+          "[gate-stop-alone]") {
+  constexpr int workMs = 9'000;
+  PlatformFleet fleet;
+  startFleet(fleet, {"n1"}, 2);
+  std::future<Outcome> outcome;
+  startRun(fleet, {"n1"}, workMs, "GET", outcome);
+  Instant stoppedAt = fleet::now();
+  auto gate = stopNode(fleet, "n1");
+  std::this_thread::sleep_for(milliseconds(4'000));
+  auto entry = stopNode(fleet, "n3");
+  Outcome seen = outcome.get();
+  INFO(seen.Reply.Status << " " << seen.Reply.Body << " after "
+                         << (seen.At - stoppedAt).count() << " us");
+  CHECK(seen.Reply.Status == 502);
+  CHECK(seen.At - stoppedAt < GracePeriod + milliseconds(500));
+}
