peers: end a node only once the others have read its answers

A caller got a 502 (run unknown) for an order that had run and whose answer was under way: its gate counted itself idle as soon as the server had answered, while the answer still waited in the link, and ended. The kernel then resets the link if anything arrives on it, a heartbeat for example, and drops what it has not sent.

A stop now goes on while frames or bodies wait to be written, and then closes its sending side and waits for the peers to close theirs, which they do after they have read everything. It waits until the end of the gate's time for links that were written to in the last two seconds; a peer that is gone delays no other stop.

The log of a stop had said "clean" all the while.

--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -37,6 +37,9 @@
 /// was accepted as the linger ended.
 constexpr Micros FirstRequestTime = std::chrono::milliseconds(200);
 
+/// Least time that the other nodes have to close their links to this one.
+constexpr Micros LeastLinkCloseTime = std::chrono::milliseconds(100);
+
 /// Time in which the entries are told of the runs that the gate has aborted,
 /// before the process exits.
 constexpr Micros LastWordTime = std::chrono::milliseconds(100);
@@ -91,6 +94,7 @@
                     const wire::Frame &frame);
   void applyEjections(std::map<std::string, Instant> ends);
   void handOnKeys();
+  void finishLinks(Instant end);
   bool isIdle();
 
   NodeSettings Config;
@@ -448,14 +452,27 @@
 }
 
 bool Node::Impl::isIdle() {
-  bool isGateIdle = Traffic[0]->call(
-      [this] { return Gate->idle() && !CallerHttp->isBusy(); });
+  bool isGateIdle = Traffic[0]->call([this] {
+    return Gate->idle() && !Server->hasUnsent() && !CallerHttp->isBusy();
+  });
   std::size_t inFlight = 0;
   for (std::size_t i = 0; i < Entries.size(); ++i)
     inFlight += Traffic[i]->call([this, i] { return Entries[i]->inFlight(); });
   return isGateIdle && inFlight == 0;
 }
 
+/// Returns once the other nodes have read what was sent to them.
+void Node::Impl::finishLinks(Instant end) {
+  Instant until = std::max(end, now() + LeastLinkCloseTime);
+  Traffic[0]->call([this] {
+    Server->finish();
+    return true;
+  });
+  while (now() < until &&
+         !Traffic[0]->call([this] { return Server->isFinished(); }))
+    pauseFor(StopPoll);
+}
+
 /// Copies the key records to their successors, then releases the keeper lease.
 void Node::Impl::handOnKeys() {
   auto handOn = [](KeyService *keys) -> asio::awaitable<bool> {
@@ -527,6 +544,7 @@
                  [this, i, end] { Entries[i]->enforceShutdownDeadline(end); });
     isClean = hasLingered && isIdle();
   }
+  finishLinks(gateEnd);
   std::size_t cutRuns = Traffic[0]->call([this] { return Gate->reportRuns(); });
   for (auto &loop : Traffic)
     loop->stop();
--- a/src/libfleet/peers/link.cpp
+++ b/src/libfleet/peers/link.cpp
@@ -26,6 +26,10 @@
 /// have arrived meanwhile.
 constexpr int MinSilentPeriods = SilenceLimit / HeartbeatPeriod + 1;
 
+/// A peer has read what was written earlier than this. Bounds the wait for
+/// peers that are gone.
+constexpr Micros ReadTime = std::chrono::seconds(2);
+
 constexpr std::size_t ChunkBytes = 64 * 1024;
 constexpr std::size_t MaxWriteBytes = 256 * 1024;
 
@@ -90,6 +94,16 @@
     Handlers.OnClose(shared_from_this());
 }
 
+// A process that ends with unread bytes on a connection resets it, and the peer
+// may lose what was sent before.
+void Link::finish() {
+  if (now() - LastWritten > ReadTime)
+    return close("the node ends");
+  IsFinishing = true;
+  error_code ec;
+  Socket.shutdown(tcp::socket::shutdown_send, ec);
+}
+
 std::string Link::peerName() const { return Peer ? Peer->node : ""; }
 
 std::int64_t Link::ageMs() const { return toMillis(now() - OpenedAt).count(); }
@@ -105,7 +119,7 @@
 }
 
 void Link::send(wire::Frame frame) {
-  if (!Open)
+  if (!Open || IsFinishing)
     return;
   if (Urgent.size() >= MaxQueuedFrames)
     return close("send queue full: the peer does not read");
@@ -116,7 +130,7 @@
 }
 
 void Link::sendBody(std::int64_t stream, Body body, BodyKind kind) {
-  if (!Open || body->empty())
+  if (!Open || IsFinishing || body->empty())
     return;
   Bodies.push_back({stream, std::move(body), kind, 0});
   if (!IsWriting)
@@ -166,6 +180,7 @@
       [self = shared_from_this()](const error_code &ec, std::size_t) {
         if (ec)
           return self->close("write failed");
+        self->LastWritten = now();
         self->writeNext();
       });
 }
--- a/src/libfleet/peers/link.h
+++ b/src/libfleet/peers/link.h
@@ -44,6 +44,15 @@
   std::string peerName() const override;
   std::int64_t ageMs() const override;
 
+  /// True while frames or bodies wait to be written.
+  bool hasUnsent() const {
+    return IsWriting || !Urgent.empty() || !Bodies.empty();
+  }
+
+  /// Sends nothing more. The peer closes the link once it has read everything;
+  /// one that was not written to lately is closed at once.
+  void finish();
+
   /// Heartbeats are sent, and their replies expected, while busy.
   void setBusy(bool isBusy);
 
@@ -87,8 +96,10 @@
   bool Busy = false;
   bool IsHeartbeatActive = false;
   bool IsStarted = false;
+  bool IsFinishing = false;
   Instant OpenedAt;
   Instant LastReceived;
+  Instant LastWritten;
   Instant BusySince;
   /// Heartbeat periods that have expired since the later of both.
   int SilentPeriods = 0;
--- a/src/libfleet/peers/linkserver.cpp
+++ b/src/libfleet/peers/linkserver.cpp
@@ -2,6 +2,8 @@
 
 #include "libfleet/base/listening.h"
 
+#include <algorithm>
+
 namespace hickoryglade::fleet {
 
 LinkServer::LinkServer(asio::any_io_executor ex, std::string address,
@@ -24,13 +26,17 @@
   return absl::OkStatus();
 }
 
-void LinkServer::stop() {
+bool LinkServer::hasUnsent() const {
+  return std::ranges::any_of(Links,
+                             [](const auto &it) { return it->hasUnsent(); });
+}
+
+void LinkServer::finish() {
   error_code ec;
   Acceptor.close(ec);
-  std::set<std::shared_ptr<Link>> open = std::move(Links);
-  Links.clear();
+  std::set<std::shared_ptr<Link>> open = Links;
   for (const auto &link : open)
-    link->close("the node stops");
+    link->finish();
 }
 
 void LinkServer::accept() {
--- a/src/libfleet/peers/linkserver.h
+++ b/src/libfleet/peers/linkserver.h
@@ -24,7 +24,13 @@
              CloseHandler onClose);
 
   absl::Status start();
-  void stop();
+
+  /// True while frames or bodies wait to be written on a link.
+  bool hasUnsent() const;
+
+  /// Accepts no more links and has the peers close those that are open.
+  void finish();
+  bool isFinished() const { return Links.empty(); }
 
 private:
   void accept();
--- a/tests/platform/test_gatestops.cpp
+++ b/tests/platform/test_gatestops.cpp
@@ -179,6 +179,50 @@
   CHECK(seen.At - stoppedAt < GracePeriod + milliseconds(200));
 }
 
+// Guards against a gate that ends once it has an answer, before it has sent all
+// of it to the entry.
+TEST_CASE("a long answer arrives whole although its gate stops",
+          "[gate-stop-answer]") {
+  constexpr int workMs = 1'000;
+  constexpr std::size_t bodyBytes = 8'000'000;
+  constexpr double bytesPerSecond = 4e6;
+  PlatformFleet fleet;
+  fleet.setNodeSettings({{"linger_ms", 500}});
+  fleet.setPlatformBounds({{"grace_period_s", 6}});
+  fleet.startStore();
+  fleet.startRelayedNode("n1");
+  fleet.startServer("n1");
+  fleet.startNode("n3", "t");
+  fleet.startServer("n3", "t");
+  json config = defaultConfig(1);
+  config["limits"]["body_bytes"] = 2 * bodyBytes;
+  for (json &rule : config["listeners"][0]["route_rules"])
+    rule["action"]["timeout_s"] = 10;
+  fleet.configure(config);
+  fleet.awaitServing();
+  setWork(fleet, {"n1"}, workMs);
+  std::string body(bodyBytes, 'a');
+  HttpCall call{"POST",
+                "/once/x",
+                {{"Host", "h.example"},
+                 {"Attempt-Id", "long"},
+                 {"Remaining-Milliseconds", "9000"}},
+                body};
+  auto pending = std::async(std::launch::async, [&] {
+    return callOnce(fleet.node("n3").Http, call, milliseconds(10'000));
+  });
+  TestFleet::await("the run", [&] { return runsAt(fleet, "n1", "long") == 1; });
+  fleet.controlRelays("n1", {{"bytes_per_s", bytesPerSecond}});
+  auto gate = stopNode(fleet, "n1");
+  HttpReply reply = pending.get();
+  INFO(reply.Status << " " << reply.Body.substr(0, 200));
+  CHECK(reply.Status == 200);
+  bool isWhole = reply.Body == "i-n1:" + body;
+  CHECK(isWhole);
+  gate.get();
+  CHECK(fleet.process("n1").wait() == 0);
+}
+
 // Guards against an entry that keeps its caller waiting, until it ends itself,
 // for another gate although the service has none.
 TEST_CASE("a lookup whose only gate has ended is answered at once",
