--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -157,6 +157,10 @@
 // Another attempt has answered in place of an overdue one; the receiver ends it.
 struct GiveUp {}
 
+// The last frame of a gate that ends. It has answered all calls that it has run,
+// and runs no other.
+struct Goodbye {}
+
 // Queries the state of an attempt and fences it if it has not started.
 struct Revoke {
   1: string attemptId
@@ -393,4 +397,5 @@
   21: optional GiveUp giveUp
   22: optional QuotaRequest quotaRequest
   23: optional QuotaReply quotaReply
+  24: optional Goodbye goodbye
 }
--- a/protocol/gen/fleet_types.cpp
+++ b/protocol/gen/fleet_types.cpp
@@ -2831,6 +2831,81 @@
 }
 
 
+Goodbye::~Goodbye() noexcept {
+}
+
+std::ostream& operator<<(std::ostream& out, const Goodbye& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Goodbye::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    xfer += iprot->skip(ftype);
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Goodbye::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Goodbye");
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Goodbye &a, Goodbye &b) {
+  using ::std::swap;
+  (void) a;
+  (void) b;
+}
+
+Goodbye::Goodbye(const Goodbye& other78) noexcept {
+  (void) other78;
+}
+Goodbye::Goodbye(Goodbye&& other79) noexcept {
+  (void) other79;
+}
+Goodbye& Goodbye::operator=(const Goodbye& other80) noexcept {
+  (void) other80;
+  return *this;
+}
+Goodbye& Goodbye::operator=(Goodbye&& other81) noexcept {
+  (void) other81;
+  return *this;
+}
+void Goodbye::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Goodbye(";
+  out << ")";
+}
+
+
 Revoke::~Revoke() noexcept {
 }
 
@@ -2957,34 +3032,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Revoke::Revoke(const Revoke& other78) {
-  attemptId = other78.attemptId;
-  gateBootId = other78.gateBootId;
-  timeoutMs = other78.timeoutMs;
-  askedNode = other78.askedNode;
-  __isset = other78.__isset;
-}
-Revoke::Revoke(Revoke&& other79) noexcept {
-  attemptId = std::move(other79.attemptId);
-  gateBootId = other79.gateBootId;
-  timeoutMs = other79.timeoutMs;
-  askedNode = std::move(other79.askedNode);
-  __isset = other79.__isset;
-}
-Revoke& Revoke::operator=(const Revoke& other80) {
-  attemptId = other80.attemptId;
-  gateBootId = other80.gateBootId;
-  timeoutMs = other80.timeoutMs;
-  askedNode = other80.askedNode;
-  __isset = other80.__isset;
+Revoke::Revoke(const Revoke& other82) {
+  attemptId = other82.attemptId;
+  gateBootId = other82.gateBootId;
+  timeoutMs = other82.timeoutMs;
+  askedNode = other82.askedNode;
+  __isset = other82.__isset;
+}
+Revoke::Revoke(Revoke&& other83) noexcept {
+  attemptId = std::move(other83.attemptId);
+  gateBootId = other83.gateBootId;
+  timeoutMs = other83.timeoutMs;
+  askedNode = std::move(other83.askedNode);
+  __isset = other83.__isset;
+}
+Revoke& Revoke::operator=(const Revoke& other84) {
+  attemptId = other84.attemptId;
+  gateBootId = other84.gateBootId;
+  timeoutMs = other84.timeoutMs;
+  askedNode = other84.askedNode;
+  __isset = other84.__isset;
   return *this;
 }
-Revoke& Revoke::operator=(Revoke&& other81) noexcept {
-  attemptId = std::move(other81.attemptId);
-  gateBootId = other81.gateBootId;
-  timeoutMs = other81.timeoutMs;
-  askedNode = std::move(other81.askedNode);
-  __isset = other81.__isset;
+Revoke& Revoke::operator=(Revoke&& other85) noexcept {
+  attemptId = std::move(other85.attemptId);
+  gateBootId = other85.gateBootId;
+  timeoutMs = other85.timeoutMs;
+  askedNode = std::move(other85.askedNode);
+  __isset = other85.__isset;
   return *this;
 }
 void Revoke::printTo(std::ostream& out) const {
@@ -3090,26 +3165,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Revoked::Revoked(const Revoked& other82) noexcept {
-  state = other82.state;
-  isUnreachable = other82.isUnreachable;
-  __isset = other82.__isset;
+Revoked::Revoked(const Revoked& other86) noexcept {
+  state = other86.state;
+  isUnreachable = other86.isUnreachable;
+  __isset = other86.__isset;
 }
-Revoked::Revoked(Revoked&& other83) noexcept {
-  state = other83.state;
-  isUnreachable = other83.isUnreachable;
-  __isset = other83.__isset;
+Revoked::Revoked(Revoked&& other87) noexcept {
+  state = other87.state;
+  isUnreachable = other87.isUnreachable;
+  __isset = other87.__isset;
 }
-Revoked& Revoked::operator=(const Revoked& other84) noexcept {
-  state = other84.state;
-  isUnreachable = other84.isUnreachable;
-  __isset = other84.__isset;
+Revoked& Revoked::operator=(const Revoked& other88) noexcept {
+  state = other88.state;
+  isUnreachable = other88.isUnreachable;
+  __isset = other88.__isset;
   return *this;
 }
-Revoked& Revoked::operator=(Revoked&& other85) noexcept {
-  state = other85.state;
-  isUnreachable = other85.isUnreachable;
-  __isset = other85.__isset;
+Revoked& Revoked::operator=(Revoked&& other89) noexcept {
+  state = other89.state;
+  isUnreachable = other89.isUnreachable;
+  __isset = other89.__isset;
   return *this;
 }
 void Revoked::printTo(std::ostream& out) const {
@@ -3176,14 +3251,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->headers.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->headers.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->headers.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->headers[_i90].read(iprot);
+              xfer += this->headers[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3224,10 +3299,10 @@
   xfer += oprot->writeFieldBegin("headers", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->headers.size()));
-    std::vector<Header> ::const_iterator _iter91;
-    for (_iter91 = this->headers.begin(); _iter91 != this->headers.end(); ++_iter91)
+    std::vector<Header> ::const_iterator _iter95;
+    for (_iter95 = this->headers.begin(); _iter95 != this->headers.end(); ++_iter95)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3250,30 +3325,30 @@
   swap(a.__isset, b.__isset);
 }
 
-StoredAnswer::StoredAnswer(const StoredAnswer& other92) {
-  status = other92.status;
-  headers = other92.headers;
-  body = other92.body;
-  __isset = other92.__isset;
+StoredAnswer::StoredAnswer(const StoredAnswer& other96) {
+  status = other96.status;
+  headers = other96.headers;
+  body = other96.body;
+  __isset = other96.__isset;
 }
-StoredAnswer::StoredAnswer(StoredAnswer&& other93) noexcept {
-  status = other93.status;
-  headers = std::move(other93.headers);
-  body = std::move(other93.body);
-  __isset = other93.__isset;
+StoredAnswer::StoredAnswer(StoredAnswer&& other97) noexcept {
+  status = other97.status;
+  headers = std::move(other97.headers);
+  body = std::move(other97.body);
+  __isset = other97.__isset;
 }
-StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other94) {
-  status = other94.status;
-  headers = other94.headers;
-  body = other94.body;
-  __isset = other94.__isset;
+StoredAnswer& StoredAnswer::operator=(const StoredAnswer& other98) {
+  status = other98.status;
+  headers = other98.headers;
+  body = other98.body;
+  __isset = other98.__isset;
   return *this;
 }
-StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other95) noexcept {
-  status = other95.status;
-  headers = std::move(other95.headers);
-  body = std::move(other95.body);
-  __isset = other95.__isset;
+StoredAnswer& StoredAnswer::operator=(StoredAnswer&& other99) noexcept {
+  status = other99.status;
+  headers = std::move(other99.headers);
+  body = std::move(other99.body);
+  __isset = other99.__isset;
   return *this;
 }
 void StoredAnswer::printTo(std::ostream& out) const {
@@ -3448,42 +3523,42 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyRecord::KeyRecord(const KeyRecord& other96) {
-  key = other96.key;
-  requestId = other96.requestId;
-  fingerprint = other96.fingerprint;
-  state = other96.state;
-  answer = other96.answer;
-  lifetimeMs = other96.lifetimeMs;
-  __isset = other96.__isset;
-}
-KeyRecord::KeyRecord(KeyRecord&& other97) noexcept {
-  key = std::move(other97.key);
-  requestId = std::move(other97.requestId);
-  fingerprint = other97.fingerprint;
-  state = other97.state;
-  answer = std::move(other97.answer);
-  lifetimeMs = other97.lifetimeMs;
-  __isset = other97.__isset;
+KeyRecord::KeyRecord(const KeyRecord& other100) {
+  key = other100.key;
+  requestId = other100.requestId;
+  fingerprint = other100.fingerprint;
+  state = other100.state;
+  answer = other100.answer;
+  lifetimeMs = other100.lifetimeMs;
+  __isset = other100.__isset;
+}
+KeyRecord::KeyRecord(KeyRecord&& other101) noexcept {
+  key = std::move(other101.key);
+  requestId = std::move(other101.requestId);
+  fingerprint = other101.fingerprint;
+  state = other101.state;
+  answer = std::move(other101.answer);
+  lifetimeMs = other101.lifetimeMs;
+  __isset = other101.__isset;
 }
-KeyRecord& KeyRecord::operator=(const KeyRecord& other98) {
-  key = other98.key;
-  requestId = other98.requestId;
-  fingerprint = other98.fingerprint;
-  state = other98.state;
-  answer = other98.answer;
-  lifetimeMs = other98.lifetimeMs;
-  __isset = other98.__isset;
+KeyRecord& KeyRecord::operator=(const KeyRecord& other102) {
+  key = other102.key;
+  requestId = other102.requestId;
+  fingerprint = other102.fingerprint;
+  state = other102.state;
+  answer = other102.answer;
+  lifetimeMs = other102.lifetimeMs;
+  __isset = other102.__isset;
   return *this;
 }
-KeyRecord& KeyRecord::operator=(KeyRecord&& other99) noexcept {
-  key = std::move(other99.key);
-  requestId = std::move(other99.requestId);
-  fingerprint = other99.fingerprint;
-  state = other99.state;
-  answer = std::move(other99.answer);
-  lifetimeMs = other99.lifetimeMs;
-  __isset = other99.__isset;
+KeyRecord& KeyRecord::operator=(KeyRecord&& other103) noexcept {
+  key = std::move(other103.key);
+  requestId = std::move(other103.requestId);
+  fingerprint = other103.fingerprint;
+  state = other103.state;
+  answer = std::move(other103.answer);
+  lifetimeMs = other103.lifetimeMs;
+  __isset = other103.__isset;
   return *this;
 }
 void KeyRecord::printTo(std::ostream& out) const {
@@ -3544,9 +3619,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast100;
-          xfer += iprot->readI32(ecast100);
-          this->operation = static_cast<KeyOperation::type>(ecast100);
+          int32_t ecast104;
+          xfer += iprot->readI32(ecast104);
+          this->operation = static_cast<KeyOperation::type>(ecast104);
           this->__isset.operation = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3610,30 +3685,30 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyRequest::KeyRequest(const KeyRequest& other101) {
-  operation = other101.operation;
-  record = other101.record;
-  rosterOffset = other101.rosterOffset;
-  __isset = other101.__isset;
+KeyRequest::KeyRequest(const KeyRequest& other105) {
+  operation = other105.operation;
+  record = other105.record;
+  rosterOffset = other105.rosterOffset;
+  __isset = other105.__isset;
 }
-KeyRequest::KeyRequest(KeyRequest&& other102) noexcept {
-  operation = other102.operation;
-  record = std::move(other102.record);
-  rosterOffset = other102.rosterOffset;
-  __isset = other102.__isset;
+KeyRequest::KeyRequest(KeyRequest&& other106) noexcept {
+  operation = other106.operation;
+  record = std::move(other106.record);
+  rosterOffset = other106.rosterOffset;
+  __isset = other106.__isset;
 }
-KeyRequest& KeyRequest::operator=(const KeyRequest& other103) {
-  operation = other103.operation;
-  record = other103.record;
-  rosterOffset = other103.rosterOffset;
-  __isset = other103.__isset;
+KeyRequest& KeyRequest::operator=(const KeyRequest& other107) {
+  operation = other107.operation;
+  record = other107.record;
+  rosterOffset = other107.rosterOffset;
+  __isset = other107.__isset;
   return *this;
 }
-KeyRequest& KeyRequest::operator=(KeyRequest&& other104) noexcept {
-  operation = other104.operation;
-  record = std::move(other104.record);
-  rosterOffset = other104.rosterOffset;
-  __isset = other104.__isset;
+KeyRequest& KeyRequest::operator=(KeyRequest&& other108) noexcept {
+  operation = other108.operation;
+  record = std::move(other108.record);
+  rosterOffset = other108.rosterOffset;
+  __isset = other108.__isset;
   return *this;
 }
 void KeyRequest::printTo(std::ostream& out) const {
@@ -3757,30 +3832,30 @@
   swap(a.__isset, b.__isset);
 }
 
-KeyReply::KeyReply(const KeyReply& other105) {
-  verdict = other105.verdict;
-  record = other105.record;
-  rosterOffset = other105.rosterOffset;
-  __isset = other105.__isset;
+KeyReply::KeyReply(const KeyReply& other109) {
+  verdict = other109.verdict;
+  record = other109.record;
+  rosterOffset = other109.rosterOffset;
+  __isset = other109.__isset;
 }
-KeyReply::KeyReply(KeyReply&& other106) noexcept {
-  verdict = other106.verdict;
-  record = std::move(other106.record);
-  rosterOffset = other106.rosterOffset;
-  __isset = other106.__isset;
+KeyReply::KeyReply(KeyReply&& other110) noexcept {
+  verdict = other110.verdict;
+  record = std::move(other110.record);
+  rosterOffset = other110.rosterOffset;
+  __isset = other110.__isset;
 }
-KeyReply& KeyReply::operator=(const KeyReply& other107) {
-  verdict = other107.verdict;
-  record = other107.record;
-  rosterOffset = other107.rosterOffset;
-  __isset = other107.__isset;
+KeyReply& KeyReply::operator=(const KeyReply& other111) {
+  verdict = other111.verdict;
+  record = other111.record;
+  rosterOffset = other111.rosterOffset;
+  __isset = other111.__isset;
   return *this;
 }
-KeyReply& KeyReply::operator=(KeyReply&& other108) noexcept {
-  verdict = other108.verdict;
-  record = std::move(other108.record);
-  rosterOffset = other108.rosterOffset;
-  __isset = other108.__isset;
+KeyReply& KeyReply::operator=(KeyReply&& other112) noexcept {
+  verdict = other112.verdict;
+  record = std::move(other112.record);
+  rosterOffset = other112.rosterOffset;
+  __isset = other112.__isset;
   return *this;
 }
 void KeyReply::printTo(std::ostream& out) const {
@@ -3919,34 +3994,34 @@
   swap(a.__isset, b.__isset);
 }
 
-QuotaRequest::QuotaRequest(const QuotaRequest& other109) {
-  workspace = other109.workspace;
-  tokens = other109.tokens;
-  returned = other109.returned;
-  isFallback = other109.isFallback;
-  __isset = other109.__isset;
+QuotaRequest::QuotaRequest(const QuotaRequest& other113) {
+  workspace = other113.workspace;
+  tokens = other113.tokens;
+  returned = other113.returned;
+  isFallback = other113.isFallback;
+  __isset = other113.__isset;
 }
-QuotaRequest::QuotaRequest(QuotaRequest&& other110) noexcept {
-  workspace = std::move(other110.workspace);
-  tokens = other110.tokens;
-  returned = other110.returned;
-  isFallback = other110.isFallback;
-  __isset = other110.__isset;
+QuotaRequest::QuotaRequest(QuotaRequest&& other114) noexcept {
+  workspace = std::move(other114.workspace);
+  tokens = other114.tokens;
+  returned = other114.returned;
+  isFallback = other114.isFallback;
+  __isset = other114.__isset;
 }
-QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other111) {
-  workspace = other111.workspace;
-  tokens = other111.tokens;
-  returned = other111.returned;
-  isFallback = other111.isFallback;
-  __isset = other111.__isset;
+QuotaRequest& QuotaRequest::operator=(const QuotaRequest& other115) {
+  workspace = other115.workspace;
+  tokens = other115.tokens;
+  returned = other115.returned;
+  isFallback = other115.isFallback;
+  __isset = other115.__isset;
   return *this;
 }
-QuotaRequest& QuotaRequest::operator=(QuotaRequest&& other112) noexcept {
-  workspace = std::move(other112.workspace);
-  tokens = other112.tokens;
-  returned = other112.returned;
-  isFallback = other112.isFallback;
-  __isset = other112.__isset;
+QuotaRequest& QuotaRequest::operator=(QuotaRequest&& other116) noexcept {
+  workspace = std::move(other116.workspace);
+  tokens = other116.tokens;
+  returned = other116.returned;
+  isFallback = other116.isFallback;
+  __isset = other116.__isset;
   return *this;
 }
 void QuotaRequest::printTo(std::ostream& out) const {
@@ -4069,30 +4144,30 @@
   swap(a.__isset, b.__isset);
 }
 
-QuotaReply::QuotaReply(const QuotaReply& other113) noexcept {
-  tokens = other113.tokens;
-  retryAfterMs = other113.retryAfterMs;
-  isUnknown = other113.isUnknown;
-  __isset = other113.__isset;
+QuotaReply::QuotaReply(const QuotaReply& other117) noexcept {
+  tokens = other117.tokens;
+  retryAfterMs = other117.retryAfterMs;
+  isUnknown = other117.isUnknown;
+  __isset = other117.__isset;
 }
-QuotaReply::QuotaReply(QuotaReply&& other114) noexcept {
-  tokens = other114.tokens;
-  retryAfterMs = other114.retryAfterMs;
-  isUnknown = other114.isUnknown;
-  __isset = other114.__isset;
+QuotaReply::QuotaReply(QuotaReply&& other118) noexcept {
+  tokens = other118.tokens;
+  retryAfterMs = other118.retryAfterMs;
+  isUnknown = other118.isUnknown;
+  __isset = other118.__isset;
 }
-QuotaReply& QuotaReply::operator=(const QuotaReply& other115) noexcept {
-  tokens = other115.tokens;
-  retryAfterMs = other115.retryAfterMs;
-  isUnknown = other115.isUnknown;
-  __isset = other115.__isset;
+QuotaReply& QuotaReply::operator=(const QuotaReply& other119) noexcept {
+  tokens = other119.tokens;
+  retryAfterMs = other119.retryAfterMs;
+  isUnknown = other119.isUnknown;
+  __isset = other119.__isset;
   return *this;
 }
-QuotaReply& QuotaReply::operator=(QuotaReply&& other116) noexcept {
-  tokens = other116.tokens;
-  retryAfterMs = other116.retryAfterMs;
-  isUnknown = other116.isUnknown;
-  __isset = other116.__isset;
+QuotaReply& QuotaReply::operator=(QuotaReply&& other120) noexcept {
+  tokens = other120.tokens;
+  retryAfterMs = other120.retryAfterMs;
+  isUnknown = other120.isUnknown;
+  __isset = other120.__isset;
   return *this;
 }
 void QuotaReply::printTo(std::ostream& out) const {
@@ -4265,42 +4340,42 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointRecord::EndpointRecord(const EndpointRecord& other117) {
-  name = other117.name;
-  workspace = other117.workspace;
-  serviceName = other117.serviceName;
-  slots = other117.slots;
-  generation = other117.generation;
-  state = other117.state;
-  __isset = other117.__isset;
+EndpointRecord::EndpointRecord(const EndpointRecord& other121) {
+  name = other121.name;
+  workspace = other121.workspace;
+  serviceName = other121.serviceName;
+  slots = other121.slots;
+  generation = other121.generation;
+  state = other121.state;
+  __isset = other121.__isset;
 }
-EndpointRecord::EndpointRecord(EndpointRecord&& other118) noexcept {
-  name = std::move(other118.name);
-  workspace = std::move(other118.workspace);
-  serviceName = std::move(other118.serviceName);
-  slots = other118.slots;
-  generation = other118.generation;
-  state = other118.state;
-  __isset = other118.__isset;
+EndpointRecord::EndpointRecord(EndpointRecord&& other122) noexcept {
+  name = std::move(other122.name);
+  workspace = std::move(other122.workspace);
+  serviceName = std::move(other122.serviceName);
+  slots = other122.slots;
+  generation = other122.generation;
+  state = other122.state;
+  __isset = other122.__isset;
 }
-EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other119) {
-  name = other119.name;
-  workspace = other119.workspace;
-  serviceName = other119.serviceName;
-  slots = other119.slots;
-  generation = other119.generation;
-  state = other119.state;
-  __isset = other119.__isset;
+EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other123) {
+  name = other123.name;
+  workspace = other123.workspace;
+  serviceName = other123.serviceName;
+  slots = other123.slots;
+  generation = other123.generation;
+  state = other123.state;
+  __isset = other123.__isset;
   return *this;
 }
-EndpointRecord& EndpointRecord::operator=(EndpointRecord&& other120) noexcept {
-  name = std::move(other120.name);
-  workspace = std::move(other120.workspace);
-  serviceName = std::move(other120.serviceName);
-  slots = other120.slots;
-  generation = other120.generation;
-  state = other120.state;
-  __isset = other120.__isset;
+EndpointRecord& EndpointRecord::operator=(EndpointRecord&& other124) noexcept {
+  name = std::move(other124.name);
+  workspace = std::move(other124.workspace);
+  serviceName = std::move(other124.serviceName);
+  slots = other124.slots;
+  generation = other124.generation;
+  state = other124.state;
+  __isset = other124.__isset;
   return *this;
 }
 void EndpointRecord::printTo(std::ostream& out) const {
@@ -4408,26 +4483,26 @@
   swap(a.__isset, b.__isset);
 }
 
-DepartedRecord::DepartedRecord(const DepartedRecord& other121) {
-  name = other121.name;
-  startedAtMs = other121.startedAtMs;
-  __isset = other121.__isset;
+DepartedRecord::DepartedRecord(const DepartedRecord& other125) {
+  name = other125.name;
+  startedAtMs = other125.startedAtMs;
+  __isset = other125.__isset;
 }
-DepartedRecord::DepartedRecord(DepartedRecord&& other122) noexcept {
-  name = std::move(other122.name);
-  startedAtMs = other122.startedAtMs;
-  __isset = other122.__isset;
+DepartedRecord::DepartedRecord(DepartedRecord&& other126) noexcept {
+  name = std::move(other126.name);
+  startedAtMs = other126.startedAtMs;
+  __isset = other126.__isset;
 }
-DepartedRecord& DepartedRecord::operator=(const DepartedRecord& other123) {
-  name = other123.name;
-  startedAtMs = other123.startedAtMs;
-  __isset = other123.__isset;
+DepartedRecord& DepartedRecord::operator=(const DepartedRecord& other127) {
+  name = other127.name;
+  startedAtMs = other127.startedAtMs;
+  __isset = other127.__isset;
   return *this;
 }
-DepartedRecord& DepartedRecord::operator=(DepartedRecord&& other124) noexcept {
-  name = std::move(other124.name);
-  startedAtMs = other124.startedAtMs;
-  __isset = other124.__isset;
+DepartedRecord& DepartedRecord::operator=(DepartedRecord&& other128) noexcept {
+  name = std::move(other128.name);
+  startedAtMs = other128.startedAtMs;
+  __isset = other128.__isset;
   return *this;
 }
 void DepartedRecord::printTo(std::ostream& out) const {
@@ -4578,14 +4653,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->endpoints.clear();
-            uint32_t _size125;
-            ::apache::thrift::protocol::TType _etype128;
-            xfer += iprot->readListBegin(_etype128, _size125);
-            this->endpoints.resize(_size125);
-            uint32_t _i129;
-            for (_i129 = 0; _i129 < _size125; ++_i129)
+            uint32_t _size129;
+            ::apache::thrift::protocol::TType _etype132;
+            xfer += iprot->readListBegin(_etype132, _size129);
+            this->endpoints.resize(_size129);
+            uint32_t _i133;
+            for (_i133 = 0; _i133 < _size129; ++_i133)
             {
-              xfer += this->endpoints[_i129].read(iprot);
+              xfer += this->endpoints[_i133].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4614,14 +4689,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departed.clear();
-            uint32_t _size130;
-            ::apache::thrift::protocol::TType _etype133;
-            xfer += iprot->readListBegin(_etype133, _size130);
-            this->departed.resize(_size130);
-            uint32_t _i134;
-            for (_i134 = 0; _i134 < _size130; ++_i134)
+            uint32_t _size134;
+            ::apache::thrift::protocol::TType _etype137;
+            xfer += iprot->readListBegin(_etype137, _size134);
+            this->departed.resize(_size134);
+            uint32_t _i138;
+            for (_i138 = 0; _i138 < _size134; ++_i138)
             {
-              xfer += this->departed[_i134].read(iprot);
+              xfer += this->departed[_i138].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4686,10 +4761,10 @@
   xfer += oprot->writeFieldBegin("endpoints", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->endpoints.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter135;
-    for (_iter135 = this->endpoints.begin(); _iter135 != this->endpoints.end(); ++_iter135)
+    std::vector<EndpointRecord> ::const_iterator _iter139;
+    for (_iter139 = this->endpoints.begin(); _iter139 != this->endpoints.end(); ++_iter139)
     {
-      xfer += (*_iter135).write(oprot);
+      xfer += (*_iter139).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4706,10 +4781,10 @@
   xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departed.size()));
-    std::vector<DepartedRecord> ::const_iterator _iter136;
-    for (_iter136 = this->departed.begin(); _iter136 != this->departed.end(); ++_iter136)
+    std::vector<DepartedRecord> ::const_iterator _iter140;
+    for (_iter140 = this->departed.begin(); _iter140 != this->departed.end(); ++_iter140)
     {
-      xfer += (*_iter136).write(oprot);
+      xfer += (*_iter140).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4741,66 +4816,66 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberRecord::MemberRecord(const MemberRecord& other137) {
-  node = other137.node;
-  bootId = other137.bootId;
-  version = other137.version;
-  fleetAddress = other137.fleetAddress;
-  adminAddress = other137.adminAddress;
-  dataCentre = other137.dataCentre;
-  state = other137.state;
-  endpoints = other137.endpoints;
-  settingsOffset = other137.settingsOffset;
-  ledgerOffset = other137.ledgerOffset;
-  departed = other137.departed;
-  linkMbps = other137.linkMbps;
-  __isset = other137.__isset;
-}
-MemberRecord::MemberRecord(MemberRecord&& other138) noexcept {
-  node = std::move(other138.node);
-  bootId = other138.bootId;
-  version = other138.version;
-  fleetAddress = std::move(other138.fleetAddress);
-  adminAddress = std::move(other138.adminAddress);
-  dataCentre = std::move(other138.dataCentre);
-  state = other138.state;
-  endpoints = std::move(other138.endpoints);
-  settingsOffset = other138.settingsOffset;
-  ledgerOffset = other138.ledgerOffset;
-  departed = std::move(other138.departed);
-  linkMbps = other138.linkMbps;
-  __isset = other138.__isset;
-}
-MemberRecord& MemberRecord::operator=(const MemberRecord& other139) {
-  node = other139.node;
-  bootId = other139.bootId;
-  version = other139.version;
-  fleetAddress = other139.fleetAddress;
-  adminAddress = other139.adminAddress;
-  dataCentre = other139.dataCentre;
-  state = other139.state;
-  endpoints = other139.endpoints;
-  settingsOffset = other139.settingsOffset;
-  ledgerOffset = other139.ledgerOffset;
-  departed = other139.departed;
-  linkMbps = other139.linkMbps;
-  __isset = other139.__isset;
+MemberRecord::MemberRecord(const MemberRecord& other141) {
+  node = other141.node;
+  bootId = other141.bootId;
+  version = other141.version;
+  fleetAddress = other141.fleetAddress;
+  adminAddress = other141.adminAddress;
+  dataCentre = other141.dataCentre;
+  state = other141.state;
+  endpoints = other141.endpoints;
+  settingsOffset = other141.settingsOffset;
+  ledgerOffset = other141.ledgerOffset;
+  departed = other141.departed;
+  linkMbps = other141.linkMbps;
+  __isset = other141.__isset;
+}
+MemberRecord::MemberRecord(MemberRecord&& other142) noexcept {
+  node = std::move(other142.node);
+  bootId = other142.bootId;
+  version = other142.version;
+  fleetAddress = std::move(other142.fleetAddress);
+  adminAddress = std::move(other142.adminAddress);
+  dataCentre = std::move(other142.dataCentre);
+  state = other142.state;
+  endpoints = std::move(other142.endpoints);
+  settingsOffset = other142.settingsOffset;
+  ledgerOffset = other142.ledgerOffset;
+  departed = std::move(other142.departed);
+  linkMbps = other142.linkMbps;
+  __isset = other142.__isset;
+}
+MemberRecord& MemberRecord::operator=(const MemberRecord& other143) {
+  node = other143.node;
+  bootId = other143.bootId;
+  version = other143.version;
+  fleetAddress = other143.fleetAddress;
+  adminAddress = other143.adminAddress;
+  dataCentre = other143.dataCentre;
+  state = other143.state;
+  endpoints = other143.endpoints;
+  settingsOffset = other143.settingsOffset;
+  ledgerOffset = other143.ledgerOffset;
+  departed = other143.departed;
+  linkMbps = other143.linkMbps;
+  __isset = other143.__isset;
   return *this;
 }
-MemberRecord& MemberRecord::operator=(MemberRecord&& other140) noexcept {
-  node = std::move(other140.node);
-  bootId = other140.bootId;
-  version = other140.version;
-  fleetAddress = std::move(other140.fleetAddress);
-  adminAddress = std::move(other140.adminAddress);
-  dataCentre = std::move(other140.dataCentre);
-  state = other140.state;
-  endpoints = std::move(other140.endpoints);
-  settingsOffset = other140.settingsOffset;
-  ledgerOffset = other140.ledgerOffset;
-  departed = std::move(other140.departed);
-  linkMbps = other140.linkMbps;
-  __isset = other140.__isset;
+MemberRecord& MemberRecord::operator=(MemberRecord&& other144) noexcept {
+  node = std::move(other144.node);
+  bootId = other144.bootId;
+  version = other144.version;
+  fleetAddress = std::move(other144.fleetAddress);
+  adminAddress = std::move(other144.adminAddress);
+  dataCentre = std::move(other144.dataCentre);
+  state = other144.state;
+  endpoints = std::move(other144.endpoints);
+  settingsOffset = other144.settingsOffset;
+  ledgerOffset = other144.ledgerOffset;
+  departed = std::move(other144.departed);
+  linkMbps = other144.linkMbps;
+  __isset = other144.__isset;
   return *this;
 }
 void MemberRecord::printTo(std::ostream& out) const {
@@ -4887,17 +4962,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->crashes.clear();
-            uint32_t _size141;
-            ::apache::thrift::protocol::TType _ktype142;
-            ::apache::thrift::protocol::TType _vtype143;
-            xfer += iprot->readMapBegin(_ktype142, _vtype143, _size141);
-            uint32_t _i145;
-            for (_i145 = 0; _i145 < _size141; ++_i145)
+            uint32_t _size145;
+            ::apache::thrift::protocol::TType _ktype146;
+            ::apache::thrift::protocol::TType _vtype147;
+            xfer += iprot->readMapBegin(_ktype146, _vtype147, _size145);
+            uint32_t _i149;
+            for (_i149 = 0; _i149 < _size145; ++_i149)
             {
-              std::string _key146;
-              xfer += iprot->readString(_key146);
-              int32_t& _val147 = this->crashes[_key146];
-              xfer += iprot->readI32(_val147);
+              std::string _key150;
+              xfer += iprot->readString(_key150);
+              int32_t& _val151 = this->crashes[_key150];
+              xfer += iprot->readI32(_val151);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4918,17 +4993,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->crashAgesMs.clear();
-            uint32_t _size148;
-            ::apache::thrift::protocol::TType _ktype149;
-            ::apache::thrift::protocol::TType _vtype150;
-            xfer += iprot->readMapBegin(_ktype149, _vtype150, _size148);
-            uint32_t _i152;
-            for (_i152 = 0; _i152 < _size148; ++_i152)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _ktype153;
+            ::apache::thrift::protocol::TType _vtype154;
+            xfer += iprot->readMapBegin(_ktype153, _vtype154, _size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              std::string _key153;
-              xfer += iprot->readString(_key153);
-              int64_t& _val154 = this->crashAgesMs[_key153];
-              xfer += iprot->readI64(_val154);
+              std::string _key157;
+              xfer += iprot->readString(_key157);
+              int64_t& _val158 = this->crashAgesMs[_key157];
+              xfer += iprot->readI64(_val158);
             }
             xfer += iprot->readMapEnd();
           }
@@ -4969,11 +5044,11 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_MAP, 2);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->crashes.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter155;
-    for (_iter155 = this->crashes.begin(); _iter155 != this->crashes.end(); ++_iter155)
+    std::map<std::string, int32_t> ::const_iterator _iter159;
+    for (_iter159 = this->crashes.begin(); _iter159 != this->crashes.end(); ++_iter159)
     {
-      xfer += oprot->writeString(_iter155->first);
-      xfer += oprot->writeI32(_iter155->second);
+      xfer += oprot->writeString(_iter159->first);
+      xfer += oprot->writeI32(_iter159->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -4987,11 +5062,11 @@
     xfer += oprot->writeFieldBegin("crashAgesMs", ::apache::thrift::protocol::T_MAP, 4);
     {
       xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->crashAgesMs.size()));
-      std::map<std::string, int64_t> ::const_iterator _iter156;
-      for (_iter156 = this->crashAgesMs.begin(); _iter156 != this->crashAgesMs.end(); ++_iter156)
+      std::map<std::string, int64_t> ::const_iterator _iter160;
+      for (_iter160 = this->crashAgesMs.begin(); _iter160 != this->crashAgesMs.end(); ++_iter160)
       {
-        xfer += oprot->writeString(_iter156->first);
-        xfer += oprot->writeI64(_iter156->second);
+        xfer += oprot->writeString(_iter160->first);
+        xfer += oprot->writeI64(_iter160->second);
       }
       xfer += oprot->writeMapEnd();
     }
@@ -5017,38 +5092,38 @@
   swap(a.__isset, b.__isset);
 }
 
-QuarantineRecord::QuarantineRecord(const QuarantineRecord& other157) {
-  fingerprint = other157.fingerprint;
-  crashes = other157.crashes;
-  remainingMs = other157.remainingMs;
-  crashAgesMs = other157.crashAgesMs;
-  completedAgeMs = other157.completedAgeMs;
-  __isset = other157.__isset;
-}
-QuarantineRecord::QuarantineRecord(QuarantineRecord&& other158) noexcept {
-  fingerprint = other158.fingerprint;
-  crashes = std::move(other158.crashes);
-  remainingMs = other158.remainingMs;
-  crashAgesMs = std::move(other158.crashAgesMs);
-  completedAgeMs = other158.completedAgeMs;
-  __isset = other158.__isset;
-}
-QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other159) {
-  fingerprint = other159.fingerprint;
-  crashes = other159.crashes;
-  remainingMs = other159.remainingMs;
-  crashAgesMs = other159.crashAgesMs;
-  completedAgeMs = other159.completedAgeMs;
-  __isset = other159.__isset;
+QuarantineRecord::QuarantineRecord(const QuarantineRecord& other161) {
+  fingerprint = other161.fingerprint;
+  crashes = other161.crashes;
+  remainingMs = other161.remainingMs;
+  crashAgesMs = other161.crashAgesMs;
+  completedAgeMs = other161.completedAgeMs;
+  __isset = other161.__isset;
+}
+QuarantineRecord::QuarantineRecord(QuarantineRecord&& other162) noexcept {
+  fingerprint = other162.fingerprint;
+  crashes = std::move(other162.crashes);
+  remainingMs = other162.remainingMs;
+  crashAgesMs = std::move(other162.crashAgesMs);
+  completedAgeMs = other162.completedAgeMs;
+  __isset = other162.__isset;
+}
+QuarantineRecord& QuarantineRecord::operator=(const QuarantineRecord& other163) {
+  fingerprint = other163.fingerprint;
+  crashes = other163.crashes;
+  remainingMs = other163.remainingMs;
+  crashAgesMs = other163.crashAgesMs;
+  completedAgeMs = other163.completedAgeMs;
+  __isset = other163.__isset;
   return *this;
 }
-QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other160) noexcept {
-  fingerprint = other160.fingerprint;
-  crashes = std::move(other160.crashes);
-  remainingMs = other160.remainingMs;
-  crashAgesMs = std::move(other160.crashAgesMs);
-  completedAgeMs = other160.completedAgeMs;
-  __isset = other160.__isset;
+QuarantineRecord& QuarantineRecord::operator=(QuarantineRecord&& other164) noexcept {
+  fingerprint = other164.fingerprint;
+  crashes = std::move(other164.crashes);
+  remainingMs = other164.remainingMs;
+  crashAgesMs = std::move(other164.crashAgesMs);
+  completedAgeMs = other164.completedAgeMs;
+  __isset = other164.__isset;
   return *this;
 }
 void QuarantineRecord::printTo(std::ostream& out) const {
@@ -5155,26 +5230,26 @@
   swap(a.__isset, b.__isset);
 }
 
-MemberUpdate::MemberUpdate(const MemberUpdate& other161) {
-  record = other161.record;
-  state = other161.state;
-  __isset = other161.__isset;
+MemberUpdate::MemberUpdate(const MemberUpdate& other165) {
+  record = other165.record;
+  state = other165.state;
+  __isset = other165.__isset;
 }
-MemberUpdate::MemberUpdate(MemberUpdate&& other162) noexcept {
-  record = std::move(other162.record);
-  state = other162.state;
-  __isset = other162.__isset;
+MemberUpdate::MemberUpdate(MemberUpdate&& other166) noexcept {
+  record = std::move(other166.record);
+  state = other166.state;
+  __isset = other166.__isset;
 }
-MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other163) {
-  record = other163.record;
-  state = other163.state;
-  __isset = other163.__isset;
+MemberUpdate& MemberUpdate::operator=(const MemberUpdate& other167) {
+  record = other167.record;
+  state = other167.state;
+  __isset = other167.__isset;
   return *this;
 }
-MemberUpdate& MemberUpdate::operator=(MemberUpdate&& other164) noexcept {
-  record = std::move(other164.record);
-  state = other164.state;
-  __isset = other164.__isset;
+MemberUpdate& MemberUpdate::operator=(MemberUpdate&& other168) noexcept {
+  record = std::move(other168.record);
+  state = other168.state;
+  __isset = other168.__isset;
   return *this;
 }
 void MemberUpdate::printTo(std::ostream& out) const {
@@ -5261,17 +5336,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->states.clear();
-            uint32_t _size165;
-            ::apache::thrift::protocol::TType _ktype166;
-            ::apache::thrift::protocol::TType _vtype167;
-            xfer += iprot->readMapBegin(_ktype166, _vtype167, _size165);
-            uint32_t _i169;
-            for (_i169 = 0; _i169 < _size165; ++_i169)
+            uint32_t _size169;
+            ::apache::thrift::protocol::TType _ktype170;
+            ::apache::thrift::protocol::TType _vtype171;
+            xfer += iprot->readMapBegin(_ktype170, _vtype171, _size169);
+            uint32_t _i173;
+            for (_i173 = 0; _i173 < _size169; ++_i173)
             {
-              std::string _key170;
-              xfer += iprot->readString(_key170);
-              int32_t& _val171 = this->states[_key170];
-              xfer += iprot->readI32(_val171);
+              std::string _key174;
+              xfer += iprot->readString(_key174);
+              int32_t& _val175 = this->states[_key174];
+              xfer += iprot->readI32(_val175);
             }
             xfer += iprot->readMapEnd();
           }
@@ -5312,11 +5387,11 @@
   xfer += oprot->writeFieldBegin("states", ::apache::thrift::protocol::T_MAP, 4);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->states.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter172;
-    for (_iter172 = this->states.begin(); _iter172 != this->states.end(); ++_iter172)
+    std::map<std::string, int32_t> ::const_iterator _iter176;
+    for (_iter176 = this->states.begin(); _iter176 != this->states.end(); ++_iter176)
     {
-      xfer += oprot->writeString(_iter172->first);
-      xfer += oprot->writeI32(_iter172->second);
+      xfer += oprot->writeString(_iter176->first);
+      xfer += oprot->writeI32(_iter176->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -5336,34 +5411,34 @@
   swap(a.__isset, b.__isset);
 }
 
-StandingReport::StandingReport(const StandingReport& other173) {
-  node = other173.node;
-  bootId = other173.bootId;
-  sequence = other173.sequence;
-  states = other173.states;
-  __isset = other173.__isset;
-}
-StandingReport::StandingReport(StandingReport&& other174) noexcept {
-  node = std::move(other174.node);
-  bootId = other174.bootId;
-  sequence = other174.sequence;
-  states = std::move(other174.states);
-  __isset = other174.__isset;
-}
-StandingReport& StandingReport::operator=(const StandingReport& other175) {
-  node = other175.node;
-  bootId = other175.bootId;
-  sequence = other175.sequence;
-  states = other175.states;
-  __isset = other175.__isset;
+StandingReport::StandingReport(const StandingReport& other177) {
+  node = other177.node;
+  bootId = other177.bootId;
+  sequence = other177.sequence;
+  states = other177.states;
+  __isset = other177.__isset;
+}
+StandingReport::StandingReport(StandingReport&& other178) noexcept {
+  node = std::move(other178.node);
+  bootId = other178.bootId;
+  sequence = other178.sequence;
+  states = std::move(other178.states);
+  __isset = other178.__isset;
+}
+StandingReport& StandingReport::operator=(const StandingReport& other179) {
+  node = other179.node;
+  bootId = other179.bootId;
+  sequence = other179.sequence;
+  states = other179.states;
+  __isset = other179.__isset;
   return *this;
 }
-StandingReport& StandingReport::operator=(StandingReport&& other176) noexcept {
-  node = std::move(other176.node);
-  bootId = other176.bootId;
-  sequence = other176.sequence;
-  states = std::move(other176.states);
-  __isset = other176.__isset;
+StandingReport& StandingReport::operator=(StandingReport&& other180) noexcept {
+  node = std::move(other180.node);
+  bootId = other180.bootId;
+  sequence = other180.sequence;
+  states = std::move(other180.states);
+  __isset = other180.__isset;
   return *this;
 }
 void StandingReport::printTo(std::ostream& out) const {
@@ -5470,9 +5545,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast177;
-          xfer += iprot->readI32(ecast177);
-          this->kind = static_cast<GossipKind::type>(ecast177);
+          int32_t ecast181;
+          xfer += iprot->readI32(ecast181);
+          this->kind = static_cast<GossipKind::type>(ecast181);
           this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -5514,14 +5589,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->updates.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size182;
+            ::apache::thrift::protocol::TType _etype185;
+            xfer += iprot->readListBegin(_etype185, _size182);
+            this->updates.resize(_size182);
+            uint32_t _i186;
+            for (_i186 = 0; _i186 < _size182; ++_i186)
             {
-              xfer += this->updates[_i182].read(iprot);
+              xfer += this->updates[_i186].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5534,14 +5609,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size183;
-            ::apache::thrift::protocol::TType _etype186;
-            xfer += iprot->readListBegin(_etype186, _size183);
-            this->buckets.resize(_size183);
-            uint32_t _i187;
-            for (_i187 = 0; _i187 < _size183; ++_i187)
+            uint32_t _size187;
+            ::apache::thrift::protocol::TType _etype190;
+            xfer += iprot->readListBegin(_etype190, _size187);
+            this->buckets.resize(_size187);
+            uint32_t _i191;
+            for (_i191 = 0; _i191 < _size187; ++_i191)
             {
-              xfer += iprot->readI64(this->buckets[_i187]);
+              xfer += iprot->readI64(this->buckets[_i191]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5554,14 +5629,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quarantines.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->quarantines.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size192;
+            ::apache::thrift::protocol::TType _etype195;
+            xfer += iprot->readListBegin(_etype195, _size192);
+            this->quarantines.resize(_size192);
+            uint32_t _i196;
+            for (_i196 = 0; _i196 < _size192; ++_i196)
             {
-              xfer += this->quarantines[_i192].read(iprot);
+              xfer += this->quarantines[_i196].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5658,10 +5733,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<MemberUpdate> ::const_iterator _iter193;
-    for (_iter193 = this->updates.begin(); _iter193 != this->updates.end(); ++_iter193)
+    std::vector<MemberUpdate> ::const_iterator _iter197;
+    for (_iter197 = this->updates.begin(); _iter197 != this->updates.end(); ++_iter197)
     {
-      xfer += (*_iter193).write(oprot);
+      xfer += (*_iter197).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5670,10 +5745,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int64_t> ::const_iterator _iter194;
-    for (_iter194 = this->buckets.begin(); _iter194 != this->buckets.end(); ++_iter194)
+    std::vector<int64_t> ::const_iterator _iter198;
+    for (_iter198 = this->buckets.begin(); _iter198 != this->buckets.end(); ++_iter198)
     {
-      xfer += oprot->writeI64((*_iter194));
+      xfer += oprot->writeI64((*_iter198));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5682,10 +5757,10 @@
   xfer += oprot->writeFieldBegin("quarantines", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quarantines.size()));
-    std::vector<QuarantineRecord> ::const_iterator _iter195;
-    for (_iter195 = this->quarantines.begin(); _iter195 != this->quarantines.end(); ++_iter195)
+    std::vector<QuarantineRecord> ::const_iterator _iter199;
+    for (_iter199 = this->quarantines.begin(); _iter199 != this->quarantines.end(); ++_iter199)
     {
-      xfer += (*_iter195).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5743,74 +5818,74 @@
   swap(a.__isset, b.__isset);
 }
 
-Gossip::Gossip(const Gossip& other196) {
-  kind = other196.kind;
-  sender = other196.sender;
-  senderAddress = other196.senderAddress;
-  sequence = other196.sequence;
-  target = other196.target;
-  updates = other196.updates;
-  buckets = other196.buckets;
-  quarantines = other196.quarantines;
-  settingsNext = other196.settingsNext;
-  standings = other196.standings;
-  isSettingsFresh = other196.isSettingsFresh;
-  settingsAgeMs = other196.settingsAgeMs;
-  sourceIncarnation = other196.sourceIncarnation;
-  isReadingSettings = other196.isReadingSettings;
-  __isset = other196.__isset;
-}
-Gossip::Gossip(Gossip&& other197) noexcept {
-  kind = other197.kind;
-  sender = std::move(other197.sender);
-  senderAddress = std::move(other197.senderAddress);
-  sequence = other197.sequence;
-  target = std::move(other197.target);
-  updates = std::move(other197.updates);
-  buckets = std::move(other197.buckets);
-  quarantines = std::move(other197.quarantines);
-  settingsNext = other197.settingsNext;
-  standings = std::move(other197.standings);
-  isSettingsFresh = other197.isSettingsFresh;
-  settingsAgeMs = other197.settingsAgeMs;
-  sourceIncarnation = other197.sourceIncarnation;
-  isReadingSettings = other197.isReadingSettings;
-  __isset = other197.__isset;
-}
-Gossip& Gossip::operator=(const Gossip& other198) {
-  kind = other198.kind;
-  sender = other198.sender;
-  senderAddress = other198.senderAddress;
-  sequence = other198.sequence;
-  target = other198.target;
-  updates = other198.updates;
-  buckets = other198.buckets;
-  quarantines = other198.quarantines;
-  settingsNext = other198.settingsNext;
-  standings = other198.standings;
-  isSettingsFresh = other198.isSettingsFresh;
-  settingsAgeMs = other198.settingsAgeMs;
-  sourceIncarnation = other198.sourceIncarnation;
-  isReadingSettings = other198.isReadingSettings;
-  __isset = other198.__isset;
+Gossip::Gossip(const Gossip& other200) {
+  kind = other200.kind;
+  sender = other200.sender;
+  senderAddress = other200.senderAddress;
+  sequence = other200.sequence;
+  target = other200.target;
+  updates = other200.updates;
+  buckets = other200.buckets;
+  quarantines = other200.quarantines;
+  settingsNext = other200.settingsNext;
+  standings = other200.standings;
+  isSettingsFresh = other200.isSettingsFresh;
+  settingsAgeMs = other200.settingsAgeMs;
+  sourceIncarnation = other200.sourceIncarnation;
+  isReadingSettings = other200.isReadingSettings;
+  __isset = other200.__isset;
+}
+Gossip::Gossip(Gossip&& other201) noexcept {
+  kind = other201.kind;
+  sender = std::move(other201.sender);
+  senderAddress = std::move(other201.senderAddress);
+  sequence = other201.sequence;
+  target = std::move(other201.target);
+  updates = std::move(other201.updates);
+  buckets = std::move(other201.buckets);
+  quarantines = std::move(other201.quarantines);
+  settingsNext = other201.settingsNext;
+  standings = std::move(other201.standings);
+  isSettingsFresh = other201.isSettingsFresh;
+  settingsAgeMs = other201.settingsAgeMs;
+  sourceIncarnation = other201.sourceIncarnation;
+  isReadingSettings = other201.isReadingSettings;
+  __isset = other201.__isset;
+}
+Gossip& Gossip::operator=(const Gossip& other202) {
+  kind = other202.kind;
+  sender = other202.sender;
+  senderAddress = other202.senderAddress;
+  sequence = other202.sequence;
+  target = other202.target;
+  updates = other202.updates;
+  buckets = other202.buckets;
+  quarantines = other202.quarantines;
+  settingsNext = other202.settingsNext;
+  standings = other202.standings;
+  isSettingsFresh = other202.isSettingsFresh;
+  settingsAgeMs = other202.settingsAgeMs;
+  sourceIncarnation = other202.sourceIncarnation;
+  isReadingSettings = other202.isReadingSettings;
+  __isset = other202.__isset;
   return *this;
 }
-Gossip& Gossip::operator=(Gossip&& other199) noexcept {
-  kind = other199.kind;
-  sender = std::move(other199.sender);
-  senderAddress = std::move(other199.senderAddress);
-  sequence = other199.sequence;
-  target = std::move(other199.target);
-  updates = std::move(other199.updates);
-  buckets = std::move(other199.buckets);
-  quarantines = std::move(other199.quarantines);
-  settingsNext = other199.settingsNext;
-  standings = std::move(other199.standings);
-  isSettingsFresh = other199.isSettingsFresh;
-  settingsAgeMs = other199.settingsAgeMs;
-  sourceIncarnation = other199.sourceIncarnation;
-  isReadingSettings = other199.isReadingSettings;
-  __isset = other199.__isset;
+Gossip& Gossip::operator=(Gossip&& other203) noexcept {
+  kind = other203.kind;
+  sender = std::move(other203.sender);
+  senderAddress = std::move(other203.senderAddress);
+  sequence = other203.sequence;
+  target = std::move(other203.target);
+  updates = std::move(other203.updates);
+  buckets = std::move(other203.buckets);
+  quarantines = std::move(other203.quarantines);
+  settingsNext = other203.settingsNext;
+  standings = std::move(other203.standings);
+  isSettingsFresh = other203.isSettingsFresh;
+  settingsAgeMs = other203.settingsAgeMs;
+  sourceIncarnation = other203.sourceIncarnation;
+  isReadingSettings = other203.isReadingSettings;
+  __isset = other203.__isset;
   return *this;
 }
 void Gossip::printTo(std::ostream& out) const {
@@ -5977,38 +6052,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SettingsEntry::SettingsEntry(const SettingsEntry& other200) {
-  path = other200.path;
-  value = other200.value;
-  revision = other200.revision;
-  writtenOffset = other200.writtenOffset;
-  writtenAtMs = other200.writtenAtMs;
-  __isset = other200.__isset;
+SettingsEntry::SettingsEntry(const SettingsEntry& other204) {
+  path = other204.path;
+  value = other204.value;
+  revision = other204.revision;
+  writtenOffset = other204.writtenOffset;
+  writtenAtMs = other204.writtenAtMs;
+  __isset = other204.__isset;
 }
-SettingsEntry::SettingsEntry(SettingsEntry&& other201) noexcept {
-  path = std::move(other201.path);
-  value = std::move(other201.value);
-  revision = other201.revision;
-  writtenOffset = other201.writtenOffset;
-  writtenAtMs = other201.writtenAtMs;
-  __isset = other201.__isset;
+SettingsEntry::SettingsEntry(SettingsEntry&& other205) noexcept {
+  path = std::move(other205.path);
+  value = std::move(other205.value);
+  revision = other205.revision;
+  writtenOffset = other205.writtenOffset;
+  writtenAtMs = other205.writtenAtMs;
+  __isset = other205.__isset;
 }
-SettingsEntry& SettingsEntry::operator=(const SettingsEntry& other202) {
-  path = other202.path;
-  value = other202.value;
-  revision = other202.revision;
-  writtenOffset = other202.writtenOffset;
-  writtenAtMs = other202.writtenAtMs;
-  __isset = other202.__isset;
+SettingsEntry& SettingsEntry::operator=(const SettingsEntry& other206) {
+  path = other206.path;
+  value = other206.value;
+  revision = other206.revision;
+  writtenOffset = other206.writtenOffset;
+  writtenAtMs = other206.writtenAtMs;
+  __isset = other206.__isset;
   return *this;
 }
-SettingsEntry& SettingsEntry::operator=(SettingsEntry&& other203) noexcept {
-  path = std::move(other203.path);
-  value = std::move(other203.value);
-  revision = other203.revision;
-  writtenOffset = other203.writtenOffset;
-  writtenAtMs = other203.writtenAtMs;
-  __isset = other203.__isset;
+SettingsEntry& SettingsEntry::operator=(SettingsEntry&& other207) noexcept {
+  path = std::move(other207.path);
+  value = std::move(other207.value);
+  revision = other207.revision;
+  writtenOffset = other207.writtenOffset;
+  writtenAtMs = other207.writtenAtMs;
+  __isset = other207.__isset;
   return *this;
 }
 void SettingsEntry::printTo(std::ostream& out) const {
@@ -6149,34 +6224,34 @@
   swap(a.__isset, b.__isset);
 }
 
-VerdictRecord::VerdictRecord(const VerdictRecord& other204) {
-  changeId = other204.changeId;
-  path = other204.path;
-  outcome = other204.outcome;
-  revision = other204.revision;
-  __isset = other204.__isset;
+VerdictRecord::VerdictRecord(const VerdictRecord& other208) {
+  changeId = other208.changeId;
+  path = other208.path;
+  outcome = other208.outcome;
+  revision = other208.revision;
+  __isset = other208.__isset;
 }
-VerdictRecord::VerdictRecord(VerdictRecord&& other205) noexcept {
-  changeId = std::move(other205.changeId);
-  path = std::move(other205.path);
-  outcome = other205.outcome;
-  revision = other205.revision;
-  __isset = other205.__isset;
+VerdictRecord::VerdictRecord(VerdictRecord&& other209) noexcept {
+  changeId = std::move(other209.changeId);
+  path = std::move(other209.path);
+  outcome = other209.outcome;
+  revision = other209.revision;
+  __isset = other209.__isset;
 }
-VerdictRecord& VerdictRecord::operator=(const VerdictRecord& other206) {
-  changeId = other206.changeId;
-  path = other206.path;
-  outcome = other206.outcome;
-  revision = other206.revision;
-  __isset = other206.__isset;
+VerdictRecord& VerdictRecord::operator=(const VerdictRecord& other210) {
+  changeId = other210.changeId;
+  path = other210.path;
+  outcome = other210.outcome;
+  revision = other210.revision;
+  __isset = other210.__isset;
   return *this;
 }
-VerdictRecord& VerdictRecord::operator=(VerdictRecord&& other207) noexcept {
-  changeId = std::move(other207.changeId);
-  path = std::move(other207.path);
-  outcome = other207.outcome;
-  revision = other207.revision;
-  __isset = other207.__isset;
+VerdictRecord& VerdictRecord::operator=(VerdictRecord&& other211) noexcept {
+  changeId = std::move(other211.changeId);
+  path = std::move(other211.path);
+  outcome = other211.outcome;
+  revision = other211.revision;
+  __isset = other211.__isset;
   return *this;
 }
 void VerdictRecord::printTo(std::ostream& out) const {
@@ -6267,22 +6342,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other208) {
-  digest = other208.digest;
-  __isset = other208.__isset;
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other212) {
+  digest = other212.digest;
+  __isset = other212.__isset;
 }
-SnapshotRequest::SnapshotRequest(SnapshotRequest&& other209) noexcept {
-  digest = std::move(other209.digest);
-  __isset = other209.__isset;
+SnapshotRequest::SnapshotRequest(SnapshotRequest&& other213) noexcept {
+  digest = std::move(other213.digest);
+  __isset = other213.__isset;
 }
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other210) {
-  digest = other210.digest;
-  __isset = other210.__isset;
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other214) {
+  digest = other214.digest;
+  __isset = other214.__isset;
   return *this;
 }
-SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other211) noexcept {
-  digest = std::move(other211.digest);
-  __isset = other211.__isset;
+SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other215) noexcept {
+  digest = std::move(other215.digest);
+  __isset = other215.__isset;
   return *this;
 }
 void SnapshotRequest::printTo(std::ostream& out) const {
@@ -6360,14 +6435,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size212;
-            ::apache::thrift::protocol::TType _etype215;
-            xfer += iprot->readListBegin(_etype215, _size212);
-            this->entries.resize(_size212);
-            uint32_t _i216;
-            for (_i216 = 0; _i216 < _size212; ++_i216)
+            uint32_t _size216;
+            ::apache::thrift::protocol::TType _etype219;
+            xfer += iprot->readListBegin(_etype219, _size216);
+            this->entries.resize(_size216);
+            uint32_t _i220;
+            for (_i220 = 0; _i220 < _size216; ++_i220)
             {
-              xfer += this->entries[_i216].read(iprot);
+              xfer += this->entries[_i220].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6380,14 +6455,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->verdicts.clear();
-            uint32_t _size217;
-            ::apache::thrift::protocol::TType _etype220;
-            xfer += iprot->readListBegin(_etype220, _size217);
-            this->verdicts.resize(_size217);
-            uint32_t _i221;
-            for (_i221 = 0; _i221 < _size217; ++_i221)
+            uint32_t _size221;
+            ::apache::thrift::protocol::TType _etype224;
+            xfer += iprot->readListBegin(_etype224, _size221);
+            this->verdicts.resize(_size221);
+            uint32_t _i225;
+            for (_i225 = 0; _i225 < _size221; ++_i225)
             {
-              xfer += this->verdicts[_i221].read(iprot);
+              xfer += this->verdicts[_i225].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6408,14 +6483,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size222;
-            ::apache::thrift::protocol::TType _etype225;
-            xfer += iprot->readListBegin(_etype225, _size222);
-            this->buckets.resize(_size222);
-            uint32_t _i226;
-            for (_i226 = 0; _i226 < _size222; ++_i226)
+            uint32_t _size226;
+            ::apache::thrift::protocol::TType _etype229;
+            xfer += iprot->readListBegin(_etype229, _size226);
+            this->buckets.resize(_size226);
+            uint32_t _i230;
+            for (_i230 = 0; _i230 < _size226; ++_i230)
             {
-              xfer += iprot->readI32(this->buckets[_i226]);
+              xfer += iprot->readI32(this->buckets[_i230]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6456,10 +6531,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<SettingsEntry> ::const_iterator _iter227;
-    for (_iter227 = this->entries.begin(); _iter227 != this->entries.end(); ++_iter227)
+    std::vector<SettingsEntry> ::const_iterator _iter231;
+    for (_iter231 = this->entries.begin(); _iter231 != this->entries.end(); ++_iter231)
     {
-      xfer += (*_iter227).write(oprot);
+      xfer += (*_iter231).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6468,10 +6543,10 @@
   xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
-    std::vector<VerdictRecord> ::const_iterator _iter228;
-    for (_iter228 = this->verdicts.begin(); _iter228 != this->verdicts.end(); ++_iter228)
+    std::vector<VerdictRecord> ::const_iterator _iter232;
+    for (_iter232 = this->verdicts.begin(); _iter232 != this->verdicts.end(); ++_iter232)
     {
-      xfer += (*_iter228).write(oprot);
+      xfer += (*_iter232).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6484,10 +6559,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<int32_t> ::const_iterator _iter229;
-    for (_iter229 = this->buckets.begin(); _iter229 != this->buckets.end(); ++_iter229)
+    std::vector<int32_t> ::const_iterator _iter233;
+    for (_iter233 = this->buckets.begin(); _iter233 != this->buckets.end(); ++_iter233)
     {
-      xfer += oprot->writeI32((*_iter229));
+      xfer += oprot->writeI32((*_iter233));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6513,42 +6588,42 @@
   swap(a.__isset, b.__isset);
 }
 
-Snapshot::Snapshot(const Snapshot& other230) {
-  settingsOffset = other230.settingsOffset;
-  entries = other230.entries;
-  verdicts = other230.verdicts;
-  bucketCount = other230.bucketCount;
-  buckets = other230.buckets;
-  treeHash = other230.treeHash;
-  __isset = other230.__isset;
-}
-Snapshot::Snapshot(Snapshot&& other231) noexcept {
-  settingsOffset = other231.settingsOffset;
-  entries = std::move(other231.entries);
-  verdicts = std::move(other231.verdicts);
-  bucketCount = other231.bucketCount;
-  buckets = std::move(other231.buckets);
-  treeHash = other231.treeHash;
-  __isset = other231.__isset;
-}
-Snapshot& Snapshot::operator=(const Snapshot& other232) {
-  settingsOffset = other232.settingsOffset;
-  entries = other232.entries;
-  verdicts = other232.verdicts;
-  bucketCount = other232.bucketCount;
-  buckets = other232.buckets;
-  treeHash = other232.treeHash;
-  __isset = other232.__isset;
+Snapshot::Snapshot(const Snapshot& other234) {
+  settingsOffset = other234.settingsOffset;
+  entries = other234.entries;
+  verdicts = other234.verdicts;
+  bucketCount = other234.bucketCount;
+  buckets = other234.buckets;
+  treeHash = other234.treeHash;
+  __isset = other234.__isset;
+}
+Snapshot::Snapshot(Snapshot&& other235) noexcept {
+  settingsOffset = other235.settingsOffset;
+  entries = std::move(other235.entries);
+  verdicts = std::move(other235.verdicts);
+  bucketCount = other235.bucketCount;
+  buckets = std::move(other235.buckets);
+  treeHash = other235.treeHash;
+  __isset = other235.__isset;
+}
+Snapshot& Snapshot::operator=(const Snapshot& other236) {
+  settingsOffset = other236.settingsOffset;
+  entries = other236.entries;
+  verdicts = other236.verdicts;
+  bucketCount = other236.bucketCount;
+  buckets = other236.buckets;
+  treeHash = other236.treeHash;
+  __isset = other236.__isset;
   return *this;
 }
-Snapshot& Snapshot::operator=(Snapshot&& other233) noexcept {
-  settingsOffset = other233.settingsOffset;
-  entries = std::move(other233.entries);
-  verdicts = std::move(other233.verdicts);
-  bucketCount = other233.bucketCount;
-  buckets = std::move(other233.buckets);
-  treeHash = other233.treeHash;
-  __isset = other233.__isset;
+Snapshot& Snapshot::operator=(Snapshot&& other237) noexcept {
+  settingsOffset = other237.settingsOffset;
+  entries = std::move(other237.entries);
+  verdicts = std::move(other237.verdicts);
+  bucketCount = other237.bucketCount;
+  buckets = std::move(other237.buckets);
+  treeHash = other237.treeHash;
+  __isset = other237.__isset;
   return *this;
 }
 void Snapshot::printTo(std::ostream& out) const {
@@ -6656,26 +6731,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SourcePosition::SourcePosition(const SourcePosition& other234) noexcept {
-  offset = other234.offset;
-  incarnation = other234.incarnation;
-  __isset = other234.__isset;
+SourcePosition::SourcePosition(const SourcePosition& other238) noexcept {
+  offset = other238.offset;
+  incarnation = other238.incarnation;
+  __isset = other238.__isset;
 }
-SourcePosition::SourcePosition(SourcePosition&& other235) noexcept {
-  offset = other235.offset;
-  incarnation = other235.incarnation;
-  __isset = other235.__isset;
+SourcePosition::SourcePosition(SourcePosition&& other239) noexcept {
+  offset = other239.offset;
+  incarnation = other239.incarnation;
+  __isset = other239.__isset;
 }
-SourcePosition& SourcePosition::operator=(const SourcePosition& other236) noexcept {
-  offset = other236.offset;
-  incarnation = other236.incarnation;
-  __isset = other236.__isset;
+SourcePosition& SourcePosition::operator=(const SourcePosition& other240) noexcept {
+  offset = other240.offset;
+  incarnation = other240.incarnation;
+  __isset = other240.__isset;
   return *this;
 }
-SourcePosition& SourcePosition::operator=(SourcePosition&& other237) noexcept {
-  offset = other237.offset;
-  incarnation = other237.incarnation;
-  __isset = other237.__isset;
+SourcePosition& SourcePosition::operator=(SourcePosition&& other241) noexcept {
+  offset = other241.offset;
+  incarnation = other241.incarnation;
+  __isset = other241.__isset;
   return *this;
 }
 void SourcePosition::printTo(std::ostream& out) const {
@@ -6851,42 +6926,42 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotHead::SnapshotHead(const SnapshotHead& other238) noexcept {
-  settingsOffset = other238.settingsOffset;
-  contentBytes = other238.contentBytes;
-  plainBytes = other238.plainBytes;
-  isBusy = other238.isBusy;
-  position = other238.position;
-  settingsAgeMs = other238.settingsAgeMs;
-  __isset = other238.__isset;
+SnapshotHead::SnapshotHead(const SnapshotHead& other242) noexcept {
+  settingsOffset = other242.settingsOffset;
+  contentBytes = other242.contentBytes;
+  plainBytes = other242.plainBytes;
+  isBusy = other242.isBusy;
+  position = other242.position;
+  settingsAgeMs = other242.settingsAgeMs;
+  __isset = other242.__isset;
 }
-SnapshotHead::SnapshotHead(SnapshotHead&& other239) noexcept {
-  settingsOffset = other239.settingsOffset;
-  contentBytes = other239.contentBytes;
-  plainBytes = other239.plainBytes;
-  isBusy = other239.isBusy;
-  position = std::move(other239.position);
-  settingsAgeMs = other239.settingsAgeMs;
-  __isset = other239.__isset;
+SnapshotHead::SnapshotHead(SnapshotHead&& other243) noexcept {
+  settingsOffset = other243.settingsOffset;
+  contentBytes = other243.contentBytes;
+  plainBytes = other243.plainBytes;
+  isBusy = other243.isBusy;
+  position = std::move(other243.position);
+  settingsAgeMs = other243.settingsAgeMs;
+  __isset = other243.__isset;
 }
-SnapshotHead& SnapshotHead::operator=(const SnapshotHead& other240) noexcept {
-  settingsOffset = other240.settingsOffset;
-  contentBytes = other240.contentBytes;
-  plainBytes = other240.plainBytes;
-  isBusy = other240.isBusy;
-  position = other240.position;
-  settingsAgeMs = other240.settingsAgeMs;
-  __isset = other240.__isset;
+SnapshotHead& SnapshotHead::operator=(const SnapshotHead& other244) noexcept {
+  settingsOffset = other244.settingsOffset;
+  contentBytes = other244.contentBytes;
+  plainBytes = other244.plainBytes;
+  isBusy = other244.isBusy;
+  position = other244.position;
+  settingsAgeMs = other244.settingsAgeMs;
+  __isset = other244.__isset;
   return *this;
 }
-SnapshotHead& SnapshotHead::operator=(SnapshotHead&& other241) noexcept {
-  settingsOffset = other241.settingsOffset;
-  contentBytes = other241.contentBytes;
-  plainBytes = other241.plainBytes;
-  isBusy = other241.isBusy;
-  position = std::move(other241.position);
-  settingsAgeMs = other241.settingsAgeMs;
-  __isset = other241.__isset;
+SnapshotHead& SnapshotHead::operator=(SnapshotHead&& other245) noexcept {
+  settingsOffset = other245.settingsOffset;
+  contentBytes = other245.contentBytes;
+  plainBytes = other245.plainBytes;
+  isBusy = other245.isBusy;
+  position = std::move(other245.position);
+  settingsAgeMs = other245.settingsAgeMs;
+  __isset = other245.__isset;
   return *this;
 }
 void SnapshotHead::printTo(std::ostream& out) const {
@@ -7019,6 +7094,11 @@
   this->quotaReply = val;
 __isset.quotaReply = true;
 }
+
+void Frame::__set_goodbye(const Goodbye& val) {
+  this->goodbye = val;
+__isset.goodbye = true;
+}
 std::ostream& operator<<(std::ostream& out, const Frame& obj)
 {
   obj.printTo(out);
@@ -7231,6 +7311,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 24:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->goodbye.read(iprot);
+          this->__isset.goodbye = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -7362,6 +7450,11 @@
     xfer += this->quotaReply.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.goodbye) {
+    xfer += oprot->writeFieldBegin("goodbye", ::apache::thrift::protocol::T_STRUCT, 24);
+    xfer += this->goodbye.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -7392,113 +7485,118 @@
   swap(a.giveUp, b.giveUp);
   swap(a.quotaRequest, b.quotaRequest);
   swap(a.quotaReply, b.quotaReply);
+  swap(a.goodbye, b.goodbye);
   swap(a.__isset, b.__isset);
 }
 
-Frame::Frame(const Frame& other242) {
-  stream = other242.stream;
-  hello = other242.hello;
-  heartbeat = other242.heartbeat;
-  ticket = other242.ticket;
-  grant = other242.grant;
-  call = other242.call;
-  data = other242.data;
-  answer = other242.answer;
-  failure = other242.failure;
-  cancel = other242.cancel;
-  revoke = other242.revoke;
-  revoked = other242.revoked;
-  keyRequest = other242.keyRequest;
-  keyReply = other242.keyReply;
-  gossip = other242.gossip;
-  snapshotRequest = other242.snapshotRequest;
-  snapshot = other242.snapshot;
-  keep = other242.keep;
-  snapshotHead = other242.snapshotHead;
-  overdue = other242.overdue;
-  giveUp = other242.giveUp;
-  quotaRequest = other242.quotaRequest;
-  quotaReply = other242.quotaReply;
-  __isset = other242.__isset;
-}
-Frame::Frame(Frame&& other243) noexcept {
-  stream = other243.stream;
-  hello = std::move(other243.hello);
-  heartbeat = std::move(other243.heartbeat);
-  ticket = std::move(other243.ticket);
-  grant = std::move(other243.grant);
-  call = std::move(other243.call);
-  data = std::move(other243.data);
-  answer = std::move(other243.answer);
-  failure = std::move(other243.failure);
-  cancel = std::move(other243.cancel);
-  revoke = std::move(other243.revoke);
-  revoked = std::move(other243.revoked);
-  keyRequest = std::move(other243.keyRequest);
-  keyReply = std::move(other243.keyReply);
-  gossip = std::move(other243.gossip);
-  snapshotRequest = std::move(other243.snapshotRequest);
-  snapshot = std::move(other243.snapshot);
-  keep = std::move(other243.keep);
-  snapshotHead = std::move(other243.snapshotHead);
-  overdue = std::move(other243.overdue);
-  giveUp = std::move(other243.giveUp);
-  quotaRequest = std::move(other243.quotaRequest);
-  quotaReply = std::move(other243.quotaReply);
-  __isset = other243.__isset;
-}
-Frame& Frame::operator=(const Frame& other244) {
-  stream = other244.stream;
-  hello = other244.hello;
-  heartbeat = other244.heartbeat;
-  ticket = other244.ticket;
-  grant = other244.grant;
-  call = other244.call;
-  data = other244.data;
-  answer = other244.answer;
-  failure = other244.failure;
-  cancel = other244.cancel;
-  revoke = other244.revoke;
-  revoked = other244.revoked;
-  keyRequest = other244.keyRequest;
-  keyReply = other244.keyReply;
-  gossip = other244.gossip;
-  snapshotRequest = other244.snapshotRequest;
-  snapshot = other244.snapshot;
-  keep = other244.keep;
-  snapshotHead = other244.snapshotHead;
-  overdue = other244.overdue;
-  giveUp = other244.giveUp;
-  quotaRequest = other244.quotaRequest;
-  quotaReply = other244.quotaReply;
-  __isset = other244.__isset;
+Frame::Frame(const Frame& other246) {
+  stream = other246.stream;
+  hello = other246.hello;
+  heartbeat = other246.heartbeat;
+  ticket = other246.ticket;
+  grant = other246.grant;
+  call = other246.call;
+  data = other246.data;
+  answer = other246.answer;
+  failure = other246.failure;
+  cancel = other246.cancel;
+  revoke = other246.revoke;
+  revoked = other246.revoked;
+  keyRequest = other246.keyRequest;
+  keyReply = other246.keyReply;
+  gossip = other246.gossip;
+  snapshotRequest = other246.snapshotRequest;
+  snapshot = other246.snapshot;
+  keep = other246.keep;
+  snapshotHead = other246.snapshotHead;
+  overdue = other246.overdue;
+  giveUp = other246.giveUp;
+  quotaRequest = other246.quotaRequest;
+  quotaReply = other246.quotaReply;
+  goodbye = other246.goodbye;
+  __isset = other246.__isset;
+}
+Frame::Frame(Frame&& other247) noexcept {
+  stream = other247.stream;
+  hello = std::move(other247.hello);
+  heartbeat = std::move(other247.heartbeat);
+  ticket = std::move(other247.ticket);
+  grant = std::move(other247.grant);
+  call = std::move(other247.call);
+  data = std::move(other247.data);
+  answer = std::move(other247.answer);
+  failure = std::move(other247.failure);
+  cancel = std::move(other247.cancel);
+  revoke = std::move(other247.revoke);
+  revoked = std::move(other247.revoked);
+  keyRequest = std::move(other247.keyRequest);
+  keyReply = std::move(other247.keyReply);
+  gossip = std::move(other247.gossip);
+  snapshotRequest = std::move(other247.snapshotRequest);
+  snapshot = std::move(other247.snapshot);
+  keep = std::move(other247.keep);
+  snapshotHead = std::move(other247.snapshotHead);
+  overdue = std::move(other247.overdue);
+  giveUp = std::move(other247.giveUp);
+  quotaRequest = std::move(other247.quotaRequest);
+  quotaReply = std::move(other247.quotaReply);
+  goodbye = std::move(other247.goodbye);
+  __isset = other247.__isset;
+}
+Frame& Frame::operator=(const Frame& other248) {
+  stream = other248.stream;
+  hello = other248.hello;
+  heartbeat = other248.heartbeat;
+  ticket = other248.ticket;
+  grant = other248.grant;
+  call = other248.call;
+  data = other248.data;
+  answer = other248.answer;
+  failure = other248.failure;
+  cancel = other248.cancel;
+  revoke = other248.revoke;
+  revoked = other248.revoked;
+  keyRequest = other248.keyRequest;
+  keyReply = other248.keyReply;
+  gossip = other248.gossip;
+  snapshotRequest = other248.snapshotRequest;
+  snapshot = other248.snapshot;
+  keep = other248.keep;
+  snapshotHead = other248.snapshotHead;
+  overdue = other248.overdue;
+  giveUp = other248.giveUp;
+  quotaRequest = other248.quotaRequest;
+  quotaReply = other248.quotaReply;
+  goodbye = other248.goodbye;
+  __isset = other248.__isset;
   return *this;
 }
-Frame& Frame::operator=(Frame&& other245) noexcept {
-  stream = other245.stream;
-  hello = std::move(other245.hello);
-  heartbeat = std::move(other245.heartbeat);
-  ticket = std::move(other245.ticket);
-  grant = std::move(other245.grant);
-  call = std::move(other245.call);
-  data = std::move(other245.data);
-  answer = std::move(other245.answer);
-  failure = std::move(other245.failure);
-  cancel = std::move(other245.cancel);
-  revoke = std::move(other245.revoke);
-  revoked = std::move(other245.revoked);
-  keyRequest = std::move(other245.keyRequest);
-  keyReply = std::move(other245.keyReply);
-  gossip = std::move(other245.gossip);
-  snapshotRequest = std::move(other245.snapshotRequest);
-  snapshot = std::move(other245.snapshot);
-  keep = std::move(other245.keep);
-  snapshotHead = std::move(other245.snapshotHead);
-  overdue = std::move(other245.overdue);
-  giveUp = std::move(other245.giveUp);
-  quotaRequest = std::move(other245.quotaRequest);
-  quotaReply = std::move(other245.quotaReply);
-  __isset = other245.__isset;
+Frame& Frame::operator=(Frame&& other249) noexcept {
+  stream = other249.stream;
+  hello = std::move(other249.hello);
+  heartbeat = std::move(other249.heartbeat);
+  ticket = std::move(other249.ticket);
+  grant = std::move(other249.grant);
+  call = std::move(other249.call);
+  data = std::move(other249.data);
+  answer = std::move(other249.answer);
+  failure = std::move(other249.failure);
+  cancel = std::move(other249.cancel);
+  revoke = std::move(other249.revoke);
+  revoked = std::move(other249.revoked);
+  keyRequest = std::move(other249.keyRequest);
+  keyReply = std::move(other249.keyReply);
+  gossip = std::move(other249.gossip);
+  snapshotRequest = std::move(other249.snapshotRequest);
+  snapshot = std::move(other249.snapshot);
+  keep = std::move(other249.keep);
+  snapshotHead = std::move(other249.snapshotHead);
+  overdue = std::move(other249.overdue);
+  giveUp = std::move(other249.giveUp);
+  quotaRequest = std::move(other249.quotaRequest);
+  quotaReply = std::move(other249.quotaReply);
+  goodbye = std::move(other249.goodbye);
+  __isset = other249.__isset;
   return *this;
 }
 void Frame::printTo(std::ostream& out) const {
@@ -7527,6 +7625,7 @@
   out << ", " << "giveUp="; (__isset.giveUp ? (out << to_string(giveUp)) : (out << "<null>"));
   out << ", " << "quotaRequest="; (__isset.quotaRequest ? (out << to_string(quotaRequest)) : (out << "<null>"));
   out << ", " << "quotaReply="; (__isset.quotaReply ? (out << to_string(quotaReply)) : (out << "<null>"));
+  out << ", " << "goodbye="; (__isset.goodbye ? (out << to_string(goodbye)) : (out << "<null>"));
   out << ")";
 }
 
--- a/protocol/gen/fleet_types.h
+++ b/protocol/gen/fleet_types.h
@@ -84,6 +84,8 @@
 
 class GiveUp;
 
+class Goodbye;
+
 class Revoke;
 
 class Revoked;
@@ -1167,6 +1169,39 @@
 
 std::ostream& operator<<(std::ostream& out, const GiveUp& obj);
 
+
+class Goodbye : public virtual ::apache::thrift::TBase {
+ public:
+
+  Goodbye(const Goodbye&) noexcept;
+  Goodbye(Goodbye&&) noexcept;
+  Goodbye& operator=(const Goodbye&) noexcept;
+  Goodbye& operator=(Goodbye&&) noexcept;
+  Goodbye() noexcept {
+  }
+
+  virtual ~Goodbye() noexcept;
+
+  bool operator == (const Goodbye & /* rhs */) const
+  {
+    return true;
+  }
+  bool operator != (const Goodbye &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Goodbye & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Goodbye &a, Goodbye &b);
+
+std::ostream& operator<<(std::ostream& out, const Goodbye& obj);
+
 typedef struct _Revoke__isset {
   _Revoke__isset() : attemptId(false), gateBootId(false), timeoutMs(false), askedNode(false) {}
   bool attemptId :1;
@@ -2657,7 +2692,7 @@
 std::ostream& operator<<(std::ostream& out, const SnapshotHead& obj);
 
 typedef struct _Frame__isset {
-  _Frame__isset() : stream(false), hello(false), heartbeat(false), ticket(false), grant(false), call(false), data(false), answer(false), failure(false), cancel(false), revoke(false), revoked(false), keyRequest(false), keyReply(false), gossip(false), snapshotRequest(false), snapshot(false), keep(false), snapshotHead(false), overdue(false), giveUp(false), quotaRequest(false), quotaReply(false) {}
+  _Frame__isset() : stream(false), hello(false), heartbeat(false), ticket(false), grant(false), call(false), data(false), answer(false), failure(false), cancel(false), revoke(false), revoked(false), keyRequest(false), keyReply(false), gossip(false), snapshotRequest(false), snapshot(false), keep(false), snapshotHead(false), overdue(false), giveUp(false), quotaRequest(false), quotaReply(false), goodbye(false) {}
   bool stream :1;
   bool hello :1;
   bool heartbeat :1;
@@ -2681,6 +2716,7 @@
   bool giveUp :1;
   bool quotaRequest :1;
   bool quotaReply :1;
+  bool goodbye :1;
 } _Frame__isset;
 
 class Frame : public virtual ::apache::thrift::TBase {
@@ -2718,6 +2754,7 @@
   GiveUp giveUp;
   QuotaRequest quotaRequest;
   QuotaReply quotaReply;
+  Goodbye goodbye;
 
   _Frame__isset __isset;
 
@@ -2767,6 +2804,8 @@
 
   void __set_quotaReply(const QuotaReply& val);
 
+  void __set_goodbye(const Goodbye& val);
+
   bool operator == (const Frame & rhs) const
   {
     if (!(stream == rhs.stream))
@@ -2859,6 +2898,10 @@
       return false;
     else if (__isset.quotaReply && !(quotaReply == rhs.quotaReply))
       return false;
+    if (__isset.goodbye != rhs.__isset.goodbye)
+      return false;
+    else if (__isset.goodbye && !(goodbye == rhs.goodbye))
+      return false;
     return true;
   }
   bool operator != (const Frame &rhs) const {
--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -351,8 +351,8 @@
       takeOverdue(attempt, target, *overdue);
       continue;
     }
-    bool isLost = std::holds_alternative<LostEvent>(event->Content);
-    if (isLost && !isIdempotent)
+    auto *lost = std::get_if<LostEvent>(&event->Content);
+    if (lost && !lost->HasNotRun && !isIdempotent)
       co_return co_await resolveOutcome(attempt, target);
     std::optional<EntryResult> result = ownResult(attempt, target, *event);
     if (!result)
@@ -383,7 +383,11 @@
   if (std::holds_alternative<RevokedEvent>(event.Content))
     return makeError(ErrorKind::GateLost, "the gate holds no answer",
                      DefaultRetryAfter);
-  if (std::holds_alternative<LostEvent>(event.Content))
+  auto *lost = std::get_if<LostEvent>(&event.Content);
+  if (lost && lost->HasNotRun)
+    return Error{ErrorKind::ShuttingDown, RunState::NotRun,
+                 "the node of the gate has ended", DefaultRetryAfter};
+  if (lost)
     return abandonRun(
         attempt, target,
         makeError(ErrorKind::GateLost, "the link to the gate was lost"));
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -463,13 +463,17 @@
 
 /// Returns once the other nodes have read what was sent to them.
 void Node::Impl::finishLinks(Instant end) {
-  Instant until = std::max(end, now() + LeastLinkCloseTime);
   Traffic[0]->call([this] {
-    Server->finish();
+    Server->finish(Gate->idle());
     return true;
   });
-  while (now() < until &&
-         !Traffic[0]->call([this] { return Server->isFinished(); }))
+  Instant least = now() + LeastLinkCloseTime;
+  auto isOver = [this, least, end] {
+    if (Server->isFinished() || now() >= std::max(least, end))
+      return true;
+    return now() >= least && !Server->awaitsPeer();
+  };
+  while (!Traffic[0]->call(isOver))
     pauseFor(StopPoll);
 }
 
--- a/src/libfleet/peers/gateclient.cpp
+++ b/src/libfleet/peers/gateclient.cpp
@@ -196,11 +196,11 @@
   closeStream(id);
 }
 
-void GateClient::failStreams() {
+void GateClient::failStreams(bool hasEnded) {
   std::map<std::int64_t, Stream> lost = std::move(Streams);
   Streams.clear();
   for (auto &[id, stream] : lost)
-    stream.Box->put({stream.Tag, LostEvent{}});
+    stream.Box->put({stream.Tag, LostEvent{hasEnded && !stream.Head}});
   notifyStreamCount();
 }
 
--- a/src/libfleet/peers/gateclient.h
+++ b/src/libfleet/peers/gateclient.h
@@ -53,7 +53,10 @@
 struct ProgressEvent {};
 
 /// The channel closed before the stream was complete.
-struct LostEvent {};
+struct LostEvent {
+  /// The gate has ended without running the call of the stream.
+  bool HasNotRun = false;
+};
 
 /// The caller closed its connection.
 struct CancelledEvent {};
@@ -97,8 +100,9 @@
   /// Processes the whole body of a response.
   void takeBody(std::int64_t id, Body body);
 
-  /// Closes all streams with a LostEvent after the channel was lost.
-  void failStreams();
+  /// Closes all streams with a LostEvent after the channel was lost. If
+  /// `hasEnded`, the gate has said that it runs no more calls.
+  void failStreams(bool hasEnded = false);
 
   /// Called whenever the number of open streams changes.
   std::function<void(std::size_t)> OnStreamCount;
--- a/src/libfleet/peers/link.cpp
+++ b/src/libfleet/peers/link.cpp
@@ -96,12 +96,16 @@
 
 // A process that ends with unread bytes on a connection resets it, and the peer
 // may lose what was sent before.
-void Link::finish() {
-  if (now() - LastWritten > ReadTime)
-    return close("the node ends");
+void Link::finish(bool isComplete) {
+  HasRecentData = hasUnsent() || now() - LastWritten < ReadTime;
+  if (isComplete && !hasUnsent()) {
+    wire::Frame frame;
+    frame.__set_goodbye({});
+    send(std::move(frame));
+  }
   IsFinishing = true;
-  error_code ec;
-  Socket.shutdown(tcp::socket::shutdown_send, ec);
+  if (!IsWriting)
+    writeNext();
 }
 
 std::string Link::peerName() const { return Peer ? Peer->node : ""; }
@@ -172,6 +176,9 @@
 void Link::writeNext() {
   if (!Open || !fillWriteBuffer()) {
     IsWriting = false;
+    error_code ec;
+    if (Open && IsFinishing)
+      Socket.shutdown(tcp::socket::shutdown_send, ec);
     return;
   }
   IsWriting = true;
--- a/src/libfleet/peers/link.h
+++ b/src/libfleet/peers/link.h
@@ -49,9 +49,13 @@
     return IsWriting || !Urgent.empty() || !Bodies.empty();
   }
 
-  /// Sends nothing more. The peer closes the link once it has read everything;
-  /// one that was not written to lately is closed at once.
-  void finish();
+  /// Sends nothing more, so that the peer closes the link once it has read
+  /// everything. If `isComplete`, all calls that came over it have been
+  /// answered, and the peer is told so.
+  void finish(bool isComplete);
+
+  /// True while the peer may have yet to read what was sent before finish().
+  bool awaitsPeer() const { return Open && HasRecentData; }
 
   /// Heartbeats are sent, and their replies expected, while busy.
   void setBusy(bool isBusy);
@@ -97,6 +101,7 @@
   bool IsHeartbeatActive = false;
   bool IsStarted = false;
   bool IsFinishing = false;
+  bool HasRecentData = false;
   Instant OpenedAt;
   Instant LastReceived;
   Instant LastWritten;
--- a/src/libfleet/peers/linkserver.cpp
+++ b/src/libfleet/peers/linkserver.cpp
@@ -31,12 +31,17 @@
                              [](const auto &it) { return it->hasUnsent(); });
 }
 
-void LinkServer::finish() {
+bool LinkServer::awaitsPeer() const {
+  return std::ranges::any_of(Links,
+                             [](const auto &it) { return it->awaitsPeer(); });
+}
+
+void LinkServer::finish(bool isComplete) {
   error_code ec;
   Acceptor.close(ec);
   std::set<std::shared_ptr<Link>> open = Links;
   for (const auto &link : open)
-    link->finish();
+    link->finish(isComplete);
 }
 
 void LinkServer::accept() {
--- a/src/libfleet/peers/linkserver.h
+++ b/src/libfleet/peers/linkserver.h
@@ -28,9 +28,12 @@
   /// True while frames or bodies wait to be written on a link.
   bool hasUnsent() const;
 
-  /// Accepts no more links and has the peers close those that are open.
-  void finish();
+  /// Accepts no more links and has the peers close those that are open; see
+  /// Link::finish().
+  void finish(bool isComplete);
   bool isFinished() const { return Links.empty(); }
+  /// True while a peer may have yet to read what was sent to it.
+  bool awaitsPeer() const;
 
 private:
   void accept();
--- a/src/libfleet/peers/peerlinks.cpp
+++ b/src/libfleet/peers/peerlinks.cpp
@@ -108,6 +108,11 @@
       link->setBusy(*slot && (*slot)->openStreams() > 0);
       return;
     }
+    if (frame.__isset.goodbye) {
+      if (*slot)
+        (*slot)->failStreams(true);
+      return link->close("the node ends");
+    }
     if (*slot && !(*slot)->takeFrame(std::move(frame)))
       link->close("unexpected frame");
   };
--- a/tests/platform/test_gatestops.cpp
+++ b/tests/platform/test_gatestops.cpp
@@ -223,6 +223,41 @@
   CHECK(fleet.process("n1").wait() == 0);
 }
 
+// Guards against an order of unknown outcome that its gate has never started,
+// since the two have crossed as the gate ended.
+TEST_CASE("an order that reaches a gate as it ends is known not to have run",
+          "[gate-stop-crossing]") {
+  constexpr int lingerMs = 50;
+  constexpr int delayMs = 150;
+  constexpr milliseconds stopAt{20};
+  constexpr milliseconds promptly{1'000};
+  PlatformFleet fleet;
+  fleet.setNodeSettings({{"linger_ms", lingerMs}});
+  fleet.startStore();
+  fleet.startRelayedNode("n1");
+  fleet.startServer("n1");
+  fleet.startNode("n3", "t");
+  fleet.startServer("n3", "t");
+  fleet.configure(defaultConfig(1));
+  fleet.awaitServing();
+  for (int i = 0; i < 3; ++i)
+    REQUIRE(fleet.call("n3", "GET", "/safe/x").Status == 200);
+  // A node with a new connection of a caller ends later.
+  std::this_thread::sleep_for(milliseconds(300));
+  fleet.controlRelays("n1", {{"delay_ms", delayMs}});
+  Instant sentAt = fleet::now();
+  std::future<Outcome> outcome = send(fleet, "crossing", "POST");
+  std::this_thread::sleep_for(stopAt);
+  fleet.process("n1").signal(SIGTERM);
+  Outcome seen = outcome.get();
+  INFO(seen.Reply.Status << " " << seen.Reply.Body << " after "
+                         << (seen.At - sentAt).count() << " us");
+  CHECK(seen.Reply.Status == 503);
+  CHECK(seen.Reply.problem("run") == "not_run");
+  CHECK(seen.At - sentAt < promptly);
+  CHECK(runsAt(fleet, "n1", "crossing") == 0);
+}
+
 // Guards against an entry that keeps its caller waiting, until it ends itself,
 // for another gate although the service has none.
 TEST_CASE("a lookup whose only gate has ended is answered at once",
