entry: ask a gate for the outcome of a lookup whose link was lost

Callers got a 502 (gate_lost) for lookups that their gate still ran, when the link between the nodes was lost and no attempt was left. With an attempt left, and no other gate, the lookup ran twice at the same one.

Cause: the entry took the loss of a link for the loss of the gate and gave up the run at once. The gate ended the run too, as soon as it was overdue: its first stream was closed.

- The entry asks the gate over a new link, as for orders.
If a retry is allowed, it starts beside the question at once; the first answer counts.
- Without one it waits only while it can learn something: not if the gate's address refuses the connection or another process answers, and at most 1 s for a gate that is not reached.
A lost link is opened once again without its backoff, so that a dead process is recognised within milliseconds.
- The gate takes the stream that asks for the origin of the run: overdue reports, the cancel of a caller that leaves, and the answer go over it.
It ends an overdue run whose link is lost only after 1.6 s without a question.
- No new frames: gates of earlier releases answer the question as before.

Why it works: what is under way ends only once its outcome is known, or can't be learned any more, and nothing waits for the question that did not wait before.

--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -143,8 +143,18 @@
                      std::size_t chosen);
   asio::awaitable<EntryResult> awaitAnswer(Attempt &attempt,
                                            std::size_t target);
+  std::optional<EntryResult> takeOwnEvent(Attempt &attempt, std::size_t target,
+                                          StreamEvent &event);
   std::optional<EntryResult> ownResult(Attempt &attempt, std::size_t target,
                                        StreamEvent &event);
+  EntryResult endedResult(const Attempt &attempt, std::size_t target,
+                          const std::optional<StreamEvent> &event);
+  void takeLoss(Attempt &attempt, std::size_t target);
+  std::optional<EntryResult> lookForGate(Attempt &attempt, std::size_t target);
+  std::optional<EntryResult> outcomeFrom(Attempt &attempt, std::size_t target,
+                                         StreamEvent &event);
+  void logQuery(const Attempt &attempt, std::size_t target,
+                std::string_view detail) const;
   asio::awaitable<EntryResult> resolveOutcome(Attempt &attempt,
                                               std::size_t target);
   std::optional<EntryResult> resultFrom(Attempt &attempt, std::size_t target,
@@ -155,6 +165,9 @@
   asio::awaitable<std::shared_ptr<GateClient>>
   connect(const Attempt &attempt, std::string node, NodeView view);
   asio::awaitable<bool> openTarget(Attempt &attempt, std::size_t target);
+  void openStream(Attempt &attempt, std::size_t target,
+                  std::shared_ptr<GateClient> client);
+  static void sendQuery(Attempt &attempt, std::size_t target);
 
   static Standing standingOf(const GateView &gate, const GateLoadView &load,
                              Instant now);
@@ -176,7 +189,9 @@
   void takeOverdue(Attempt &attempt, std::size_t target,
                    const OverdueEvent &event);
   std::string_view reasonNotToReplace(const Attempt &attempt,
-                                      std::size_t target, bool isGateEnding);
+                                      std::size_t target, bool mayWait);
+  void replaceLost(Attempt &attempt, std::size_t target);
+  void replaceLostAgain(Attempt &attempt, std::size_t target);
   void startReplacement(Attempt &attempt, std::size_t target);
   static void promoteReplacement(Attempt &attempt);
   asio::awaitable<void> runReplacement(std::shared_ptr<Replacement> replacement,
--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -25,6 +25,15 @@
 /// also accepts an endpoint whose running work is silent.
 constexpr int MaxDoubtRefusals = 4;
 
+/// How long an entry tries to reach the gate of a lost link: more than a pause
+/// of a VM, and less than most callers' time.
+constexpr Micros GateSearchLimit = std::chrono::seconds(1);
+
+/// Pause between looks for the gate just after the loss, when most processes
+/// that are gone refuse the connection, and how long it applies.
+constexpr Micros FirstLookPause = std::chrono::milliseconds(2);
+constexpr Micros FirstLookTime = std::chrono::milliseconds(20);
+
 /// Most requests complete within this multiple of their expected run time.
 constexpr int UsualRunFactor = 2;
 
@@ -42,6 +51,14 @@
   return revoke;
 }
 
+Instant Entry::Attempt::nextLook() const {
+  if (!isSearching())
+    return waitUntil();
+  Micros pause =
+      now() - *LostAt < FirstLookTime ? FirstLookPause : ResolvePause;
+  return std::min(now() + pause, waitUntil());
+}
+
 std::string loadKey(const std::string &node, const std::string &service) {
   return node + ' ' + service;
 }
@@ -57,14 +74,21 @@
 
 asio::awaitable<bool> Entry::openTarget(Attempt &attempt, std::size_t target) {
   Attempt::Target &it = attempt.Targets[target];
-  it.Client = co_await connect(attempt, it.Gate.Node, it.Node);
-  if (!it.Client)
+  auto client = co_await connect(attempt, it.Gate.Node, it.Node);
+  if (!client)
     co_return false;
+  openStream(attempt, target, std::move(client));
+  co_return true;
+}
+
+void Entry::openStream(Attempt &attempt, std::size_t target,
+                       std::shared_ptr<GateClient> client) {
+  Attempt::Target &it = attempt.Targets[target];
+  it.Client = std::move(client);
   it.Stream = it.Client->open(attempt.Box, target);
   it.IsOpen = true;
   ++Loads[loadKey(it.Gate.Node, attempt.Request->MatchedRoute.Service)]
         .Outstanding;
-  co_return true;
 }
 
 wire::Ticket Entry::makeTicket(const Attempt &attempt,
@@ -321,40 +345,34 @@
   std::optional<EntryResult> held;
   while (true) {
     std::optional<StreamEvent> event =
-        co_await attempt.Box->next(attempt.waitUntil());
-    bool isOver =
-        !event || std::holds_alternative<StoppedEvent>(event->Content);
+        co_await attempt.Box->next(attempt.nextLook());
+    bool isLook = !event && now() < attempt.waitUntil();
+    bool isStopped =
+        event && std::holds_alternative<StoppedEvent>(event->Content);
+    bool isCancelled =
+        event && std::holds_alternative<CancelledEvent>(event->Content);
+    bool isOver = (!event && !isLook) || isStopped;
     if (isOver && held)
       co_return std::move(*held);
-    if (!event)
-      co_return abandonRun(attempt, target,
-                           makeError(ErrorKind::DeadlineExceeded,
-                                     "no word from the gate in time",
-                                     DefaultRetryAfter));
-    if (std::holds_alternative<CancelledEvent>(event->Content))
-      co_return abandonRun(
-          attempt, target,
-          makeError(ErrorKind::Cancelled, attempt.Request->Scope->Reason));
-    if (std::holds_alternative<StoppedEvent>(event->Content))
-      co_return abandonRun(attempt, target, shutdownError(RunState::Unknown));
-    if (std::holds_alternative<ReplacementEvent>(event->Content)) {
+    if (isOver || isCancelled)
+      co_return endedResult(attempt, target, event);
+    if (event && std::holds_alternative<ReplacementEvent>(event->Content)) {
       std::optional<EntryResult> answer = takeReplacement(attempt, target);
       if (answer)
         co_return std::move(*answer);
       if (held)
         co_return std::move(*held);
+      replaceLostAgain(attempt, target);
       continue;
     }
-    if (event->Tag != target)
+    if (event && event->Tag != target)
       continue;
-    if (auto *overdue = std::get_if<OverdueEvent>(&event->Content)) {
-      takeOverdue(attempt, target, *overdue);
-      continue;
-    }
-    auto *lost = std::get_if<LostEvent>(&event->Content);
+    auto *lost = event ? std::get_if<LostEvent>(&event->Content) : nullptr;
     if (lost && !lost->HasNotRun && !isIdempotent)
       co_return co_await resolveOutcome(attempt, target);
-    std::optional<EntryResult> result = ownResult(attempt, target, *event);
+    std::optional<EntryResult> result =
+        isLook ? lookForGate(attempt, target)
+               : takeOwnEvent(attempt, target, *event);
     if (!result)
       continue;
     if (!attempt.ActiveReplacement || isFinalResponse(*result, isIdempotent))
@@ -364,6 +382,105 @@
   }
 }
 
+/// The result of an attempt whose caller, time or node ends before the gate has
+/// answered.
+EntryResult Entry::endedResult(const Attempt &attempt, std::size_t target,
+                               const std::optional<StreamEvent> &event) {
+  if (!event)
+    return abandonRun(attempt, target,
+                      makeError(ErrorKind::DeadlineExceeded,
+                                "no word from the gate in time",
+                                DefaultRetryAfter));
+  if (std::holds_alternative<CancelledEvent>(event->Content))
+    return abandonRun(
+        attempt, target,
+        makeError(ErrorKind::Cancelled, attempt.Request->Scope->Reason));
+  return abandonRun(attempt, target, shutdownError(RunState::Unknown));
+}
+
+/// Processes an event of the attempt's own stream; returns its result if the
+/// event ends it.
+std::optional<EntryResult>
+Entry::takeOwnEvent(Attempt &attempt, std::size_t target, StreamEvent &event) {
+  if (auto *overdue = std::get_if<OverdueEvent>(&event.Content)) {
+    takeOverdue(attempt, target, *overdue);
+    return std::nullopt;
+  }
+  if (auto *lost = std::get_if<LostEvent>(&event.Content)) {
+    if (lost->HasNotRun && !attempt.LostAt)
+      return Error{ErrorKind::ShuttingDown, RunState::NotRun,
+                   "the node of the gate has ended", DefaultRetryAfter};
+    takeLoss(attempt, target);
+    return std::nullopt;
+  }
+  return attempt.IsAsked ? outcomeFrom(attempt, target, event)
+                         : ownResult(attempt, target, event);
+}
+
+/// The gate may live although the link to it is lost, and have the answer soon.
+/// Another attempt starts beside it, so that its caller does not wait for a
+/// gate that is gone.
+void Entry::takeLoss(Attempt &attempt, std::size_t target) {
+  cancelStream(attempt, target);
+  attempt.LostAt = now();
+  attempt.IsAsked = false;
+  const Attempt::Target &it = attempt.Targets[target];
+  Links.reopenNow(it.Gate.Node, it.Node);
+  replaceLost(attempt, target);
+}
+
+/// Asks the gate for the outcome once it is reached; returns the error of the
+/// attempt if it is not to be reached any more.
+std::optional<EntryResult> Entry::lookForGate(Attempt &attempt,
+                                              std::size_t target) {
+  const Attempt::Target &it = attempt.Targets[target];
+  if (auto client = Links.openClient(it.Gate.Node)) {
+    openStream(attempt, target, std::move(client));
+    sendQuery(attempt, target);
+    attempt.IsAsked = true;
+    logQuery(attempt, target, "");
+    return std::nullopt;
+  }
+  bool isGone = Links.isRefused(it.Gate.Node);
+  if (!isGone && now() - *attempt.LostAt < GateSearchLimit) {
+    Links.reconnectIfDue(it.Gate.Node, it.Node, now());
+    return std::nullopt;
+  }
+  logQuery(attempt, target, isGone ? "connection refused" : "not reached");
+  attempt.LostAt.reset();
+  return abandonRun(
+      attempt, target,
+      makeError(ErrorKind::GateLost, "the link to the gate was lost"));
+}
+
+/// The result that a gate's reply to the query gives to an idempotent attempt.
+std::optional<EntryResult>
+Entry::outcomeFrom(Attempt &attempt, std::size_t target, StreamEvent &event) {
+  std::optional<EntryResult> result = resultFrom(attempt, target, event);
+  auto *error = result ? std::get_if<Error>(&*result) : nullptr;
+  bool isUnknown = error && error->Kind == ErrorKind::GateLost &&
+                   error->Run == RunState::Unknown;
+  if (isUnknown)
+    return abandonRun(attempt, target, std::move(*error));
+  return result;
+}
+
+void Entry::logQuery(const Attempt &attempt, std::size_t target,
+                     std::string_view detail) const {
+  logEvent(
+      LogLevel::Info, "outcome_asked",
+      {{"request", attempt.Request->Id},
+       {"attempt", attempt.Id},
+       {"gate", attempt.Targets[target].Gate.Node},
+       {"reached", attempt.IsAsked},
+       {"detail", detail},
+       {"beside", attempt.ActiveReplacement != nullptr},
+       {"reason", attempt.NotReplaced},
+       {"after_ms", toMillis(now() - *attempt.LostAt).count()},
+       {"ran_ms", toMillis(now() - attempt.SentAt.value_or(now())).count()},
+       {"left_ms", toMillis(attempt.Request->Deadline - now()).count()}});
+}
+
 /// The result that a gate's message gives to an attempt; nullopt if it is not
 /// about the result.
 std::optional<EntryResult>
@@ -383,14 +500,6 @@
   if (std::holds_alternative<RevokedEvent>(event.Content))
     return makeError(ErrorKind::GateLost, "the gate holds no answer",
                      DefaultRetryAfter);
-  auto *lost = std::get_if<LostEvent>(&event.Content);
-  if (lost && lost->HasNotRun)
-    return Error{ErrorKind::ShuttingDown, RunState::NotRun,
-                 "the node of the gate has ended", DefaultRetryAfter};
-  if (lost)
-    return abandonRun(
-        attempt, target,
-        makeError(ErrorKind::GateLost, "the link to the gate was lost"));
   return std::nullopt;
 }
 
@@ -474,15 +583,18 @@
 
 asio::awaitable<bool> Entry::queryGate(Attempt &attempt, std::size_t target) {
   bool isOpen = co_await openTarget(attempt, target);
-  if (!isOpen)
-    co_return false;
+  if (isOpen)
+    sendQuery(attempt, target);
+  co_return isOpen;
+}
+
+void Entry::sendQuery(Attempt &attempt, std::size_t target) {
   Attempt::Target &it = attempt.Targets[target];
   wire::Frame frame;
   frame.stream = it.Stream;
   frame.revoke = attempt.makeRevoke(target);
   frame.__isset.revoke = true;
   it.Client->channel().send(std::move(frame));
-  co_return true;
 }
 
 /// The path between two nodes may fail while others work. Each node is tried as
--- a/src/libfleet/entry/entryattempt.h
+++ b/src/libfleet/entry/entryattempt.h
@@ -62,6 +62,15 @@
   bool IsGranted = false;
   /// When the request itself was sent to a gate.
   std::optional<Instant> SentAt;
+  /// When the link to the gate of an idempotent request was lost; the entry
+  /// then asks the gate for the outcome.
+  std::optional<Instant> LostAt;
+  /// The gate was reached and asked after the loss.
+  bool IsAsked = false;
+  /// Why no other attempt started beside the lost one; empty if one did.
+  std::string_view NotReplaced;
+  /// Why the latest attempt beside this one has failed.
+  std::optional<Error> ReplacementError;
   /// A StoppedEvent has been put into the mailbox.
   bool IsStopped = false;
 
@@ -71,6 +80,12 @@
   /// True once the caller has disconnected or the node is about to exit.
   bool isOver() const { return IsStopped || Request->Scope->IsCancelled; }
 
+  /// True while the gate has to be reached for the outcome.
+  bool isSearching() const { return LostAt && !IsAsked; }
+
+  /// How long to wait for an event before the entry looks for the gate again.
+  Instant nextLook() const;
+
   /// Builds the frame that queries a gate for the outcome of the attempt.
   wire::Revoke makeRevoke(std::size_t target) const;
 
--- a/src/libfleet/entry/entryreplacement.cpp
+++ b/src/libfleet/entry/entryreplacement.cpp
@@ -36,8 +36,7 @@
 /// Why no other attempt starts beside an overdue one; empty if one is to start,
 /// for which a token of the retry budget has then been taken.
 std::string_view Entry::reasonNotToReplace(const Attempt &attempt,
-                                           std::size_t target,
-                                           bool isGateEnding) {
+                                           std::size_t target, bool mayWait) {
   const RequestContext &context = *attempt.Request;
   if (isTooLateToStart(context))
     return "the node is stopping";
@@ -47,12 +46,11 @@
     return "attempts exhausted";
   if (attempt.IsSerialized)
     return "the content is suspect";
-  // The run of a gate that ends would be lost, so that its replacement may also
-  // wait for a slot.
+  // Where the run itself may be lost, its replacement may also wait for a slot.
   std::vector<Candidate> all = candidates(context, now());
   std::erase_if(all, [&](const Candidate &it) {
     return it.Node == attempt.Targets[target].Gate.Node ||
-           (knownFreeSlots(it) <= 0 && !isGateEnding);
+           (knownFreeSlots(it) <= 0 && !mayWait);
   });
   bool hasRoom = hasRoomElsewhere(all, context.IsIdempotent,
                                   maxLimitLoad(context, context.Deadline));
@@ -68,6 +66,30 @@
   return {};
 }
 
+/// Starts another attempt beside one whose gate may be gone.
+void Entry::replaceLost(Attempt &attempt, std::size_t target) {
+  attempt.NotReplaced = reasonNotToReplace(attempt, target, true);
+  if (attempt.NotReplaced.empty())
+    startReplacement(attempt, target);
+}
+
+/// Likewise after such an attempt has failed, if a retry may succeed.
+void Entry::replaceLostAgain(Attempt &attempt, std::size_t target) {
+  const RequestContext &context = *attempt.Request;
+  if (!attempt.isSearching() || !attempt.ReplacementError)
+    return;
+  // The budget's token is taken by replaceLost().
+  RetryBudget unused(1, 1);
+  RetryDecision decision = decideRetry(
+      {*attempt.ReplacementError, context.IsIdempotent, context.CountedAttempts,
+       context.Deadline - now(), context.Cost.Expected, context.Runs + 1,
+       context.MatchedRoute.Policy.MaxAttempts,
+       context.MatchedRoute.Policy.ComparesSheds, context.BudgetRefusals},
+      unused);
+  if (decision.Verdict == RetryVerdict::Retry)
+    replaceLost(attempt, target);
+}
+
 void Entry::startReplacement(Attempt &attempt, std::size_t target) {
   RequestContext &context = *attempt.Request;
   --context.ReplacementsLeft;
@@ -125,6 +147,7 @@
     context.ReplacementsLeft = 0;
   Error error = noteFailure(request, std::move(replacement->Result));
   logReplacement(attempt, errorInfo(error.Kind).Name, error.Detail);
+  attempt.ReplacementError = error;
   int arrivals = request.Arrivals - replacement->ArrivalsBefore;
   if (arrivals == 0)
     Budgets[context.MatchedRoute.Service].giveBack();
--- a/src/libfleet/gate/gateexchange.h
+++ b/src/libfleet/gate/gateexchange.h
@@ -22,6 +22,8 @@
   std::string Endpoint;
   std::shared_ptr<ExchangeHandle> Handle = std::make_shared<ExchangeHandle>();
   Instant ArrivedAt = now();
+  /// When the link to the entry was found to be lost.
+  std::optional<Instant> LostAt;
   /// When the request was sent to the endpoint.
   std::optional<Instant> SentAt;
 };
--- a/src/libfleet/gate/gatenotices.cpp
+++ b/src/libfleet/gate/gatenotices.cpp
@@ -56,8 +56,10 @@
 
 void GateService::noteLinkLost(const std::shared_ptr<FrameChannel> &channel) {
   for (const auto &[attempt, it] : Exchanges)
-    if (it->SentAt && it->Origin.Channel.lock() == channel)
+    if (it->SentAt && it->Origin.Channel.lock() == channel) {
+      it->LostAt = now();
       logOrphan(*it, "the link to the entry was lost");
+    }
 }
 
 std::size_t GateService::reportRuns() const {
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -24,6 +24,11 @@
 /// further delay is subtracted from the timeout.
 constexpr std::int64_t ToleratedLagMs = 50;
 
+/// How long the entry of a lost link may take to ask for the outcome before an
+/// overdue run is ended: it notices the loss after up to half a second, and
+/// then tries to reach this node for a second.
+constexpr Micros AskAgainTime = std::chrono::milliseconds(1'600);
+
 constexpr Micros RevokeRetention = std::chrono::seconds(60);
 
 std::size_t sizeOf(const EndpointResult &result) {
@@ -259,7 +264,7 @@
       revoke(State, revokeFrame.attemptId, expiresAt, now(), actions);
   auto exchange = Exchanges.find(revokeFrame.attemptId);
   if (state == StartState::Started && exchange != Exchanges.end()) {
-    exchange->second->Followers.push_back(ref);
+    takeOver(*exchange->second, ref);
   } else {
     frame.revoked.state = int(state);
     frame.__isset.revoked = true;
@@ -270,6 +275,18 @@
   carryOut(std::move(actions));
 }
 
+/// Has a stream get the result of a run whose first link is lost. For an
+/// idempotent run its entry itself asks, so that the stream takes the place of
+/// the first one: reports go to it, and it may end the run.
+void GateService::takeOver(Exchange &exchange, const StreamRef &ref) {
+  if (!exchange.Request.IsIdempotent) {
+    exchange.Followers.push_back(ref);
+    return;
+  }
+  exchange.Origin = ref;
+  exchange.LostAt.reset();
+}
+
 void GateService::carryOut(GateActions actions) {
   for (GateAction &action : actions)
     std::visit([this](const auto &it) { carryOutOne(it); }, action);
@@ -347,10 +364,16 @@
   auto it = Exchanges.find(action.AttemptId);
   if (it == Exchanges.end())
     return;
-  auto channel = it->second->Origin.Channel.lock();
-  // Nobody waits for the answer of an idempotent request whose link is lost.
-  if (!channel || !channel->isOpen())
-    return carryOut(giveUpOverdue(State, action.AttemptId));
+  Exchange &exchange = *it->second;
+  auto channel = exchange.Origin.Channel.lock();
+  if (!channel || !channel->isOpen()) {
+    if (!exchange.LostAt)
+      exchange.LostAt = now();
+    // Later nobody waits for the answer any more.
+    if (now() - *exchange.LostAt >= AskAgainTime)
+      carryOut(giveUpOverdue(State, action.AttemptId));
+    return;
+  }
   wire::Frame frame;
   frame.stream = it->second->Origin.Stream;
   frame.__set_overdue({});
--- a/src/libfleet/gate/gateservice.h
+++ b/src/libfleet/gate/gateservice.h
@@ -95,6 +95,7 @@
   void takeGiveUp(const StreamRef &ref);
   void markLastTry(Exchange &exchange);
   void takeRevoke(const StreamRef &ref, const wire::Revoke &revoke);
+  static void takeOver(Exchange &exchange, const StreamRef &ref);
   void bodyComplete(const ExchangePtr &exchange, Body body);
   void refuseBody(const ExchangePtr &exchange);
   Ticket toTicket(const wire::Ticket &in, std::int64_t lagMs) const;
--- a/src/libfleet/peers/peerlinks.cpp
+++ b/src/libfleet/peers/peerlinks.cpp
@@ -50,7 +50,8 @@
     if (now() >= until || (isOver && isOver()))
       co_return nullptr;
     bool isBackingOff = now() < peer.DownUntil;
-    if (isBackingOff && peer.DownUntil >= until)
+    bool isOpening = peer.IsConnecting || peer.Connection;
+    if (isBackingOff && !isOpening && peer.DownUntil >= until)
       co_return nullptr;
     if (!isBackingOff && !peer.IsConnecting && !peer.Connection) {
       peer.IsConnecting = true;
@@ -81,7 +82,9 @@
   peer.IsConnecting = false;
   peer.IsRefused = ec == asio::error::connection_refused;
   if (ec || !socket->is_open()) {
-    startBackoff(node);
+    // An attempt of reopenNow() leaves the backoff as it is.
+    if (now() >= peer.DownUntil)
+      startBackoff(node);
     co_return;
   }
   auto slot = std::make_shared<GateClient *>(nullptr);
@@ -105,6 +108,7 @@
                                       wire::Frame frame) {
     if (frame.__isset.hello) {
       Peers[node].Losses = 0;
+      Peers[node].MayReopen = true;
       link->setBusy(*slot && (*slot)->openStreams() > 0);
       return;
     }
@@ -158,15 +162,30 @@
   prepare(node, view, now);
 }
 
-bool PeerLinks::isConnected(const std::string &node) const {
+void PeerLinks::reopenNow(const std::string &node, const NodeView &view) {
+  Peer &peer = Peers[node];
+  if (!peer.MayReopen || peer.Connection || peer.IsConnecting)
+    return;
+  peer.MayReopen = false;
+  peer.IsConnecting = true;
+  asio::co_spawn(Executor, open(node, view.FleetAddress), asio::detached);
+}
+
+std::shared_ptr<GateClient>
+PeerLinks::openClient(const std::string &node) const {
   if (node == LocalNode)
-    return true;
+    return Local;
   auto it = Peers.find(node);
   if (it == Peers.end())
-    return false;
+    return nullptr;
   const Peer &peer = it->second;
-  return peer.Client && peer.Connection && peer.Connection->isOpen() &&
-         peer.Connection->peer();
+  bool isOpen = peer.Client && peer.Connection && peer.Connection->isOpen() &&
+                peer.Connection->peer();
+  return isOpen ? peer.Client : nullptr;
+}
+
+bool PeerLinks::isConnected(const std::string &node) const {
+  return node == LocalNode || openClient(node);
 }
 
 void PeerLinks::prepare(const std::string &node, const NodeView &view,
--- a/src/libfleet/peers/peerlinks.h
+++ b/src/libfleet/peers/peerlinks.h
@@ -39,6 +39,13 @@
   void reconnectIfDue(const std::string &node, const NodeView &view,
                       Instant now);
 
+  /// Tries once to reopen a link that has just been lost, in spite of its
+  /// backoff: shows whether the node's process is still there.
+  void reopenNow(const std::string &node, const NodeView &view);
+
+  /// Returns the client of an open link; nullptr if there is none.
+  std::shared_ptr<GateClient> openClient(const std::string &node) const;
+
   /// True if requests can be sent to the node without waiting for its link.
   bool isConnected(const std::string &node) const;
 
@@ -54,6 +61,8 @@
     std::string Address;
     bool IsConnecting = false;
     bool IsRefused = false;
+    /// The link has been established since the latest reopenNow().
+    bool MayReopen = false;
     int Losses = 0;
     Instant DownUntil;
   };
--- a/tests/platform/test_links.cpp
+++ b/tests/platform/test_links.cpp
@@ -9,6 +9,7 @@
 #include <future>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace hickoryglade;
 using namespace hickoryglade::testing;
@@ -20,12 +21,22 @@
 /// Longer than the silence after which a link is closed.
 constexpr milliseconds PauseTime{600};
 
-/// Starts the store and an entry, n3, whose only gate is n1. n1 is behind
-/// relays.
-void startPair(PlatformFleet &fleet, int maxAttempts) {
+enum class Path { Direct, Relayed };
+
+/// Starts the store, an entry, n3, and its gates n1 and `others`. n1 may be
+/// behind relays.
+void startFleet(PlatformFleet &fleet, int maxAttempts, Path path,
+                const std::vector<std::string> &others) {
   fleet.startStore();
-  fleet.startRelayedNode("n1");
+  if (path == Path::Relayed)
+    fleet.startRelayedNode("n1");
+  else
+    fleet.startNode("n1");
   fleet.startServer("n1");
+  for (const std::string &it : others) {
+    fleet.startNode(it);
+    fleet.startServer(it);
+  }
   fleet.startNode("n3", "t");
   fleet.startServer("n3", "t");
   json config = defaultConfig(1);
@@ -38,6 +49,12 @@
   fleet.awaitServing();
 }
 
+/// Starts the store and an entry, n3, whose only gate is n1. n1 is behind
+/// relays.
+void startPair(PlatformFleet &fleet, int maxAttempts) {
+  startFleet(fleet, maxAttempts, Path::Relayed, {});
+}
+
 HttpReply lookUp(PlatformFleet &fleet, const std::string &id,
                  milliseconds patience = milliseconds(5'000)) {
   HttpCall call{"GET",
@@ -49,8 +66,13 @@
   return callOnce(fleet.node("n3").Http, call, patience);
 }
 
+int runsAt(PlatformFleet &fleet, const std::string &node,
+           const std::string &id) {
+  return fleet.controlServer(node, json::object())["runs"].value(id, 0);
+}
+
 int runsOf(PlatformFleet &fleet, const std::string &id) {
-  return fleet.controlServer("n1", json::object())["runs"].value(id, 0);
+  return runsAt(fleet, "n1", id);
 }
 
 /// Sends a lookup of the given work time and returns its reply. Calls `disturb`
@@ -66,6 +88,44 @@
   return reply.get();
 }
 
+struct TimedReply {
+  HttpReply Reply;
+  /// From the disturbance to the reply.
+  milliseconds Took{0};
+};
+
+/// Sends requests until one runs at n1, calls `disturb` then, and returns its
+/// reply. Requests that run at n2 take no time.
+template <typename Action>
+TimedReply callDuring(PlatformFleet &fleet, const std::string &method,
+                      Action disturb) {
+  constexpr int workMs = 3'000;
+  fleet.controlServer("n1", {{"work_ms", workMs}});
+  std::string id;
+  std::future<HttpReply> reply;
+  TestFleet::await("a run at n1", [&] {
+    id = "run-" + std::to_string(fleet::now().time_since_epoch().count());
+    HttpCall call{method,
+                  method == "GET" ? "/safe/x" : "/once/x",
+                  {{"Host", "h.example"},
+                   {"Attempt-Id", id},
+                   {"Remaining-Milliseconds", "6000"}},
+                  ""};
+    reply = std::async(std::launch::async, [&fleet, call] {
+      return callOnce(fleet.node("n3").Http, call, milliseconds(7'000));
+    });
+    while (reply.wait_for(milliseconds(5)) != std::future_status::ready)
+      if (runsOf(fleet, id) == 1)
+        return true;
+    return false;
+  });
+  disturb();
+  Instant begin = fleet::now();
+  TimedReply seen{reply.get(), {}};
+  seen.Took = std::chrono::duration_cast<milliseconds>(fleet::now() - begin);
+  return seen;
+}
+
 void pause(PlatformFleet &fleet, const std::string &node) {
   fleet.process(node).signal(SIGSTOP);
   std::this_thread::sleep_for(PauseTime);
@@ -107,6 +167,20 @@
   CHECK(runsOf(fleet, "disturbed") == 1);
 }
 
+// Guards against a second run of a lookup whose gate still has the first one.
+TEST_CASE("a lookup with retries goes on where it runs after a lost link",
+          "[lost-link]") {
+  constexpr int workMs = 800;
+  PlatformFleet fleet;
+  startPair(fleet, 2);
+  HttpReply reply = lookUpDuring(fleet, workMs, [&] {
+    fleet.controlRelays("n1", {{"close", true}});
+  });
+  INFO(reply.Status << " " << reply.Body);
+  CHECK(reply.Status == 200);
+  CHECK(runsOf(fleet, "disturbed") == 1);
+}
+
 // Guards against slots that a run keeps after its entry has asked for its
 // outcome over a new link and the caller has left.
 TEST_CASE("a run whose link was lost ends once its caller leaves",
@@ -149,3 +223,82 @@
   CHECK(reply.Status == 200);
   CHECK(runsOf(fleet, "slow") == 1);
 }
+
+// Guards against an entry that waits for a gate whose process is gone.
+TEST_CASE("a lookup without retries is answered at once when its gate dies",
+          "[lost-link-dead-gate]") {
+  constexpr milliseconds limit{400};
+  PlatformFleet fleet;
+  startFleet(fleet, 1, Path::Direct, {});
+  TimedReply seen =
+      callDuring(fleet, "GET", [&] { fleet.process("n1").signal(SIGKILL); });
+  INFO(seen.Reply.Status << " " << seen.Reply.Body << " after "
+                         << seen.Took.count() << " ms");
+  CHECK(seen.Reply.Status == 502);
+  CHECK(seen.Reply.problem("run") == "unknown");
+  CHECK(seen.Took < limit);
+}
+
+// Guards against a retry that starts only once the entry has stopped looking
+// for a gate that is gone or cut off.
+TEST_CASE("a lookup moves on at once when its gate is gone",
+          "[lost-link-moves-on]") {
+  // A link that is cut off is noticed after about half a second.
+  constexpr milliseconds limit{900};
+  bool isCut = GENERATE(false, true);
+  PlatformFleet fleet;
+  startFleet(fleet, 2, Path::Relayed, {"n2"});
+  TimedReply seen = callDuring(fleet, "GET", [&] {
+    if (isCut)
+      fleet.controlRelays("n1", {{"freeze_in", true}, {"freeze_out", true}});
+    else
+      fleet.process("n1").signal(SIGKILL);
+  });
+  INFO("cut " << isCut << ": " << seen.Reply.Status << " " << seen.Reply.Body
+              << " after " << seen.Took.count() << " ms");
+  CHECK(seen.Reply.Status == 200);
+  CHECK(seen.Reply.Body == "i-n2:");
+  CHECK(seen.Took < limit);
+}
+
+// Guards against an entry that looks for a gate that is cut off until the
+// caller's time is over.
+TEST_CASE("a lookup without retries does not wait long for a gate cut off",
+          "[lost-link-cut]") {
+  constexpr milliseconds limit{2'000};
+  PlatformFleet fleet;
+  startPair(fleet, 1);
+  TimedReply seen = callDuring(fleet, "GET", [&] {
+    fleet.controlRelays("n1", {{"freeze_in", true}, {"freeze_out", true}});
+  });
+  INFO(seen.Reply.Status << " " << seen.Reply.Body << " after "
+                         << seen.Took.count() << " ms");
+  CHECK(seen.Reply.Status == 502);
+  CHECK(seen.Reply.problem("run") == "unknown");
+  CHECK(seen.Took < limit);
+}
+
+// Guards against slots that an overdue run keeps after its entry has died.
+TEST_CASE("an overdue run ends once its entry has died",
+          "[lost-link-dead-entry]") {
+  constexpr int usualMs = 300;
+  constexpr milliseconds untilOverdue{2'000};
+  constexpr int limitMs = 2'500;
+  PlatformFleet fleet;
+  fleet.setRootDefaults(
+      {{"health", "completion_odds"}, {"stall_after_ms", 500}});
+  startPair(fleet, 1);
+  fleet.controlServer("n1", {{"work_ms", usualMs}});
+  for (int i = 0; i < 8; ++i)
+    REQUIRE(lookUp(fleet, "usual").Status == 200);
+  auto busy = [&] {
+    return fleet.statusOf("n1")["own_endpoints"][0]["busy"].get<int>();
+  };
+  callDuring(fleet, "GET", [&] {
+    std::this_thread::sleep_for(untilOverdue);
+    REQUIRE(busy() == 1);
+    fleet.process("n3").signal(SIGKILL);
+  });
+  TestFleet::await(
+      "the slot is free", [&] { return busy() == 0; }, limitMs);
+}
