entry: do not ask a process that is gone for the outcome of an order

Callers of an order whose gate's process had died waited for the 502 (run unknown) until their own time was over.

Cause: the entry asked for the outcome until the deadline, also when the gate's address refused the connection. The process that knew the outcome is gone then; one that starts there later knows nothing of the attempt.

A refused connection now ends the question, and the first attempt to connect does not wait for the backoff of the lost link. A gate that is paused, silent or cut off is asked as before, also through other nodes.

--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -524,15 +524,23 @@
 
 /// After the link is lost, queries the gate for the outcome of the attempt over
 /// a new link, or through a node that may still reach the gate. The gate fences
-/// an attempt that has not started, and otherwise sends its result.
+/// an attempt that has not started, and otherwise sends its result. A process
+/// that is gone has taken the outcome with it.
 asio::awaitable<EntryResult> Entry::resolveOutcome(Attempt &attempt,
                                                    std::size_t target) {
   cancelStream(attempt, target);
+  attempt.LostAt = now();
+  const Attempt::Target &gate = attempt.Targets[target];
+  Links.reopenNow(gate.Gate.Node, gate.Node);
   std::optional<EntryResult> result;
   while (!result && now() < attempt.Request->Deadline) {
     if (attempt.Request->Scope->IsCancelled)
       co_return makeError(ErrorKind::Cancelled);
     bool isQuerySent = co_await queryGate(attempt, target);
+    if (!isQuerySent && Links.isRefused(gate.Gate.Node)) {
+      logQuery(attempt, target, "connection refused");
+      break;
+    }
     if (!isQuerySent)
       isQuerySent = co_await queryThroughPeer(attempt, target);
     // Also reads the events during a pause, since the attempt may end then.
--- a/src/libfleet/entry/entryattempt.h
+++ b/src/libfleet/entry/entryattempt.h
@@ -62,8 +62,8 @@
   bool IsGranted = false;
   /// When the request itself was sent to a gate.
   std::optional<Instant> SentAt;
-  /// When the link to the gate of an idempotent request was lost; the entry
-  /// then asks the gate for the outcome.
+  /// When the link to the gate was lost; the entry then asks the gate for the
+  /// outcome.
   std::optional<Instant> LostAt;
   /// The gate was reached and asked after the loss.
   bool IsAsked = false;
--- a/tests/platform/test_links.cpp
+++ b/tests/platform/test_links.cpp
@@ -239,6 +239,22 @@
   CHECK(seen.Took < limit);
 }
 
+// Guards against an entry that asks a dead process for the outcome of an order
+// until the caller's time is over.
+TEST_CASE("an order is answered at once when its gate dies",
+          "[lost-link-order]") {
+  constexpr milliseconds limit{400};
+  PlatformFleet fleet;
+  startFleet(fleet, 1, Path::Direct, {});
+  TimedReply seen =
+      callDuring(fleet, "POST", [&] { fleet.process("n1").signal(SIGKILL); });
+  INFO(seen.Reply.Status << " " << seen.Reply.Body << " after "
+                         << seen.Took.count() << " ms");
+  CHECK(seen.Reply.Status == 502);
+  CHECK(seen.Reply.problem("run") == "unknown");
+  CHECK(seen.Took < limit);
+}
+
 // Guards against a retry that starts only once the entry has stopped looking
 // for a gate that is gone or cut off.
 TEST_CASE("a lookup moves on at once when its gate is gone",
