tests: lookups on a link that is lost again and again

Guards against answers that are lost while streams are taken up again: 20 lookups without retries at work, 12 losses of their link within 0.84 s.

--- a/tests/platform/test_links.cpp
+++ b/tests/platform/test_links.cpp
@@ -318,3 +318,37 @@
   TestFleet::await(
       "the slot is free", [&] { return busy() == 0; }, limitMs);
 }
+
+// Guards against answers that are lost, or runs that are made again, when a
+// link is lost while its streams are being taken up again.
+TEST_CASE("lookups without retries survive a link that is lost repeatedly",
+          "[lost-link-flapping]") {
+  constexpr int workMs = 500;
+  constexpr int lookUps = 20;
+  constexpr int losses = 12;
+  constexpr milliseconds period{70};
+  PlatformFleet fleet;
+  startPair(fleet, 1);
+  fleet.controlServer("n1", {{"work_ms", workMs}, {"slots", lookUps}});
+  TestFleet::await("slots", [&] {
+    return fleet.statusOf("n1")["own_endpoints"][0]["slots"] == lookUps;
+  });
+  std::vector<std::future<HttpReply>> replies;
+  for (int i = 0; i < lookUps; ++i)
+    replies.push_back(std::async(std::launch::async, [&fleet, i] {
+      return lookUp(fleet, "flap-" + std::to_string(i));
+    }));
+  TestFleet::await("the runs", [&] {
+    return fleet.statusOf("n1")["own_endpoints"][0]["busy"] == lookUps;
+  });
+  for (int i = 0; i < losses; ++i) {
+    fleet.controlRelays("n1", {{"close", true}});
+    std::this_thread::sleep_for(period);
+  }
+  for (int i = 0; i < lookUps; ++i) {
+    HttpReply reply = replies[i].get();
+    INFO(i << ": " << reply.Status << " " << reply.Body);
+    CHECK(reply.Status == 200);
+    CHECK(runsOf(fleet, "flap-" + std::to_string(i)) == 1);
+  }
+}
