tests: the overdue runs of lost links are checked to be overdue

The run of lost-link-dead-entry took 3 s, so that its slot was free in time also without the gate's rule; it takes 8 s now, and the test requires that the gate has reported it as overdue.

--- a/tests/platform/test_links.cpp
+++ b/tests/platform/test_links.cpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <fstream>
 #include <future>
 #include <string>
 #include <thread>
@@ -88,6 +89,16 @@
   return reply.get();
 }
 
+/// True once a gate has reported a run to the entry as overdue.
+bool isOverdue(PlatformFleet &fleet) {
+  std::ifstream log(fleet.folder() + "/n3.err");
+  std::string line;
+  while (std::getline(log, line))
+    if (json::parse(line, nullptr, false).value("event", "") == "overdue")
+      return true;
+  return false;
+}
+
 struct TimedReply {
   HttpReply Reply;
   /// From the disturbance to the reply.
@@ -99,7 +110,7 @@
 template <typename Action>
 TimedReply callDuring(PlatformFleet &fleet, const std::string &method,
                       Action disturb) {
-  constexpr int workMs = 3'000;
+  constexpr int workMs = 8'000;
   fleet.controlServer("n1", {{"work_ms", workMs}});
   std::string id;
   std::future<HttpReply> reply;
@@ -221,6 +232,7 @@
   HttpReply reply = pending.get();
   INFO(reply.Status << " " << reply.Body);
   CHECK(reply.Status == 200);
+  CHECK(isOverdue(fleet));
   CHECK(runsOf(fleet, "slow") == 1);
 }
 
@@ -313,6 +325,7 @@
   callDuring(fleet, "GET", [&] {
     std::this_thread::sleep_for(untilOverdue);
     REQUIRE(busy() == 1);
+    REQUIRE(isOverdue(fleet));
     fleet.process("n3").signal(SIGKILL);
   });
   TestFleet::await(
