peers: reopen a lost link again if the dying process accepted the first try

Callers of a gate that was killed got their 502 after 0.52 s instead of some milliseconds in a part of the cases.

Cause: a process that is being ended may accept one more connection and close it at once (log: link_closed of n1, then link_closed with an empty peer in the same millisecond). The failed attempt set off the doubled backoff of 0.5 s, and only then was the connection refused.

Up to four attempts, at least 15 ms apart, ignore the backoff until the link is established again; they leave the backoff as it is.

--- a/src/libfleet/entry/entryattempt.cpp
+++ b/src/libfleet/entry/entryattempt.cpp
@@ -443,6 +443,7 @@
   }
   bool isGone = Links.isRefused(it.Gate.Node);
   if (!isGone && now() - *attempt.LostAt < GateSearchLimit) {
+    Links.reopenNow(it.Gate.Node, it.Node);
     Links.reconnectIfDue(it.Gate.Node, it.Node, now());
     return std::nullopt;
   }
@@ -531,11 +532,11 @@
   cancelStream(attempt, target);
   attempt.LostAt = now();
   const Attempt::Target &gate = attempt.Targets[target];
-  Links.reopenNow(gate.Gate.Node, gate.Node);
   std::optional<EntryResult> result;
   while (!result && now() < attempt.Request->Deadline) {
     if (attempt.Request->Scope->IsCancelled)
       co_return makeError(ErrorKind::Cancelled);
+    Links.reopenNow(gate.Gate.Node, gate.Node);
     bool isQuerySent = co_await queryGate(attempt, target);
     if (!isQuerySent && Links.isRefused(gate.Gate.Node)) {
       logQuery(attempt, target, "connection refused");
--- a/src/libfleet/peers/peerlinks.cpp
+++ b/src/libfleet/peers/peerlinks.cpp
@@ -20,6 +20,11 @@
 constexpr Micros InitialBackoff = std::chrono::milliseconds(250);
 constexpr int MaxDoublings = 3;
 
+/// Attempts to reopen a lost link without its backoff, and the least time from
+/// one to the next. A process that is being ended may still accept the first.
+constexpr int MaxReopens = 4;
+constexpr Micros ReopenPause = std::chrono::milliseconds(15);
+
 } // namespace
 
 PeerLinks::PeerLinks(asio::any_io_executor ex, wire::Hello own,
@@ -82,9 +87,7 @@
   peer.IsConnecting = false;
   peer.IsRefused = ec == asio::error::connection_refused;
   if (ec || !socket->is_open()) {
-    // An attempt of reopenNow() leaves the backoff as it is.
-    if (now() >= peer.DownUntil)
-      startBackoff(node);
+    startBackoff(node);
     co_return;
   }
   auto slot = std::make_shared<GateClient *>(nullptr);
@@ -108,7 +111,7 @@
                                       wire::Frame frame) {
     if (frame.__isset.hello) {
       Peers[node].Losses = 0;
-      Peers[node].MayReopen = true;
+      Peers[node].Reopens = 0;
       link->setBusy(*slot && (*slot)->openStreams() > 0);
       return;
     }
@@ -135,6 +138,9 @@
 
 void PeerLinks::startBackoff(const std::string &node) {
   Peer &peer = Peers[node];
+  // An attempt of reopenNow() leaves the backoff as it is.
+  if (peer.Losses > 0 && now() < peer.DownUntil)
+    return;
   Micros pause = InitialBackoff * (1 << std::min(peer.Losses, MaxDoublings));
   ++peer.Losses;
   peer.DownUntil = now() + pause;
@@ -164,9 +170,12 @@
 
 void PeerLinks::reopenNow(const std::string &node, const NodeView &view) {
   Peer &peer = Peers[node];
-  if (!peer.MayReopen || peer.Connection || peer.IsConnecting)
+  bool mayReopen =
+      peer.Losses > 0 && peer.Reopens < MaxReopens && now() >= peer.ReopenAt;
+  if (!mayReopen || peer.Connection || peer.IsConnecting)
     return;
-  peer.MayReopen = false;
+  ++peer.Reopens;
+  peer.ReopenAt = now() + ReopenPause;
   peer.IsConnecting = true;
   asio::co_spawn(Executor, open(node, view.FleetAddress), asio::detached);
 }
--- a/src/libfleet/peers/peerlinks.h
+++ b/src/libfleet/peers/peerlinks.h
@@ -39,8 +39,8 @@
   void reconnectIfDue(const std::string &node, const NodeView &view,
                       Instant now);
 
-  /// Tries once to reopen a link that has just been lost, in spite of its
-  /// backoff: shows whether the node's process is still there.
+  /// Reopens a link that has just been lost, in spite of its backoff, a few
+  /// times in all: shows whether the node's process is still there.
   void reopenNow(const std::string &node, const NodeView &view);
 
   /// Returns the client of an open link; nullptr if there is none.
@@ -61,8 +61,10 @@
     std::string Address;
     bool IsConnecting = false;
     bool IsRefused = false;
-    /// The link has been established since the latest reopenNow().
-    bool MayReopen = false;
+    /// Attempts of reopenNow() since the link was last established, and when
+    /// the next one may start.
+    int Reopens = 0;
+    Instant ReopenAt;
     int Losses = 0;
     Instant DownUntil;
   };
