soak: judge runs that are cut because their gate ends

The judge goes by the SIGTERM of the entry only, as the rule does, so that a gate that cut the runs of other entries went unseen unless the entry was stopped as well.

Runs of other entries that are cut as their gate's process ends are now told apart: cut less than 5.6 s after the gate's SIGTERM, or later, when no answer could come within the grace period; and of the latter those that another gate had the time to answer. Cases of LOST say when the gate was stopped.

--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -84,20 +84,27 @@
     return request.EndMs - start;
   }
 
+  Case caseOf(FaultKind kind, const Request &request, std::span<const Run> runs,
+              std::optional<std::int64_t> afterStopMs) const {
+    return {kind,
+            request,
+            {runs.begin(), runs.end()},
+            afterStopMs,
+            processAge(request)};
+  }
+
   void add(FaultKind kind, const Request &request, std::span<const Run> runs,
            std::optional<std::int64_t> afterStopMs) {
-    Result.Cases.push_back({kind,
-                            request,
-                            {runs.begin(), runs.end()},
-                            afterStopMs,
-                            processAge(request)});
+    Result.Cases.push_back(caseOf(kind, request, runs, afterStopMs));
   }
 
   void addBreak(FaultKind kind, const Request &request,
                 std::span<const Run> runs, std::int64_t breakMs) {
     std::optional<std::int64_t> after = afterStop(request, breakMs);
-    if (after || !isExcusedByAny(request, breakMs))
-      add(kind, request, runs, after);
+    if (!after && isExcusedByAny(request, breakMs))
+      return;
+    add(kind, request, runs, after);
+    Result.Cases.back().AfterGateStopMs = afterGateStop(request, runs);
   }
 
   void judgeUnanswered(const Request &request, std::span<const Run> runs) {
@@ -140,6 +147,103 @@
       add(FaultKind::OverBudget, request, runs, {});
   }
 
+  /// Returns the latest SIGTERM in whose stop the run was cut because its gate
+  /// ended.
+  std::optional<std::int64_t> gateStopOf(const Run &run,
+                                         std::int64_t cutMs) const {
+    bool hasEnded = std::ranges::any_of(Seen.Ends, [&](const NodeEvent &it) {
+      return it.Node == run.Gate && it.AtMs >= cutMs - Limits.SeenLateMs &&
+             it.AtMs <= cutMs + Limits.GateExitMs;
+    });
+    std::optional<std::int64_t> stop;
+    for (const NodeEvent &it : Seen.Stops)
+      if (hasEnded && it.Node == run.Gate && it.AtMs <= cutMs &&
+          cutMs <= it.AtMs + Limits.GraceMs + Limits.AfterGraceMs)
+        stop = std::max(stop.value_or(it.AtMs), it.AtMs);
+    return stop;
+  }
+
+  /// Returns the time from the SIGTERM of another node to the end of the last
+  /// run that was cut because that node ended.
+  std::optional<std::int64_t> afterGateStop(const Request &request,
+                                            std::span<const Run> runs) const {
+    std::optional<std::int64_t> after;
+    for (const Run &it : runs) {
+      std::int64_t cutMs = std::min(it.EndMs, request.EndMs);
+      bool isCut = it.End == RunEnd::Cut || it.EndMs > request.EndMs;
+      std::optional<std::int64_t> stop = gateStopOf(it, cutMs);
+      if (isCut && stop && it.Gate != request.Node)
+        after = cutMs - *stop;
+    }
+    return after;
+  }
+
+  bool isEntryEnding(const Request &request, std::int64_t atMs) const {
+    return std::ranges::any_of(Seen.Stops, [&](const NodeEvent &it) {
+      return it.Node == request.Node &&
+             atMs >= it.AtMs + Limits.GraceMs * 5 / 6 &&
+             atMs <= it.AtMs + Limits.GraceMs + Limits.AfterGraceMs;
+    });
+  }
+
+  bool isServing(const std::string &node, std::int64_t atMs) const {
+    std::optional<std::int64_t> start;
+    for (const NodeEvent &it : Seen.Starts)
+      if (it.Node == node && it.AtMs <= atMs)
+        start = std::max(start.value_or(it.AtMs), it.AtMs);
+    return start && *start + Limits.GateStartMs <= atMs &&
+           std::ranges::none_of(Seen.Stops, [&](const NodeEvent &it) {
+             return it.Node == node && it.AtMs >= *start && it.AtMs <= atMs;
+           });
+  }
+
+  /// True if another attempt could have answered that began at the gate's
+  /// SIGTERM.
+  bool isReplaceable(const Request &request, const Run &run,
+                     std::span<const Run> runs, std::int64_t stopMs) const {
+    auto made = std::ranges::count_if(
+        runs, [&](const Run &it) { return it.BeginMs <= stopMs; });
+    std::int64_t leftMs = request.SentMs + request.TimeMs - stopMs;
+    bool hasGate = std::ranges::any_of(Seen.Servers, [&](const auto &it) {
+      return it.Service == request.Service && it.Node != run.Gate &&
+             isServing(it.Node, stopMs);
+    });
+    return request.IsIdempotent && made < request.MaxAttempts && hasGate &&
+           leftMs > run.WorkMs + Limits.LossSlackMs;
+  }
+
+  void judgeGate(const Request &request, const Run &run,
+                 std::span<const Run> runs) {
+    bool wasAtWork = run.BeginMs <= request.EndMs && run.EndMs > request.EndMs;
+    bool isServed = request.Status != 0 && !request.IsOwn;
+    std::int64_t cutMs = std::min(run.EndMs, request.EndMs);
+    // The run was no longer needed.
+    bool isDone = isServed && request.EndMs <= run.EndMs + Limits.SeenLateMs;
+    if ((run.End != RunEnd::Cut && !wasAtWork) || isDone ||
+        run.Gate == request.Node || request.HasClientLeft ||
+        !hasTimeLeft(request, cutMs, Limits))
+      return;
+    std::optional<std::int64_t> stop = gateStopOf(run, cutMs);
+    if (!stop)
+      return;
+    GateCuts &seen = Result.Gates;
+    if (isEntryEnding(request, cutMs)) {
+      ++seen.WithEntryEnding;
+    } else if (cutMs - *stop < Limits.GateEndMs) {
+      Case early = caseOf(FaultKind::CutByGate, request, runs,
+                          afterStop(request, cutMs));
+      early.AfterGateStopMs = cutMs - *stop;
+      seen.Early.push_back(early);
+      seen.EarlyAnswered += isServed;
+    } else {
+      bool isCounted = isReplaceable(request, run, runs, *stop);
+      ++seen.Outlasting;
+      seen.OutlastingAnswered += isServed;
+      seen.Replaceable += isCounted;
+      seen.ReplaceableAnswered += isCounted && isServed;
+    }
+  }
+
   void judgeRequest(const Request &request, std::span<const Run> runs) {
     Result.InWindow +=
         std::ranges::any_of(Seen.Stops, [&](const NodeEvent &it) {
@@ -155,6 +259,8 @@
     else if (request.IsOwn)
       judgeOwn(request, runs);
     judgeRuns(request, runs);
+    for (const Run &it : runs)
+      judgeGate(request, it, runs);
   }
 };
 
@@ -170,6 +276,8 @@
     return "REFUSED";
   case FaultKind::OverBudget:
     return "BUDGET";
+  case FaultKind::CutByGate:
+    return "CUT by its gate";
   }
   return "";
 }
@@ -192,12 +300,30 @@
 
 } // namespace
 
+GateCuts &GateCuts::operator+=(const GateCuts &other) {
+  Early.insert(Early.end(), other.Early.begin(), other.Early.end());
+  EarlyAnswered += other.EarlyAnswered;
+  Outlasting += other.Outlasting;
+  OutlastingAnswered += other.OutlastingAnswered;
+  Replaceable += other.Replaceable;
+  ReplaceableAnswered += other.ReplaceableAnswered;
+  WithEntryEnding += other.WithEntryEnding;
+  return *this;
+}
+
 int Verdict::count(FaultKind kind, bool isInWindow) const {
   return int(std::ranges::count_if(Cases, [&](const Case &it) {
     return it.Kind == kind && it.AfterStopMs.has_value() == isInWindow;
   }));
 }
 
+int Verdict::countOutlasting(const Bounds &bounds) const {
+  return int(std::ranges::count_if(Cases, [&](const Case &it) {
+    return dependsOnStop(it.Kind) && it.AfterStopMs &&
+           it.AfterGateStopMs.value_or(0) >= bounds.GateEndMs;
+  }));
+}
+
 int Verdict::faults() const {
   return int(std::ranges::count_if(Cases, [](const Case &it) {
     return dependsOnStop(it.Kind) ? it.AfterStopMs.has_value()
@@ -230,6 +356,9 @@
                    std::to_string(*fault.AfterStopMs - (of.EndMs - of.SentMs)) +
                    " ms after it"
              : "outside of a stop";
+  if (fault.AfterGateStopMs)
+    out += "; " + std::to_string(*fault.AfterGateStopMs) +
+           " ms after SIGTERM of the gate";
   for (const Run &it : fault.Runs)
     out += "; " + it.Server + " from " +
            std::to_string(it.BeginMs - of.SentMs) + " ms " +
--- a/tests/soak/judge.h
+++ b/tests/soak/judge.h
@@ -26,6 +26,10 @@
   std::int64_t BeginMs = 0;
   std::int64_t EndMs = 0;
   RunEnd End = RunEnd::Answered;
+  /// Node of the server.
+  std::string Gate = {};
+  /// How long the server would work.
+  std::int64_t WorkMs = 0;
 
   auto operator<=>(const Run &) const = default;
 };
@@ -36,6 +40,7 @@
   /// Node that took the request.
   std::string Node;
   std::string Route;
+  std::string Service = {};
   bool IsIdempotent = true;
   std::int64_t SentMs = 0;
   /// The smaller of the client's time and the route's timeout.
@@ -59,12 +64,22 @@
   auto operator<=>(const NodeEvent &) const = default;
 };
 
+struct ServerPlace {
+  std::string Node;
+  std::string Service;
+
+  auto operator<=>(const ServerPlace &) const = default;
+};
+
 struct Record {
   std::vector<Request> Requests;
   std::vector<Run> Runs;
   std::vector<NodeEvent> Starts;
   /// SIGTERMs.
   std::vector<NodeEvent> Stops;
+  /// Ends of processes.
+  std::vector<NodeEvent> Ends = {};
+  std::vector<ServerPlace> Servers = {};
 
   auto operator<=>(const Record &) const = default;
 };
@@ -80,6 +95,16 @@
   std::int64_t LossSlackMs = 200;
   /// Less time than this counts as none.
   std::int64_t LeastLeftMs = 50;
+  /// Runs of other entries may not be cut sooner than this after the SIGTERM of
+  /// their gate.
+  std::int64_t GateEndMs = 5'600;
+  /// A run that is cut this long before the end of its gate's process, or less,
+  /// is cut because of it.
+  std::int64_t GateExitMs = 500;
+  /// The same after the end of the process, which is seen late.
+  std::int64_t SeenLateMs = 100;
+  /// Time from its start until a process counts as another gate.
+  std::int64_t GateStartMs = 2'000;
 
   auto operator<=>(const Bounds &) const = default;
 };
@@ -92,6 +117,8 @@
   Twice,
   Refused,
   OverBudget,
+  /// A stopping gate cut the run of another entry too soon.
+  CutByGate,
 };
 
 struct Case {
@@ -103,10 +130,33 @@
   std::optional<std::int64_t> AfterStopMs;
   /// Age of the node's process at the end of the request.
   std::int64_t ProcessAgeMs = 0;
+  /// Time from the SIGTERM of the gate of another node to the end of the last
+  /// run that was cut because that gate ended.
+  std::optional<std::int64_t> AfterGateStopMs = std::nullopt;
 
   auto operator<=>(const Case &) const = default;
 };
 
+/// Runs of other entries that were cut because their gate ended.
+struct GateCuts {
+  /// Those cut sooner than they may be.
+  std::vector<Case> Early;
+  int EarlyAnswered = 0;
+  /// Those that went on as long as their gate could.
+  int Outlasting = 0;
+  int OutlastingAnswered = 0;
+  /// Those of them for which there was another gate at the SIGTERM of theirs,
+  /// with an attempt and the time for it left.
+  int Replaceable = 0;
+  int ReplaceableAnswered = 0;
+  /// Runs that are not counted above as their entry was at the end of its own
+  /// stop.
+  int WithEntryEnding = 0;
+
+  GateCuts &operator+=(const GateCuts &other);
+  auto operator<=>(const GateCuts &) const = default;
+};
+
 struct Verdict {
   int Served = 0;
   int Own502 = 0;
@@ -119,11 +169,16 @@
   /// Requests cut with time left whose deadline then passed; no faults.
   int LateAfterCut = 0;
   std::vector<Case> Cases;
+  /// Judged beside the rules, which go by the stops of a request's own node.
+  GateCuts Gates;
 
   /// Faults that break a rule: all but those outside of a stop's window and
   /// those over the limit of attempts, which the rules bound by their number.
   int faults() const;
   int count(FaultKind kind, bool isInWindow) const;
+  /// Breaks in the window of a stop whose run went on as long as its gate
+  /// could.
+  int countOutlasting(const Bounds &bounds = {}) const;
 
   auto operator<=>(const Verdict &) const = default;
 };
--- a/tests/soak/test_judge.cpp
+++ b/tests/soak/test_judge.cpp
@@ -183,3 +183,176 @@
   CHECK(plan == planOf(phases, "s1", "a", target, at));
   CHECK(plan != planOf(phases, "s2", "a", target, at));
 }
+
+namespace {
+
+constexpr std::int64_t GateStopMs = 300'000;
+
+/// What was seen of a lookup of entry n1 whose run at the gate n2 was cut; n3
+/// is another gate of its service.
+struct GateScene {
+  Request Of = {.Id = "a",
+                .Node = "n1",
+                .Route = "archive",
+                .Service = "gamma",
+                .SentMs = GateStopMs - 1'000,
+                .TimeMs = 9'500,
+                .MaxAttempts = 2,
+                .Status = 502,
+                .IsOwn = true};
+  Run First = {.Id = "a",
+               .Server = "s2",
+               .BeginMs = GateStopMs - 998,
+               .End = RunEnd::Cut,
+               .Gate = "n2",
+               .WorkMs = 7'500};
+  std::vector<Run> Others = {};
+  std::vector<NodeEvent> Stops = {{"n2", GateStopMs}};
+  std::vector<NodeEvent> Ends = {};
+
+  explicit GateScene(std::int64_t cutMs) {
+    First.EndMs = GateStopMs + cutMs;
+    Of.EndMs = First.EndMs + 2;
+    Ends = {{"n2", First.EndMs + 120}};
+  }
+
+  Verdict judged() const {
+    Record record{.Requests = {Of},
+                  .Runs = Others,
+                  .Starts = {{"n1", 0}, {"n2", 0}, {"n3", 0}},
+                  .Stops = Stops,
+                  .Ends = Ends,
+                  .Servers = {{"n2", "gamma"}, {"n3", "gamma"}}};
+    record.Runs.push_back(First);
+    return judge(record);
+  }
+  GateCuts cuts() const { return judged().Gates; }
+};
+
+Run answeredElsewhere(const GateScene &scene, std::int64_t endMs) {
+  return {.Id = "a",
+          .Server = "s3",
+          .BeginMs = scene.First.EndMs - 500,
+          .EndMs = endMs,
+          .Gate = "n3",
+          .WorkMs = 7'500};
+}
+
+} // namespace
+
+TEST_CASE("a gate may cut runs of other entries at its end only", "[soak]") {
+  GateCuts early = GateScene(5'599).cuts();
+  REQUIRE(early.Early.size() == 1);
+  CHECK(early.Early[0].Kind == FaultKind::CutByGate);
+  CHECK(early.Early[0].AfterGateStopMs == 5'599);
+  CHECK(early.EarlyAnswered == 0);
+  CHECK(early.Outlasting == 0);
+  GateCuts late = GateScene(5'600).cuts();
+  CHECK(late.Early.empty());
+  CHECK(late.Outlasting == 1);
+  CHECK(late.OutlastingAnswered == 0);
+}
+
+TEST_CASE("a run that its gate cuts is a case beside the rules", "[soak]") {
+  Verdict it = GateScene(5'300).judged();
+  CHECK(it.Gates.Early.size() == 1);
+  CHECK(it.faults() == 0);
+  REQUIRE(it.count(FaultKind::BrokenOff, false) == 1);
+  CHECK(it.Cases[0].AfterGateStopMs == 5'300);
+}
+
+TEST_CASE("a run that outlasts its gate is lost beside a stop of its entry",
+          "[soak]") {
+  auto lost = [](std::int64_t cutMs) {
+    GateScene scene(cutMs);
+    scene.Stops.push_back({"n1", GateStopMs + 2'000});
+    return scene.judged();
+  };
+  CHECK(lost(5'599).faults() == 1);
+  CHECK(lost(5'599).countOutlasting() == 0);
+  CHECK(lost(5'600).faults() == 1);
+  CHECK(lost(5'600).countOutlasting() == 1);
+}
+
+TEST_CASE("an entry that gives up a run is not told from its gate's cut",
+          "[soak]") {
+  GateScene scene(5'300);
+  scene.First.End = RunEnd::Answered;
+  scene.First.EndMs = scene.Of.EndMs + 400;
+  CHECK(scene.cuts().Early.size() == 1);
+}
+
+TEST_CASE("a run is cut by its gate only if the gate ends", "[soak]") {
+  GateScene scene(5'300);
+  scene.Ends[0].AtMs = scene.First.EndMs + 501;
+  CHECK(scene.cuts() == GateCuts{});
+  scene.Ends[0].AtMs = scene.First.EndMs - 101;
+  CHECK(scene.cuts() == GateCuts{});
+  scene.Ends[0] = {"n3", scene.First.EndMs};
+  CHECK(scene.cuts() == GateCuts{});
+  scene = GateScene(5'300);
+  scene.Stops.clear();
+  CHECK(scene.cuts() == GateCuts{});
+}
+
+TEST_CASE("a run that is no longer needed is not cut by its gate", "[soak]") {
+  GateScene own(5'300);
+  own.First.Gate = "n1";
+  own.Ends[0].Node = "n1";
+  own.Stops[0].Node = "n1";
+  CHECK(own.cuts() == GateCuts{});
+  GateScene left(5'300);
+  left.Of.HasClientLeft = true;
+  CHECK(left.cuts() == GateCuts{});
+  GateScene late(5'300);
+  late.Of.TimeMs = 6'350;
+  CHECK(late.cuts() == GateCuts{});
+  late.Of.TimeMs = 6'351;
+  CHECK(late.cuts().Early.size() == 1);
+  GateScene replaced(5'300);
+  replaced.Of.Status = 200;
+  replaced.Of.IsOwn = false;
+  replaced.Of.EndMs = replaced.First.EndMs + 100;
+  replaced.Others = {answeredElsewhere(replaced, replaced.First.EndMs)};
+  CHECK(replaced.cuts() == GateCuts{});
+  replaced.Of.EndMs = replaced.First.EndMs + 101;
+  CHECK(replaced.cuts().Early.size() == 1);
+  CHECK(replaced.cuts().EarlyAnswered == 1);
+}
+
+TEST_CASE("a cut at the end of the entry's own stop is counted apart",
+          "[soak]") {
+  GateScene scene(5'300);
+  scene.Stops.push_back({"n1", GateStopMs + 300});
+  CHECK(scene.cuts().WithEntryEnding == 1);
+  CHECK(scene.cuts().Early.empty());
+  scene.Stops.back().AtMs = GateStopMs + 301;
+  CHECK(scene.cuts().WithEntryEnding == 0);
+  CHECK(scene.cuts().Early.size() == 1);
+}
+
+TEST_CASE("a run is replaceable with a gate, an attempt and time", "[soak]") {
+  GateScene scene(5'600);
+  CHECK(scene.cuts().Replaceable == 1);
+  GateScene order = scene;
+  order.Of.IsIdempotent = false;
+  CHECK(order.cuts().Replaceable == 0);
+  GateScene single = scene;
+  single.Of.MaxAttempts = 1;
+  CHECK(single.cuts().Replaceable == 0);
+  GateScene slow = scene;
+  slow.First.WorkMs = 8'300;
+  CHECK(slow.cuts().Replaceable == 0);
+  GateScene alone = scene;
+  alone.Stops.push_back({"n3", GateStopMs - 3'000});
+  CHECK(alone.cuts().Replaceable == 0);
+  GateScene answered = scene;
+  answered.Of.Status = 200;
+  answered.Of.IsOwn = false;
+  answered.Of.EndMs = scene.First.EndMs + 2'000;
+  answered.Others = {answeredElsewhere(scene, answered.Of.EndMs - 1)};
+  CHECK(answered.cuts().Outlasting == 1);
+  CHECK(answered.cuts().OutlastingAnswered == 1);
+  CHECK(answered.cuts().Replaceable == 1);
+  CHECK(answered.cuts().ReplaceableAnswered == 1);
+}
