soak: stop gates of long runs, then an entry that waits for them

--mode handover adds a service with one gate (even seeds) or two, works of 3 to 6 s and some of 7 to 8 s, routes with one attempt and with two, and orders. Its gates are stopped while they run requests of other entries, then, 0.5 to 5 s later, an entry that waits. All other nodes are stopped in turn, half as often as in the mode stops, which is the default and stays as it was. A run cut by its gate too soon fails a seed. Lines of the logs on orphaned runs and on gates that end are counted, also in total.

--- a/tests/platform/serverstandin.cpp
+++ b/tests/platform/serverstandin.cpp
@@ -6,6 +6,7 @@
 
 #include <fstream>
 #include <map>
+#include <set>
 
 /// Stand-in for a server of the users' platform: sends heartbeats to the node
 /// on its VM, runs requests and reports what it received. POST /_control
@@ -48,12 +49,14 @@
   std::string RecordFile;
   soak::FaultPhases Phases;
   Millis HeartbeatPeriod{200};
+  int Slots = 3;
   std::int64_t StartedAtMs = wallMicros() / 1'000;
 };
 
 class Server {
 public:
-  explicit Server(Identity identity) : Self(std::move(identity)) {}
+  explicit Server(Identity identity)
+      : Self(std::move(identity)), Slots(Self.Slots) {}
 
   asio::awaitable<bool> handle(HttpRequest request,
                                std::shared_ptr<RawConnection> connection) {
@@ -155,6 +158,7 @@
     soak::WorkPlan plan =
         soak::planOf(Self.Phases, Self.Id, id, request.Target, begin);
     auto run = std::make_shared<WatchedRun>();
+    Active.insert(id);
     asio::co_spawn(co_await asio::this_coro::executor, watch(run, connection),
                    asio::detached);
     Millis work = plan.BreakAfter.value_or(plan.Work);
@@ -169,10 +173,12 @@
     }
     co_await workFor(run, work - work / 2);
     run->IsOver = true;
+    Active.erase(Active.find(id));
     bool isCut = run->CutMs != 0;
     record({{"run", id},
             {"server", Self.Id},
             {"begin", begin},
+            {"work", plan.Work.count()},
             {"end", isCut ? run->CutMs : wallMs()},
             {"how", isCut             ? "cut"
                     : plan.BreakAfter ? "broke off"
@@ -251,11 +257,8 @@
         Acked = result.Status == 200 ? "gone" : Acked;
       }
     }
-    json out = {{"runs", Runs},
-                {"arrivals", Arrivals},
-                {"acked", Acked},
-                {"cut", Cut},
-                {"last", Last}};
+    json out = {{"runs", Runs},   {"active", Active}, {"arrivals", Arrivals},
+                {"acked", Acked}, {"cut", Cut},       {"last", Last}};
     co_return co_await reply(connection, answerBytes(200, out.dump()));
   }
 
@@ -264,11 +267,13 @@
   std::string Fault;
   /// Header lines of all answers, in which the server describes itself.
   std::string OwnHeaders;
-  int Slots = 3;
+  int Slots;
   Millis WorkTime{0};
   std::string State = "ready";
   std::string Acked;
   std::map<std::string, int> Runs;
+  /// Planned runs that are under way.
+  std::multiset<std::string> Active;
   json Last;
   int Arrivals = 0;
   /// Runs that hung until the node closed their connection.
@@ -296,6 +301,7 @@
   identity.Phases.EpochMs = std::stoll(option("epoch-ms", "0"));
   identity.Phases.Odds = std::stod(option("break-odds", "0.85"));
   identity.HeartbeatPeriod = Millis(std::stoi(option("beat-ms", "200")));
+  identity.Slots = std::stoi(option("slots", "3"));
   fleet::asio::io_context io{1};
   auto server = std::make_shared<standins::Server>(identity);
   standins::serveHttp(
--- a/tests/soak/clients.cpp
+++ b/tests/soak/clients.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -25,6 +26,10 @@
 /// Clients wait this much longer than the time that they state.
 constexpr Millis Patience{1'000};
 constexpr std::int64_t LongWorkMs = 1'750;
+/// Of clients of the service of long runs.
+constexpr std::int64_t LongClientTimeMs = 9'500;
+/// Its random numbers differ from those of all other traffic.
+constexpr std::uint64_t LongTrafficSeed = 500;
 
 std::int64_t wallMs() { return wallMicros() / 1'000; }
 
@@ -52,23 +57,63 @@
   std::int64_t WorkMs = 0;
   int Calls = 0;
   bool IsPooled = false;
+  std::int64_t TimeMs = ClientTimeMs;
 };
 
+/// One kind of traffic to a node.
+struct Traffic {
+  /// Requests in a second.
+  double Rate = 0;
+  std::string IdPrefix;
+  std::function<Draw(std::mt19937_64 &)> DrawNext = nullptr;
+};
+
+Draw drawNext(std::mt19937_64 &rng) {
+  std::uniform_real_distribution<double> unit(0, 1);
+  Draw draw;
+  bool isOrder = unit(rng) < 0.2;
+  bool isLong = unit(rng) < 1.0 / 6;
+  double work = unit(rng);
+  bool doesCall = unit(rng) < 0.7;
+  draw.IsPooled = unit(rng) < 0.5;
+  draw.Route = isOrder ? Order : Look;
+  draw.WorkMs =
+      isLong && !isOrder ? LongWorkMs : 130 + std::int64_t(470 * work);
+  draw.Calls = doesCall && !isOrder ? 2 : 0;
+  return draw;
+}
+
+Draw drawLong(std::mt19937_64 &rng, double outlastOdds) {
+  std::uniform_real_distribution<double> unit(0, 1);
+  Draw draw;
+  double kind = unit(rng);
+  bool isPastAnyStop = unit(rng) < outlastOdds;
+  bool isNearGrace = unit(rng) < 0.5;
+  double work = unit(rng);
+  draw.IsPooled = unit(rng) < 0.5;
+  draw.Route = kind < 0.4 ? Archive : kind < 0.75 ? Scan : Import;
+  draw.WorkMs = isPastAnyStop ? 7'000 + std::int64_t(1'000 * work)
+                : isNearGrace ? 5'000 + std::int64_t(1'000 * work)
+                              : 3'000 + std::int64_t(2'000 * work);
+  draw.TimeMs = LongClientTimeMs;
+  return draw;
+}
+
 class Clients {
 public:
   explicit Clients(asio::io_context &io) : Io(io) {}
 
-  asio::awaitable<void> arrive(ClientPlan plan, ClientTarget target,
-                               std::size_t index) {
-    std::mt19937_64 rng(plan.Seed * 1'000 + index);
-    std::exponential_distribution<double> gap(plan.Rate / 1'000);
+  asio::awaitable<void> arrive(Traffic traffic, ClientTarget target,
+                               std::uint64_t seed, int seconds) {
+    std::mt19937_64 rng(seed);
+    std::exponential_distribution<double> gap(traffic.Rate / 1'000);
     asio::steady_timer timer(Io);
     auto at = std::chrono::steady_clock::now();
-    auto end = at + std::chrono::seconds(plan.Seconds);
+    auto end = at + std::chrono::seconds(seconds);
     for (int number = 0; at < end; ++number) {
       at += std::chrono::microseconds(std::int64_t(gap(rng) * 1'000));
-      Draw draw = drawNext(rng);
-      draw.Id = target.Node + "-" + std::to_string(number);
+      Draw draw = traffic.DrawNext(rng);
+      draw.Id = target.Node + "-" + traffic.IdPrefix + std::to_string(number);
       timer.expires_at(at);
       co_await timer.async_wait(asio::use_awaitable);
       asio::co_spawn(Io, exchange(target, draw), asio::detached);
@@ -78,21 +123,6 @@
   std::vector<Request> Done;
 
 private:
-  static Draw drawNext(std::mt19937_64 &rng) {
-    std::uniform_real_distribution<double> unit(0, 1);
-    Draw draw;
-    bool isOrder = unit(rng) < 0.2;
-    bool isLong = unit(rng) < 1.0 / 6;
-    double work = unit(rng);
-    bool doesCall = unit(rng) < 0.7;
-    draw.IsPooled = unit(rng) < 0.5;
-    draw.Route = isOrder ? Order : Look;
-    draw.WorkMs =
-        isLong && !isOrder ? LongWorkMs : 130 + std::int64_t(470 * work);
-    draw.Calls = doesCall && !isOrder ? 2 : 0;
-    return draw;
-  }
-
   asio::awaitable<ConnectionPtr> connect(ClientTarget target, bool isPooled) {
     auto &pool = Pools[target.Node];
     while (isPooled && !pool.empty()) {
@@ -125,16 +155,17 @@
         11);
     out.set(http::field::host, "h.example");
     out.set("Attempt-Id", draw.Id);
-    out.set("Remaining-Milliseconds", std::to_string(ClientTimeMs));
+    out.set("Remaining-Milliseconds", std::to_string(draw.TimeMs));
     out.prepare_payload();
     Request seen{.Id = draw.Id,
                  .Node = target.Node,
                  .Route = draw.Route.Name,
+                 .Service = draw.Route.Service,
                  .IsIdempotent = draw.Route.IsIdempotent,
                  .SentMs = wallMs(),
-                 .TimeMs = std::min(ClientTimeMs, draw.Route.TimeoutMs),
+                 .TimeMs = std::min(draw.TimeMs, draw.Route.TimeoutMs),
                  .MaxAttempts = draw.Route.MaxAttempts};
-    connection->Stream.expires_after(Millis(ClientTimeMs) + Patience);
+    connection->Stream.expires_after(Millis(draw.TimeMs) + Patience);
     error_code ec;
     co_await http::async_write(connection->Stream, out,
                                asio::redirect_error(asio::use_awaitable, ec));
@@ -162,8 +193,18 @@
                                 const std::vector<ClientTarget> &targets) {
   asio::io_context io{1};
   Clients clients(io);
-  for (std::size_t i = 0; i < targets.size(); ++i)
-    asio::co_spawn(io, clients.arrive(plan, targets[i], i), asio::detached);
+  auto start = [&](const Traffic &traffic, std::size_t i, std::uint64_t seed) {
+    asio::co_spawn(io, clients.arrive(traffic, targets[i], seed, plan.Seconds),
+                   asio::detached);
+  };
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    std::uint64_t seed = plan.Seed * 1'000 + i;
+    start({plan.Rate, "", drawNext}, i, seed);
+    if (plan.LongRate > 0)
+      start({plan.LongRate, "l",
+             [&](auto &rng) { return drawLong(rng, plan.OutlastOdds); }},
+            i, seed + LongTrafficSeed);
+  }
   io.run();
   return std::move(clients.Done);
 }
--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -13,6 +13,10 @@
   std::uint64_t Seed = 0;
   /// Requests to one node in a second.
   double Rate = 2.5;
+  /// The same to the service of long runs.
+  double LongRate = 0;
+  /// Share of these whose work no stop can wait for.
+  double OutlastOdds = 0.15;
   int Seconds = 45;
 
   auto operator<=>(const ClientPlan &) const = default;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -16,11 +16,18 @@
 #include <sstream>
 
 /// Runs a fleet of real processes whose nodes are stopped in turn under load,
-/// once for each seed, and judges what clients and servers saw.
-///   soak [--seeds FROM-TO] [--nodes N] [--seconds S] [--rate PER_NODE]
+/// once for each seed, and judges what clients and servers saw. In the mode
+/// `handover` there is a service of long runs with one gate (even seeds) or two
+/// as well. Each of them is stopped while it runs requests of other entries,
+/// then one of these entries.
+///   soak [--mode stops|handover]
+///        [--seeds FROM-TO] [--nodes N] [--seconds S] [--rate PER_NODE]
 ///        [--stop-gap-ms LEAST-MOST] [--break-odds P] [--daemon PROGRAM]
+///        [--outlast-odds P]
 ///        [--keep FOLDER]
-/// Exits with 1 if a rule is broken, with 2 if a fleet does not start. With
+/// Exits with 1 if a rule is broken or, in the mode `handover`, a gate cuts
+/// runs of other entries before it has to, with 2 if a fleet does not start.
+/// With
 /// --keep, what the processes of a failing run printed is copied there.
 
 using namespace hickoryglade;
@@ -37,6 +44,7 @@
 };
 
 struct Options {
+  bool IsHandover = false;
   Range Seeds = {1, 1};
   int Nodes = 8;
   int Seconds = 45;
@@ -44,17 +52,28 @@
   /// The same share of the nodes is stopped at a time, whatever their number.
   Range StopGapMs = {};
   std::string BreakOdds = "0.85";
+  double OutlastOdds = ClientPlan{}.OutlastOdds;
   std::string Daemon;
   std::string Keep;
 };
 
+/// Number of lines in the nodes' logs by what they say.
+using LineCounts = std::map<std::string, int>;
+
 struct RunResult {
   Verdict Judged;
   OperatorRecord Operator;
+  LineCounts Lines;
 };
 
 constexpr std::int64_t LeastStopTurnMs = 12'000;
 constexpr std::int64_t MostStopTurnMs = 19'200;
+/// The stops in pairs come in addition, and long runs make stops longer.
+constexpr int HandoverStopFactor = 2;
+/// Requests in a second for each gate of the service of long runs.
+constexpr double LongRatePerGate = 4;
+constexpr const char *LongSlots = "48";
+constexpr const char *LongBreakOdds = "0.1";
 
 Range parseRange(const std::string &text) {
   std::size_t dash = text.find('-');
@@ -63,11 +82,19 @@
           dash == std::string::npos ? from : std::stoll(text.substr(dash + 1))};
 }
 
+bool isHandover(const std::string &mode) {
+  if (mode != "stops" && mode != "handover")
+    throw std::invalid_argument("unknown mode: " + mode);
+  return mode == "handover";
+}
+
 Options parseOptions(const std::vector<std::string> &words) {
   Options out;
   for (std::size_t i = 0; i + 1 < words.size(); i += 2) {
     const std::string &value = words[i + 1];
-    if (words[i] == "--seeds")
+    if (words[i] == "--mode")
+      out.IsHandover = isHandover(value);
+    else if (words[i] == "--seeds")
       out.Seeds = parseRange(value);
     else if (words[i] == "--nodes")
       out.Nodes = std::stoi(value);
@@ -79,6 +106,8 @@
       out.StopGapMs = parseRange(value);
     else if (words[i] == "--break-odds")
       out.BreakOdds = value;
+    else if (words[i] == "--outlast-odds")
+      out.OutlastOdds = std::stod(value);
     else if (words[i] == "--daemon")
       out.Daemon = value;
     else if (words[i] == "--keep")
@@ -86,17 +115,25 @@
     else
       throw std::invalid_argument("unknown option: " + words[i]);
   }
+  int factor = out.IsHandover ? HandoverStopFactor : 1;
   if (out.StopGapMs.To == 0)
-    out.StopGapMs = {LeastStopTurnMs / out.Nodes, MostStopTurnMs / out.Nodes};
+    out.StopGapMs = {LeastStopTurnMs * factor / out.Nodes,
+                     MostStopTurnMs * factor / out.Nodes};
   return out;
 }
 
+Layout layoutOf(const Options &options, std::int64_t seed) {
+  return {options.Nodes, options.IsHandover ? 1 + int(seed % 2) : 0};
+}
+
 RunEnd endOf(const std::string &how) {
   if (how == "cut")
     return RunEnd::Cut;
   return how == "broke off" ? RunEnd::BrokenOff : RunEnd::Answered;
 }
 
+std::string nodeOf(const std::string &server) { return server.substr(2); }
+
 /// Adds what the servers recorded: their runs, and their calls as clients.
 void readServers(const std::string &file, Record &record) {
   std::ifstream in(file);
@@ -104,8 +141,9 @@
   while (std::getline(in, line)) {
     json it = json::parse(line, nullptr, false);
     if (it.contains("run"))
-      record.Runs.push_back(
-          {it["run"], it["server"], it["begin"], it["end"], endOf(it["how"])});
+      record.Runs.push_back({it["run"], it["server"], it["begin"], it["end"],
+                             endOf(it["how"]), nodeOf(it["server"]),
+                             it["work"]});
     if (!it.contains("call") || !it["connected"])
       continue;
     std::int64_t time = it["time"];
@@ -114,8 +152,9 @@
     int status = it["status"];
     record.Requests.push_back(
         {.Id = it["call"],
-         .Node = it["server"].get<std::string>().substr(2),
+         .Node = nodeOf(it["server"]),
          .Route = Inner.Name,
+         .Service = Inner.Service,
          .IsIdempotent = Inner.IsIdempotent,
          .SentMs = begin,
          .TimeMs = std::min(time, Inner.TimeoutMs),
@@ -172,10 +211,15 @@
 /// the endpoint has answered; empty for all others.
 std::string abandonedIn(const json &line) {
   std::string event = line.value("event", "");
-  if (event == "overdue")
-    return line.value("gives_up", false)   ? "overdue, given up"
-           : line.value("replaces", false) ? "overdue, replaced"
-                                           : "overdue, left to run";
+  if (event == "overdue") {
+    bool isGateEnding = line.value("gate_ends_in_ms", 0) > 0;
+    std::string what = isGateEnding ? "overdue, the gate ends" : "overdue";
+    return line.value("gives_up", false)   ? what + ", given up"
+           : line.value("replaces", false) ? what + ", replaced"
+                                           : what + ", left to run";
+  }
+  if (event == "run_orphaned")
+    return event + ", " + line.value("reason", "");
   if (event == "link_closed")
     return line.value("busy", false) ? "link_closed, busy" : "";
   if (event == "replacement_ended")
@@ -185,8 +229,8 @@
   return isCounted ? event + ", " + line.value("kind", "") : "";
 }
 
-std::map<std::string, int> countAbandoned(const std::string &folder) {
-  std::map<std::string, int> counts;
+LineCounts countAbandoned(const std::string &folder) {
+  LineCounts counts;
   for (const std::string &it : logLines(folder)) {
     json line = json::parse(it, nullptr, false);
     if (line.is_object())
@@ -210,12 +254,31 @@
   return !isBreak || fault.AfterStopMs;
 }
 
+void printCase(const Case &fault, const std::string &folder) {
+  std::cout << "  " << describe(fault) << "\n";
+  for (const std::string &line : logChain(folder, fault.Of.Id))
+    std::cout << "    " << line << "\n";
+}
+
 void printCases(const Verdict &verdict, const std::string &folder) {
-  for (const Case &it : verdict.Cases | std::views::filter(isShown)) {
-    std::cout << "  " << describe(it) << "\n";
-    for (const std::string &line : logChain(folder, it.Of.Id))
-      std::cout << "    " << line << "\n";
-  }
+  for (const Case &it : verdict.Cases | std::views::filter(isShown))
+    printCase(it, folder);
+  for (const Case &it : verdict.Gates.Early)
+    printCase(it, folder);
+}
+
+void printGateCuts(const GateCuts &cuts) {
+  std::cout << "cut by their gate: too soon " << cuts.Early.size() << " ("
+            << cuts.EarlyAnswered << " answered all the same), outlasted "
+            << cuts.Outlasting << " (" << cuts.OutlastingAnswered
+            << " answered), of these replaceable " << cuts.Replaceable << " ("
+            << cuts.ReplaceableAnswered
+            << " answered); with the entry ending too " << cuts.WithEntryEnding;
+}
+
+void printLines(const LineCounts &lines) {
+  for (const auto &[what, count] : lines)
+    std::cout << "  log: " << what << " " << count << "\n";
 }
 
 void printResult(std::int64_t seed, const RunResult &result) {
@@ -227,7 +290,9 @@
             << ", no answer " << it.WithoutAnswer << "; in the window of "
             << it.InWindow << ": unanswered "
             << it.count(FaultKind::Unanswered, true) << ", broken off "
-            << it.count(FaultKind::BrokenOff, true) << "; outside: unanswered "
+            << it.count(FaultKind::BrokenOff, true) << " ("
+            << it.countOutlasting()
+            << " outlasted their gate); outside: unanswered "
             << it.count(FaultKind::Unanswered, false) << ", broken off "
             << it.count(FaultKind::BrokenOff, false) << "; late after a cut "
             << it.LateAfterCut << "; twice "
@@ -235,7 +300,25 @@
             << it.count(FaultKind::Refused, false) << ", over budget "
             << it.count(FaultKind::OverBudget, false) << "; stops "
             << seen.Stops.size() << ", killed " << seen.Killed
-            << ", ended alone " << seen.EndedAlone << std::endl;
+            << ", ended alone " << seen.EndedAlone << ", pairs " << seen.Pairs
+            << " (" << seen.LongRuns << " runs under way); ";
+  printGateCuts(it.Gates);
+  std::cout << std::endl;
+}
+
+/// Options of the servers beside the nodes; those of long runs hold many at a
+/// time and break off few.
+std::vector<std::string> serverOptions(const PlatformFleet &fleet,
+                                       const Options &options,
+                                       std::int64_t seed, bool isLong) {
+  std::vector<std::string> words = {
+      "--record",     fleet.folder() + "/servers.record",
+      "--seed",       std::to_string(seed),
+      "--epoch-ms",   std::to_string(fleet::wallMicros() / 1'000),
+      "--break-odds", isLong ? LongBreakOdds : options.BreakOdds};
+  if (isLong)
+    words.insert(words.end(), {"--slots", LongSlots});
+  return words;
 }
 
 std::vector<std::string> startFleet(PlatformFleet &fleet,
@@ -244,18 +327,18 @@
     fleet.setNodeProgram(options.Daemon);
   applySettings(fleet);
   fleet.setHeartbeatMs(1'500);
-  fleet.setServerOptions({"--record", fleet.folder() + "/servers.record",
-                          "--seed", std::to_string(seed), "--epoch-ms",
-                          std::to_string(fleet::wallMicros() / 1'000),
-                          "--break-odds", options.BreakOdds});
   fleet.startStore();
+  Layout layout = layoutOf(options, seed);
+  std::vector<std::string> usual = serverOptions(fleet, options, seed, false);
+  std::vector<std::string> ofLong = serverOptions(fleet, options, seed, true);
   std::vector<std::string> names;
   for (int i = 0; i < options.Nodes; ++i) {
     names.push_back("n" + std::to_string(100 + i));
-    startNode(fleet, names.back(), i);
-    fleet.startServer(names.back(), serviceOf(i));
+    startNode(fleet, names.back(), i, layout);
+    fleet.setServerOptions(layout.isLongGate(i) ? ofLong : usual);
+    fleet.startServer(names.back(), serviceOf(i, layout));
   }
-  fleet.configure(operatorDocument(1));
+  fleet.configure(operatorDocument(1, layout));
   for (const std::string &it : names)
     TestFleet::await("node " + it + " serves", [&] {
       return fleet.readiness(it) == 200 &&
@@ -264,37 +347,52 @@
   return names;
 }
 
+int faultsOf(const Options &options, const Verdict &verdict) {
+  return verdict.faults() +
+         (options.IsHandover ? int(verdict.Gates.Early.size()) : 0);
+}
+
 RunResult runSeed(const Options &options, std::int64_t seed) {
   PlatformFleet fleet;
   Record record;
   std::int64_t startMs = fleet::wallMicros() / 1'000;
   std::vector<std::string> names = startFleet(fleet, options, seed);
-  for (const std::string &it : names)
-    record.Starts.push_back({it, startMs});
+  Layout layout = layoutOf(options, seed);
+  for (int i = 0; i < options.Nodes; ++i) {
+    record.Starts.push_back({names[std::size_t(i)], startMs});
+    record.Servers.push_back({names[std::size_t(i)], serviceOf(i, layout)});
+  }
   std::vector<ClientTarget> targets;
   for (const std::string &it : names)
     targets.push_back({it, fleet.node(it).Http});
   std::atomic<bool> isOver = false;
   OperatorPlan plan{.Seed = std::uint64_t(seed),
+                    .Services = layout,
                     .LeastStopGapMs = int(options.StopGapMs.From),
                     .MostStopGapMs = int(options.StopGapMs.To)};
   auto operating = std::async(std::launch::async, [&] {
     return runOperator(plan, fleet, names, isOver);
   });
-  record.Requests =
-      runClients({std::uint64_t(seed), options.Rate, options.Seconds}, targets);
+  double longRate = LongRatePerGate * layout.LongGates / options.Nodes;
+  record.Requests = runClients({.Seed = std::uint64_t(seed),
+                                .Rate = options.Rate,
+                                .LongRate = longRate,
+                                .OutlastOdds = options.OutlastOdds,
+                                .Seconds = options.Seconds},
+                               targets);
   isOver = true;
   RunResult result;
   result.Operator = operating.get();
   readServers(fleet.folder() + "/servers.record", record);
   std::ranges::copy(result.Operator.Starts, std::back_inserter(record.Starts));
   record.Stops = result.Operator.Stops;
+  record.Ends = result.Operator.Ends;
   result.Judged = judge(record);
   printResult(seed, result);
-  for (const auto &[what, count] : countAbandoned(fleet.folder()))
-    std::cout << "  log: " << what << " " << count << "\n";
+  result.Lines = countAbandoned(fleet.folder());
+  printLines(result.Lines);
   printCases(result.Judged, fleet.folder());
-  if (result.Judged.faults() > 0 && !options.Keep.empty())
+  if (faultsOf(options, result.Judged) > 0 && !options.Keep.empty())
     keepLogs(fleet.folder(), options.Keep + "/seed-" + std::to_string(seed));
   return result;
 }
@@ -302,16 +400,30 @@
 int runSeeds(const Options &options) {
   int failing = 0;
   int served = 0;
+  int pairs = 0;
+  int longRuns = 0;
+  GateCuts cuts;
+  LineCounts lines;
   for (std::int64_t seed = options.Seeds.From; seed <= options.Seeds.To;
        ++seed) {
     RunResult result = runSeed(options, seed);
-    failing += result.Judged.faults() > 0;
+    failing += faultsOf(options, result.Judged) > 0;
     served += result.Judged.Served;
+    pairs += result.Operator.Pairs;
+    longRuns += result.Operator.LongRuns;
+    cuts += result.Judged.Gates;
+    for (const auto &[what, count] : result.Lines)
+      lines[what] += count;
   }
   std::cout << options.Seeds.To - options.Seeds.From + 1 << " seeds, "
-            << failing << " with faults, " << served << " requests served\n";
-  // A fleet that serves nothing shows nothing.
-  return failing > 0 || served == 0 ? 1 : 0;
+            << failing << " with faults, " << served << " requests served, "
+            << pairs << " pairs (" << longRuns << " runs under way); ";
+  printGateCuts(cuts);
+  std::cout << "\n";
+  printLines(lines);
+  // A fleet that serves nothing, or without a pair, shows nothing.
+  bool hasShown = served > 0 && (pairs > 0 || !options.IsHandover);
+  return failing > 0 || !hasShown ? 1 : 0;
 }
 
 } // namespace
