--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -239,6 +239,8 @@
       bool isCounted = isReplaceable(request, run, runs, *stop);
       ++seen.Outlasting;
       seen.OutlastingAnswered += isServed;
+      seen.OutlastingInGrace +=
+          run.BeginMs + run.WorkMs < *stop + Limits.GraceMs;
       seen.Replaceable += isCounted;
       seen.ReplaceableAnswered += isCounted && isServed;
     }
@@ -305,6 +307,7 @@
   EarlyAnswered += other.EarlyAnswered;
   Outlasting += other.Outlasting;
   OutlastingAnswered += other.OutlastingAnswered;
+  OutlastingInGrace += other.OutlastingInGrace;
   Replaceable += other.Replaceable;
   ReplaceableAnswered += other.ReplaceableAnswered;
   WithEntryEnding += other.WithEntryEnding;
--- a/tests/soak/judge.h
+++ b/tests/soak/judge.h
@@ -145,6 +145,8 @@
   /// Those that went on as long as their gate could.
   int Outlasting = 0;
   int OutlastingAnswered = 0;
+  /// Those of them whose server would have answered before SIGKILL.
+  int OutlastingInGrace = 0;
   /// Those of them for which there was another gate at the SIGTERM of theirs,
   /// with an attempt and the time for it left.
   int Replaceable = 0;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -271,8 +271,9 @@
   std::cout << "cut by their gate: too soon " << cuts.Early.size() << " ("
             << cuts.EarlyAnswered << " answered all the same), outlasted "
             << cuts.Outlasting << " (" << cuts.OutlastingAnswered
-            << " answered), of these replaceable " << cuts.Replaceable << " ("
-            << cuts.ReplaceableAnswered
+            << " answered, " << cuts.OutlastingInGrace
+            << " due before SIGKILL), of these replaceable " << cuts.Replaceable
+            << " (" << cuts.ReplaceableAnswered
             << " answered); with the entry ending too " << cuts.WithEntryEnding;
 }
 
--- a/tests/soak/test_judge.cpp
+++ b/tests/soak/test_judge.cpp
@@ -251,6 +251,12 @@
   CHECK(late.Early.empty());
   CHECK(late.Outlasting == 1);
   CHECK(late.OutlastingAnswered == 0);
+  CHECK(late.OutlastingInGrace == 0);
+  GateScene due(5'600);
+  due.First.WorkMs = 6'997;
+  CHECK(due.cuts().OutlastingInGrace == 1);
+  due.First.WorkMs = 6'998;
+  CHECK(due.cuts().OutlastingInGrace == 0);
 }
 
 TEST_CASE("a run that its gate cuts is a case beside the rules", "[soak]") {
