gate: drop what a lost link leaves behind before it has started

A request whose body had not arrived when its entry died stayed at the gate for good. It held its part of the memory for bodies, made every later stop of the node last until its end and fail, and kept the goodbye from all other nodes. Uploads that were under way as a gate began to stop were carried on and refused at their end.

Cause: such a request is known to the service only, not to the kernel's gate, so that no deadline reaches it, and the loss of a link was not passed on.

The loss of a link now drops its requests that have not started. A stopping gate refuses incomplete ones at once (not run).

--- a/src/libfleet/gate/gatenotices.cpp
+++ b/src/libfleet/gate/gatenotices.cpp
@@ -55,6 +55,7 @@
 }
 
 void GateService::noteLinkLost(const std::shared_ptr<FrameChannel> &channel) {
+  dropWaiting(channel);
   for (const auto &[attempt, it] : Exchanges)
     if (it->SentAt && it->Origin.Channel.lock() == channel) {
       it->LostAt = now();
--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -166,6 +166,8 @@
       std::size_t(std::max<std::int64_t>(call.bodyBytes, 0));
   if (exchange->ExpectedBytes == 0)
     bodyComplete(exchange, std::make_shared<const std::string>());
+  else if (State.IsDraining)
+    refuseIncomplete();
 }
 
 GateService::ExchangePtr GateService::findByStream(const StreamRef &ref) const {
@@ -194,6 +196,30 @@
                                     std::move(*exchange->Held)));
 }
 
+/// Drops what a lost link has left behind that has not started: requests that
+/// wait for a slot, or whose body has not arrived.
+void GateService::dropWaiting(const std::shared_ptr<FrameChannel> &channel) {
+  std::vector<std::string> dropped;
+  for (const auto &[attempt, it] : Exchanges)
+    if (it->Endpoint.empty() && it->Origin.Channel.lock() == channel)
+      dropped.push_back(attempt);
+  for (const std::string &attempt : dropped) {
+    Exchanges.erase(attempt);
+    carryOut(cancel(State, attempt, now()));
+  }
+}
+
+/// Refuses requests whose body has not arrived, since they would be refused
+/// then.
+void GateService::refuseIncomplete() {
+  std::vector<std::string> incomplete;
+  for (const auto &[attempt, it] : Exchanges)
+    if (it->HasCall && !it->IsGranted && !it->Http.Content)
+      incomplete.push_back(attempt);
+  for (const std::string &attempt : incomplete)
+    carryOut(offer(State, Exchanges.at(attempt)->Request, now()));
+}
+
 void GateService::takeBody(const std::shared_ptr<FrameChannel> &from,
                            std::int64_t stream, Body body) {
   ExchangePtr exchange = findByStream({from, stream});
@@ -577,6 +603,7 @@
 
 void GateService::drainNow(Instant endsAt) {
   carryOut(drain(State, endsAt, now()));
+  refuseIncomplete();
 }
 
 nlohmann::json GateService::report() const {
--- a/src/libfleet/gate/gateservice.h
+++ b/src/libfleet/gate/gateservice.h
@@ -96,6 +96,8 @@
   void markLastTry(Exchange &exchange);
   void takeRevoke(const StreamRef &ref, const wire::Revoke &revoke);
   static void takeOver(Exchange &exchange, const StreamRef &ref);
+  void dropWaiting(const std::shared_ptr<FrameChannel> &channel);
+  void refuseIncomplete();
   void bodyComplete(const ExchangePtr &exchange, Body body);
   void refuseBody(const ExchangePtr &exchange);
   Ticket toTicket(const wire::Ticket &in, std::int64_t lagMs) const;
--- a/src/libfleet/peers/link.cpp
+++ b/src/libfleet/peers/link.cpp
@@ -98,7 +98,8 @@
 // may lose what was sent before.
 void Link::finish(bool isComplete) {
   HasRecentData = hasUnsent() || now() - LastWritten < ReadTime;
-  if (isComplete && !hasUnsent()) {
+  // Bodies are sent after all other frames.
+  if (isComplete && Bodies.empty()) {
     wire::Frame frame;
     frame.__set_goodbye({});
     send(std::move(frame));
--- a/src/libfleet/peers/linkserver.cpp
+++ b/src/libfleet/peers/linkserver.cpp
@@ -47,7 +47,7 @@
 void LinkServer::accept() {
   Acceptor.async_accept(
       Executor, [this](const error_code &ec, tcp::socket socket) {
-        if (ec == asio::error::operation_aborted)
+        if (!Acceptor.is_open() || ec == asio::error::operation_aborted)
           return;
         if (!ec) {
           Link::Events events;
--- a/tests/platform/test_gatestops.cpp
+++ b/tests/platform/test_gatestops.cpp
@@ -223,6 +223,45 @@
   CHECK(fleet.process("n1").wait() == 0);
 }
 
+// Guards against an upload that holds the memory of its gate, and each of its
+// stops, after its entry has died.
+TEST_CASE("an upload whose entry dies leaves nothing at its gate",
+          "[gate-stop-upload]") {
+  constexpr std::size_t bodyBytes = 4'000'000;
+  constexpr double bytesPerSecond = 2.5e6;
+  PlatformFleet fleet;
+  fleet.setNodeSettings({{"linger_ms", 500}});
+  fleet.setPlatformBounds({{"grace_period_s", 6}});
+  fleet.startStore();
+  fleet.startRelayedNode("n1");
+  fleet.startServer("n1");
+  fleet.startNode("n3", "t");
+  fleet.startServer("n3", "t");
+  json config = defaultConfig(1);
+  config["limits"]["body_bytes"] = 2 * bodyBytes;
+  fleet.configure(config);
+  fleet.awaitServing();
+  fleet.controlRelays("n1", {{"bytes_per_s", bytesPerSecond}});
+  HttpCall call{"POST",
+                "/once/x",
+                {{"Host", "h.example"},
+                 {"Attempt-Id", "upload"},
+                 {"Remaining-Milliseconds", "2000"}},
+                std::string(bodyBytes, 'a')};
+  auto pending = std::async(std::launch::async, [&] {
+    return callOnce(fleet.node("n3").Http, call, milliseconds(3'000));
+  });
+  std::this_thread::sleep_for(milliseconds(300));
+  fleet.process("n3").signal(SIGKILL);
+  pending.get();
+  fleet.controlRelays("n1", {{"bytes_per_s", 0}, {"close", true}});
+  std::this_thread::sleep_for(milliseconds(1'000));
+  Instant stoppedAt = fleet::now();
+  fleet.process("n1").signal(SIGTERM);
+  CHECK(fleet.process("n1").wait() == 0);
+  CHECK(fleet::now() - stoppedAt < milliseconds(2'000));
+}
+
 // Guards against an order of unknown outcome that its gate has never started,
 // since the two have crossed as the gate ended.
 TEST_CASE("an order that reaches a gate as it ends is known not to have run",
