gate: report runs in time for entries that stop together with it

A lookup was answered 502 although another gate was free: an entry that stops within 0.45 s of the gate of a run, or with it, ended earlier than that gate, so that it took every report for too late ("the node is stopping"). Reports now come 0.6 s earlier.

Found by review.

--- a/src/libhickoryglade/gatestop.cpp
+++ b/src/libhickoryglade/gatestop.cpp
@@ -15,6 +15,9 @@
 constexpr int ReplacementFactor = 2;
 constexpr Micros MinReplacementTime = std::chrono::milliseconds(500);
 
+/// An entry that stops together with the gate ends earlier by less than this.
+constexpr Micros EntryEndLead = std::chrono::milliseconds(600);
+
 Error endError() {
   return makeError(ErrorKind::GateLost, "the node of the endpoint ends",
                    DefaultRetryAfter);
@@ -26,7 +29,8 @@
   const Ticket &ticket = holder.Request;
   Micros needed = std::max<Micros>(ReplacementFactor * ticket.ExpectedCost,
                                    MinReplacementTime);
-  return ticket.IsIdempotent && ticket.DecidesRetry && now + needed >= endsAt;
+  return ticket.IsIdempotent && ticket.DecidesRetry &&
+         now + needed + EntryEndLead >= endsAt;
 }
 
 } // namespace
