--- a/tests/soak/operator.cpp
+++ b/tests/soak/operator.cpp
@@ -22,6 +22,8 @@
 constexpr std::int64_t StorePauseMs = 1'000;
 constexpr std::chrono::milliseconds Tick{10};
 constexpr std::int64_t PollMs = 100;
+/// The end of a process may show why the last request was cut.
+constexpr std::int64_t LastEndsMs = 1'000;
 constexpr double ReloadOdds = 0.3;
 
 /// Time from the start to the first pair, in which long runs begin.
@@ -318,9 +320,12 @@
                            const std::vector<std::string> &nodes,
                            const std::atomic<bool> &isOver) {
   Operator it(plan, fleet, nodes);
-  while (!isOver) {
+  std::int64_t endMs = 0;
+  while (!isOver || wallMs() < endMs) {
     it.step();
     std::this_thread::sleep_for(Tick);
+    if (!isOver)
+      endMs = wallMs() + LastEndsMs;
   }
   return it.Seen;
 }
