entry: ask a gate that refused a run again before its own gate ends

What callers saw: a lookup whose gate ended was answered 502, although the only other gate had a free slot for the last second before that.

Cause: a gate that refuses an attempt is not asked again while the request lasts. The reports of a gate that ends come every 200 ms until it does, but after one refusal each was answered with "no other gate with a free slot is left".

The new test gate-stop-refused has the other endpoint shed once; the entry is stopped 0.7 s after the gate, so that no time is left for a retry after the end.

Why it works: if no other gate is left, the gates that were tried before may be chosen again with the next report. The pause between the reports, the limit of attempts and the retry budget bound the repeats. A lost link has no such pause, so that nothing is changed there.

--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -188,6 +188,8 @@
   Error toError(Attempt &attempt, const wire::Failure &failure);
   void takeOverdue(Attempt &attempt, std::size_t target,
                    const OverdueEvent &event);
+  bool hasRoomBeside(const Attempt &attempt, std::size_t target, bool mayWait);
+  void allowTriedGates(Attempt &attempt, std::size_t target);
   std::string_view reasonNotToReplace(const Attempt &attempt,
                                       std::size_t target, bool mayWait);
   void replaceLost(Attempt &attempt, std::size_t target);
--- a/src/libfleet/entry/entryreplacement.cpp
+++ b/src/libfleet/entry/entryreplacement.cpp
@@ -16,6 +16,8 @@
 void Entry::takeOverdue(Attempt &attempt, std::size_t target,
                         const OverdueEvent &event) {
   bool isGateEnding = event.EndsIn.has_value();
+  if (isGateEnding)
+    allowTriedGates(attempt, target);
   std::string_view reason = reasonNotToReplace(attempt, target, isGateEnding);
   logEvent(
       LogLevel::Info, "overdue",
@@ -33,6 +35,27 @@
     startReplacement(attempt, target);
 }
 
+/// True if a gate other than the attempt's own may take another attempt, at
+/// once or, with `mayWait`, after a wait for a slot.
+bool Entry::hasRoomBeside(const Attempt &attempt, std::size_t target,
+                          bool mayWait) {
+  const RequestContext &context = *attempt.Request;
+  std::vector<Candidate> all = candidates(context, now());
+  std::erase_if(all, [&](const Candidate &it) {
+    return it.Node == attempt.Targets[target].Gate.Node ||
+           (knownFreeSlots(it) <= 0 && !mayWait);
+  });
+  return hasRoomElsewhere(all, context.IsIdempotent,
+                          maxLimitLoad(context, context.Deadline));
+}
+
+/// Before its gate ends, a request may be sent again to gates that have refused
+/// it, unless there are others.
+void Entry::allowTriedGates(Attempt &attempt, std::size_t target) {
+  if (!hasRoomBeside(attempt, target, true))
+    attempt.Request->Tried.clear();
+}
+
 /// Why no other attempt starts beside an overdue one; empty if one is to start,
 /// for which a token of the retry budget has then been taken.
 std::string_view Entry::reasonNotToReplace(const Attempt &attempt,
@@ -47,14 +70,7 @@
   if (attempt.IsSerialized)
     return "the content is suspect";
   // Where the run itself may be lost, its replacement may also wait for a slot.
-  std::vector<Candidate> all = candidates(context, now());
-  std::erase_if(all, [&](const Candidate &it) {
-    return it.Node == attempt.Targets[target].Gate.Node ||
-           (knownFreeSlots(it) <= 0 && !mayWait);
-  });
-  bool hasRoom = hasRoomElsewhere(all, context.IsIdempotent,
-                                  maxLimitLoad(context, context.Deadline));
-  if (!hasRoom)
+  if (!hasRoomBeside(attempt, target, mayWait))
     return "no other gate with a free slot is left";
   RetryDecision decision = decideRetry(
       {makeError(ErrorKind::EndpointFailed), context.IsIdempotent,
--- a/tests/platform/serverstandin.cpp
+++ b/tests/platform/serverstandin.cpp
@@ -70,9 +70,11 @@
     if (expected != Self.Id)
       co_return co_await reply(connection, answerBytes(421, "", echo));
     ++Arrivals;
-    if (Fault == "shed")
+    if (Fault == "shed") {
+      ++Refusals[id];
       co_return co_await reply(
           connection, answerBytes(503, "", echo + "Not-Executed: 1\r\n"));
+    }
     ++Runs[id];
     if (!Self.RecordFile.empty())
       co_return co_await runPlanned(std::move(request), connection, echo);
@@ -257,8 +259,10 @@
         Acked = result.Status == 200 ? "gone" : Acked;
       }
     }
-    json out = {{"runs", Runs},   {"active", Active}, {"arrivals", Arrivals},
-                {"acked", Acked}, {"cut", Cut},       {"last", Last}};
+    json out = {{"runs", Runs},         {"active", Active},
+                {"arrivals", Arrivals}, {"acked", Acked},
+                {"cut", Cut},           {"last", Last},
+                {"refusals", Refusals}};
     co_return co_await reply(connection, answerBytes(200, out.dump()));
   }
 
@@ -272,6 +276,7 @@
   std::string State = "ready";
   std::string Acked;
   std::map<std::string, int> Runs;
+  std::map<std::string, int> Refusals;
   /// Planned runs that are under way.
   std::multiset<std::string> Active;
   json Last;
--- a/tests/platform/test_gatestops.cpp
+++ b/tests/platform/test_gatestops.cpp
@@ -165,6 +165,35 @@
   CHECK(runsAt(fleet, second, "slow") == 1);
 }
 
+// Guards against a lookup that is lost with its gate since the only other gate
+// has refused it once.
+TEST_CASE("a gate that refused a run is asked again before its gate ends",
+          "[gate-stop-refused]") {
+  constexpr int usualMs = 400;
+  constexpr int workMs = 9'000;
+  constexpr milliseconds gap{700};
+  PlatformFleet fleet;
+  startFleet(fleet, {"n1", "n2"}, 2);
+  setWork(fleet, {"n1", "n2"}, usualMs);
+  sendUsual(fleet, 12);
+  std::future<Outcome> outcome;
+  std::string first = startRun(fleet, {"n1", "n2"}, workMs, "GET", outcome);
+  std::string second = first == "n1" ? "n2" : "n1";
+  fleet.controlServer(second, {{"work_ms", usualMs}, {"fault", "shed"}});
+  auto gate = stopNode(fleet, first);
+  std::this_thread::sleep_for(gap);
+  auto entry = stopNode(fleet, "n3");
+  TestFleet::await("the refusal", [&] {
+    json seen = fleet.controlServer(second, json::object());
+    return seen.is_object() && seen["refusals"].contains("slow");
+  });
+  fleet.controlServer(second, {{"fault", ""}});
+  HttpReply reply = outcome.get().Reply;
+  INFO(reply.Status << " " << reply.Body);
+  CHECK(reply.Status == 200);
+  CHECK(reply.Body == "i-" + second + ":");
+}
+
 // Guards against an entry that asks a gate that has ended for the outcome of an
 // order until the caller's time is over.
 TEST_CASE("an order that outlasts its gate is answered as the gate ends",
