entry: keep an attempt for the time after the end of a gate

What callers saw: 502 (gate_lost) for a lookup whose gate ended, although the other gate had a free slot again by then and the caller had 8 s left.

Each time its endpoint shed the request counted as an attempt, so that none of the four was left after the end.

Why it works: the gates tried before are chosen again only while another attempt is left beside the next one.

--- a/src/libfleet/entry/entryreplacement.cpp
+++ b/src/libfleet/entry/entryreplacement.cpp
@@ -50,10 +50,12 @@
 }
 
 /// Before its gate ends, a request may be sent again to gates that have refused
-/// it, unless there are others.
+/// it, unless there are others. One attempt is kept for the time after the end.
 void Entry::allowTriedGates(Attempt &attempt, std::size_t target) {
-  if (!hasRoomBeside(attempt, target, true))
-    attempt.Request->Tried.clear();
+  RequestContext &context = *attempt.Request;
+  bool keepsAttempt = context.CountedAttempts + 1 < AttemptLimit;
+  if (keepsAttempt && !hasRoomBeside(attempt, target, true))
+    context.Tried.clear();
 }
 
 /// Why no other attempt starts beside an overdue one; empty if one is to start,
--- a/tests/platform/test_gatestops.cpp
+++ b/tests/platform/test_gatestops.cpp
@@ -194,6 +194,31 @@
   CHECK(reply.Body == "i-" + second + ":");
 }
 
+// Guards against repeats before the end of a gate that leave no attempt for the
+// time after it.
+TEST_CASE("a gate that refuses a run until its gate ends is asked after that",
+          "[gate-stop-refused]") {
+  constexpr int usualMs = 400;
+  constexpr int workMs = 9'000;
+  // The gate aborts the run after 5.6 s and reports it for a second before.
+  constexpr milliseconds untilLastReports{5'450};
+  PlatformFleet fleet;
+  startFleet(fleet, {"n1", "n2"}, 2);
+  setWork(fleet, {"n1", "n2"}, usualMs);
+  sendUsual(fleet, 12);
+  std::future<Outcome> outcome;
+  std::string first = startRun(fleet, {"n1", "n2"}, workMs, "GET", outcome);
+  std::string second = first == "n1" ? "n2" : "n1";
+  fleet.controlServer(second, {{"work_ms", usualMs}, {"fault", "shed"}});
+  auto gate = stopNode(fleet, first);
+  std::this_thread::sleep_for(untilLastReports);
+  fleet.controlServer(second, {{"fault", ""}});
+  HttpReply reply = outcome.get().Reply;
+  INFO(reply.Status << " " << reply.Body);
+  CHECK(reply.Status == 200);
+  CHECK(reply.Body == "i-" + second + ":");
+}
+
 // Guards against an entry that asks a gate that has ended for the outcome of an
 // order until the caller's time is over.
 TEST_CASE("an order that outlasts its gate is answered as the gate ends",
