gate: start nothing while the requests of a lost link are dropped

What callers saw: an order could be answered 502 although its server was at work and its answer came: its entry asked the gate for the outcome over a new link, and the gate had no record of the run.

If a request that had been granted a slot came before one that waited for it, the slot passed to the latter, which started, and then lost its record.

Evidence: found by reading in a review.

Why it works: the requests that wait are dropped before those that hold a slot, so that no slot passes to a request of the same link.

--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -203,6 +203,10 @@
   for (const auto &[attempt, it] : Exchanges)
     if (it->Endpoint.empty() && it->Origin.Channel.lock() == channel)
       dropped.push_back(attempt);
+  // A granted slot goes to the next request in the queue as it is released.
+  std::ranges::stable_partition(dropped, [&](const std::string &attempt) {
+    return !Exchanges.at(attempt)->IsGranted;
+  });
   for (const std::string &attempt : dropped) {
     Exchanges.erase(attempt);
     carryOut(cancel(State, attempt, now()));
