--- a/protocol/fleet.thrift
+++ b/protocol/fleet.thrift
@@ -66,7 +66,7 @@
   // Time left until the answer loses value for the caller; 0 if the sender
   // gives none.
   20: i64 targetMs
-  // The request may not be retried at another endpoint after this attempt.
+  // No attempt is left after this one, or the sender is stopping.
   21: bool isLastTry
   // Maximum wait for a slot; 0 if only the gate's own limits apply.
   22: i64 maxWaitMs
@@ -144,7 +144,8 @@
 
 struct Cancel {}
 
-// The sender is stopping and will not retry the request at another gate.
+// The sender is stopping. Gates of earlier releases then let an overdue run go
+// on instead of ending it for a retry elsewhere.
 struct Keep {}
 
 // The attempt is overdue at an endpoint that stalls, or its gate ends soon. It
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -94,9 +94,9 @@
 
   std::size_t inFlight() const { return InFlight; }
 
-  /// From now on new attempts are marked as the last ones, for gates of earlier
-  /// releases. Thread-safe.
-  void stopRetries() { IsDraining = true; }
+  /// Called first when the node begins to stop: from now on new attempts are
+  /// marked as the last ones. Thread-safe.
+  void markLastTries() { IsDraining = true; }
 
   /// Called when the node begins to stop and will exit at `end`: has gates of
   /// earlier releases let open attempts finish in place. Requests that arrive
--- a/src/libfleet/entry/entryattempt.h
+++ b/src/libfleet/entry/entryattempt.h
@@ -92,8 +92,8 @@
   Instant waitUntil() const { return Request->Deadline + ResultGrace; }
 };
 
-/// An attempt beside an overdue one, with its own copy of the request, which
-/// may outlast the original.
+/// An attempt beside one that is overdue or may be lost, with its own copy of
+/// the request, which may outlast the original.
 struct Entry::Replacement {
   RequestContext Request;
   /// Counts of the request when the attempt started.
--- a/src/libfleet/entry/entryreplacement.cpp
+++ b/src/libfleet/entry/entryreplacement.cpp
@@ -6,7 +6,8 @@
 
 #include <algorithm>
 
-/// The part of Entry that starts another attempt beside an overdue one.
+/// The part of Entry that starts another attempt beside one that is overdue or
+/// may be lost.
 
 namespace hickoryglade::fleet {
 
@@ -58,8 +59,8 @@
     context.Tried.clear();
 }
 
-/// Why no other attempt starts beside an overdue one; empty if one is to start,
-/// for which a token of the retry budget has then been taken.
+/// Why no other attempt starts beside this one; empty if one is to start, for
+/// which a token of the retry budget has then been taken.
 std::string_view Entry::reasonNotToReplace(const Attempt &attempt,
                                            std::size_t target, bool mayWait) {
   const RequestContext &context = *attempt.Request;
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -508,7 +508,7 @@
 bool Node::Impl::stop() {
   // First, since the calls below wait for the other threads.
   for (const auto &it : Entries)
-    it->stopRetries();
+    it->markLastTries();
   Instant begin = now();
   Instant end = begin + Config.Linger + Config.DrainLimit;
   Instant gateEnd = end + Config.GateDrainLimit;
--- a/src/libhickoryglade/ticket.h
+++ b/src/libhickoryglade/ticket.h
@@ -46,7 +46,7 @@
   bool IsSerialized = false;
   /// Rank among requests that compete for a slot; 0 is served first.
   int Priority = 0;
-  /// True if the request cannot be retried at another endpoint.
+  /// True if no attempt is left after this one, or its entry is stopping.
   bool IsLastTry = false;
   /// True if the entry decides when a run that is overdue is ended; otherwise
   /// the gate ends it at once.
