--- a/tests/platform/test_gatestops.cpp
+++ b/tests/platform/test_gatestops.cpp
@@ -111,6 +111,28 @@
   });
 }
 
+constexpr int UsualMs = 400;
+
+/// A lookup that takes longer than the grace period at one of two gates.
+struct OutlastingRun {
+  std::string First;
+  std::string Second;
+  std::future<Outcome> Reply;
+};
+
+/// Starts the gates n1 and n2 and, after usual lookups, the long one.
+OutlastingRun startOutlastingRun(PlatformFleet &fleet) {
+  constexpr int workMs = 9'000;
+  startFleet(fleet, {"n1", "n2"}, 2);
+  setWork(fleet, {"n1", "n2"}, UsualMs);
+  sendUsual(fleet, 12);
+  OutlastingRun run;
+  run.First = startRun(fleet, {"n1", "n2"}, workMs, "GET", run.Reply);
+  run.Second = run.First == "n1" ? "n2" : "n1";
+  setWork(fleet, {run.Second}, UsualMs);
+  return run;
+}
+
 } // namespace
 
 // Guards against a gate that ends while it could still pass on an answer to
@@ -140,83 +162,61 @@
 // when its entry has no time left for that.
 TEST_CASE("a run that outlasts its gate is replaced before the gate ends",
           "[gate-stop-replaced]") {
-  constexpr int usualMs = 400;
-  constexpr int workMs = 9'000;
   milliseconds gap{GENERATE(0, 300)};
   PlatformFleet fleet;
-  startFleet(fleet, {"n1", "n2"}, 2);
-  setWork(fleet, {"n1", "n2"}, usualMs);
-  sendUsual(fleet, 12);
-  std::future<Outcome> outcome;
-  std::string first = startRun(fleet, {"n1", "n2"}, workMs, "GET", outcome);
-  std::string second = first == "n1" ? "n2" : "n1";
-  setWork(fleet, {second}, usualMs);
+  OutlastingRun run = startOutlastingRun(fleet);
   Instant stoppedAt = fleet::now();
-  auto gate = stopNode(fleet, first);
+  auto gate = stopNode(fleet, run.First);
   std::this_thread::sleep_for(gap);
   auto entry = stopNode(fleet, "n3");
-  Outcome seen = outcome.get();
+  Outcome seen = run.Reply.get();
   INFO("gap " << gap.count() << " ms: " << seen.Reply.Status << " "
               << seen.Reply.Body << " after " << (seen.At - stoppedAt).count()
               << " us");
   CHECK(seen.Reply.Status == 200);
-  CHECK(seen.Reply.Body == "i-" + second + ":");
+  CHECK(seen.Reply.Body == "i-" + run.Second + ":");
   CHECK(seen.At - stoppedAt < GracePeriod - milliseconds(300));
-  CHECK(runsAt(fleet, second, "slow") == 1);
+  CHECK(runsAt(fleet, run.Second, "slow") == 1);
 }
 
 // Guards against a lookup that is lost with its gate since the only other gate
 // has refused it once.
 TEST_CASE("a gate that refused a run is asked again before its gate ends",
           "[gate-stop-refused]") {
-  constexpr int usualMs = 400;
-  constexpr int workMs = 9'000;
   constexpr milliseconds gap{700};
   PlatformFleet fleet;
-  startFleet(fleet, {"n1", "n2"}, 2);
-  setWork(fleet, {"n1", "n2"}, usualMs);
-  sendUsual(fleet, 12);
-  std::future<Outcome> outcome;
-  std::string first = startRun(fleet, {"n1", "n2"}, workMs, "GET", outcome);
-  std::string second = first == "n1" ? "n2" : "n1";
-  fleet.controlServer(second, {{"work_ms", usualMs}, {"fault", "shed"}});
-  auto gate = stopNode(fleet, first);
+  OutlastingRun run = startOutlastingRun(fleet);
+  fleet.controlServer(run.Second, {{"fault", "shed"}});
+  auto gate = stopNode(fleet, run.First);
   std::this_thread::sleep_for(gap);
   auto entry = stopNode(fleet, "n3");
   TestFleet::await("the refusal", [&] {
-    json seen = fleet.controlServer(second, json::object());
+    json seen = fleet.controlServer(run.Second, json::object());
     return seen.is_object() && seen["refusals"].contains("slow");
   });
-  fleet.controlServer(second, {{"fault", ""}});
-  HttpReply reply = outcome.get().Reply;
+  fleet.controlServer(run.Second, {{"fault", ""}});
+  HttpReply reply = run.Reply.get().Reply;
   INFO(reply.Status << " " << reply.Body);
   CHECK(reply.Status == 200);
-  CHECK(reply.Body == "i-" + second + ":");
+  CHECK(reply.Body == "i-" + run.Second + ":");
 }
 
 // Guards against repeats before the end of a gate that leave no attempt for the
 // time after it.
 TEST_CASE("a gate that refuses a run until its gate ends is asked after that",
           "[gate-stop-refused]") {
-  constexpr int usualMs = 400;
-  constexpr int workMs = 9'000;
   // The gate aborts the run after 5.6 s and reports it for a second before.
   constexpr milliseconds untilLastReports{5'450};
   PlatformFleet fleet;
-  startFleet(fleet, {"n1", "n2"}, 2);
-  setWork(fleet, {"n1", "n2"}, usualMs);
-  sendUsual(fleet, 12);
-  std::future<Outcome> outcome;
-  std::string first = startRun(fleet, {"n1", "n2"}, workMs, "GET", outcome);
-  std::string second = first == "n1" ? "n2" : "n1";
-  fleet.controlServer(second, {{"work_ms", usualMs}, {"fault", "shed"}});
-  auto gate = stopNode(fleet, first);
+  OutlastingRun run = startOutlastingRun(fleet);
+  fleet.controlServer(run.Second, {{"fault", "shed"}});
+  auto gate = stopNode(fleet, run.First);
   std::this_thread::sleep_for(untilLastReports);
-  fleet.controlServer(second, {{"fault", ""}});
-  HttpReply reply = outcome.get().Reply;
+  fleet.controlServer(run.Second, {{"fault", ""}});
+  HttpReply reply = run.Reply.get().Reply;
   INFO(reply.Status << " " << reply.Body);
   CHECK(reply.Status == 200);
-  CHECK(reply.Body == "i-" + second + ":");
+  CHECK(reply.Body == "i-" + run.Second + ":");
 }
 
 // Guards against an entry that asks a gate that has ended for the outcome of an
