tests: wait until a paused node has stopped

In the logs of these three the node to be paused granted the slot, in two it began the run as well, and only then fell silent: the first request was sent before SIGSTOP had taken effect on all threads.

--- a/tests/process/test_comparison.cpp
+++ b/tests/process/test_comparison.cpp
@@ -2,8 +2,12 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <thread>
 
 using namespace hickoryglade::testing;
@@ -36,6 +40,17 @@
   return at == text.npos ? 0 : std::stod(text.substr(text.find('}', at) + 1));
 }
 
+/// True once a process that was sent SIGSTOP has stopped with all its threads.
+bool isStopped(pid_t process) {
+  std::filesystem::path tasks = "/proc/" + std::to_string(process) + "/task";
+  return std::ranges::all_of(
+      std::filesystem::directory_iterator(tasks), [](const auto &task) {
+        std::ifstream in(task.path() / "stat");
+        std::string stat(std::istreambuf_iterator<char>(in), {});
+        return stat.find(") T ") != std::string::npos;
+      });
+}
+
 } // namespace
 
 // Guards against a request that two of the compared gates run, and against
@@ -75,6 +90,8 @@
   for (int i = 0; i < 20; ++i)
     fleet.call("n1", taggedWork("before"));
   fleet.process("n2").signal(SIGSTOP);
+  TestFleet::await("n2 to stop",
+                   [&] { return isStopped(fleet.process("n2").id()); });
   int fast = 0;
   for (int i = 0; i < 20; ++i) {
     auto start = std::chrono::steady_clock::now();
