entry: a status alone does not tell a caller that an order has not run

What callers saw: a server ran an order and answered 503 (429, 408) of its own, without Not-Executed.

Cause: for a node an answer says "not run" by Not-Executed or any 421, for a caller by its status alone. Nothing compared the two. Besides, an order whose server began to work and answered 421 without the header was sent to a second server.

Ruled out: that only the first attempt was concerned. Every result passes Entry::serve, which is where the answer is checked now, whatever path brought it.

Change: the entry answers 502, run unknown, in place of such an answer to a request that may run only once; a lookup gets it unchanged. A 421 without Not-Executed leaves the outcome unknown. The gate counts such an answer as a failure that ran. Log event answer_withheld, one counter.

--- a/src/libfleet/entry/entry.cpp
+++ b/src/libfleet/entry/entry.cpp
@@ -131,6 +131,7 @@
         result = co_await performKeyed(context);
       else
         result = co_await perform(context);
+      result = withholdNotRunStatus(context, std::move(result));
       Quotas.noteResult(context.MatchedRoute.Workspace, start, context.Arrivals,
                         std::get_if<Error>(&result));
     }
@@ -293,6 +294,29 @@
   }
 }
 
+/// Replaces a response whose status would tell the caller of a non-idempotent
+/// request that it has not run. Responses in which an endpoint states this are
+/// errors of the attempt and do not get here.
+EntryResult Entry::withholdNotRunStatus(const RequestContext &context,
+                                        EntryResult result) {
+  const auto *response = std::get_if<HttpResponse>(&result);
+  if (!response || context.IsIdempotent ||
+      !impliesNotRun(Dialect, response->Status))
+    return result;
+  const std::string &service = context.MatchedRoute.Service;
+  Counters.countWithheldAnswer(service, response->Status);
+  logEvent(LogLevel::Warn, "answer_withheld",
+           {{"request", context.Id},
+            {"caller_id", context.CallerId},
+            {"service", service},
+            {"gate", context.LastGate},
+            {"endpoint_status", response->Status},
+            {"reason", "the status implies that the request has not run"}});
+  return makeError(ErrorKind::EndpointFailed,
+                   "answered " + std::to_string(response->Status) +
+                       " without stating that the request has not run");
+}
+
 /// Records a failed attempt for the ones after it; returns its error.
 Error Entry::noteFailure(RequestContext &context, EntryResult result) {
   if (auto *response = std::get_if<HttpResponse>(&result)) {
--- a/src/libfleet/entry/entry.h
+++ b/src/libfleet/entry/entry.h
@@ -130,6 +130,8 @@
                                        bool isSerialized,
                                        std::vector<Candidate> &all);
   asio::awaitable<EntryResult> tryOnce(RequestContext &context, int number);
+  EntryResult withholdNotRunStatus(const RequestContext &context,
+                                   EntryResult result);
   static Error noteFailure(RequestContext &context, EntryResult result);
   asio::awaitable<EntryResult> sendDirect(Attempt &attempt);
   asio::awaitable<EntryResult> sendTickets(Attempt &attempt);
--- a/src/libfleet/gate/endpointclient.cpp
+++ b/src/libfleet/gate/endpointclient.cpp
@@ -284,14 +284,20 @@
 
 EndpointResult EndpointClient::classifyResponse(HttpResponse response) const {
   constexpr int misdirected = 421;
-  if (response.Status == misdirected && Dialect.IsNotRun(response))
+  constexpr int leastServerError = 500;
+  bool isNotRun = Dialect.IsNotRun(response);
+  bool namesEndpoint = !Dialect.ExpectedEndpointHeader.empty();
+  if (response.Status == misdirected && namesEndpoint)
     return failed(AttemptOutcome::Unreachable, ErrorKind::WrongGeneration,
-                  RunState::NotRun, "another endpoint has the address");
-  if (Dialect.IsNotRun(response))
+                  isNotRun ? RunState::NotRun : RunState::Unknown,
+                  "another endpoint has the address");
+  if (isNotRun)
     return failed(AttemptOutcome::Shed, ErrorKind::EndpointShed,
                   RunState::NotRun, "the endpoint sheds load");
-  AttemptOutcome outcome = response.Status >= 500 ? AttemptOutcome::ServerError
-                                                  : AttemptOutcome::Answered;
+  bool hasFailed = response.Status >= leastServerError ||
+                   impliesNotRun(Dialect, response.Status);
+  AttemptOutcome outcome =
+      hasFailed ? AttemptOutcome::ServerError : AttemptOutcome::Answered;
   return EndpointResult{outcome, std::move(response), {}, Micros{0}};
 }
 
--- a/src/libfleet/http/httpdialect.cpp
+++ b/src/libfleet/http/httpdialect.cpp
@@ -55,6 +55,10 @@
   return headerValue(response.Headers, dialect.RequestIdHeader) == requestId;
 }
 
+bool impliesNotRun(const HttpDialect &dialect, int status) {
+  return dialect.ImpliesNotRun && dialect.ImpliesNotRun(status);
+}
+
 std::string formatRetryAfter(const HttpDialect &dialect, Millis wait) {
   double seconds = double(wait.count()) / MillisPerSecond;
   if (!dialect.IsRetryAfterFractional)
--- a/src/libfleet/http/httpdialect.h
+++ b/src/libfleet/http/httpdialect.h
@@ -43,6 +43,9 @@
   /// True for a response in which an endpoint reports that it has not run the
   /// request.
   bool (*IsNotRun)(const HttpResponse &response) = nullptr;
+  /// True for a status that tells callers that their request has not run and
+  /// will not run. Not set if no status by itself does.
+  bool (*ImpliesNotRun)(int status) = nullptr;
 };
 
 /// The product's default dialect, see docs/CONTRACT.md.
@@ -67,6 +70,10 @@
 bool repeatsId(const HttpDialect &dialect, const HttpResponse &response,
                const std::string &requestId);
 
+/// True if callers would take a status for the statement that the request has
+/// not run.
+bool impliesNotRun(const HttpDialect &dialect, int status);
+
 /// Value of a Retry-After header.
 std::string formatRetryAfter(const HttpDialect &dialect, Millis wait);
 
--- a/src/libfleet/reporting/metrics.cpp
+++ b/src/libfleet/reporting/metrics.cpp
@@ -87,6 +87,10 @@
             "for more urgent ones")),
         Errors(counterFamily(registry, "hickoryglade_errors_total",
                              "Requests refused or failed by kind")),
+        Withheld(counterFamily(
+            registry, "hickoryglade_withheld_answers_total",
+            "Answers of endpoints that callers would take for the statement "
+            "that the request has not run, by service and status")),
         QuotaTokens(counterFamily(registry, "hickoryglade_quota_tokens_total",
                                   "Requests within quotas by the source of "
                                   "their tokens")),
@@ -176,6 +180,7 @@
   prometheus::Family<prometheus::Counter> &Limited;
   prometheus::Family<prometheus::Counter> &ReservedWaits;
   prometheus::Family<prometheus::Counter> &Errors;
+  prometheus::Family<prometheus::Counter> &Withheld;
   prometheus::Family<prometheus::Counter> &QuotaTokens;
   prometheus::Family<prometheus::Counter> &QuotaRefusals;
   prometheus::Family<prometheus::Counter> &Retries;
@@ -261,6 +266,13 @@
   All->Errors.Add({{"kind", kind}}).Increment();
 }
 
+void Metrics::countWithheldAnswer(const std::string &service,
+                                  int endpointStatus) {
+  All->Withheld
+      .Add({{"service", service}, {"status", std::to_string(endpointStatus)}})
+      .Increment();
+}
+
 void Metrics::countQuotaToken(const std::string &source) {
   All->QuotaTokens.Add({{"source", source}}).Increment();
 }
--- a/src/libfleet/reporting/metrics.h
+++ b/src/libfleet/reporting/metrics.h
@@ -53,6 +53,9 @@
   /// reserved for more urgent ones.
   void countReservedWait(const std::string &service);
   void countError(const std::string &kind);
+  /// Counts an endpoint's answer that did not reach the caller, since its
+  /// status would have told that the request has not run.
+  void countWithheldAnswer(const std::string &service, int endpointStatus);
   /// Counts a request within its workspace's quota, by who admitted it.
   void countQuotaToken(const std::string &source);
   /// Counts a request above its workspace's quota, by who refused it.
--- a/src/libhickoryglade/errorkind.cpp
+++ b/src/libhickoryglade/errorkind.cpp
@@ -98,7 +98,7 @@
   constexpr int unavailable = 503;
   constexpr int gatewayTimeout = 504;
   int status = errorInfo(error.Kind).Status;
-  bool impliesNotRun = status == unavailable || status == 408;
+  bool impliesNotRun = status == unavailable || status == 408 || status == 429;
   bool impliesUnknown = status == badGateway || status == gatewayTimeout;
   if (error.Run == RunState::Unknown && impliesNotRun)
     return badGateway;
--- a/tests/platform/test_brokenservers.cpp
+++ b/tests/platform/test_brokenservers.cpp
@@ -109,6 +109,22 @@
   };
 }
 
+/// Answers to orders with a status that callers take for the statement that the
+/// order has not run.
+std::vector<BrokenAnswer> notRunAnswers() {
+  const std::string unavailable =
+      "HTTP/1.1 503 Service Unavailable\r\n" + Own + Sized;
+  return {
+      {"503", {unavailable}},
+      {"503 after an interim response",
+       {"HTTP/1.1 100 Continue\r\n\r\n" + unavailable}},
+      {"503 before the upload has been read",
+       {unavailable, Ending::HalfClose, Millis(150)},
+       LongUpload},
+      {"421", {"HTTP/1.1 421 Misdirected Request\r\n" + Own + Sized}},
+  };
+}
+
 } // namespace
 
 // Guards against answers that reach a caller although they are not whole and
@@ -135,6 +151,27 @@
   }
 }
 
+// Guards against a promise of ours made from the status that a server chose,
+// whatever came before it on the connection.
+TEST_CASE("a not-run status without a statement is answered 502 by its node",
+          "[not-run-status]") {
+  BrokenAnswer broken = GENERATE(from_range(notRunAnswers()));
+  INFO(broken.Name);
+  PlatformFleet fleet;
+  startPair(fleet);
+  BrokenServer server(fleet, broken.Answer);
+  for (const char *node : {"n3", "n1"}) {
+    INFO("through " << node);
+    fleet.awaitServing();
+    HttpReply reply = fleet.call(node, "POST", "/once/x",
+                                 std::string(broken.UploadBytes, 'u'));
+    CHECK(reply.Status == 502);
+    CHECK(reply.problem("run") == "unknown");
+    CHECK(reply.header("Response-Signature").empty());
+    CHECK(server.arrivals(fleet.lastId()) == 1);
+  }
+}
+
 TEST_CASE("an early answer that ends in order with its connection is whole",
           "[broken-answers]") {
   PlatformFleet fleet;
--- a/tests/platform/test_endpointclient.cpp
+++ b/tests/platform/test_endpointclient.cpp
@@ -117,6 +117,20 @@
   CHECK(results[2].Failure.Run != RunState::NotRun);
 }
 
+// Guards against a second run after a server that began to work answered 421.
+TEST_CASE("a misdirected request has not run only if its server says so",
+          "[repeated-refusal]") {
+  std::string marked = "Not-Executed: 1\r\n";
+  auto results = exchangeAll({"a", "b"}, [&](int, int request) -> Reaction {
+    return {request == 1 ? answer(421, "a", "", marked) : answer(421, "b", "")};
+  });
+  REQUIRE(results.size() == 2);
+  CHECK(results[0].Outcome == AttemptOutcome::Unreachable);
+  CHECK(results[0].Failure.Run == RunState::NotRun);
+  CHECK(results[1].Outcome == AttemptOutcome::Unreachable);
+  CHECK(results[1].Failure.Run == RunState::Unknown);
+}
+
 TEST_CASE("a connection that carried extra bytes is not used again",
           "[repeated-refusal]") {
   int connections = 0;
