node: record a departure in the store before it is acknowledged

What callers saw: a server said that it leaves and was acknowledged.

Cause: the acknowledgement was given when only the gate's own process knew of the departure; members learned it later, and nothing outlived all of them. Nobody renews such an endpoint: announcements hold for 8 s here (announcement_limit_ms), not for the default of 1.9 s.

Ruled out: a second heartbeat in place of a record (1.5 s without service after each kill of all, and two late ones get through), and confirmation by members (ends with them).

Change: DepartureLog writes each departure to eight keyed topics of the store before the acknowledgement; a starting node reads its own before it adds endpoints. Without the store the leaving is answered 503 after 0.8 s and recorded later; a node that cannot read its records adds an endpoint at its second announcement. Records are removed after 60 s, those of nodes that are gone after 10 min, and written again if the store comes back from an older copy.

--- a/src/libfleet/gate/gateservice.cpp
+++ b/src/libfleet/gate/gateservice.cpp
@@ -4,6 +4,7 @@
 #include "libfleet/peers/gateclient.h"
 #include "libfleet/reporting/logging.h"
 #include "libfleet/reporting/metrics.h"
+#include "libhickoryglade/gateconfirmation.h"
 
 #include <nlohmann/json.hpp>
 
@@ -561,6 +562,11 @@
 
 std::int64_t GateService::announceEndpoint(const Announcement &facts) {
   carryOut(announce(State, facts, now()));
+  if (State.Unconfirmed.contains(facts.Name))
+    logEvent(LogLevel::Info, "endpoint_unconfirmed",
+             {{"endpoint", facts.Name},
+              {"started_at_ms", facts.StartedAtMs},
+              {"sequence", facts.Sequence}});
   publishEndpoints();
   auto after = State.Endpoints.find(facts.Name);
   return after == State.Endpoints.end() ? 0 : after->second.Generation;
@@ -588,6 +594,15 @@
   publishEndpoints();
 }
 
+void GateService::beginConfirmation() {
+  hickoryglade::beginConfirmation(State);
+}
+
+void GateService::endConfirmation() {
+  carryOut(hickoryglade::endConfirmation(State, now()));
+  publishEndpoints();
+}
+
 void GateService::applyEjection(const std::string &endpoint,
                                 std::optional<Instant> until) {
   carryOut(setEjection(State, endpoint, until, now()));
--- a/src/libfleet/gate/gateservice.h
+++ b/src/libfleet/gate/gateservice.h
@@ -62,6 +62,10 @@
   /// process, for its later announcements too.
   void departEndpoint(const DepartedRecord &departed);
   void noteDeparted(const std::vector<DepartedRecord> &departed);
+  /// Between these calls, endpoints are added only once they have announced
+  /// themselves twice, since they may have left before the process started.
+  void beginConfirmation();
+  void endConfirmation();
   void applyEjection(const std::string &endpoint, std::optional<Instant> until);
   void applyView(const FleetViewPtr &view);
   /// Takes no more requests, and ends at endsAt what still runs.
--- a/src/libfleet/http/httpclient.cpp
+++ b/src/libfleet/http/httpclient.cpp
@@ -75,6 +75,8 @@
 
 HttpClient::~HttpClient() = default;
 
+void HttpClient::disconnect() { Current = nullptr; }
+
 asio::awaitable<bool> HttpClient::connect() {
   std::optional<fleet::Address> parsed = parseAddress(Address);
   if (!parsed)
--- a/src/libfleet/http/httpclient.h
+++ b/src/libfleet/http/httpclient.h
@@ -28,6 +28,10 @@
                                                     std::string content,
                                                     Millis limit);
 
+  /// Closes the connection, which the next call opens again. Not to be called
+  /// during a call.
+  void disconnect();
+
   /// Called as bytes of a response arrive.
   std::function<void()> OnProgress;
 
--- a/src/libfleet/node/adminfront.cpp
+++ b/src/libfleet/node/adminfront.cpp
@@ -133,9 +133,13 @@
                              {"faults", faultsJson(verdict->Faults)}});
 }
 
-HttpResponse announcedAnswer(const std::optional<std::int64_t> &generation) {
-  if (!generation)
-    return errorAnswer(503, "the node is leaving");
+HttpResponse unavailableAnswer(const absl::Status &status) {
+  return errorAnswer(503, std::string(status.message()));
+}
+
+HttpResponse announcedAnswer(const absl::StatusOr<std::int64_t> &generation) {
+  if (!generation.ok())
+    return unavailableAnswer(generation.status());
   return jsonAnswer(
       200, {{"generation", *generation}, {"heartbeat_ms", HeartbeatMs}});
 }
@@ -208,7 +212,7 @@
       parseAnnouncement(*request.Content, reason);
   if (!announcement)
     co_return errorAnswer(400, reason);
-  std::optional<std::int64_t> generation =
+  absl::StatusOr<std::int64_t> generation =
       co_await Handlers.OnAnnounce(std::move(*announcement));
   co_return announcedAnswer(generation);
 }
@@ -222,11 +226,11 @@
   }
   if (auto *departure = std::get_if<Departure>(&message)) {
     DepartedRecord departed{departure->Name, departure->StartedAtMs};
-    bool isDone = co_await Handlers.OnDepart(std::move(departed));
-    co_return isDone ? jsonAnswer(200, json::object())
-                     : errorAnswer(503, "the node is leaving");
+    absl::Status status = co_await Handlers.OnDepart(std::move(departed));
+    co_return status.ok() ? jsonAnswer(200, json::object())
+                          : unavailableAnswer(status);
   }
-  std::optional<std::int64_t> generation =
+  absl::StatusOr<std::int64_t> generation =
       co_await Handlers.OnAnnounce(std::get<Announcement>(std::move(message)));
   co_return announcedAnswer(generation);
 }
--- a/src/libfleet/node/adminfront.h
+++ b/src/libfleet/node/adminfront.h
@@ -5,11 +5,11 @@
 #include "libhickoryglade/announcement.h"
 #include "libhickoryglade/memberrecord.h"
 
+#include <absl/status/statusor.h>
 #include <nlohmann/json.hpp>
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 
 namespace hickoryglade::fleet {
@@ -23,13 +23,15 @@
 class AdminFront {
 public:
   struct Events {
-    /// Returns the endpoint's generation, or nothing if the node is leaving.
-    std::function<asio::awaitable<std::optional<std::int64_t>>(Announcement)>
+    /// Returns the endpoint's generation, or why the announcement cannot be
+    /// acknowledged.
+    std::function<asio::awaitable<absl::StatusOr<std::int64_t>>(Announcement)>
         OnAnnounce;
     std::function<void(std::string)> OnWithdraw;
     /// As OnWithdraw, but completes only once the endpoint is withdrawn, and
-    /// holds for later announcements of the process that left.
-    std::function<asio::awaitable<bool>(DepartedRecord)> OnDepart;
+    /// holds for later announcements of the process that left. Returns why it
+    /// cannot be acknowledged otherwise.
+    std::function<asio::awaitable<absl::Status>(DepartedRecord)> OnDepart;
     /// Describes the endpoints of this node, with the reasons for their
     /// standing.
     std::function<nlohmann::json()> ReportGate;
--- a/src/libfleet/node/control.cpp
+++ b/src/libfleet/node/control.cpp
@@ -92,6 +92,7 @@
                 [this] { return awaitPollDue(); },
                 [this] {
                   noteFreshness();
+                  reportIncarnation();
                   shareFreshness();
                 },
                 [this](Micros since) { announceReading(since); }}),
@@ -201,6 +202,13 @@
   return std::max(Settings.sourceIncarnation(), HeardIncarnation);
 }
 
+void Control::reportIncarnation() {
+  if (storeIncarnation() <= ReportedIncarnation)
+    return;
+  ReportedIncarnation = storeIncarnation();
+  Handlers.OnStoreIncarnation(ReportedIncarnation);
+}
+
 /// After the store has lost entries, a few members of each data centre register
 /// again. They are enough for a node that starts, since gossip discovers the
 /// remaining nodes.
--- a/src/libfleet/node/control.h
+++ b/src/libfleet/node/control.h
@@ -36,6 +36,9 @@
     /// Called with this node's endpoints that left before its process started;
     /// other nodes report them.
     std::function<void(std::vector<DepartedRecord>)> OnDeparted;
+    /// Called with the incarnation of the platform's store when a later one
+    /// becomes known.
+    std::function<void(std::int64_t)> OnStoreIncarnation;
   };
 
   Control(asio::io_context &io, const NodeSettings &settings,
@@ -105,6 +108,7 @@
   std::vector<const Member *> activeMembers() const;
   LeaseRecord makeEjectionRecord(const LeaseSubject &subject) const;
   std::size_t refreshRank(const std::string &what) const;
+  void reportIncarnation();
   void updateOwnRecord(bool isUrgent);
   void reportStandings();
   void scheduleStandingRepeat();
@@ -163,6 +167,8 @@
   std::optional<std::int64_t> RegisteredIn;
   /// The store's latest incarnation among those that others have named.
   std::int64_t HeardIncarnation = 0;
+  /// The latest incarnation that has been passed on.
+  std::int64_t ReportedIncarnation = 0;
   /// Latest version among other nodes at this node's last poll of the source.
   std::int64_t RequestedNext = 0;
   asio::steady_timer PollDueTimer;
--- a/src/libfleet/node/controlsettings.cpp
+++ b/src/libfleet/node/controlsettings.cpp
@@ -62,6 +62,7 @@
     relayNotice(notice.Sender, true);
   }
   HeardIncarnation = std::max(HeardIncarnation, notice.SourceIncarnation);
+  reportIncarnation();
   if (!notice.Age || notice.Next < Settings.state().Next || isBehind())
     return;
   Instant asOf = now() - *notice.Age;
--- a/src/libfleet/node/node.cpp
+++ b/src/libfleet/node/node.cpp
@@ -8,6 +8,7 @@
 #include "libfleet/keys/keyservice.h"
 #include "libfleet/node/adminfront.h"
 #include "libfleet/node/control.h"
+#include "libfleet/node/departurelog.h"
 #include "libfleet/node/platformadapter.h"
 #include "libfleet/peers/linkserver.h"
 #include "libfleet/peers/localchannel.h"
@@ -20,6 +21,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <absl/status/statusor.h>
 #include <boost/asio/use_future.hpp>
 
 #include <atomic>
@@ -40,6 +42,13 @@
 /// Least time that the other nodes have to close their links to this one.
 constexpr Micros LeastLinkCloseTime = std::chrono::milliseconds(100);
 
+/// An endpoint waits for an acknowledgement for a second.
+constexpr Micros RecordLimit = std::chrono::milliseconds(800);
+
+/// How long an announcement waits at the start of a node for what earlier
+/// processes have recorded.
+constexpr Micros RestoreLimit = std::chrono::milliseconds(500);
+
 /// Time in which the entries are told of the runs that the gate has aborted,
 /// before the process exits.
 constexpr Micros LastWordTime = std::chrono::milliseconds(100);
@@ -81,12 +90,13 @@
   bool reload(const NodeSettings &settings);
   void applyView(const FleetViewPtr &view);
   HttpResponse readiness() const;
-  asio::awaitable<bool> depart(DepartedRecord departed);
+  asio::awaitable<absl::Status> depart(DepartedRecord departed);
+  asio::awaitable<absl::Status> recordDeparture(DepartedRecord departed);
   void connectLocal(Entry &entry, Loop &loop);
   void shareNotice(std::size_t from, const std::string &service,
                    const HeardNotice &notice);
   void takeFrame(const std::shared_ptr<FrameChannel> &from, wire::Frame frame);
-  asio::awaitable<std::optional<std::int64_t>>
+  asio::awaitable<absl::StatusOr<std::int64_t>>
   announce(Announcement announcement);
   void vouch(const std::shared_ptr<FrameChannel> &from,
              const wire::Frame &frame);
@@ -105,6 +115,8 @@
   std::vector<std::unique_ptr<Loop>> Traffic;
   std::unique_ptr<Control> NodeControl;
   std::unique_ptr<GateService> Gate;
+  /// Not set without a platform.
+  std::unique_ptr<DepartureLog> Departures;
   std::vector<std::unique_ptr<Entry>> Entries;
   std::unique_ptr<KeyService> Keys;
   std::unique_ptr<QuotaService> Quotas;
@@ -152,6 +164,12 @@
             asio::post(Traffic[0]->Io, [this, it = std::move(departed)] {
               Gate->noteDeparted(it);
             });
+          },
+          [this](std::int64_t incarnation) {
+            asio::post(Traffic[0]->Io, [this, incarnation] {
+              if (Departures)
+                Departures->noteIncarnation(incarnation);
+            });
           }});
 
   if (Platform)
@@ -177,6 +195,14 @@
   };
   Gate = std::make_unique<GateService>(gateThread, Config, BootId, Dialect,
                                        Bodies, Counters, std::move(gateEvents));
+  if (Platform)
+    Departures = std::make_unique<DepartureLog>(
+        gateThread, Config.Node,
+        Platform->MakeDepartureStore(gateThread, Config.PlatformAddress),
+        Counters, [this](std::vector<DepartedRecord> departed) {
+          Gate->noteDeparted(departed);
+          Gate->endConfirmation();
+        });
 
   std::vector<HttpServer::Worker> lanes;
   for (std::size_t i = 0; i < Traffic.size(); ++i) {
@@ -267,11 +293,22 @@
   return answer;
 }
 
-/// Returns once no more requests are sent to an endpoint that has left. Called
-/// on the gate's thread, like announce().
-asio::awaitable<bool> Node::Impl::depart(DepartedRecord departed) {
+/// Returns once no more requests are sent to an endpoint that has left, also by
+/// later processes of this node. Called on the gate's thread, like announce().
+asio::awaitable<absl::Status> Node::Impl::depart(DepartedRecord departed) {
   Gate->departEndpoint(departed);
-  co_return true;
+  co_return co_await recordDeparture(std::move(departed));
+}
+
+asio::awaitable<absl::Status>
+Node::Impl::recordDeparture(DepartedRecord departed) {
+  if (!Departures)
+    co_return absl::OkStatus();
+  Instant until = now() + RecordLimit;
+  bool isRecorded = co_await Departures->record(std::move(departed), until);
+  co_return isRecorded
+      ? absl::OkStatus()
+      : absl::UnavailableError("the store has not confirmed the departure");
 }
 
 /// Connects an entry to the gate of its own node by in-process channels instead
@@ -382,11 +419,20 @@
   });
 }
 
-asio::awaitable<std::optional<std::int64_t>>
+asio::awaitable<absl::StatusOr<std::int64_t>>
 Node::Impl::announce(Announcement announcement) {
   if (IsLeaving && !announcement.IsDraining)
-    co_return std::nullopt;
-  co_return Gate->announceEndpoint(announcement);
+    co_return absl::UnavailableError("the node is leaving");
+  if (Departures && !announcement.IsDraining)
+    co_await Departures->awaitRestored(now() + RestoreLimit);
+  std::int64_t generation = Gate->announceEndpoint(announcement);
+  if (announcement.IsDraining) {
+    DepartedRecord departed{announcement.Name, announcement.StartedAtMs};
+    absl::Status status = co_await recordDeparture(std::move(departed));
+    if (!status.ok())
+      co_return status;
+  }
+  co_return generation;
 }
 
 void Node::Impl::applyView(const FleetViewPtr &view) {
@@ -425,6 +471,10 @@
   if (ReadyHttp)
     ReadyHttp->start();
   Gate->start();
+  if (Departures) {
+    Gate->beginConfirmation();
+    Departures->start();
+  }
   if (!Platform)
     Keys->start();
   for (auto &loop : Traffic)
--- a/src/libfleet/node/platformadapter.h
+++ b/src/libfleet/node/platformadapter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libfleet/http/httpdialect.h"
+#include "libfleet/node/departurestore.h"
 #include "libfleet/node/nodesettings.h"
 #include "libfleet/peers/nodedirectory.h"
 #include "libfleet/settings/settingssource.h"
@@ -40,6 +41,8 @@
       asio::any_io_executor ex, const NodeSettings &settings);
   std::unique_ptr<NodeDirectory> (*MakeDirectory)(asio::any_io_executor ex,
                                                   const std::string &address);
+  std::unique_ptr<DepartureStore> (*MakeDepartureStore)(
+      asio::any_io_executor ex, const std::string &address);
 };
 
 } // namespace hickoryglade::fleet
--- a/src/libfleet/reporting/metrics.cpp
+++ b/src/libfleet/reporting/metrics.cpp
@@ -111,6 +111,10 @@
                                "ends by reason")),
         Standings(counterFamily(registry, "hickoryglade_standings_total",
                                 "Changes of an endpoint's standing")),
+        Departures(counterFamily(
+            registry, "hickoryglade_departures_total",
+            "Departures of this node's endpoints: acknowledged, unconfirmed by "
+            "the store, or restored from it")),
         Settings(counterFamily(registry, "hickoryglade_settings_total",
                                "Settings records by outcome")),
         SettingsLag(
@@ -188,6 +192,7 @@
   prometheus::Family<prometheus::Counter> &Abandoned;
   prometheus::Family<prometheus::Counter> &Orphaned;
   prometheus::Family<prometheus::Counter> &Standings;
+  prometheus::Family<prometheus::Counter> &Departures;
   prometheus::Family<prometheus::Counter> &Settings;
   prometheus::Histogram &SettingsLag;
   prometheus::Family<prometheus::Counter> &LogFailures;
@@ -303,6 +308,10 @@
   All->Standings.Add({{"standing", standing}}).Increment();
 }
 
+void Metrics::countDeparture(const std::string &outcome, std::size_t n) {
+  All->Departures.Add({{"outcome", outcome}}).Increment(double(n));
+}
+
 void Metrics::countSettingsRecord(const std::string &outcome) {
   All->Settings.Add({{"outcome", outcome}}).Increment();
 }
--- a/src/libfleet/reporting/metrics.h
+++ b/src/libfleet/reporting/metrics.h
@@ -3,6 +3,7 @@
 #include "libfleet/reporting/trafficcounters.h"
 #include "libhickoryglade/instant.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -70,6 +71,9 @@
   /// lost, or the process of its gate ends.
   void countOrphanedRun(const std::string &reason);
   void countStandingChange(const std::string &standing);
+  /// Counts departures of endpoints: acknowledged, unconfirmed by the store, or
+  /// restored from it.
+  void countDeparture(const std::string &outcome, std::size_t n = 1);
   void countSettingsRecord(const std::string &outcome);
   void countLogFailure(const std::string &call);
   /// Observes the longest time that settings which have come into force can
--- a/src/libhickoryglade/gate.cpp
+++ b/src/libhickoryglade/gate.cpp
@@ -1,6 +1,7 @@
 #include "libhickoryglade/gate.h"
 
 #include "libhickoryglade/gateadmission.h"
+#include "libhickoryglade/gateconfirmation.h"
 #include "libhickoryglade/gatehealth.h"
 #include "libhickoryglade/gatelimit.h"
 #include "libhickoryglade/gatequeue.h"
@@ -14,9 +15,6 @@
 
 namespace {
 
-/// Time for which late announcements of an endpoint that has left may arrive.
-constexpr Micros DepartedRetention = std::chrono::seconds(60);
-
 /// Time without announcements after which an idle endpoint is removed.
 constexpr Micros RemoveSilentAfter = std::chrono::seconds(30);
 
@@ -113,7 +111,7 @@
 GateActions announce(Gate &gate, const Announcement &announcement,
                      Instant now) {
   GateActions actions;
-  if (isOutdated(gate, announcement))
+  if (isOutdated(gate, announcement) || !confirm(gate, announcement, now))
     return actions;
   replaceAtAddress(gate, announcement, now, actions);
   auto [it, isNew] = gate.Endpoints.try_emplace(announcement.Name);
--- a/src/libhickoryglade/gate.h
+++ b/src/libhickoryglade/gate.h
@@ -20,6 +20,9 @@
 
 namespace hickoryglade {
 
+/// Time for which late announcements of an endpoint that has left may arrive.
+constexpr Micros DepartedRetention = std::chrono::seconds(60);
+
 /// Usual time between ticks of a gate.
 constexpr Micros TickPeriod = std::chrono::milliseconds(50);
 
@@ -98,6 +101,14 @@
   Instant ExpiresAt;
 };
 
+/// An endpoint that has announced itself to a gate that does not know yet
+/// whether it has left.
+struct UnconfirmedEndpoint {
+  Announcement Latest;
+  Instant FirstAt;
+  Instant LastAt;
+};
+
 /// State of one node's gate. All requests to the endpoints announced to the
 /// node pass through it. Only the functions below change it; each takes the
 /// current time and returns the actions that the caller must carry out in
@@ -107,6 +118,9 @@
   std::string Node;
   std::map<std::string, GateEndpoint> Endpoints;
   std::map<std::string, DepartedEndpoint> Departed;
+  /// True while the gate does not know which endpoints left before it started.
+  bool IsConfirming = false;
+  std::map<std::string, UnconfirmedEndpoint> Unconfirmed;
   /// By endpoint.
   std::map<std::string, ForeignNotice> ForeignNotices;
   /// Time without announcements after which an endpoint counts as gone.
--- a/tests/platform/test_codecs.cpp
+++ b/tests/platform/test_codecs.cpp
@@ -6,6 +6,7 @@
 #include "platform/dialect.h"
 #include "platform/endpointmessage.h"
 #include "platform/storeclient.h"
+#include "platform/storedepartures.h"
 #include "platform/storedirectory.h"
 
 #include <catch2/catch.hpp>
@@ -312,6 +313,19 @@
   CHECK(formatRetryAfter(fleet::defaultDialect(), Millis(1'050)) == "2");
 }
 
+TEST_CASE("departures survive encoding, and other values name none") {
+  fleet::StoredDeparture departure{"n1", {"i-1", 1'000}, 2'000};
+  KeyedRecord record = encodeDeparture(departure);
+  CHECK(decodeDeparture(record.Value) == departure);
+  CHECK(record.Key.size() < 256);
+  CHECK(encodeDeparture({"n1", {"i-1", 1'001}, 2'000}).Key != record.Key);
+  CHECK(encodeDeparture({"n1", {"i-1", 1'000}, 2'001}).Key != record.Key);
+  for (const char *it : {"", "x", "[]", "{\"node\":\"n1\"}",
+                         "{\"node\":1,\"endpoint\":\"i\","
+                         "\"started_at_ms\":1,\"recorded_at_ms\":2}"})
+    CHECK_FALSE(decodeDeparture(it));
+}
+
 TEST_CASE("parsers handle corrupted input") {
   Random rng(20'261'204);
   std::string config = validConfig().dump();
