platform: apply a version whose values exceed the settings tree's bounds

Cause: the adapter read weights as whole numbers up to 1,000,000 and refused the whole document for one fault.

Ruled out: other types in the schema of the tree, since nodes of the former release would then reject the tree that members hand to them.

Change: the adapter applies the nearest value that the tree holds and tells (settings_adjusted in log and metrics). Names are encoded where the tree does not allow them.

--- a/src/libfleet/reporting/metrics.cpp
+++ b/src/libfleet/reporting/metrics.cpp
@@ -7,8 +7,10 @@
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <map>
 #include <mutex>
+#include <ranges>
 #include <utility>
 
 #include <sys/resource.h>
@@ -20,6 +22,9 @@
 const prometheus::Histogram::BucketBoundaries LatencyBuckets = {
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30};
 
+/// Bounds the series that one document can add.
+constexpr std::ptrdiff_t MaxAdjustmentSeries = 100;
+
 prometheus::Family<prometheus::Counter> &
 counterFamily(prometheus::Registry &registry, const char *name,
               const char *help) {
@@ -117,6 +122,11 @@
             "the store, or restored from it")),
         Settings(counterFamily(registry, "hickoryglade_settings_total",
                                "Settings records by outcome")),
+        Adjusted(prometheus::BuildGauge()
+                     .Name("hickoryglade_settings_adjusted")
+                     .Help("1 for each value of the settings in force that was "
+                           "replaced by the nearest one that can be applied")
+                     .Register(registry)),
         SettingsLag(
             prometheus::BuildHistogram()
                 .Name("hickoryglade_settings_lag_seconds")
@@ -194,6 +204,8 @@
   prometheus::Family<prometheus::Counter> &Standings;
   prometheus::Family<prometheus::Counter> &Departures;
   prometheus::Family<prometheus::Counter> &Settings;
+  prometheus::Family<prometheus::Gauge> &Adjusted;
+  std::vector<prometheus::Gauge *> Adjustments;
   prometheus::Histogram &SettingsLag;
   prometheus::Family<prometheus::Counter> &LogFailures;
   prometheus::Family<prometheus::Histogram> &Latency;
@@ -316,6 +328,22 @@
   All->Settings.Add({{"outcome", outcome}}).Increment();
 }
 
+void Metrics::setSettingsAdjustments(
+    const std::vector<SettingsFault> &adjustments) {
+  std::lock_guard lock(All->Mutex);
+  for (prometheus::Gauge *it : std::exchange(All->Adjustments, {}))
+    All->Adjusted.Remove(it);
+  for (const SettingsFault &it :
+       adjustments | std::views::take(MaxAdjustmentSeries)) {
+    prometheus::Gauge &series =
+        All->Adjusted.Add({{"where", it.Where}, {"value", it.Reason}});
+    series.Set(1);
+    // Equal ones share a series.
+    if (std::ranges::find(All->Adjustments, &series) == All->Adjustments.end())
+      All->Adjustments.push_back(&series);
+  }
+}
+
 void Metrics::countLogFailure(const std::string &call) {
   All->LogFailures.Add({{"call", call}}).Increment();
 }
--- a/src/libfleet/reporting/metrics.h
+++ b/src/libfleet/reporting/metrics.h
@@ -2,6 +2,7 @@
 
 #include "libfleet/reporting/trafficcounters.h"
 #include "libhickoryglade/instant.h"
+#include "libhickoryglade/settingsschema.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -9,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace prometheus {
 class Counter;
@@ -75,6 +77,9 @@
   /// restored from it.
   void countDeparture(const std::string &outcome, std::size_t n = 1);
   void countSettingsRecord(const std::string &outcome);
+  /// Shows the values of the settings in force that were replaced by the
+  /// nearest ones that can be applied.
+  void setSettingsAdjustments(const std::vector<SettingsFault> &adjustments);
   void countLogFailure(const std::string &call);
   /// Observes the longest time that settings which have come into force can
   /// have been known to their source.
--- a/src/libfleet/settings/settingsservice.cpp
+++ b/src/libfleet/settings/settingsservice.cpp
@@ -237,9 +237,19 @@
             {"values", update.Document->Values.size()},
             {"records", update.Records},
             {"bytes", update.Bytes}});
+  reportAdjustments(update);
   reportChange("store");
 }
 
+void SettingsService::reportAdjustments(const SettingsUpdate &update) const {
+  Counters.setSettingsAdjustments(update.Adjustments);
+  for (const SettingsFault &it : update.Adjustments)
+    logEvent(LogLevel::Warn, "settings_adjusted",
+             {{"version", update.Document->Version},
+              {"where", it.Where},
+              {"reason", it.Reason}});
+}
+
 /// Records expired before this node read them. Fetches the settings from a peer
 /// and skips the expired offsets only if no peer has them.
 asio::awaitable<void>
--- a/src/libfleet/settings/settingsservice.h
+++ b/src/libfleet/settings/settingsservice.h
@@ -93,6 +93,7 @@
   asio::awaitable<void> pollDocuments();
   void reportSlowPoll(Instant askedAt, bool isAnswered) const;
   void noteIncarnation(std::int64_t incarnation);
+  void reportAdjustments(const SettingsUpdate &update) const;
   void reportUnused(const SettingsDocument &document) const;
   void applyDocument(const SettingsUpdate &update);
   asio::awaitable<void> refresh();
--- a/src/libfleet/settings/settingssource.h
+++ b/src/libfleet/settings/settingssource.h
@@ -34,6 +34,9 @@
   std::size_t Records = 0;
   /// The newest document, if no earlier poll has returned it.
   std::optional<SettingsDocument> Document;
+  /// Values of the document that were replaced by the nearest ones that can be
+  /// applied, with the reasons.
+  std::vector<SettingsFault> Adjustments;
   /// Reasons why the newest document was refused.
   std::vector<SettingsFault> Faults;
   /// Version stated in the refused document; 0 if it cannot be read.
--- a/src/libfleet/workspaces/calleridentity.cpp
+++ b/src/libfleet/workspaces/calleridentity.cpp
@@ -45,7 +45,8 @@
       key.empty() ? nullptr : view.Workspaces->findByKey(key);
   if (!workspace)
     return makeError(ErrorKind::UnknownKey);
-  request.Headers.push_back({dialect.WorkspaceHeader, workspace->Name});
+  request.Headers.push_back(
+      {dialect.WorkspaceHeader, endpointName(*workspace)});
   route.Workspace = workspace->Name;
   if (isRanked)
     policy.Priority = combinedPriority(workspace->Priority, policy.Priority);
--- a/src/libhickoryglade/settingsschema.cpp
+++ b/src/libhickoryglade/settingsschema.cpp
@@ -51,6 +51,7 @@
 struct SplitRule {};
 struct PrefixRule {};
 struct WorkspaceRule {};
+struct HeaderTextRule {};
 struct QuarantineReleaseRule {};
 
 /// A key of the schema and the highest level at which it is allowed.
@@ -60,7 +61,7 @@
   std::variant<IntegerRule, PolicyNameRule, MethodListRule, BooleanRule,
                HostRule, PrefixRule, WorkspaceRule, SplitRule,
                QuarantineReleaseRule, DigestListRule, NumberRule,
-               WorkspacePriorityRule>
+               WorkspacePriorityRule, HeaderTextRule>
       Rule;
   /// Lowest level at which it is allowed.
   SettingsLevel To = SettingsLevel::Route;
@@ -202,6 +203,8 @@
        SettingsLevel::Workspace},
       {"workspace_priority", SettingsLevel::Workspace, WorkspacePriorityRule{},
        SettingsLevel::Workspace},
+      {"workspace_name", SettingsLevel::Workspace, HeaderTextRule{},
+       SettingsLevel::Workspace},
       {"host", SettingsLevel::Route, HostRule{}},
       {"prefix", SettingsLevel::Route, PrefixRule{}},
       {"workspace", SettingsLevel::Route, WorkspaceRule{}},
@@ -210,14 +213,29 @@
   return it;
 }
 
-bool isNameChar(char c) {
-  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-         (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+constexpr std::size_t MaxHostBytes = 255;
+constexpr std::size_t MaxTextBytes = 1'000;
+
+bool isControlChar(char c) {
+  constexpr unsigned char firstPrintable = 0x20;
+  constexpr unsigned char deleteChar = 0x7f;
+  auto byte = static_cast<unsigned char>(c);
+  return byte < firstPrintable || byte == deleteChar;
 }
 
-bool isName(const std::string &name) {
-  return !name.empty() && name.size() <= MaxNameLength &&
-         std::ranges::all_of(name, isNameChar);
+/// Host names of operators may have labels that no DNS name has, such as a
+/// wildcard, which then match no request.
+bool isHost(const std::string &host) {
+  return !host.empty() && host.size() <= MaxHostBytes &&
+         std::ranges::none_of(host, [](char c) {
+           return isControlChar(c) || c == ' ' || c == '/';
+         });
+}
+
+/// True for a text that can be sent as the value of a header.
+bool isHeaderText(const std::string &text) {
+  return !text.empty() && text.size() <= MaxTextBytes &&
+         std::ranges::none_of(text, isControlChar);
 }
 
 std::string fault(const IntegerRule &rule, const json &value) {
@@ -254,7 +272,7 @@
 }
 
 std::string fault(const HostRule &, const json &value) {
-  return value.is_string() && isName(value.get<std::string>())
+  return value.is_string() && isHost(value.get<std::string>())
              ? ""
              : "must be a host name";
 }
@@ -266,11 +284,17 @@
 }
 
 std::string fault(const WorkspaceRule &, const json &value) {
-  return value.is_string() && isName(value.get<std::string>())
+  return value.is_string() && isSettingsName(value.get<std::string>())
              ? ""
              : "must be the name of a workspace";
 }
 
+std::string fault(const HeaderTextRule &, const json &value) {
+  return value.is_string() && isHeaderText(value.get<std::string>())
+             ? ""
+             : "must be a text of 1 to 1000 bytes without control characters";
+}
+
 std::string fault(const DigestListRule &, const json &value) {
   bool isDigestList =
       value.is_array() && std::ranges::all_of(value, [](const json &it) {
@@ -311,7 +335,7 @@
   std::int64_t sum = 0;
   if (isWellFormed)
     for (const auto &[name, weight] : value.items()) {
-      isWellFormed = isWellFormed && isName(name) && isWeight(weight);
+      isWellFormed = isWellFormed && isSettingsName(name) && isWeight(weight);
       sum += isWellFormed ? weight.get<std::int64_t>() : 0;
     }
   return isWellFormed && sum > 0
@@ -343,6 +367,16 @@
 
 } // namespace
 
+bool isSettingsNameChar(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+}
+
+bool isSettingsName(const std::string &name) {
+  return !name.empty() && name.size() <= MaxNameLength &&
+         std::ranges::all_of(name, isSettingsNameChar);
+}
+
 std::vector<std::string> splitSettingsPath(const std::string &path) {
   std::vector<std::string> names;
   std::size_t start = 1;
@@ -363,7 +397,7 @@
   if (names.size() > MaxDepth)
     return "must be /, /workspace, /workspace/service or "
            "/workspace/service/route";
-  if (!std::ranges::all_of(names, isName))
+  if (!std::ranges::all_of(names, isSettingsName))
     return "names hold 1 to 100 letters, digits, '-', '_' or '.'";
   return "";
 }
--- a/src/libhickoryglade/settingsschema.h
+++ b/src/libhickoryglade/settingsschema.h
@@ -24,6 +24,10 @@
 /// Splits "/a/b" into its names; the root has none.
 std::vector<std::string> splitSettingsPath(const std::string &path);
 
+/// True for a name that may be a part of a path.
+bool isSettingsName(const std::string &name);
+bool isSettingsNameChar(char c);
+
 /// Returns what is wrong with a path, or an empty string if it is well formed.
 std::string settingsPathFault(const std::string &path);
 
--- a/src/libhickoryglade/settingstree.cpp
+++ b/src/libhickoryglade/settingstree.cpp
@@ -21,9 +21,10 @@
 
 /// Keys that identify a route or workspace; they are never inherited.
 bool isIdentityKey(const std::string &key) {
-  constexpr std::array<std::string_view, 8> keys = {
-      "host",        "prefix",           "workspace",   "split",
-      "key_digests", "quota_per_second", "quota_burst", "workspace_priority"};
+  constexpr std::array<std::string_view, 9> keys = {
+      "host",          "prefix",           "workspace",   "split",
+      "key_digests",   "quota_per_second", "quota_burst", "workspace_priority",
+      "workspace_name"};
   return std::ranges::find(keys, key) != keys.end();
 }
 
--- a/src/libhickoryglade/workspaces/workspacetable.cpp
+++ b/src/libhickoryglade/workspaces/workspacetable.cpp
@@ -25,11 +25,17 @@
   return {
       path.substr(1),
       value.value("workspace_priority", 0),
-      {value.value("quota_per_second", 0.0), value.value("quota_burst", 0.0)}};
+      {value.value("quota_per_second", 0.0), value.value("quota_burst", 0.0)},
+      value.value("workspace_name", "")};
 }
 
 } // namespace
 
+const std::string &endpointName(const Workspace &workspace) {
+  return workspace.EndpointName.empty() ? workspace.Name
+                                        : workspace.EndpointName;
+}
+
 WorkspaceTable::WorkspaceTable(const SettingsTree &tree) {
   for (const auto &[path, node] : tree.Nodes) {
     if (!isCallerWorkspace(path, node))
--- a/src/libhickoryglade/workspaces/workspacetable.h
+++ b/src/libhickoryglade/workspaces/workspacetable.h
@@ -27,10 +27,15 @@
   /// 0 is the most urgent.
   int Priority = 0;
   Quota Limit;
+  /// Name that endpoints are told; the same unless set.
+  std::string EndpointName = {};
 
   bool operator==(const Workspace &) const = default;
 };
 
+/// Name by which endpoints know a workspace.
+const std::string &endpointName(const Workspace &workspace);
+
 /// Workspaces by name and by key. Immutable; shared by the traffic threads.
 class WorkspaceTable {
 public:
--- a/tests/platform/test_platform.cpp
+++ b/tests/platform/test_platform.cpp
@@ -108,6 +108,45 @@
       "the route is back", [&] { return !servedBy("i-n3"); }, 2'000);
 }
 
+// Guards against a version that all nodes reject for the type of a weight, and
+// against later versions that are lost with it.
+TEST_CASE("a version with fractions as weights is in force on all nodes",
+          "[config-values]") {
+  constexpr int limitMs = 2'000;
+  PlatformFleet fleet;
+  fleet.startDefault();
+  json split = defaultConfig(2);
+  json &rules = split["listeners"][0]["route_rules"];
+  rules.erase(1);
+  rules[0]["action"].erase("service");
+  rules[0]["action"]["traffic_split"] = {{{"service", "s"}, {"weight", 0.75}},
+                                         {{"service", "t"}, {"weight", 0.25}}};
+  fleet.configure(split);
+  for (const char *node : {"n1", "n2", "n3"})
+    TestFleet::await(
+        "the removed route is gone",
+        [&] { return fleet.call(node, "POST", "/once/x").Status == 404; },
+        limitMs);
+  int atOther = 0;
+  constexpr int requests = 80;
+  for (int i = 0; i < requests; ++i) {
+    HttpReply reply = fleet.call("n1", "GET", "/safe/x");
+    CHECK(reply.Status == 200);
+    atOther += reply.Body.starts_with("i-n3");
+  }
+  CHECK(atOther == requests / 4);
+  json malformed = split;
+  malformed["version"] = 3;
+  malformed["listeners"] = 7;
+  fleet.configure(malformed);
+  fleet.configure(defaultConfig(4));
+  for (const char *node : {"n1", "n2", "n3"})
+    TestFleet::await(
+        "the route is back",
+        [&] { return fleet.call(node, "POST", "/once/x").Status == 200; },
+        limitMs);
+}
+
 TEST_CASE("nodes serve without the store and apply settings once it returns",
           "[platform]") {
   PlatformFleet fleet;
