--- a/tests/platform/test_brokenservers.cpp
+++ b/tests/platform/test_brokenservers.cpp
@@ -125,6 +125,19 @@
   };
 }
 
+/// Checks that an order with such an answer is answered by the node itself.
+void checkOrder(PlatformFleet &fleet, const BrokenServer &server,
+                const BrokenAnswer &broken, const char *node) {
+  INFO("through " << node);
+  fleet.awaitServing();
+  HttpReply reply =
+      fleet.call(node, "POST", "/once/x", std::string(broken.UploadBytes, 'u'));
+  CHECK(reply.Status == 502);
+  CHECK(reply.problem("run") == "unknown");
+  CHECK(reply.header("Response-Signature").empty());
+  CHECK(server.arrivals(fleet.lastId()) == 1);
+}
+
 } // namespace
 
 // Guards against answers that reach a caller although they are not whole and
@@ -137,14 +150,7 @@
   startPair(fleet);
   BrokenServer server(fleet, broken.Answer);
   for (const char *node : {"n3", "n1"}) {
-    INFO("through " << node);
-    fleet.awaitServing();
-    HttpReply reply = fleet.call(node, "POST", "/once/x",
-                                 std::string(broken.UploadBytes, 'u'));
-    CHECK(reply.Status == 502);
-    CHECK(reply.problem("run") == "unknown");
-    CHECK(reply.header("Response-Signature").empty());
-    CHECK(server.arrivals(fleet.lastId()) == 1);
+    checkOrder(fleet, server, broken, node);
     json status = fleet.statusOf("n1");
     REQUIRE(status["own_endpoints"].size() == 1);
     CHECK(status["own_endpoints"][0]["standing"] != "healthy");
@@ -160,16 +166,8 @@
   PlatformFleet fleet;
   startPair(fleet);
   BrokenServer server(fleet, broken.Answer);
-  for (const char *node : {"n3", "n1"}) {
-    INFO("through " << node);
-    fleet.awaitServing();
-    HttpReply reply = fleet.call(node, "POST", "/once/x",
-                                 std::string(broken.UploadBytes, 'u'));
-    CHECK(reply.Status == 502);
-    CHECK(reply.problem("run") == "unknown");
-    CHECK(reply.header("Response-Signature").empty());
-    CHECK(server.arrivals(fleet.lastId()) == 1);
-  }
+  for (const char *node : {"n3", "n1"})
+    checkOrder(fleet, server, broken, node);
 }
 
 TEST_CASE("an early answer that ends in order with its connection is whole",
